Lay out the workspace, the core interfaces and the transport

Cause: nothing runs yet; every part needs the same messages. Change: six packages, frozen messages between callers, hosts and members, abstract platform, upstream, routing and slot queue, CBOR frames over the protocol layer of websockets on gevent sockets. Conclusion: the transport uses the protocol layer of websockets.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core wire node client cli standins
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+SOURCES := packages features
+DEPLOYMENT ?= karamanlis
+
+.PHONY: setup format lint test demo measure clean
+
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: constraints.txt requirements-dev.txt \
+		$(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
+	touch $@
+
+format: setup
+	$(BIN)/ruff format $(SOURCES)
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+test: lint
+	$(BIN)/behave --format progress3 features
+
+demo: setup
+	$(BIN)/python -m trefoilpulley_standins.demo --deployment $(DEPLOYMENT)
+
+measure: setup
+	$(BIN)/python -m trefoilpulley_standins.measure
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/features/steps/wire_steps.py
@@ -0,0 +1,66 @@
+"""Steps on frames."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from returns.pipeline import is_successful
+
+from trefoilpulley_core.caller import Execute
+from trefoilpulley_core.failure import MalformedMessage
+from trefoilpulley_wire.caller_codec import CALLER_CODEC
+
+
+class WireSteps:
+    """Steps that encode and decode frames."""
+
+    @staticmethod
+    @given("a caller's request with every kind of parameter")
+    def make_request(context: Any) -> None:
+        """Build a request with a value of each type."""
+        context.request = Execute(
+            'r-1',
+            'filing',
+            'register-ledger/0',
+            'insert',
+            (None, 1, 2.5, 'sett', b'\x00'),
+            b'token',
+        )
+
+    @staticmethod
+    @when('it is encoded and decoded')
+    def convert_request(context: Any) -> None:
+        """Send the request through the codec."""
+        data = CALLER_CODEC.encode(5, context.request)
+        context.frame = CALLER_CODEC.decode(data).unwrap()
+
+    @staticmethod
+    @then('the same request comes out')
+    def compare_request(context: Any) -> None:
+        """Compare with the original."""
+        assert context.frame.sequence == 5
+        assert context.frame.message == context.request
+
+    @staticmethod
+    @when('the frame "{data}" is decoded')
+    def decode_frame(context: Any, data: str) -> None:
+        """Decode raw bytes."""
+        context.data = bytes.fromhex(data)
+        context.decoded = CALLER_CODEC.decode(context.data)
+
+    @staticmethod
+    @then('it is refused as malformed')
+    def check_malformed(context: Any) -> None:
+        """Expect the typed failure."""
+        assert not is_successful(context.decoded)
+        assert isinstance(context.decoded.failure(), MalformedMessage)
+
+    @staticmethod
+    @then('its sequence number is {sequence:d}')
+    def check_sequence(context: Any, sequence: int) -> None:
+        """Compare the sequence number that a refusal would carry."""
+        found = CALLER_CODEC.decode_sequence(context.data)
+        assert found == sequence
--- /dev/null
+++ b/packages/cli/src/trefoilpulley_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the proxy."""
--- /dev/null
+++ b/packages/client/src/trefoilpulley_client/__init__.py
@@ -0,0 +1,1 @@
+"""PEP 249 client of the proxy."""
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the proxy: no I/O, no clock, no sockets."""
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/keys.py
@@ -0,0 +1,22 @@
+"""Keys of the platform's service that the system reads and writes."""
+
+from __future__ import annotations
+
+CONFIGURATION_KEY = '/trefoilpulley/configuration'
+"""Declarations in force, as JSON of a `Configuration`."""
+
+CATALOG_DATABASES_KEY = '/platform/databases'
+"""Database groups; the platform writes, the system reads."""
+
+CATALOG_HOSTS_KEY = '/platform/hosts'
+"""Lagging list of hosts; the platform writes, the system reads."""
+
+
+def duty_key(shard: int) -> str:
+    """Return the key that the coordinator of a shard holds by lease."""
+    return f'/trefoilpulley/duty/{shard:04d}'
+
+
+def shard_key(shard: int) -> str:
+    """Return the key that holds the records of a shard's databases."""
+    return f'/trefoilpulley/shard/{shard:04d}'
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/__init__.py
@@ -0,0 +1,1 @@
+"""Entry host process: roles, transports and wiring."""
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, and measuring tools."""
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/__init__.py
@@ -0,0 +1,1 @@
+"""WebSocket and CBOR transport between processes."""
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -0,0 +1,257 @@
+"""Multiplexed request and reply over one WebSocket connection."""
+
+from __future__ import annotations
+
+import abc
+from typing import Any
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.lock import Semaphore
+from gevent import socket
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+from websockets.frames import Opcode
+from websockets.protocol import State
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import MessageTooLarge
+from trefoilpulley_core.failure import PeerUnreachable
+
+if TYPE_CHECKING:
+    from websockets.frames import Frame as SocketFrame
+    from websockets.protocol import Protocol
+
+    from trefoilpulley_wire.codec import Codec
+
+RECEIVE_BYTES = 65536
+"""Bytes read from a socket at once."""
+
+MESSAGE_LIMIT_BYTES = 1 << 20
+"""Greatest message that is taken in."""
+
+HARD_LIMIT_BYTES = 16 << 20
+"""Greatest message that is read; a greater one closes the connection."""
+
+
+class Handler(abc.ABC):
+    """Serves the requests that come in on a channel."""
+
+    @abc.abstractmethod
+    def on_request(self, channel: Channel, message: Any) -> Any:
+        """Return the reply to a request; runs in a greenlet of its own."""
+
+    @abc.abstractmethod
+    def on_malformed(self, channel: Channel, failure: Failure) -> Any:
+        """Return the reply to a message that could not be decoded."""
+
+    def on_notice(self, channel: Channel, message: Any) -> None:
+        """Take a one-way message."""
+
+    def on_close(self, channel: Channel) -> None:
+        """Release what the channel's peer held."""
+
+
+class Channel:
+    """One connection, on either side.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Connected socket, after the handshake.
+    protocol : Protocol
+        WebSocket state of the connection.
+    codec : Codec
+        Message types of the connection.
+    handler : Handler, optional
+        Serves requests of the other side.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        protocol: Protocol,
+        codec: Codec,
+        handler: Handler | None = None,
+    ) -> None:
+        self._sock = sock
+        self._protocol = protocol
+        self._codec = codec
+        self._handler = handler
+        self._send_lock = Semaphore()
+        self._next_sequence = 1
+        self._waiting: dict[int, AsyncResult] = {}
+        self._fragments: list[bytes] = []
+        self._running = 0
+        self.is_open = True
+        """Whether requests can be sent."""
+
+        self.context: Any = None
+        """State that the handler keeps for the connection."""
+
+    @property
+    def running_requests(self) -> int:
+        """Number of the other side's requests that are being served."""
+        return self._running
+
+    def call(
+        self, message: Any, timeout_s: float | None = None
+    ) -> Result[Any, Failure]:
+        """Send a request and wait for its reply.
+
+        Parameters
+        ----------
+        message : Any
+            Typed request.
+        timeout_s : float, optional
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Result[Any, Failure]
+            The reply, or `PeerUnreachable` where none came.
+        """
+        if not self.is_open:
+            return Failed(PeerUnreachable('connection is closed'))
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        waiter = self._waiting[sequence] = AsyncResult()
+        try:
+            self._send(sequence, message)
+            return waiter.get(timeout=timeout_s)
+        except (OSError, gevent.Timeout) as exc:
+            return Failed(PeerUnreachable(type(exc).__name__))
+        finally:
+            self._waiting.pop(sequence, None)
+
+    def notify(self, message: Any) -> None:
+        """Send a one-way message; a broken connection drops it."""
+        try:
+            self._send(0, message)
+        except OSError:
+            self.close()
+
+    def run(self) -> None:
+        """Read until the connection ends."""
+        try:
+            self._take_events()
+            while self.is_open:
+                data = self._sock.recv(RECEIVE_BYTES)
+                if not data:
+                    break
+                self._protocol.receive_data(data)
+                self._take_events()
+        except OSError:
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection and fail the calls that wait."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        try:
+            self._sock.close()
+        except OSError:
+            pass
+        failed = Failed(PeerUnreachable('connection broke'))
+        for waiter in list(self._waiting.values()):
+            waiter.set(failed)
+        if self._handler:
+            self._handler.on_close(self)
+
+    def close_gracefully(self) -> None:
+        """Send a close frame, then close."""
+        if not self.is_open:
+            return
+        try:
+            with self._send_lock:
+                self._protocol.send_close(1001)
+                self._flush()
+        except OSError:
+            pass
+        self.close()
+
+    def _send(self, sequence: int, message: Any) -> None:
+        data = self._codec.encode(sequence, message)
+        with self._send_lock:
+            if self._protocol.state is not State.OPEN:
+                raise ConnectionError()
+            self._protocol.send_binary(data)
+            self._flush()
+
+    def _flush(self) -> None:
+        pending = b''.join(self._protocol.data_to_send())
+        if pending:
+            self._sock.sendall(pending)
+
+    def _take_events(self) -> None:
+        for event in self._protocol.events_received():
+            self._on_socket_frame(event)
+        with self._send_lock:
+            self._flush()
+        if self._protocol.state is not State.OPEN:
+            self.close()
+
+    def _on_socket_frame(self, frame: SocketFrame) -> None:
+        if frame.opcode not in (Opcode.BINARY, Opcode.TEXT, Opcode.CONT):
+            return
+        self._fragments.append(bytes(frame.data))
+        if not frame.fin:
+            return
+        data = b''.join(self._fragments)
+        self._fragments.clear()
+        self._on_data(data)
+
+    def _on_data(self, data: bytes) -> None:
+        sequence = self._codec.decode_sequence(data)
+        if sequence > 0 and len(data) > MESSAGE_LIMIT_BYTES:
+            failure = MessageTooLarge(f'limit is {MESSAGE_LIMIT_BYTES}')
+            self._refuse(sequence, failure)
+            return
+        decoded = self._codec.decode(data)
+        if not isinstance(decoded, Success):
+            self._on_undecodable(sequence, decoded.failure())
+            return
+        message = decoded.unwrap().message
+        if sequence < 0:
+            self._on_reply(-sequence, Success(message))
+        elif sequence > 0:
+            self._running += 1
+            gevent.spawn(self._serve, sequence, message)
+        elif self._handler:
+            self._handler.on_notice(self, message)
+
+    def _on_undecodable(self, sequence: int, failure: Failure) -> None:
+        if sequence < 0:
+            self._on_reply(-sequence, Failed(failure))
+        else:
+            self._refuse(sequence, failure)
+
+    def _on_reply(self, sequence: int, reply: Result[Any, Failure]) -> None:
+        waiter = self._waiting.get(sequence)
+        if waiter is not None:
+            waiter.set(reply)
+
+    def _refuse(self, sequence: int, failure: Failure) -> None:
+        if not self._handler:
+            return
+        reply = self._handler.on_malformed(self, failure)
+        try:
+            self._send(-sequence, reply)
+        except OSError:
+            self.close()
+
+    def _serve(self, sequence: int, message: Any) -> None:
+        try:
+            if self._handler is None:
+                return
+            reply = self._handler.on_request(self, message)
+            self._send(-sequence, reply)
+        except OSError:
+            self.close()
+        finally:
+            self._running -= 1
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -0,0 +1,95 @@
+"""CBOR form of the typed messages.
+
+A frame is a sequence of three CBOR items: the sequence number, the tag
+of the message's type and the message's fields. A request has a positive
+sequence number, its reply the same number negated, and a one-way
+message 0.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import io
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cattrs.preconf.cbor2 import make_converter
+import cbor2
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import MalformedMessage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HEADER_BYTES = 64
+"""Bytes that always hold a frame's sequence number and tag."""
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One decoded message."""
+
+    sequence: int
+    """Sequence number; negative on a reply, 0 on a one-way message."""
+
+    message: Any
+    """Typed message."""
+
+
+class Codec:
+    """Encodes and decodes one set of message types.
+
+    Parameters
+    ----------
+    types : Iterable[type]
+        Frozen data classes; the class name is the tag on the wire.
+    """
+
+    def __init__(self, types: Iterable[type]) -> None:
+        self._converter = make_converter(omit_if_default=True)
+        self._types = {kind.__name__: kind for kind in types}
+
+    def encode(self, sequence: int, message: Any) -> bytes:
+        """Return the frame of a message."""
+        kind = type(message)
+        return b''.join(
+            (
+                cbor2.dumps(sequence),
+                cbor2.dumps(kind.__name__),
+                cbor2.dumps(self._converter.unstructure(message, kind)),
+            )
+        )
+
+    def decode(self, data: bytes) -> Result[Frame, Failure]:
+        """Decode a frame, or say why it is malformed."""
+        try:
+            return self._decode(data)
+        except Exception as exc:  # noqa: H201 - any fault of the sender's
+            return Failed(MalformedMessage(type(exc).__name__))
+
+    def decode_sequence(self, data: bytes) -> int:
+        """Return a frame's sequence number, or 0 where it has none."""
+        try:
+            sequence = cbor2.load(io.BytesIO(data[:HEADER_BYTES]))
+        except (cbor2.CBORError, ValueError):
+            return 0
+        return sequence if isinstance(sequence, int) else 0
+
+    def _decode(self, data: bytes) -> Result[Frame, Failure]:
+        stream = io.BytesIO(data)
+        decoder = cbor2.CBORDecoder(stream)
+        sequence = decoder.decode()
+        tag = decoder.decode()
+        fields = decoder.decode()
+        if not isinstance(sequence, int):
+            return Failed(MalformedMessage('sequence is not a number'))
+        kind = self._types.get(tag) if isinstance(tag, str) else None
+        if kind is None:
+            return Failed(MalformedMessage('unknown type of message'))
+        return Success(
+            Frame(sequence, self._converter.structure(fields, kind))
+        )
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/dial.py
@@ -0,0 +1,92 @@
+"""Opens channels to other processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent import socket
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+from websockets.client import ClientProtocol
+from websockets.protocol import State
+from websockets.uri import parse_uri
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_wire.channel import Channel
+from trefoilpulley_wire.channel import HARD_LIMIT_BYTES
+from trefoilpulley_wire.channel import RECEIVE_BYTES
+
+if TYPE_CHECKING:
+    import ssl
+
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_wire.channel import Handler
+    from trefoilpulley_wire.codec import Codec
+
+
+def dial(
+    endpoint: Endpoint,
+    codec: Codec,
+    handler: Handler | None = None,
+    timeout_s: float = 1.0,
+    tls: ssl.SSLContext | None = None,
+) -> Result[Channel, Failure]:
+    """Open a channel and start to read from it.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address of the listening process.
+    codec : Codec
+        Message types of the connection.
+    handler : Handler, optional
+        Serves requests of the other side.
+    timeout_s : float
+        Longest time for connection and handshake, in seconds.
+    tls : ssl.SSLContext, optional
+        Client context; plain TCP without it.
+
+    Returns
+    -------
+    Result[Channel, Failure]
+        The open channel, or `PeerUnreachable`.
+    """
+    sock = None
+    try:
+        with gevent.Timeout(timeout_s, TimeoutError):
+            sock = socket.create_connection((endpoint.address, endpoint.port))
+            if tls is not None:
+                sock = tls.wrap_socket(sock, server_hostname=endpoint.address)
+            protocol = _shake_hands(sock, endpoint)
+    except (OSError, TimeoutError) as exc:
+        if sock is not None:
+            sock.close()
+        return Failed(PeerUnreachable(type(exc).__name__))
+    channel = Channel(sock, protocol, codec, handler)
+    gevent.spawn(channel.run)
+    return Success(channel)
+
+
+def _shake_hands(sock: socket.socket, endpoint: Endpoint) -> ClientProtocol:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    uri = parse_uri(f'ws://{endpoint.address}:{endpoint.port}/')
+    protocol = ClientProtocol(uri, max_size=HARD_LIMIT_BYTES)
+    protocol.send_request(protocol.connect())
+    sock.sendall(b''.join(protocol.data_to_send()))
+    while protocol.state is State.CONNECTING:
+        data = sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise ConnectionError()
+        protocol.receive_data(data)
+        if protocol.handshake_exc is not None:
+            raise ConnectionError()
+    _discard_response(protocol)
+    return protocol
+
+
+def _discard_response(protocol: ClientProtocol) -> None:
+    events = protocol.events_received()
+    protocol.events.extend(events[1:])
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -0,0 +1,111 @@
+"""Accepts channels from other processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.server import StreamServer
+from gevent import socket
+from websockets.http11 import Request
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+
+from trefoilpulley_wire.channel import Channel
+from trefoilpulley_wire.channel import HARD_LIMIT_BYTES
+from trefoilpulley_wire.channel import RECEIVE_BYTES
+
+if TYPE_CHECKING:
+    import ssl
+
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_wire.channel import Handler
+    from trefoilpulley_wire.codec import Codec
+
+_BACKLOG = 1024
+
+
+class Listener:
+    """Server side of the channels of one address.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address to listen on.
+    codec : Codec
+        Message types of the connections.
+    handler : Handler
+        Serves the requests.
+    tls : ssl.SSLContext, optional
+        Server context; plain TCP without it.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        codec: Codec,
+        handler: Handler,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._codec = codec
+        self._handler = handler
+        options = {} if tls is None else {'ssl_context': tls}
+        self._server = StreamServer(
+            (endpoint.address, endpoint.port),
+            self._accept,
+            backlog=_BACKLOG,
+            **options,
+        )
+        self.channels: set[Channel] = set()
+        """Open channels."""
+
+    @property
+    def port(self) -> int:
+        """TCP port in use."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Take no new connection; those open go on."""
+        self._server.close()
+
+    def stop(self) -> None:
+        """Close the listener and every channel."""
+        self._server.stop(timeout=0)
+        for channel in list(self.channels):
+            channel.close_gracefully()
+
+    def _accept(self, sock: socket.socket, address: tuple) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        protocol = ServerProtocol(max_size=HARD_LIMIT_BYTES)
+        try:
+            if not self._shake_hands(sock, protocol):
+                sock.close()
+                return
+        except OSError:
+            sock.close()
+            return
+        channel = Channel(sock, protocol, self._codec, self._handler)
+        self.channels.add(channel)
+        try:
+            channel.run()
+        finally:
+            self.channels.discard(channel)
+
+    def _shake_hands(
+        self, sock: socket.socket, protocol: ServerProtocol
+    ) -> bool:
+        while protocol.state is State.CONNECTING:
+            data = sock.recv(RECEIVE_BYTES)
+            if not data:
+                return False
+            protocol.receive_data(data)
+            events = protocol.events_received()
+            if not events or not isinstance(events[0], Request):
+                continue
+            protocol.send_response(protocol.accept(events[0]))
+            sock.sendall(b''.join(protocol.data_to_send()))
+            protocol.events.extend(events[1:])
+        return protocol.state is State.OPEN
--- /dev/null
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -0,0 +1,36 @@
+"""Codec of the connections between hosts."""
+
+from __future__ import annotations
+
+from trefoilpulley_core import peer
+from trefoilpulley_wire.codec import Codec
+
+PEER_CODEC = Codec(
+    (
+        peer.Digests,
+        peer.FenceMember,
+        peer.FollowMember,
+        peer.GetDigest,
+        peer.GetStatus,
+        peer.PauseReport,
+        peer.PauseWrites,
+        peer.PeerHello,
+        peer.PeerWelcome,
+        peer.PooledBegin,
+        peer.PooledBegun,
+        peer.PooledCommit,
+        peer.PooledDone,
+        peer.PooledFailure,
+        peer.PooledRead,
+        peer.PooledResolve,
+        peer.PooledResult,
+        peer.PooledRollback,
+        peer.PooledRun,
+        peer.PooledWrite,
+        peer.PromoteMember,
+        peer.ResumeWrites,
+        peer.StatusReport,
+        peer.WarmConnections,
+    )
+)
+"""Codec of the connections between hosts."""
