--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Spread and change of the operators' declarations."""
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live and leaving hosts, as the hosts themselves find out."""
