--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/_routing_rules.py
@@ -0,0 +1,88 @@
+"""Rules that every routing policy keeps."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.routing import find_primary
+from trefoilpulley_core.routing import Route
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.peer import MemberDigest
+    from trefoilpulley_core.routing import DatabaseView
+    from trefoilpulley_core.routing import MemberView
+    from trefoilpulley_core.routing import RouteRequest
+
+
+def needs_primary(req: RouteRequest) -> bool:
+    """Return whether only a primary may serve a request.
+
+    A request without a token may belong to any session, so that its
+    floor is the primary's position at arrival.
+    """
+    if req.floor is None or req.work_class.work is WorkKind.WRITE:
+        return True
+    return req.work_class.freshness.kind is FreshnessKind.PRESENT
+
+
+def is_readable(member: MemberView, req: RouteRequest) -> bool:
+    """Return whether a member is a replica that may get a read."""
+    digest = member.digest
+    if digest is None or digest.is_primary or not digest.is_reachable:
+        return False
+    return not member.is_leaving and member.member not in req.excluded
+
+
+def settle_floor(floor: Position, digest: MemberDigest) -> Position:
+    """Return a floor in the terms of a member's log.
+
+    A floor of an older term may name a record that no member kept: a
+    read saw it before it had its copies. Everything that was
+    acknowledged in older terms stands before the first record of the
+    newer one, which takes the floor's place.
+
+    Parameters
+    ----------
+    floor : Position
+        Floor of the session.
+    digest : MemberDigest
+        Member that is to serve.
+
+    Returns
+    -------
+    Position
+        Floor that the member's log can contain.
+    """
+    last = digest.last
+    if floor.index == 0 or floor.term >= last.term:
+        return floor
+    return Position(last.term, digest.term_start)
+
+
+def route_to_primary(
+    view: DatabaseView, req: RouteRequest
+) -> Result[Route, Failure]:
+    """Return a route to the primary that the digests show."""
+    primary = find_primary(view)
+    if primary is None or primary.member in req.excluded:
+        return Failed(NoUpstream(f'no primary of {view.database}'))
+    floor = settle_floor(req.floor, primary.digest) if req.floor else None
+    return Success(Route(primary.member, is_primary=True, floor=floor))
+
+
+def route_to_replica(
+    member: MemberView, req: RouteRequest, wait_ms: int = 0
+) -> Result[Route, Failure]:
+    """Return a route to a replica with the floor in its terms."""
+    floor = settle_floor(req.floor, member.digest)
+    return Success(Route(member.member, False, wait_ms, floor))
--- a/packages/core/src/trefoilpulley_core/peer.py
+++ b/packages/core/src/trefoilpulley_core/peer.py
@@ -6,6 +6,7 @@
 
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
+from trefoilpulley_core.upstream import Acknowledgement
 from trefoilpulley_core.upstream import MemberStatus
 from trefoilpulley_core.upstream import OutcomeKey
 from trefoilpulley_core.upstream import Statement
@@ -74,6 +75,9 @@
     is_paused: bool = False
     """Whether a handover holds writes."""
 
+    copies: tuple[Acknowledgement, ...] = ()
+    """Progress of the replicas as a primary knows it."""
+
 
 @dataclass(frozen=True, slots=True)
 class WorkScope:
--- a/packages/core/src/trefoilpulley_core/routing.py
+++ b/packages/core/src/trefoilpulley_core/routing.py
@@ -83,6 +83,13 @@
     wait_ms: int = 0
     """Longest wait at the member for the floor."""
 
+    floor: Position | None = None
+    """The request's floor in the terms of the member's log.
+
+    ``None`` where the request's floor is unknown; the primary's position
+    then takes its place.
+    """
+
 
 class RoutingPolicy(abc.ABC):
     """Way to choose a member."""
@@ -95,10 +102,20 @@
 
 
 def find_primary(view: DatabaseView) -> MemberView | None:
-    """Return the reachable member that leads the highest term."""
-    leaders = [
-        m
-        for m in view.members
-        if m.digest and m.digest.is_primary and m.digest.is_reachable
-    ]
-    return max(leaders, key=lambda m: m.digest.term, default=None)
+    """Return the reachable member that leads the highest term seen.
+
+    A leader of a lower term than another member leads or follows has
+    been deposed and is no primary.
+    """
+    found = None
+    highest = 0
+    for member in view.members:
+        digest = member.digest
+        if digest is None or digest.term < highest:
+            continue
+        if digest.term > highest:
+            highest = digest.term
+            found = None
+        if digest.is_primary and digest.is_reachable:
+            found = member
+    return found
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/routing_thin.py
@@ -0,0 +1,35 @@
+"""Policy of the first thin version: the nearest replica, no waiting."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core._routing_rules import is_readable
+from trefoilpulley_core._routing_rules import needs_primary
+from trefoilpulley_core._routing_rules import route_to_primary
+from trefoilpulley_core._routing_rules import route_to_replica
+from trefoilpulley_core.routing import RoutingPolicy
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.routing import DatabaseView
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_core.routing import RouteRequest
+
+
+class ThinRouting(RoutingPolicy):
+    """Reads at the nearest reachable replica, whatever it holds."""
+
+    def choose(
+        self, view: DatabaseView, req: RouteRequest, now: float
+    ) -> Result[Route, Failure]:
+        """Return the member for a request, or ``NoUpstream``."""
+        if needs_primary(req):
+            return route_to_primary(view, req)
+        found = [m for m in view.members if is_readable(m, req)]
+        if not found:
+            return route_to_primary(view, req)
+        nearest = min(found, key=lambda m: m.round_trip_ms)
+        return route_to_replica(nearest, req)
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/slots_fifo.py
@@ -0,0 +1,80 @@
+"""Plain order of the slots: first come, first served."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.slots import SlotQueue
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.slots import Ticket
+
+QUEUE_LIMIT = 10_000
+"""Pieces of work that may wait at once."""
+
+INITIAL_SERVICE_S = 0.005
+"""Service time assumed before the first is seen, in seconds."""
+
+_SMOOTHING = 0.1
+
+
+class FifoSlots(SlotQueue):
+    """First come, first served; refuses only where the queue is full.
+
+    Parameters
+    ----------
+    slots : int
+        Pieces of work that the member runs at once.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._waiting: OrderedDict[int, Ticket] = OrderedDict()
+        self._service_s = INITIAL_SERVICE_S
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def offer(self, ticket: Ticket, now: float) -> Result[None, Failure]:
+        """Queue work, or refuse it with ``Overloaded``."""
+        if len(self._waiting) >= QUEUE_LIMIT:
+            return Failed(Overloaded('the queue is full'))
+        self._waiting[ticket.ticket_id] = ticket
+        return Success(None)
+
+    def take(self, now: float, is_writable: bool) -> Ticket | None:
+        """Return the oldest work that may run, or ``None``."""
+        for ticket in self._waiting.values():
+            if is_writable or not ticket.is_write:
+                return self._waiting.pop(ticket.ticket_id)
+        return None
+
+    def expire(self, now: float) -> tuple[Ticket, ...]:
+        """Remove and return work whose deadline has passed."""
+        late = [t for t in self._waiting.values() if t.deadline <= now]
+        for ticket in late:
+            del self._waiting[ticket.ticket_id]
+        return tuple(late)
+
+    def cancel(self, ticket_id: int) -> None:
+        """Remove work whose caller has gone."""
+        self._waiting.pop(ticket_id, None)
+
+    def record_service(
+        self, work_class: str, service_s: float, is_in_time: bool
+    ) -> None:
+        """Learn how long a piece of work held its slot."""
+        self._service_s += _SMOOTHING * (service_s - self._service_s)
+
+    def expected_wait_ms(self, now: float) -> int:
+        """Return the expected wait of new work, in milliseconds."""
+        share = len(self._waiting) / self._slots
+        return round(1000 * share * self._service_s)
