Add the platform adapter over etcd's JSON gateway

The node needs the platform's service. A connection that was never made is told as without effect; a write whose answer broke off is told as lost, so that its caller reads back. Calls are counted by kind.

--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -98,6 +98,12 @@
     def get_prefix(self, prefix: str) -> Result[tuple[KeyValue, ...], Failure]:
         """Return the values of every key with a prefix."""
 
+    def get_revisions(
+        self, prefix: str
+    ) -> Result[tuple[KeyValue, ...], Failure]:
+        """Return the keys under a prefix; their values may be left out."""
+        return self.get_prefix(prefix)
+
     @abc.abstractmethod
     def compare_and_swap(
         self,
@@ -154,5 +160,6 @@
         """Call back for each change under a prefix, until cancelled.
 
         A deleted key comes with an empty value. A broken watch calls
-        ``on_failure`` once and ends.
+        ``on_failure`` once and ends. Returns once the watch is in
+        force, so that a read that follows misses no change.
         """
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/etcd_gateway.py
@@ -0,0 +1,209 @@
+"""HTTP calls to etcd's published v3 JSON gateway."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import auto
+from enum import Enum
+from typing import Any
+from typing import TYPE_CHECKING
+
+import requests
+from requests.adapters import HTTPAdapter
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+from urllib3.exceptions import NewConnectionError
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.platform import LeaseExpired
+from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.platform import PlatformDown
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_TIMEOUT_S = 0.5
+"""Longest wait for a connection, in seconds."""
+
+ANSWER_TIMEOUT_S = 1.0
+"""Longest wait for an answer, in seconds."""
+
+POOLED_CONNECTIONS = 8
+"""Idle connections that are kept open."""
+
+LEASE_NOT_FOUND_CODE = 5
+"""gRPC status of a call on a lease that has lapsed."""
+
+
+class CallKind(Enum):
+    """Kinds of calls that the service counts."""
+
+    READ = auto()
+    WRITE = auto()
+    LEASE = auto()
+    WATCH = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class CallCounts:
+    """Calls to the service since the process started."""
+
+    reads: int = 0
+    """Range calls."""
+
+    writes: int = 0
+    """Transactions."""
+
+    leases: int = 0
+    """Grants, renewals and revocations."""
+
+    watches: int = 0
+    """Watches begun."""
+
+    failures: int = 0
+    """Calls of any kind without an answer."""
+
+
+_COUNTED_FIELDS = {
+    CallKind.READ: 'reads',
+    CallKind.WRITE: 'writes',
+    CallKind.LEASE: 'leases',
+    CallKind.WATCH: 'watches',
+}
+
+
+class EtcdGateway:
+    """Client of one address of the gateway.
+
+    Parameters
+    ----------
+    url : str
+        Base address, such as ``http://10.0.0.5:2379``.
+    connect_timeout_s : float
+        Longest wait for a connection, in seconds.
+    answer_timeout_s : float
+        Longest wait for an answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        answer_timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        self._url = url.rstrip('/')
+        self._connect_timeout_s = connect_timeout_s
+        self._answer_timeout_s = answer_timeout_s
+        self._session = _open_session()
+        self._streams = _open_session()
+        self.counts = CallCounts()
+        """Calls since the process started."""
+
+    def call(
+        self, kind: CallKind, path: str, body: Mapping[str, Any]
+    ) -> Result[dict[str, Any], Failure]:
+        """Send one call and return the JSON document of its answer.
+
+        Parameters
+        ----------
+        kind : CallKind
+            Kind under which the call is counted.
+        path : str
+            Path under ``/v3/``.
+        body : Mapping[str, Any]
+            JSON document of the request.
+
+        Returns
+        -------
+        Result[dict[str, Any], Failure]
+            The document, `PlatformDown` where the call had no effect,
+            or `PlatformAnswerLost` where it may have had one.
+        """
+        self._count(kind)
+        timeout = (self._connect_timeout_s, self._answer_timeout_s)
+        try:
+            resp = self._session.post(
+                f'{self._url}/v3/{path}', json=body, timeout=timeout
+            )
+            document = resp.json()
+        except (requests.RequestException, OSError) as exc:
+            return self._fail(classify_break(kind, exc))
+        if resp.ok:
+            return Success(document)
+        return self._fail(classify_refusal(kind, document))
+
+    def open_stream(
+        self, kind: CallKind, path: str, body: Mapping[str, Any]
+    ) -> Result[requests.Response, Failure]:
+        """Send one call whose answer is a stream of JSON lines."""
+        self._count(kind)
+        try:
+            resp = self._streams.post(
+                f'{self._url}/v3/{path}',
+                json=body,
+                stream=True,
+                timeout=(self._connect_timeout_s, None),
+            )
+        except (requests.RequestException, OSError) as exc:
+            return self._fail(classify_break(kind, exc))
+        if resp.ok:
+            return Success(resp)
+        resp.close()
+        return self._fail(PlatformDown(f'status {resp.status_code}'))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._session.close()
+        self._streams.close()
+
+    def _count(self, kind: CallKind) -> None:
+        self._add_one(_COUNTED_FIELDS[kind])
+
+    def _add_one(self, field: str) -> None:
+        value = getattr(self.counts, field) + 1
+        self.counts = replace(self.counts, **{field: value})
+
+    def _fail(self, failure: Failure) -> Failed:
+        self._add_one('failures')
+        return Failed(failure)
+
+
+def classify_break(kind: CallKind, exc: Exception) -> Failure:
+    """Return the failure of a call whose connection or answer failed.
+
+    Only a connection that was never made proves that the call had no
+    effect; a call without effects of its own is always repeatable.
+    """
+    detail = type(exc).__name__
+    if kind in (CallKind.READ, CallKind.WATCH) or _is_unsent(exc):
+        return PlatformDown(detail)
+    return PlatformAnswerLost(detail)
+
+
+def classify_refusal(kind: CallKind, document: Any) -> Failure:
+    """Return the failure of a call that was answered with an error."""
+    fields = document if isinstance(document, dict) else {}
+    detail = str(fields.get('message', fields.get('error', '')))
+    if fields.get('code') == LEASE_NOT_FOUND_CODE:
+        return LeaseExpired(detail)
+    if kind in (CallKind.READ, CallKind.WATCH):
+        return PlatformDown(detail)
+    return PlatformAnswerLost(detail)
+
+
+def _is_unsent(exc: Exception) -> bool:
+    if isinstance(exc, requests.ConnectTimeout):
+        return True
+    cause = exc.args[0] if exc.args else None
+    return isinstance(getattr(cause, 'reason', None), NewConnectionError)
+
+
+def _open_session() -> requests.Session:
+    session = requests.Session()
+    session.trust_env = False
+    adapter = HTTPAdapter(pool_maxsize=POOLED_CONNECTIONS)
+    session.mount('http://', adapter)
+    session.mount('https://', adapter)
+    return session
