Add a fake of the platform's service for the scenarios

Scenarios need outages, lost answers, conflicts and lapsed leases in a stated order; the fake keeps them on a virtual clock and counts calls.

--- /dev/null
+++ b/features/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces."""
--- /dev/null
+++ b/features/fakes/fake_platform.py
@@ -0,0 +1,250 @@
+"""The platform's service in memory, with faults to order."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.platform import KeyValue
+from trefoilpulley_core.platform import Lease
+from trefoilpulley_core.platform import LeaseExpired
+from trefoilpulley_core.platform import Platform
+from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.platform import PlatformDown
+from trefoilpulley_core.platform import RevisionConflict
+from trefoilpulley_core.platform import Watch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.failure import Failure
+
+
+class Fault(StrEnum):
+    """Faults of the next call."""
+
+    DOWN = 'down'
+    """The call has no effect."""
+
+    LOST_BEFORE = 'lost-before'
+    """The answer is lost and the call had no effect."""
+
+    LOST_AFTER = 'lost-after'
+    """The answer is lost and the call took effect."""
+
+    CONFLICT = 'conflict'
+    """Another writer's change came first."""
+
+
+@dataclass
+class FakeLease:
+    """Lease at the fake service."""
+
+    lease_id: int
+    ttl_s: int
+    expires_at: float
+
+
+@dataclass
+class FakeWatch(Watch):
+    """Watch at the fake service."""
+
+    platform: FakePlatform
+    prefix: str
+    on_change: Callable[[KeyValue], None]
+    on_failure: Callable[[Failure], None]
+
+    def cancel(self) -> None:
+        """Stop the watch."""
+        if self in self.platform.watches:
+            self.platform.watches.remove(self)
+
+
+@dataclass
+class FakePlatform(Platform):
+    """Service on a virtual clock; each call takes ``delay_s`` of it."""
+
+    now: float = 0.0
+    """Virtual time in seconds; the scenario sets it."""
+
+    delay_s: float = 0.0
+    """Time that each call takes."""
+
+    is_down: bool = False
+    """Whether every call fails without effect."""
+
+    faults: list[Fault] = field(default_factory=list)
+    """Faults of the next writes, first one first."""
+
+    values: dict[str, KeyValue] = field(default_factory=dict)
+    """Keys that exist."""
+
+    watches: list[FakeWatch] = field(default_factory=list)
+    """Watches in force."""
+
+    calls: Counter[str] = field(default_factory=Counter)
+    """Calls by name."""
+
+    revision: int = 0
+    """Revision of the newest change."""
+
+    leases: dict[int, FakeLease] = field(default_factory=dict)
+    """Leases that have not lapsed."""
+
+    def get(self, key: str) -> Result[KeyValue | None, Failure]:
+        """Return the value of a key, or ``None`` where it is absent."""
+        if not self._begin('get'):
+            return Failed(PlatformDown())
+        return Success(self.values.get(key))
+
+    def get_prefix(self, prefix: str) -> Result[tuple[KeyValue, ...], Failure]:
+        """Return the values of every key with a prefix."""
+        if not self._begin('get'):
+            return Failed(PlatformDown())
+        keys = sorted(k for k in self.values if k.startswith(prefix))
+        return Success(tuple(self.values[k] for k in keys))
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: int = 0,
+    ) -> Result[int, Failure]:
+        """Write a key where its revision is as expected."""
+        return self._write(
+            'compare_and_swap',
+            lambda: self._swap(key, expected_revision, value, lease_id),
+        )
+
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> Result[None, Failure]:
+        """Delete a key where its revision is as expected."""
+        return self._write(
+            'delete', lambda: self._swap(key, expected_revision, b'', 0)
+        ).map(lambda revision: None)
+
+    def grant_lease(self, ttl_s: int) -> Result[Lease, Failure]:
+        """Grant a lease."""
+        return self._write('grant_lease', lambda: self._grant(ttl_s))
+
+    def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
+        """Renew a lease once."""
+        return self._write('keep_alive', lambda: self._renew(lease_id))
+
+    def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
+        """End a lease and delete the keys bound to it."""
+        return self._write('revoke_lease', lambda: self._revoke(lease_id))
+
+    def watch(
+        self,
+        prefix: str,
+        on_change: Callable[[KeyValue], None],
+        on_failure: Callable[[Failure], None],
+    ) -> Watch:
+        """Call back for each change under a prefix, until cancelled."""
+        watch = FakeWatch(self, prefix, on_change, on_failure)
+        if self._begin('watch'):
+            self.watches.append(watch)
+        else:
+            on_failure(PlatformDown())
+        return watch
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key as another party would."""
+        return self._store(key, value, 0)
+
+    def take_down(self) -> None:
+        """Begin an outage and break the watches."""
+        self.is_down = True
+        watches, self.watches = self.watches, []
+        for watch in watches:
+            watch.on_failure(PlatformDown())
+
+    def bring_up(self) -> None:
+        """End the outage."""
+        self.is_down = False
+
+    def lapse(self, lease_id: int) -> None:
+        """Let a lease lapse."""
+        self.leases.pop(lease_id, None)
+        bound = [k for k, v in self.values.items() if v.lease_id == lease_id]
+        for key in bound:
+            self._store(key, b'', 0)
+
+    def lapse_due(self) -> None:
+        """Let every lease lapse whose time is over."""
+        due = [i for i, v in self.leases.items() if v.expires_at <= self.now]
+        for lease_id in due:
+            self.lapse(lease_id)
+
+    def _begin(self, name: str) -> bool:
+        self.calls[name] += 1
+        self.now += self.delay_s
+        self.lapse_due()
+        return not self.is_down
+
+    def _write(self, name: str, effect: Callable[[], Result]) -> Result:
+        if not self._begin(name):
+            return Failed(PlatformDown())
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is Fault.DOWN:
+            return Failed(PlatformDown())
+        if fault is Fault.LOST_BEFORE:
+            return Failed(PlatformAnswerLost())
+        if fault is Fault.CONFLICT:
+            return Failed(RevisionConflict())
+        answer = effect()
+        if fault is Fault.LOST_AFTER:
+            return Failed(PlatformAnswerLost())
+        return answer
+
+    def _swap(
+        self, key: str, expected: int, value: bytes, lease_id: int
+    ) -> Result[int, Failure]:
+        current = self.values.get(key)
+        if (current.mod_revision if current else 0) != expected:
+            return Failed(RevisionConflict())
+        if lease_id and lease_id not in self.leases:
+            return Failed(LeaseExpired())
+        return Success(self._store(key, value, lease_id))
+
+    def _store(self, key: str, value: bytes, lease_id: int) -> int:
+        self.revision += 1
+        entry = KeyValue(key, value, self.revision, lease_id)
+        if value:
+            self.values[key] = entry
+        else:
+            self.values.pop(key, None)
+        for watch in list(self.watches):
+            if key.startswith(watch.prefix):
+                watch.on_change(entry)
+        return self.revision
+
+    def _grant(self, ttl_s: int) -> Result[Lease, Failure]:
+        self.revision += 1
+        lease_id = self.revision
+        expires_at = self.now + ttl_s
+        self.leases[lease_id] = FakeLease(lease_id, ttl_s, expires_at)
+        return Success(Lease(lease_id, ttl_s))
+
+    def _renew(self, lease_id: int) -> Result[Lease, Failure]:
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return Failed(LeaseExpired())
+        lease.expires_at = self.now + lease.ttl_s
+        return Success(Lease(lease_id, lease.ttl_s))
+
+    def _revoke(self, lease_id: int) -> Result[None, Failure]:
+        if lease_id not in self.leases:
+            return Failed(LeaseExpired())
+        self.lapse(lease_id)
+        return Success(None)
