--- /dev/null
+++ b/features/steps/declarations_steps.py
@@ -0,0 +1,118 @@
+"""Steps on declarations."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from trefoilpulley_core.declarations_check import check_declarations
+from trefoilpulley_core.declarations_form import format_declarations
+
+_FILING = '{"work": "write", "promptness": {"within_ms": 2000, "share": 0.99}}'
+
+
+def _document(sections: dict[str, str]) -> str:
+    parts = (f'{json.dumps(k)}: {v}' for k, v in sections.items())
+    return '{' + ', '.join(parts) + '}'
+
+
+class DeclarationsSteps:
+    """Steps that check documents."""
+
+    @staticmethod
+    @given('declarations with the class "{name}" changed by')
+    def change_class(context: Any, name: str) -> None:
+        """Build a document with one class from the text."""
+        classes = _document({name: context.text})
+        context.document = _document({'classes': classes, 'tenants': '{}'})
+
+    @staticmethod
+    @given('declarations with the "{section}" replaced by')
+    def replace_section(context: Any, section: str) -> None:
+        """Build a sound document but for one section."""
+        sections = {
+            'classes': _document({'filing': _FILING}),
+            'tenants': '{}',
+        }
+        sections[section] = context.text
+        context.document = _document(sections)
+
+    @staticmethod
+    @given('the declarations text {text}')
+    def take_text(context: Any, text: str) -> None:
+        """Take a raw text."""
+        context.document = text
+
+    @staticmethod
+    @given('a declarations text of {size:d} bytes')
+    def make_long_text(context: Any, size: int) -> None:
+        """Build a text of a given size."""
+        context.document = '{}'.ljust(size)
+
+    @staticmethod
+    @given('the platform lists the ledger "{name}" for declarations')
+    def list_ledger(context: Any, name: str) -> None:
+        """Set the ledgers that the platform lists."""
+        context.ledgers = (name,)
+
+    @staticmethod
+    @when('the declarations file "{path}" is checked')
+    def check_file(context: Any, path: str) -> None:
+        """Check a file of the repository."""
+        context.document = Path(path).read_text()
+        DeclarationsSteps.check(context)
+
+    @staticmethod
+    @when('the declarations are checked')
+    def check(context: Any) -> None:
+        """Check the document."""
+        ledgers = getattr(context, 'ledgers', None)
+        context.checked = check_declarations(context.document, ledgers)
+
+    @staticmethod
+    @then('the declarations are accepted')
+    def expect_accepted(context: Any) -> None:
+        """Expect no fault."""
+        context.checked.unwrap()
+
+    @staticmethod
+    @then('the declarations have the classes "{names}"')
+    def expect_classes(context: Any, names: str) -> None:
+        """Compare the names of the classes."""
+        found = [c.name for c in context.checked.unwrap().classes]
+        assert found == names.split(', '), found
+
+    @staticmethod
+    @then('the declarations survive being written and read again')
+    def expect_same(context: Any) -> None:
+        """Write, read and compare."""
+        before = context.checked.unwrap()
+        again = check_declarations(format_declarations(before)).unwrap()
+        assert again == before
+
+    @staticmethod
+    @then("the declarations' faults are")
+    def expect_faults(context: Any) -> None:
+        """Compare paths and codes of all faults."""
+        found = [(f.path, f.code.value) for f in context.checked.failure()]
+        expected = [(row['path'], row['code']) for row in context.table]
+        assert sorted(found) == sorted(expected), found
+
+    @staticmethod
+    @then('the declarations\' only fault is "{code}" at "{path}"')
+    def expect_fault(context: Any, code: str, path: str) -> None:
+        """Compare the only fault."""
+        found = [(f.path, f.code.value) for f in context.checked.failure()]
+        assert found == [(path, code)], found
+
+    @staticmethod
+    @then('the declarations\' fault codes are "{code}"')
+    def expect_codes(context: Any, code: str) -> None:
+        """Expect faults of one kind only."""
+        found = {f.code.value for f in context.checked.failure()}
+        assert found == {code}, found
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/_json_reader.py
@@ -0,0 +1,239 @@
+"""Reads JSON objects and collects every fault with its path."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+import re
+from typing import Any
+from typing import NoReturn
+
+from trefoilpulley_core.declarations_fault import Fault
+from trefoilpulley_core.declarations_fault import FaultCode
+
+_NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
+_PLAIN_KEY = re.compile(r'[A-Za-z0-9_-]+')
+
+DERIVED_KEYS = frozenset(
+    (
+        'address',
+        'addresses',
+        'connections',
+        'endpoint',
+        'endpoints',
+        'host',
+        'hosts',
+        'member',
+        'members',
+        'port',
+        'ports',
+        'primary',
+        'priority',
+        'replica',
+        'replicas',
+        'slots',
+        'weight',
+        'weights',
+    )
+)
+"""Keys of what the system finds out or decides by itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class JsonObject:
+    """Object as it stands in the text, repeated keys included."""
+
+    pairs: tuple[tuple[str, Any], ...]
+    """Keys and values in the order of the text."""
+
+
+def parse_json(text: str) -> Any:
+    """Parse JSON, keeping repeated keys.
+
+    Raises
+    ------
+    ValueError
+        Where the text is not JSON.
+    """
+    return json.loads(
+        text,
+        object_pairs_hook=lambda pairs: JsonObject(tuple(pairs)),
+        parse_constant=_refuse_constant,
+    )
+
+
+def join_path(path: str, key: str | int) -> str:
+    """Return the JSON path of an item below a path."""
+    if isinstance(key, int):
+        return f'{path}[{key}]'
+    if _PLAIN_KEY.fullmatch(key):
+        return f'{path}.{key}'
+    return f'{path}[{json.dumps(key)}]'
+
+
+class FaultList:
+    """Faults found so far."""
+
+    def __init__(self) -> None:
+        self._faults: list[Fault] = []
+
+    def add(self, path: str, code: FaultCode, detail: str) -> None:
+        """Add a fault."""
+        self._faults.append(Fault(path, code, detail))
+
+    def as_tuple(self) -> tuple[Fault, ...]:
+        """Return the faults in the order in which they were found."""
+        return tuple(self._faults)
+
+    def read_object(self, value: Any, path: str) -> ObjectReader | None:
+        """Return a reader of an object, or ``None`` for another type."""
+        if not isinstance(value, JsonObject):
+            self.add(path, FaultCode.WRONG_TYPE, 'an object is expected')
+            return None
+        return ObjectReader(value, path, self)
+
+    def check_name(self, name: str, path: str) -> None:
+        """Check the form of a name."""
+        if not _NAME.fullmatch(name):
+            self.add(
+                path,
+                FaultCode.INVALID_NAME,
+                'names have 1 to 63 of a-z, 0-9, ".", "_" and "-", '
+                'and begin with a letter or digit',
+            )
+
+
+class ObjectReader:
+    """Reads the values of one object.
+
+    Parameters
+    ----------
+    source : JsonObject
+        Object to read.
+    path : str
+        JSON path of the object.
+    faults : FaultList
+        Takes the faults.
+    """
+
+    def __init__(
+        self, source: JsonObject, path: str, faults: FaultList
+    ) -> None:
+        self._values: dict[str, Any] = {}
+        self._faults = faults
+        self.path = path
+        """JSON path of the object."""
+
+        for key, value in source.pairs:
+            if key in self._values:
+                self._add(key, FaultCode.DUPLICATE_NAME, 'stands twice')
+            self._values.setdefault(key, value)
+
+    def path_of(self, key: str) -> str:
+        """Return the JSON path of a key's value."""
+        return join_path(self.path, key)
+
+    def items(self) -> tuple[tuple[str, Any], ...]:
+        """Return names and values of an object that maps names."""
+        for name in self._values:
+            self._faults.check_name(name, self.path_of(name))
+        return tuple(self._values.items())
+
+    def has(self, key: str) -> bool:
+        """Return whether the object has a key."""
+        return key in self._values
+
+    def get(self, key: str) -> Any:
+        """Return the value of a key, or ``None``."""
+        return self._values.get(key)
+
+    def expect_keys(
+        self, required: tuple[str, ...], optional: tuple[str, ...] = ()
+    ) -> None:
+        """Report the keys that are missing and those not known."""
+        for key in required:
+            if key not in self._values:
+                self._add(key, FaultCode.MISSING_KEY, 'is required')
+        for key in self._values:
+            if key not in required and key not in optional:
+                self._report_unknown(key)
+
+    def read_int(self, key: str, least: int, most: int) -> int | None:
+        """Return a whole number within bounds, or ``None``."""
+        value = self._values.get(key)
+        if value is None and key not in self._values:
+            return None
+        if not isinstance(value, int) or isinstance(value, bool):
+            self._add(key, FaultCode.WRONG_TYPE, 'a whole number is expected')
+            return None
+        if not least <= value <= most:
+            self._add(
+                key, FaultCode.OUT_OF_RANGE, f'{least} to {most} is accepted'
+            )
+            return None
+        return value
+
+    def read_share(self, key: str) -> float | None:
+        """Return a share above 0 and at most 1, or ``None``."""
+        value = self._values.get(key)
+        if value is None and key not in self._values:
+            return None
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            self._add(key, FaultCode.WRONG_TYPE, 'a number is expected')
+            return None
+        if not 0 < value <= 1:
+            self._add(
+                key, FaultCode.OUT_OF_RANGE, 'above 0, at most 1 is accepted'
+            )
+            return None
+        return float(value)
+
+    def read_bool(self, key: str, default: bool) -> bool:
+        """Return a truth value, or the default where it is missing."""
+        value = self._values.get(key, default)
+        if isinstance(value, bool):
+            return value
+        self._add(key, FaultCode.WRONG_TYPE, 'true or false is expected')
+        return default
+
+    def read_choice(self, key: str, choices: tuple[str, ...]) -> str | None:
+        """Return one of several words, or ``None``."""
+        if key not in self._values:
+            return None
+        value = self._values[key]
+        expected = ' or '.join(json.dumps(c) for c in choices)
+        if not isinstance(value, str):
+            self._add(key, FaultCode.WRONG_TYPE, f'{expected} is expected')
+            return None
+        if value not in choices:
+            self._add(key, FaultCode.OUT_OF_RANGE, f'{expected} is accepted')
+            return None
+        return value
+
+    def read_name(self, key: str) -> str | None:
+        """Return a name, or ``None``."""
+        if key not in self._values:
+            return None
+        value = self._values[key]
+        if not isinstance(value, str):
+            self._add(key, FaultCode.WRONG_TYPE, 'a name is expected')
+            return None
+        self._faults.check_name(value, self.path_of(key))
+        return value
+
+    def _report_unknown(self, key: str) -> None:
+        if key.lower() in DERIVED_KEYS:
+            self._add(
+                key,
+                FaultCode.DERIVED_KEY,
+                'not accepted: the system derives it',
+            )
+        else:
+            self._add(key, FaultCode.UNKNOWN_KEY, 'no such key')
+
+    def _add(self, key: str, code: FaultCode, detail: str) -> None:
+        self._faults.add(self.path_of(key), code, detail)
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f'{name} is not JSON')
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/declarations_check.py
@@ -0,0 +1,293 @@
+"""Checks a document of declarations whole, before anything is written."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core._json_reader import FaultList
+from trefoilpulley_core._json_reader import join_path
+from trefoilpulley_core._json_reader import ObjectReader
+from trefoilpulley_core._json_reader import parse_json
+from trefoilpulley_core.declarations import Declarations
+from trefoilpulley_core.declarations import Freshness
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.declarations import Grant
+from trefoilpulley_core.declarations import PlannedStop
+from trefoilpulley_core.declarations import Promptness
+from trefoilpulley_core.declarations import Safety
+from trefoilpulley_core.declarations import Tenant
+from trefoilpulley_core.declarations import WorkClass
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.declarations_fault import Fault
+from trefoilpulley_core.declarations_fault import FaultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+DOCUMENT_LIMIT_BYTES = 1_000_000
+"""Greatest document; the service holds values up to a megabyte."""
+
+MAX_AGE_LIMIT_MS = 86_400_000
+"""Greatest age that a class may accept, in milliseconds: a day."""
+
+WITHIN_LIMIT_MS = 600_000
+"""Longest promptness, in milliseconds: ten minutes."""
+
+COPIES_LEAST = 2
+"""Majority of a group of three members."""
+
+COPIES_MOST = 3
+"""All members of a group of three."""
+
+_FRESHNESS_WORDS = {
+    'session': FreshnessKind.SESSION,
+    'present': FreshnessKind.PRESENT,
+}
+_PRESENT = Freshness(FreshnessKind.PRESENT)
+
+
+def check_declarations(
+    text: str, ledgers: Collection[str] | None = None
+) -> Result[Declarations, tuple[Fault, ...]]:
+    """Parse and check a document.
+
+    Parameters
+    ----------
+    text : str
+        JSON text as operators write it.
+    ledgers : Collection[str], optional
+        Names of the ledgers that the platform lists; without it, names
+        of ledgers are not checked.
+
+    Returns
+    -------
+    Result[Declarations, tuple[Fault, ...]]
+        The declarations, or every fault of the document.
+    """
+    faults = FaultList()
+    if len(text.encode(errors='surrogatepass')) > DOCUMENT_LIMIT_BYTES:
+        faults.add(
+            '$',
+            FaultCode.TOO_LARGE,
+            f'limit is {DOCUMENT_LIMIT_BYTES} bytes',
+        )
+        return Failed(faults.as_tuple())
+    try:
+        value = parse_json(text)
+    except (ValueError, RecursionError) as exc:
+        faults.add('$', FaultCode.MALFORMED_JSON, str(exc))
+        return Failed(faults.as_tuple())
+    declarations = _DocumentCheck(faults, ledgers).read(value)
+    if faults.as_tuple():
+        return Failed(faults.as_tuple())
+    return Success(declarations)
+
+
+class _DocumentCheck:
+    """One check of one document."""
+
+    def __init__(
+        self, faults: FaultList, ledgers: Collection[str] | None
+    ) -> None:
+        self._faults = faults
+        self._ledgers = ledgers
+        self._class_names: frozenset[str] = frozenset()
+
+    def read(self, value: Any) -> Declarations:
+        """Read the document; what is at fault is left out."""
+        top = self._faults.read_object(value, '$')
+        if top is None:
+            return Declarations()
+        top.expect_keys(('classes', 'tenants'), ('stops',))
+        classes = self._items(top, 'classes')
+        self._class_names = frozenset(name for name, _ in classes)
+        return Declarations(
+            classes=tuple(
+                filter(None, (self._read_class(*item) for item in classes))
+            ),
+            tenants=tuple(
+                filter(
+                    None,
+                    (
+                        self._read_tenant(*i)
+                        for i in self._items(top, 'tenants')
+                    ),
+                )
+            ),
+            stops=tuple(
+                filter(
+                    None,
+                    (self._read_stop(*i) for i in self._items(top, 'stops')),
+                )
+            ),
+        )
+
+    def _items(
+        self, top: ObjectReader, key: str
+    ) -> tuple[tuple[str, ObjectReader], ...]:
+        if not top.has(key):
+            return ()
+        outer = self._faults.read_object(top.get(key), top.path_of(key))
+        if outer is None:
+            return ()
+        readers = (
+            (name, self._faults.read_object(value, outer.path_of(name)))
+            for name, value in outer.items()
+        )
+        return tuple((n, r) for n, r in readers if r is not None)
+
+    def _read_class(self, name: str, reader: ObjectReader) -> WorkClass | None:
+        reader.expect_keys(('work', 'promptness'), ('freshness', 'safety'))
+        work = reader.read_choice('work', tuple(WorkKind))
+        promptness = self._read_promptness(reader)
+        if work is None:
+            self._read_freshness(reader)
+            self._read_safety(reader, False)
+            return None
+        if work == WorkKind.READ:
+            freshness = self._read_freshness(reader)
+            self._require_freshness(reader)
+        else:
+            freshness = self._read_write_freshness(reader)
+        safety = self._read_safety(reader, work == WorkKind.READ)
+        if freshness is None or promptness is None or safety is None:
+            return None
+        return WorkClass(name, WorkKind(work), freshness, promptness, safety)
+
+    def _require_freshness(self, reader: ObjectReader) -> None:
+        if not reader.has('freshness'):
+            self._faults.add(
+                reader.path_of('freshness'),
+                FaultCode.MISSING_KEY,
+                'is required for a class that reads',
+            )
+
+    def _read_write_freshness(self, reader: ObjectReader) -> Freshness | None:
+        if not reader.has('freshness'):
+            return _PRESENT
+        found = self._read_freshness(reader)
+        if found is not None and found != _PRESENT:
+            self._faults.add(
+                reader.path_of('freshness'),
+                FaultCode.NOT_APPLICABLE,
+                'a class that writes works on "present"',
+            )
+        return found
+
+    def _read_freshness(self, reader: ObjectReader) -> Freshness | None:
+        value = reader.get('freshness')
+        if not reader.has('freshness'):
+            return None
+        if isinstance(value, str):
+            word = reader.read_choice('freshness', tuple(_FRESHNESS_WORDS))
+            return Freshness(_FRESHNESS_WORDS[word]) if word else None
+        inner = self._faults.read_object(value, reader.path_of('freshness'))
+        if inner is None:
+            return None
+        inner.expect_keys(('age_ms',))
+        age_ms = inner.read_int('age_ms', 1, MAX_AGE_LIMIT_MS)
+        return Freshness(FreshnessKind.AGE, age_ms) if age_ms else None
+
+    def _read_promptness(self, reader: ObjectReader) -> Promptness | None:
+        if not reader.has('promptness'):
+            return None
+        inner = self._faults.read_object(
+            reader.get('promptness'), reader.path_of('promptness')
+        )
+        if inner is None:
+            return None
+        inner.expect_keys(('within_ms', 'share'))
+        within_ms = inner.read_int('within_ms', 1, WITHIN_LIMIT_MS)
+        share = inner.read_share('share')
+        if within_ms is None or share is None:
+            return None
+        return Promptness(within_ms, share)
+
+    def _read_safety(
+        self, reader: ObjectReader, is_read: bool
+    ) -> Safety | None:
+        if not reader.has('safety'):
+            return Safety(is_repeatable=is_read)
+        inner = self._faults.read_object(
+            reader.get('safety'), reader.path_of('safety')
+        )
+        if inner is None:
+            return None
+        inner.expect_keys((), ('copies', 'repeatable'))
+        if is_read and inner.has('copies'):
+            self._faults.add(
+                inner.path_of('copies'),
+                FaultCode.NOT_APPLICABLE,
+                'a class that reads makes no copies',
+            )
+        copies = inner.read_int('copies', COPIES_LEAST, COPIES_MOST)
+        is_repeatable = inner.read_bool('repeatable', is_read)
+        return Safety(copies or COPIES_LEAST, is_repeatable)
+
+    def _read_tenant(self, name: str, reader: ObjectReader) -> Tenant | None:
+        reader.expect_keys(('ledgers',))
+        if not reader.has('ledgers'):
+            return None
+        ledgers = self._faults.read_object(
+            reader.get('ledgers'), reader.path_of('ledgers')
+        )
+        if ledgers is None:
+            return None
+        grants = []
+        for ledger, value in ledgers.items():
+            path = ledgers.path_of(ledger)
+            self._check_ledger(ledger, path)
+            grants.append(Grant(ledger, self._read_class_names(value, path)))
+        return Tenant(name, tuple(grants))
+
+    def _read_class_names(self, value: Any, path: str) -> tuple[str, ...]:
+        if not isinstance(value, list):
+            self._faults.add(
+                path, FaultCode.WRONG_TYPE, 'a list of classes is expected'
+            )
+            return ()
+        names: list[str] = []
+        for index, name in enumerate(value):
+            item_path = join_path(path, index)
+            if not isinstance(name, str):
+                self._faults.add(
+                    item_path, FaultCode.WRONG_TYPE, 'a name is expected'
+                )
+            elif name in names:
+                self._faults.add(
+                    item_path, FaultCode.DUPLICATE_NAME, 'stands twice'
+                )
+            else:
+                self._check_class_name(name, item_path)
+                names.append(name)
+        return tuple(names)
+
+    def _check_class_name(self, name: str, path: str) -> None:
+        if name not in self._class_names:
+            self._faults.add(
+                path, FaultCode.UNKNOWN_CLASS, 'the class is not declared'
+            )
+
+    def _check_ledger(self, ledger: str, path: str) -> None:
+        if self._ledgers is not None and ledger not in self._ledgers:
+            self._faults.add(
+                path,
+                FaultCode.UNKNOWN_LEDGER,
+                'the platform lists no such ledger',
+            )
+
+    def _read_stop(
+        self, name: str, reader: ObjectReader
+    ) -> PlannedStop | None:
+        reader.expect_keys(('ledger', 'zone'))
+        ledger = reader.read_name('ledger')
+        zone = reader.read_name('zone')
+        if ledger is None or zone is None:
+            return None
+        self._check_ledger(ledger, reader.path_of('ledger'))
+        return PlannedStop(name, ledger, zone)
