Add the stand-in for a database member

Hosts need members to speak to: real SQL on sqlite3 in memory with terms, log positions, asynchronous replication, fencing, outcome rows and limits on slots and connections. The engine does no I/O; sockets stand in modules of their own. A listener can now refuse or delay a connection before its handshake.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/member/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for one member of a database group."""
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/member/server.py
@@ -0,0 +1,295 @@
+"""Member process: statements, control and replication over sockets."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.failure import TransactionLost
+from trefoilpulley_standins.member._feed import FeedHandler
+from trefoilpulley_standins.member._replicator import Replicator
+from trefoilpulley_standins.member._session import Session
+from trefoilpulley_standins.member._session import Slots
+from trefoilpulley_standins.member._signal import Signal
+from trefoilpulley_standins.member.engine import MemberEngine
+from trefoilpulley_standins.member.replication import REPLICATION_CODEC
+from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.listener import Listener
+from trefoilpulley_wire import member_codec as wire
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.upstream import MemberStatus
+    from trefoilpulley_core.upstream import StatementResult
+    from trefoilpulley_standins.member.settings import MemberSettings
+    from trefoilpulley_wire.channel import Channel
+
+REPORT_JOIN_S = 0.005
+"""Time over which changes are joined into one report, in seconds."""
+
+REPORT_INTERVAL_S = 0.1
+"""Longest time between two reports, in seconds."""
+
+
+class MemberServer(Handler):
+    """One member with its listeners.
+
+    Parameters
+    ----------
+    cfg : MemberSettings
+        Settings of the member.
+    """
+
+    def __init__(self, cfg: MemberSettings) -> None:
+        self._changed = Signal()
+        self._watchers: set[Channel] = set()
+        self._slots = Slots(cfg.slots, cfg.statement_ms / 1000)
+        self.engine = MemberEngine(
+            cfg.name, cfg.schema, cfg.primary, cfg.is_rejoining
+        )
+        """State of the member."""
+
+        self.engine.observers.append(self._changed.fire)
+        peers = {peer.name: peer.endpoint for peer in cfg.peers}
+        self._replicator = Replicator(
+            self.engine, self._changed, peers, cfg.lag_ms / 1000
+        )
+        self._listener = MemberListener(
+            cfg.listen, self, cfg.connections, cfg.connect_ms / 1000
+        )
+        self._feeds = Listener(
+            cfg.replication_listen,
+            REPLICATION_CODEC,
+            FeedHandler(self.engine, self._changed, self._replicator),
+        )
+        self._greenlets: list[gevent.Greenlet] = []
+        self._handlers = {
+            wire.Status: self._on_status,
+            wire.Read: self._on_read,
+            wire.Write: self._on_write,
+            wire.BeginTransaction: self._on_begin,
+            wire.RunStatement: self._on_run,
+            wire.CommitTransaction: self._on_commit,
+            wire.RollbackTransaction: self._on_rollback,
+            wire.Resolve: self._on_resolve,
+            wire.Fence: self._on_fence,
+            wire.Promote: self._on_promote,
+            wire.Follow: self._on_follow,
+            wire.WatchProgress: self._on_watch,
+        }
+
+    @property
+    def port(self) -> int:
+        """Port for statements and control."""
+        return self._listener.port
+
+    @property
+    def replication_port(self) -> int:
+        """Port for the other members."""
+        return self._feeds.port
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._listener.start()
+        self._feeds.start()
+        self._greenlets = [
+            gevent.spawn(self._replicator.run),
+            gevent.spawn(self._report),
+        ]
+
+    def stop(self) -> None:
+        """Close every connection."""
+        gevent.killall(self._greenlets)
+        self._listener.stop()
+        self._feeds.stop()
+
+    def status(self) -> MemberStatus:
+        """Return what the member says of itself."""
+        return replace(
+            self.engine.status(time.monotonic()),
+            slots_in_use=self._slots.in_use,
+            connections_open=len(self._listener.channels),
+        )
+
+    def on_request(self, channel: Channel, message: Any) -> Any:
+        """Serve a request with its handler."""
+        return self._handlers[type(message)](channel, message)
+
+    def on_malformed(self, channel: Channel, failure: Failure) -> Any:
+        """Refuse what could not be decoded."""
+        return _to_failure(failure)
+
+    def on_close(self, channel: Channel) -> None:
+        """Roll back the connection's transaction."""
+        self._watchers.discard(channel)
+        if channel.context is not None:
+            channel.context.end()
+
+    def _on_status(self, channel: Channel, message: wire.Status) -> Any:
+        return wire.MemberReport(self.status())
+
+    def _on_watch(self, channel: Channel, message: wire.WatchProgress) -> Any:
+        self._watchers.add(channel)
+        return wire.MemberDone()
+
+    def _on_read(self, channel: Channel, message: wire.Read) -> Any:
+        with self._slots.hold(is_writer=False) as is_held:
+            if not is_held:
+                return _to_failure(Overloaded('no slot got free'))
+            self._slots.work()
+            ran = self.engine.read(message.statement, message.floor)
+            return _to_reply(ran)
+
+    def _on_write(self, channel: Channel, message: wire.Write) -> Any:
+        with self._session(channel).order:
+            with self._slots.hold(is_writer=True) as is_held:
+                if not is_held:
+                    return _to_failure(Overloaded('no slot got free'))
+                self._slots.work()
+                ran = self.engine.write(
+                    message.statement, message.term, message.key
+                )
+                return _to_reply(ran)
+
+    def _on_resolve(self, channel: Channel, message: wire.Resolve) -> Any:
+        with self._slots.hold(is_writer=True) as is_held:
+            if not is_held:
+                return _to_failure(Overloaded('no slot got free'))
+            return _to_reply(self.engine.resolve(message.key, message.term))
+
+    def _on_begin(
+        self, channel: Channel, message: wire.BeginTransaction
+    ) -> Any:
+        session = self._session(channel)
+        with session.order:
+            if session.transaction is not None:
+                return _to_failure(Overloaded('a transaction is open'))
+            if not self._slots.acquire(is_writer=True):
+                return _to_failure(Overloaded('no slot got free'))
+            begun = self.engine.begin(message.term)
+            if not is_successful(begun):
+                self._slots.release(is_writer=True)
+                return _to_failure(begun.failure())
+            session.open(begun.unwrap(), channel.close)
+            if not channel.is_open:
+                session.end()
+            return wire.MemberDone()
+
+    def _on_run(self, channel: Channel, message: wire.RunStatement) -> Any:
+        session = self._session(channel)
+        with session.order:
+            if session.transaction is None:
+                return _to_failure(TransactionLost())
+            self._slots.work()
+            return _to_reply(
+                self.engine.run(session.transaction, message.statement)
+            )
+
+    def _on_commit(
+        self, channel: Channel, message: wire.CommitTransaction
+    ) -> Any:
+        session = self._session(channel)
+        with session.order:
+            if session.transaction is None:
+                return _to_failure(TransactionLost())
+            ran = self.engine.commit(session.transaction, message.key)
+            session.end()
+            return _to_reply(ran)
+
+    def _on_rollback(
+        self, channel: Channel, message: wire.RollbackTransaction
+    ) -> Any:
+        session = self._session(channel)
+        with session.order:
+            session.end()
+            return wire.MemberDone()
+
+    def _on_fence(self, channel: Channel, message: wire.Fence) -> Any:
+        return self._to_report(
+            self.engine.fence(message.term, time.monotonic())
+        )
+
+    def _on_promote(self, channel: Channel, message: wire.Promote) -> Any:
+        return self._to_report(
+            self.engine.promote(message.term, time.monotonic())
+        )
+
+    def _on_follow(self, channel: Channel, message: wire.Follow) -> Any:
+        return self._to_report(
+            self.engine.follow(message.term, message.primary, time.monotonic())
+        )
+
+    def _to_report(self, done: Result[None, Failure]) -> Any:
+        if is_successful(done):
+            return wire.MemberReport(self.status())
+        return _to_failure(done.failure())
+
+    def _session(self, channel: Channel) -> Session:
+        if channel.context is None:
+            channel.context = Session(self.engine, self._slots)
+        return channel.context
+
+    def _report(self) -> None:
+        while True:
+            if self._changed.wait(REPORT_INTERVAL_S):
+                gevent.sleep(REPORT_JOIN_S)
+            report = wire.MemberReport(self.status())
+            for channel in list(self._watchers):
+                channel.notify(report)
+
+
+class MemberListener(Listener):
+    """Listener with a limit and a cost of connections.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address to listen on.
+    handler : Handler
+        Serves the requests.
+    limit : int
+        Connections that may be open at once.
+    connect_s : float
+        Time that a new connection costs, in seconds.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        handler: Handler,
+        limit: int,
+        connect_s: float,
+    ) -> None:
+        super().__init__(endpoint, wire.MEMBER_CODEC, handler)
+        self._limit = limit
+        self._connect_s = connect_s
+        self._connecting = 0
+
+    def admit(self) -> bool:
+        """Refuse connections over the limit, and delay the others."""
+        if len(self.channels) + self._connecting >= self._limit:
+            return False
+        self._connecting += 1
+        try:
+            gevent.sleep(self._connect_s)
+        finally:
+            self._connecting -= 1
+        return True
+
+
+def _to_reply(ran: Result[StatementResult, Failure]) -> Any:
+    if is_successful(ran):
+        return wire.MemberResult(ran.unwrap())
+    return _to_failure(ran.failure())
+
+
+def _to_failure(failure: Failure) -> wire.MemberFailure:
+    return wire.MemberFailure(failure.code, failure.detail)
--- a/packages/wire/src/trefoilpulley_wire/listener.py
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -77,7 +77,18 @@
         for channel in list(self.channels):
             channel.close_gracefully()
 
+    def admit(self) -> bool:
+        """Decide on a new connection before its handshake.
+
+        A subclass may limit or pace connections here; false closes the
+        new one.
+        """
+        return True
+
     def _accept(self, sock: socket.socket, address: tuple) -> None:
+        if not self.admit():
+            sock.close()
+            return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         protocol = ServerProtocol(max_size=HARD_LIMIT_BYTES)
         try:
