--- a/packages/core/src/trefoilpulley_core/freshness.py
+++ b/packages/core/src/trefoilpulley_core/freshness.py
@@ -114,16 +114,16 @@
             return None
         return max(0, math.ceil((now - self._passed.sent_at) * 1000))
 
-    def lag_ms(self, now: float) -> int:
+    def lag_ms(self) -> int:
         """Return the time that the replica takes to follow its primary.
 
-        A position that is still to come counts for as long as it has
-        been due.
+        A position that the replica was still without when last asked
+        counts for as long as it had been due.
         """
         lag_s = self._lag_s
         overdue = self._first_overdue()
-        if overdue:
-            lag_s = max(lag_s, now - overdue.first_sent_at)
+        if overdue and self._asked_at is not None:
+            lag_s = max(lag_s, self._asked_at - overdue.first_sent_at)
         return math.ceil(lag_s * 1000)
 
     def _is_reached(self, mark: _Mark, asked_at: float) -> bool:
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/routing_targets.py
@@ -0,0 +1,184 @@
+"""Routing by the targets of the classes of work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core._routing_rules import is_readable
+from trefoilpulley_core._routing_rules import needs_primary
+from trefoilpulley_core._routing_rules import route_to_primary
+from trefoilpulley_core._routing_rules import route_to_replica
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.routing import find_primary
+from trefoilpulley_core.routing import RoutingPolicy
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.declarations import Freshness
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.peer import MemberDigest
+    from trefoilpulley_core.position import Position
+    from trefoilpulley_core.routing import DatabaseView
+    from trefoilpulley_core.routing import MemberView
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_core.routing import RouteRequest
+    from trefoilpulley_core.targets import ClassTargets
+
+PATIENCE_SHARE = 0.5
+"""Share of the time left that a replica may take before the primary."""
+
+DIGEST_LIFETIME_S = 1.0
+"""Time for which a digest counts as new, in seconds."""
+
+STALE_COST_MS = 20.0
+"""Cost of a digest that is no longer new, in milliseconds."""
+
+CROSS_ZONE_COST_MS = 1.0
+"""Cost of a link between availability zones beyond its round trip."""
+
+LEAST_WAIT_MS = 1.0
+"""Wait expected of a replica that should hold the floor by now."""
+
+WAIT_MARGIN_MS = 10.0
+"""Time granted beyond the expected wait for a floor."""
+
+_NEVER = float('inf')
+
+
+class TargetRouting(RoutingPolicy):
+    """Replicas first, as long as the class's promptness allows.
+
+    A replica serves where it should hold the floor and answer within
+    the share of the time left that the class can spare; that share
+    shrinks as the class's target comes into danger. Otherwise the
+    member that should answer first serves, the primary included.
+
+    Parameters
+    ----------
+    targets : ClassTargets | None
+        How the classes do against their targets at this host.
+    """
+
+    def __init__(self, targets: ClassTargets | None = None) -> None:
+        self._targets = targets
+
+    def choose(
+        self, view: DatabaseView, req: RouteRequest, now: float
+    ) -> Result[Route, Failure]:
+        """Return the member for a request, or ``NoUpstream``."""
+        if needs_primary(req):
+            return route_to_primary(view, req)
+        primary = find_primary(view)
+        patience_ms = self._patience_ms(req, now)
+        best = None
+        best_ms = _NEVER
+        best_wait_ms = 0.0
+        for member in view.members:
+            if not _may_serve(member, primary, req, now):
+                continue
+            wait_ms = _floor_wait_ms(member, primary, req.floor, now)
+            cost_ms = wait_ms + _answer_ms(member, req, now)
+            if cost_ms < best_ms:
+                best, best_ms, best_wait_ms = member, cost_ms, wait_ms
+        if best is None:
+            return route_to_primary(view, req)
+        if best_ms > patience_ms and _is_faster(primary, req, now, best_ms):
+            return route_to_primary(view, req)
+        spare_ms = patience_ms - best_ms
+        return route_to_replica(best, req, _grant_ms(best_wait_ms, spare_ms))
+
+    def _patience_ms(self, req: RouteRequest, now: float) -> float:
+        """Return the time that a replica may take to answer."""
+        left_ms = max(0.0, req.deadline - now) * 1000
+        if self._targets is None:
+            return left_ms * PATIENCE_SHARE
+        danger = self._targets.danger(req.work_class.name, now)
+        return left_ms * PATIENCE_SHARE * (1 - danger)
+
+
+def _may_serve(
+    member: MemberView,
+    primary: MemberView | None,
+    req: RouteRequest,
+    now: float,
+) -> bool:
+    """Return whether a replica may serve a read at all."""
+    if not is_readable(member, req):
+        return False
+    if primary and _has_diverged(member.digest, primary.digest):
+        return False
+    return _is_fresh(member, req.work_class.freshness, now)
+
+
+def _has_diverged(digest: MemberDigest, primary: MemberDigest) -> bool:
+    """Return whether a log holds records that its primary replaced."""
+    if digest.last.term >= primary.last.term:
+        return False
+    return digest.last.index >= primary.term_start
+
+
+def _is_fresh(member: MemberView, freshness: Freshness, now: float) -> bool:
+    """Return whether a replica's data should be young enough."""
+    if freshness.kind is not FreshnessKind.AGE:
+        return True
+    if freshness.max_age_ms is None:
+        return True
+    age_ms = member.digest.age_ms
+    if age_ms is None:
+        return False
+    unseen_s = max(0.0, now - member.observed_at - DIGEST_LIFETIME_S)
+    return age_ms + unseen_s * 1000 <= freshness.max_age_ms
+
+
+def _floor_wait_ms(
+    member: MemberView,
+    primary: MemberView | None,
+    floor: Position,
+    now: float,
+) -> float:
+    """Return the expected wait until a replica holds a floor."""
+    digest = member.digest
+    if floor.index == 0 or digest.last >= floor:
+        return 0.0
+    if primary is None:
+        return _NEVER
+    known = primary.digest
+    for copy in known.copies:
+        if copy.member == member.member and copy.position >= floor:
+            return 0.0
+    if digest.term < floor.term:
+        return _NEVER
+    wait_ms = digest.lag_ms - member.round_trip_ms / 2
+    if known.last >= floor:
+        wait_ms -= (now - primary.observed_at) * 1000
+    return max(LEAST_WAIT_MS, wait_ms)
+
+
+def _answer_ms(member: MemberView, req: RouteRequest, now: float) -> float:
+    """Return the expected time to an answer without a wait."""
+    cost_ms = member.round_trip_ms + member.digest.queue_ms
+    if member.zone != req.zone:
+        cost_ms += CROSS_ZONE_COST_MS
+    if now - member.observed_at > DIGEST_LIFETIME_S:
+        cost_ms += STALE_COST_MS
+    return cost_ms
+
+
+def _is_faster(
+    primary: MemberView | None,
+    req: RouteRequest,
+    now: float,
+    cost_ms: float,
+) -> bool:
+    """Return whether the primary should answer sooner than a cost."""
+    if primary is None or primary.member in req.excluded:
+        return False
+    return _answer_ms(primary, req, now) < cost_ms
+
+
+def _grant_ms(wait_ms: float, spare_ms: float) -> int:
+    """Return the longest wait for a floor that is allowed."""
+    if wait_ms == 0:
+        return 0
+    return round(wait_ms + max(0.0, min(wait_ms + WAIT_MARGIN_MS, spare_ms)))
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/slot_service.py
@@ -0,0 +1,55 @@
+"""Service times of a class of work, as seen at one member."""
+
+from __future__ import annotations
+
+import math
+
+INITIAL_SERVICE_S = 0.005
+"""Service time assumed before the first is seen, in seconds."""
+
+LOAD_MEMORY_S = 5.0
+"""Time over which the load of a class is remembered, in seconds."""
+
+_SMOOTHING = 0.1
+
+
+class ServiceTime:
+    """Mean, spread and load of the service times of one class."""
+
+    __slots__ = ('_busy_s', '_loaded_at', 'deviation_s', 'mean_s')
+
+    def __init__(self) -> None:
+        self.mean_s = INITIAL_SERVICE_S
+        """Smoothed service time in seconds."""
+
+        self.deviation_s = 0.0
+        """Smoothed distance from the mean, in seconds."""
+
+        self._busy_s = 0.0
+        self._loaded_at = 0.0
+
+    @property
+    def careful_s(self) -> float:
+        """Service time that most work stays below, in seconds."""
+        return self.mean_s + self.deviation_s
+
+    @property
+    def least_s(self) -> float:
+        """Service time that most work exceeds, in seconds."""
+        return max(0.0, self.mean_s - 2 * self.deviation_s)
+
+    def record(self, service_s: float, now: float) -> None:
+        """Learn one service time."""
+        error_s = service_s - self.mean_s
+        self.mean_s += _SMOOTHING * error_s
+        self.deviation_s += _SMOOTHING * (abs(error_s) - self.deviation_s)
+        self._busy_s = self._decayed_s(now) + service_s
+        self._loaded_at = max(now, self._loaded_at)
+
+    def load(self, now: float) -> float:
+        """Return the slots that the class has kept busy of late."""
+        return self._decayed_s(now) / LOAD_MEMORY_S
+
+    def _decayed_s(self, now: float) -> float:
+        elapsed_s = max(0.0, now - self._loaded_at)
+        return self._busy_s * math.exp(-elapsed_s / LOAD_MEMORY_S)
