Add the PEP 249 client

Callers need a session that roams between entry hosts, a request that takes effect at most once and errors that tell whether it has run. The client carries the newest session token, keeps the request id on a repeat, looks up a commit whose answer was lost, and says 'not run' only where no attempt can have run: a refusal of a repeat says nothing of an attempt before it. A transaction is bound to its connection; after its loss nothing runs until the program has rolled back, so that no half of it is committed.

--- /dev/null
+++ b/packages/client/src/trefoilpulley_client/connection.py
@@ -0,0 +1,345 @@
+"""Connections of PEP 249."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_client.cursor import Cursor
+from trefoilpulley_client.endpoints import parse_endpoint
+from trefoilpulley_client.entry_link import EntryLink
+from trefoilpulley_client import errors
+from trefoilpulley_client.errors import to_error
+from trefoilpulley_client.requester import Requester
+from trefoilpulley_client.retry import RetryPolicy
+from trefoilpulley_client.target import Target
+from trefoilpulley_client.timer import SystemTimer
+from trefoilpulley_client.transaction import begin_transaction
+from trefoilpulley_client.transaction import Transaction
+from trefoilpulley_client.websocket_transport import WebSocketDialer
+from trefoilpulley_core.caller import Execute
+from trefoilpulley_core.caller import Hello
+from trefoilpulley_core.caller import LookUp
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    import ssl
+
+    from trefoilpulley_client.requester import Unanswered
+    from trefoilpulley_client.timer import Timer
+    from trefoilpulley_client.transport import Dialer
+    from trefoilpulley_core.caller import Answer
+    from trefoilpulley_core.upstream import Parameter
+
+
+class Connection:
+    """One session of a tenant through any of the entry hosts.
+
+    Made by `connect`. Threads may not share it.
+
+    Parameters
+    ----------
+    link : EntryLink
+        Way to the entry hosts.
+    requester : Requester
+        Sends the requests.
+    target : Target
+        Class of work and database where a cursor names no other.
+    token : bytes
+        Token of a session to go on with; empty for a new one.
+    autocommit : bool
+        Whether each statement is a request of its own.
+    """
+
+    Warning = errors.Warning
+    Error = errors.Error
+    InterfaceError = errors.InterfaceError
+    DatabaseError = errors.DatabaseError
+    DataError = errors.DataError
+    OperationalError = errors.OperationalError
+    IntegrityError = errors.IntegrityError
+    InternalError = errors.InternalError
+    ProgrammingError = errors.ProgrammingError
+    NotSupportedError = errors.NotSupportedError
+
+    def __init__(
+        self,
+        link: EntryLink,
+        requester: Requester,
+        target: Target,
+        token: bytes,
+        autocommit: bool,
+    ) -> None:
+        self._link = link
+        self._requester = requester
+        self._target = target
+        self._token = token
+        self._autocommit = autocommit
+        self._transaction: Transaction | None = None
+        self._is_closed = False
+
+    @property
+    def token(self) -> bytes:
+        """Newest token of the session; another connection may go on with it.
+
+        Empty until the first answer where the session is new and no
+        host has been reached.
+        """
+        return self._token or self._link.welcome_token
+
+    @token.setter
+    def token(self, token: bytes) -> None:
+        self._require_idle('the token')
+        self._token = token
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether each statement is a request of its own."""
+        return self._autocommit
+
+    @autocommit.setter
+    def autocommit(self, autocommit: bool) -> None:
+        self._require_idle('autocommit')
+        self._autocommit = autocommit
+
+    @property
+    def host(self) -> str:
+        """Name of the entry host of the latest connection."""
+        return self._link.host
+
+    def cursor(self, work_class: str = '', database: str = '') -> Cursor:
+        """Return a cursor.
+
+        Parameters
+        ----------
+        work_class : str
+            Class of work; the connection's where it is empty.
+        database : str
+            Database; the connection's where it is empty.
+        """
+        self._require_open()
+        target = Target(
+            work_class or self._target.work_class,
+            database or self._target.database,
+        )
+        return Cursor(self, target)
+
+    def run(
+        self,
+        target: Target,
+        sql: str,
+        parameters: tuple[Parameter, ...],
+        request_id: str = '',
+    ) -> Answer:
+        """Run a statement for a cursor."""
+        self._require_open()
+        if self._autocommit:
+            return self._run_single(target, sql, parameters, request_id)
+        if request_id:
+            raise errors.ProgrammingError(
+                'a statement of a transaction has no request id of its own'
+            )
+        return self._run_in_transaction(target, sql, parameters)
+
+    def commit(self, request_id: str = '') -> None:
+        """Commit the open transaction.
+
+        Parameters
+        ----------
+        request_id : str
+            Identifier of the outcome, where the program keeps its own.
+        """
+        self._require_open()
+        if self._transaction is None:
+            return
+        self._require_alive(self._transaction)
+        transaction, self._transaction = self._transaction, None
+        request_id = request_id or self._requester.make_request_id()
+        self._take(transaction.commit(request_id))
+
+    def rollback(self) -> None:
+        """Roll the open transaction back."""
+        self._require_open()
+        self._roll_back()
+
+    def look_up(
+        self, request_id: str, work_class: str = '', database: str = ''
+    ) -> Answer:
+        """Return the outcome of an earlier request.
+
+        A request without an outcome is abandoned and never runs;
+        `NotRunError` tells so.
+        """
+        self._require_open()
+        req = LookUp(
+            request_id,
+            work_class or self._target.work_class,
+            database or self._target.database,
+            self.token,
+        )
+        return self._take(self._requester.look_up(req))
+
+    def close(self) -> None:
+        """Roll back what is open and close."""
+        if self._is_closed:
+            return
+        self._roll_back()
+        self._is_closed = True
+        self._link.close()
+
+    def __enter__(self) -> Connection:
+        self._require_open()
+        return self
+
+    def __exit__(self, kind: type | None, exc: Any, trace: Any) -> None:
+        try:
+            if kind is None:
+                self.commit()
+        finally:
+            self.close()
+
+    def _run_single(
+        self,
+        target: Target,
+        sql: str,
+        parameters: tuple[Parameter, ...],
+        request_id: str,
+    ) -> Answer:
+        req = Execute(
+            request_id or self._requester.make_request_id(),
+            target.work_class,
+            target.database,
+            sql,
+            parameters,
+            self.token,
+        )
+        keeps_id = bool(request_id)
+        return self._take(self._requester.execute(req, keeps_id))
+
+    def _run_in_transaction(
+        self, target: Target, sql: str, parameters: tuple[Parameter, ...]
+    ) -> Answer:
+        if self._transaction is None:
+            self._transaction = _unwrap(
+                begin_transaction(self._requester, target, self.token)
+            )
+        self._require_alive(self._transaction)
+        if self._transaction.target != target:
+            raise errors.ProgrammingError(
+                'the open transaction has another class or database'
+            )
+        return self._take(self._transaction.run(sql, parameters))
+
+    def _take(self, reply: Result[Answer, Unanswered]) -> Answer:
+        answer = _unwrap(reply)
+        if answer.token:
+            self._token = answer.token
+        return answer
+
+    def _roll_back(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            transaction.roll_back()
+
+    def _require_open(self) -> None:
+        if self._is_closed:
+            raise errors.ClosedError('the connection', code='closed')
+
+    def _require_idle(self, subject: str) -> None:
+        self._require_open()
+        if self._transaction is not None:
+            raise errors.ProgrammingError(
+                f'{subject} is not changed inside a transaction'
+            )
+
+    def _require_alive(self, transaction: Transaction) -> None:
+        if transaction.is_lost:
+            raise errors.TransactionLostError(
+                'roll back before going on', code='transaction-lost'
+            )
+
+
+def connect(
+    hosts: Sequence[str],
+    tenant: str,
+    secret: str,
+    database: str,
+    work_class: str,
+    *,
+    token: bytes = b'',
+    autocommit: bool = False,
+    retry: RetryPolicy | None = None,
+    tls: ssl.SSLContext | None = None,
+    dialer: Dialer | None = None,
+    timer: Timer | None = None,
+    rng: random.Random | None = None,
+) -> Connection:
+    """Connect to one of the entry hosts.
+
+    Parameters
+    ----------
+    hosts : Sequence[str]
+        Addresses of entry hosts as ``IP:PORT``; tried in random order.
+    tenant : str
+        Tenant of the caller.
+    secret : str
+        Secret of the tenant.
+    database : str
+        Database of the statements, unless a cursor names another.
+    work_class : str
+        Class of work of the statements, unless a cursor names another.
+    token : bytes
+        Token of a session to go on with.
+    autocommit : bool
+        Whether each statement is a request of its own instead of part
+        of a transaction.
+    retry : RetryPolicy, optional
+        Bounds of the retries.
+    tls : ssl.SSLContext, optional
+        Client context; plain TCP without it.
+    dialer : Dialer, optional
+        Opens connections in another way.
+    timer : Timer, optional
+        Another source of time.
+    rng : random.Random, optional
+        Another source of request ids, pauses and the hosts' order.
+
+    Returns
+    -------
+    Connection
+        Open connection.
+    """
+    rng = rng or random.SystemRandom()
+    link = EntryLink(
+        _shuffle_hosts(hosts, rng),
+        Hello(tenant, secret),
+        dialer or WebSocketDialer(tls),
+    )
+    requester = Requester(
+        link, retry or RetryPolicy(), timer or SystemTimer(), rng
+    )
+    _unwrap(requester.open())
+    target = Target(work_class, database)
+    return Connection(link, requester, target, token, autocommit)
+
+
+def _shuffle_hosts(hosts: Sequence[str], rng: random.Random) -> list[Any]:
+    try:
+        endpoints = [parse_endpoint(host) for host in hosts]
+    except ValueError as exc:
+        raise errors.InterfaceError(str(exc)) from exc
+    if not endpoints:
+        raise errors.InterfaceError('no entry host is given')
+    rng.shuffle(endpoints)
+    return endpoints
+
+
+def _unwrap(reply: Result[Any, Unanswered]) -> Any:
+    if isinstance(reply, Success):
+        return reply.unwrap()
+    unanswered = reply.failure()
+    raise to_error(unanswered.refusal, unanswered.request_id)
--- /dev/null
+++ b/packages/client/src/trefoilpulley_client/entry_link.py
@@ -0,0 +1,159 @@
+"""The caller's way to the entry hosts: one connection at a time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import ClassVar
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.caller import Refusal
+from trefoilpulley_core.caller import Welcome
+from trefoilpulley_core.failure import Draining
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NotRun
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import TransactionLost
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_client.transport import Dialer
+    from trefoilpulley_client.transport import Transport
+    from trefoilpulley_core.caller import Hello
+    from trefoilpulley_core.catalog import Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class HostUnreachable(NotRun):
+    """No connection to an entry host; the request was not sent."""
+
+    code: ClassVar[str] = 'host-unreachable'
+
+
+class EntryLink:
+    """Connection to one of several entry hosts, made anew when it breaks.
+
+    Parameters
+    ----------
+    endpoints : Sequence[Endpoint]
+        Addresses of the entry hosts in the order of their use.
+    hello : Hello
+        First message of each connection.
+    dialer : Dialer
+        Opens connections.
+    """
+
+    def __init__(
+        self, endpoints: Sequence[Endpoint], hello: Hello, dialer: Dialer
+    ) -> None:
+        self._endpoints = tuple(endpoints)
+        self._hello = hello
+        self._dialer = dialer
+        self._next = 0
+        self._transport: Transport | None = None
+        self.incarnation = 0
+        """Number of the connection; a transaction ends with it."""
+
+        self.host = ''
+        """Name of the host that the connection leads to."""
+
+        self.welcome_token = b''
+        """Token of a new session, from the first connection."""
+
+    def call(self, message: Any, timeout_s: float) -> Result[Any, Refusal]:
+        """Send a request over the connection, which is opened if need be.
+
+        Returns
+        -------
+        Result[Any, Refusal]
+            The reply, or a refusal. A refusal whose run state is
+            unknown says that the request may have been delivered.
+        """
+        opened = self.open(timeout_s)
+        if not isinstance(opened, Success):
+            return opened
+        return self._exchange(message, timeout_s)
+
+    def call_pinned(
+        self, incarnation: int, message: Any, timeout_s: float
+    ) -> Result[Any, Refusal]:
+        """Send a request over the connection of a transaction only."""
+        if self._transport is None or self.incarnation != incarnation:
+            return Failed(to_refusal(TransactionLost('connection broke')))
+        return self._exchange(message, timeout_s)
+
+    def open(self, timeout_s: float) -> Result[None, Refusal]:
+        """Connect to the next host unless a connection is open."""
+        if self._transport is not None:
+            return Success(None)
+        endpoint = self._endpoints[self._next]
+        dialled = self._dialer.dial(endpoint, timeout_s)
+        if not isinstance(dialled, Success):
+            self._choose_next()
+            detail = dialled.failure().detail
+            return Failed(to_refusal(HostUnreachable(detail)))
+        self._transport = dialled.unwrap()
+        self.incarnation += 1
+        return self._greet(timeout_s)
+
+    def leave(self) -> None:
+        """Close the connection, if any; the next goes to another host."""
+        if self._transport is not None:
+            self.close()
+            self._choose_next()
+
+    def close(self) -> None:
+        """Close the connection."""
+        transport, self._transport = self._transport, None
+        if transport is not None:
+            transport.close()
+
+    def _choose_next(self) -> None:
+        self._next = (self._next + 1) % len(self._endpoints)
+
+    def _greet(self, timeout_s: float) -> Result[None, Refusal]:
+        reply = self._exchange(self._hello, timeout_s)
+        if isinstance(reply, Success):
+            return self._take_welcome(reply.unwrap())
+        refusal = reply.failure()
+        self.leave()
+        if refusal.code == PeerUnreachable.code:
+            return Failed(to_refusal(HostUnreachable(refusal.detail)))
+        return Failed(refusal)
+
+    def _take_welcome(self, message: Any) -> Result[None, Refusal]:
+        if not isinstance(message, Welcome):
+            self.leave()
+            return Failed(to_refusal(HostUnreachable('no welcome came')))
+        self.host = message.host
+        self.welcome_token = self.welcome_token or message.token
+        return Success(None)
+
+    def _exchange(
+        self, message: Any, timeout_s: float
+    ) -> Result[Any, Refusal]:
+        reply = self._transport.call(message, timeout_s)
+        if not isinstance(reply, Success):
+            self.leave()
+            return Failed(to_refusal(reply.failure()))
+        if not isinstance(reply.unwrap(), Refusal):
+            return reply
+        refusal = reply.unwrap()
+        if refusal.code == Draining.code:
+            self.leave()
+        return Failed(refusal)
+
+
+def to_refusal(failure: Failure) -> Refusal:
+    """Return the refusal that tells of a failure."""
+    return Refusal(
+        failure.code,
+        failure.run_state.value,
+        failure.is_repeatable,
+        failure.detail,
+    )
