--- a/packages/core/src/trefoilpulley_core/peer.py
+++ b/packages/core/src/trefoilpulley_core/peer.py
@@ -115,6 +115,12 @@
     wait_ms: int
     """Longest wait for the member to reach the floor."""
 
+    copies: int = 0
+    """Members that must hold what the read has seen before the answer.
+
+    Only at a primary; 0 asks for none.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class PooledWrite:
@@ -212,8 +218,8 @@
     result: StatementResult
     """Whole result."""
 
-    digest: MemberDigest
-    """The member after the work."""
+    digest: MemberDigest | None = None
+    """The member after the work; none from a transaction."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/trefoilpulley_core/upstream.py
+++ b/packages/core/src/trefoilpulley_core/upstream.py
@@ -23,6 +23,9 @@
 Parameter = Any
 """Value of a statement's parameter: ``None``, int, float, str or bytes."""
 
+ANY_CONTENT = ''
+"""Content digest of a look-up, which fits the outcome of any content."""
+
 Row = tuple[Any, ...]
 """One row of a result."""
 
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/directory.py
@@ -0,0 +1,73 @@
+"""Databases and hosts as this process knows them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import Catalog
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.catalog import MemberEntry
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+
+
+class Directory:
+    """Finds databases, members, hosts and the poolers of members.
+
+    Parameters
+    ----------
+    get_catalog : Callable[[], Catalog]
+        Newest catalogue.
+    get_live : Callable[[], LiveHosts]
+        Newest view of the live hosts.
+    """
+
+    def __init__(
+        self,
+        get_catalog: Callable[[], Catalog],
+        get_live: Callable[[], LiveHosts],
+    ) -> None:
+        self._get_catalog = get_catalog
+        self._get_live = get_live
+        self._indexed: Catalog | None = None
+        self._databases: dict[str, DatabaseEntry] = {}
+        self._members: dict[str, tuple[DatabaseEntry, MemberEntry]] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+
+    def find_database(self, name: str) -> DatabaseEntry | None:
+        """Return the database with a name, or ``None``."""
+        self._index()
+        return self._databases.get(name)
+
+    def find_member(
+        self, name: str
+    ) -> tuple[DatabaseEntry, MemberEntry] | None:
+        """Return a member with its database, or ``None``."""
+        self._index()
+        return self._members.get(name)
+
+    def find_peer_endpoint(self, host: str) -> Endpoint | None:
+        """Return the peer address of a host, or ``None``."""
+        self._index()
+        return self._endpoints.get(host)
+
+    def find_pooler(self, member: str) -> str | None:
+        """Return the live host that pools a member, or ``None``."""
+        found = self.find_member(member)
+        if found is None:
+            return None
+        return self._get_live().pooler_of(found[1])
+
+    def _index(self) -> None:
+        catalog = self._get_catalog()
+        if catalog is self._indexed:
+            return
+        self._indexed = catalog
+        self._databases = {d.name: d for d in catalog.databases}
+        self._members = {
+            m.name: (d, m) for d in catalog.databases for m in d.members
+        }
+        self._endpoints = {h.name: h.peer_endpoint for h in catalog.hosts}
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Role that accepts callers and runs the request pipeline."""
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
@@ -0,0 +1,232 @@
+"""Transactions of callers, each bound to one pooler."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+from xxhash import xxh3_128_hexdigest
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import OutcomeUnknown
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import TransactionLost
+from trefoilpulley_core.peer import PooledBegin
+from trefoilpulley_core.peer import PooledBegun
+from trefoilpulley_core.peer import PooledCommit
+from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_core.peer import PooledResult
+from trefoilpulley_core.peer import PooledRollback
+from trefoilpulley_core.peer import PooledRun
+from trefoilpulley_core.peer import WorkScope
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_core.upstream import OutcomeKey
+from trefoilpulley_core.upstream import Statement
+from trefoilpulley_node.peers import read_failure
+from trefoilpulley_node.pipeline.request import Delivered
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.caller import Commit
+    from trefoilpulley_core.caller import Execute
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_node.entry.views import Views
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pipeline.confirm import Confirm
+    from trefoilpulley_node.pipeline.request import PipelineRequest
+    from trefoilpulley_node.pipeline.route import Router
+
+STATEMENT_TIMEOUT_S = 30.0
+"""Longest wait for a statement inside a transaction."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Bound:
+    request: PipelineRequest
+    host: str
+    member: str
+    pooled: str
+    connection: int
+    statements: tuple[str, ...] = ()
+
+
+class EntryTransactions:
+    """Transactions that callers of this host have open.
+
+    Parameters
+    ----------
+    router : Router
+        Finds the primary.
+    peers : Peers
+        Reaches the poolers.
+    confirm : Confirm
+        Settles commits whose answers were lost.
+    views : Views
+        Tells of a change of primary.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        peers: Peers,
+        confirm: Confirm,
+        views: Views,
+        clock: Clock,
+    ) -> None:
+        self._router = router
+        self._peers = peers
+        self._confirm = confirm
+        self._views = views
+        self._clock = clock
+        self._open: dict[str, _Bound] = {}
+        self._ids = itertools.count(1)
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def begin(
+        self, req: PipelineRequest, connection: int
+    ) -> Result[str, Failure]:
+        """Begin a transaction at the primary and return its identifier."""
+        failure: Failure = NoUpstream('no primary could be reached in time')
+        while self._clock.now() < req.deadline:
+            begun = self._begin_once(req, connection)
+            if isinstance(begun, Success):
+                return begun
+            failure = begun.failure()
+            self._views.wait_for_change(req.database, 0.05)
+        return Failed(_as_not_begun(failure))
+
+    def run(
+        self, message: Execute, tenant: str, connection: int
+    ) -> Result[Delivered, Failure]:
+        """Run a statement in a transaction of the caller."""
+        bound = self._find(message.transaction, tenant, connection)
+        if bound is None:
+            return Failed(TransactionLost('no such transaction'))
+        statement = Statement(message.sql, message.parameters)
+        reply = self._peers.call_host(
+            bound.host,
+            PooledRun(bound.pooled, statement, round(STATEMENT_TIMEOUT_S)),
+            STATEMENT_TIMEOUT_S,
+        )
+        if isinstance(reply, Success):
+            digest = xxh3_128_hexdigest(repr(statement))
+            self._open[message.transaction] = replace(
+                bound, statements=(*bound.statements, digest)
+            )
+            return Success(_delivered(bound, reply.unwrap()))
+        failure = reply.failure()
+        if isinstance(failure, PeerUnreachable | TransactionLost):
+            self._open.pop(message.transaction, None)
+            return Failed(TransactionLost('pooler was lost'))
+        return reply
+
+    def commit(
+        self, message: Commit, tenant: str, connection: int
+    ) -> Result[PipelineRequest, Failure]:
+        """Commit a transaction of the caller."""
+        bound = self._find(message.transaction, tenant, connection)
+        if bound is None:
+            return Failed(TransactionLost('no such transaction'))
+        del self._open[message.transaction]
+        digest = xxh3_128_hexdigest('\n'.join(bound.statements))
+        key = OutcomeKey(tenant, message.request_id, digest)
+        req = replace(bound.request, key=key)
+        copies = req.work_class.safety.copies
+        pooled = PooledCommit(bound.pooled, key, copies, 0)
+        reply = self._peers.call_host(bound.host, pooled, STATEMENT_TIMEOUT_S)
+        settled = self._settle(req, bound, reply)
+        return settled.map(lambda found: replace(req, delivered=found))
+
+    def rollback(
+        self, transaction: str, tenant: str, connection: int
+    ) -> Result[None, Failure]:
+        """Roll a transaction of the caller back."""
+        bound = self._find(transaction, tenant, connection)
+        if bound is None:
+            return Failed(TransactionLost('no such transaction'))
+        self._abort(transaction, bound)
+        return Success(None)
+
+    def on_caller_lost(self, connection: int) -> None:
+        """Roll back what a caller's connection had open."""
+        for transaction, bound in list(self._open.items()):
+            if bound.connection == connection:
+                self._abort(transaction, bound)
+
+    def _begin_once(
+        self, req: PipelineRequest, connection: int
+    ) -> Result[str, Failure]:
+        route = self._router.choose(req, frozenset())
+        if not isinstance(route, Success):
+            return route
+        member = route.unwrap().member
+        host = self._peers.find_pooler(member)
+        if host is None:
+            return Failed(NoUpstream('no host pools the member'))
+        left_s = max(0.001, req.deadline - self._clock.now())
+        scope = WorkScope(
+            member, req.tenant, req.work_class.name, round(1000 * left_s)
+        )
+        message = PooledBegin(scope, req.floor or BEGINNING)
+        sent_at = self._clock.now()
+        reply = self._peers.ask_host(host, message, left_s + 0.5)
+        if not isinstance(reply, Success):
+            return reply
+        begun = reply.unwrap()
+        if isinstance(begun, PooledFailure):
+            if begun.digest is not None:
+                self._views.on_digest(begun.digest, sent_at)
+            return Failed(read_failure(begun))
+        if not isinstance(begun, PooledBegun):
+            return Failed(NoUpstream('reply has an unexpected type'))
+        transaction = f'e{next(self._ids)}'
+        self._open[transaction] = _Bound(
+            req, host, member, begun.transaction, connection
+        )
+        return Success(transaction)
+
+    def _find(
+        self, transaction: str, tenant: str, connection: int
+    ) -> _Bound | None:
+        bound = self._open.get(transaction)
+        if bound is None or bound.connection != connection:
+            return None
+        return bound if bound.request.tenant == tenant else None
+
+    def _settle(
+        self, req: PipelineRequest, bound: _Bound, reply: Result[Any, Failure]
+    ) -> Result[Delivered, Failure]:
+        if isinstance(reply, Success):
+            return Success(_delivered(bound, reply.unwrap()))
+        failure = reply.failure()
+        if isinstance(failure, PeerUnreachable | OutcomeUnknown):
+            refusal = TransactionLost('commit did not take effect')
+            return self._confirm.settle(req, refusal)
+        return reply
+
+    def _abort(self, transaction: str, bound: _Bound) -> None:
+        self._open.pop(transaction, None)
+        self._peers.call_host(
+            bound.host, PooledRollback(bound.pooled), STATEMENT_TIMEOUT_S
+        )
+
+
+def _delivered(bound: _Bound, reply: PooledResult) -> Delivered:
+    return Delivered(reply.result, bound.member, 0)
+
+
+def _as_not_begun(failure: Failure) -> Failure:
+    # A transaction without a commit has no effect.
+    if isinstance(failure, PeerUnreachable):
+        return NoUpstream(failure.detail)
+    return failure
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/entry/state.py
@@ -0,0 +1,51 @@
+"""State dump of the process."""
+
+from __future__ import annotations
+
+import hmac
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cattrs.preconf.cbor2 import make_converter
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NotAuthenticated
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_CONVERTER = make_converter()
+
+
+class StateSource:
+    """Collects the state of each role on request.
+
+    Parameters
+    ----------
+    operator_secret : str
+        Secret of the operators.
+    """
+
+    def __init__(self, operator_secret: str) -> None:
+        self._operator_secret = operator_secret
+        self._sections: dict[str, Callable[[], Any]] = {}
+
+    def register(self, section: str, dump: Callable[[], Any]) -> None:
+        """Add a section; the dump returns a frozen data class."""
+        self._sections[section] = dump
+
+    def collect(self, operator_secret: str) -> Result[dict[str, Any], Failure]:
+        """Return the state of every section to an operator."""
+        if not hmac.compare_digest(
+            operator_secret.encode(), self._operator_secret.encode()
+        ):
+            return Failed(NotAuthenticated('wrong operator secret'))
+        return Success(
+            {
+                section: _CONVERTER.unstructure(dump())
+                for section, dump in self._sections.items()
+            }
+        )
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/node.py
@@ -0,0 +1,115 @@
+"""Life of an entry host process: start, drain, stop."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_node import events
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_node.entry.entry_transactions import EntryTransactions
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pipeline.admit import Admit
+    from trefoilpulley_node.pooler.pooler import Pooler
+    from trefoilpulley_node.settings import NodeSettings
+    from trefoilpulley_wire.listener import Listener
+
+DRAIN_POLL_S = 0.05
+"""Time between looks at the running work while draining."""
+
+
+class Service(abc.ABC):
+    """Part that works in the background."""
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Begin to work."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """End the work."""
+
+
+class Node:
+    """One entry host process.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Settings of the process.
+    services : Sequence[Service]
+        Background parts, in the order in which they start.
+    callers : Listener
+        Connections of callers.
+    peer_listener : Listener
+        Connections of other hosts.
+    admit : Admit
+        Counts the running requests.
+    pooler : Pooler
+        Pooler role.
+    peers : Peers
+        Connections to other hosts.
+    transactions : EntryTransactions
+        Transactions of callers.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        services: Sequence[Service],
+        callers: Listener,
+        peer_listener: Listener,
+        admit: Admit,
+        pooler: Pooler,
+        peers: Peers,
+        transactions: EntryTransactions,
+    ) -> None:
+        self._cfg = cfg
+        self._services = tuple(services)
+        self._callers = callers
+        self._peer_listener = peer_listener
+        self._admit = admit
+        self._pooler = pooler
+        self._peers = peers
+        self._transactions = transactions
+
+    def start(self) -> None:
+        """Start the parts, the caller's side last."""
+        self._peer_listener.start()
+        for service in self._services:
+            service.start()
+        self._callers.start()
+        events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
+
+    def drain(self) -> None:
+        """Take no new work, finish what runs, then stop."""
+        events.HOST_DRAINING.log(host=self._cfg.host)
+        self._admit.is_draining = True
+        self._callers.stop_accepting()
+        with gevent.Timeout(self._cfg.drain_s, False):
+            while self._has_work():
+                gevent.sleep(DRAIN_POLL_S)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop every part at once."""
+        self._callers.stop()
+        for service in reversed(self._services):
+            service.stop()
+        self._peer_listener.stop()
+        self._pooler.stop()
+        self._peers.close()
+        events.HOST_STOPPED.log(host=self._cfg.host)
+
+    def _has_work(self) -> bool:
+        return bool(
+            self._admit.running
+            or len(self._transactions)
+            or len(self._pooler.transactions)
+            or any(m.pool.slots_in_use for m in self._pooler.members.values())
+        )
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -0,0 +1,191 @@
+"""Connections to other hosts."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from gevent.lock import Semaphore
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import catalogue
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.peer import PeerWelcome
+from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_node.peer_server import PeerIdentity
+from trefoilpulley_wire.dial import dial
+from trefoilpulley_wire.peer_codec import PEER_CODEC
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import ssl
+
+    from gevent.event import Event
+
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_node.peer_server import PeerServer
+    from trefoilpulley_wire.channel import Channel
+
+DIAL_TIMEOUT_S = 0.5
+"""Longest time to connect to a peer."""
+
+_FAILURES = catalogue()
+
+
+class Peers:
+    """Channels to other hosts, opened on use and kept.
+
+    Parameters
+    ----------
+    hello : PeerHello
+        First message of every connection.
+    server : PeerServer
+        Serves the messages that this host sends to itself.
+    find_endpoint : Callable[[str], Endpoint | None]
+        Peer address of a host by its name.
+    find_pooler : Callable[[str], str | None]
+        Host that pools a member, by the member's name.
+    tls : ssl.SSLContext, optional
+        Client context for the connections.
+    """
+
+    def __init__(
+        self,
+        hello: PeerHello,
+        server: PeerServer,
+        find_endpoint: Callable[[str], Endpoint | None],
+        find_pooler: Callable[[str], str | None],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._hello = hello
+        self._server = server
+        self._find_endpoint = find_endpoint
+        self._find_pooler = find_pooler
+        self._tls = tls
+        self._channels: dict[str, Channel] = {}
+        self._dialling: dict[str, Semaphore] = {}
+        self._self = PeerIdentity(hello.host, hello.zone, hello.incarnation, 0)
+
+    @property
+    def open_channels(self) -> int:
+        """Number of open connections to peers."""
+        return len(self._channels)
+
+    def call_pooler(
+        self, member: str, message: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a request to the host that pools a member."""
+        host = self._find_pooler(member)
+        if host is None:
+            return Failed(PeerUnreachable('no host pools the member'))
+        return self.call_host(host, message, timeout_s)
+
+    def call_host(
+        self, host: str, message: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a request to a host and wait for its reply.
+
+        Returns
+        -------
+        Result[Any, Failure]
+            The reply; a `PooledFailure` comes as the typed failure.
+        """
+        return _unwrap(self.ask_host(host, message, timeout_s))
+
+    def ask_host(
+        self,
+        host: str,
+        message: Any,
+        timeout_s: float,
+        abort: Event | None = None,
+    ) -> Result[Any, Failure]:
+        """Send a request to a host and return its reply as it came.
+
+        Parameters
+        ----------
+        host : str
+            Name of the host.
+        message : Any
+            Typed request.
+        timeout_s : float
+            Longest wait in seconds.
+        abort : Event, optional
+            Ends the wait as if the peer were unreachable.
+
+        Returns
+        -------
+        Result[Any, Failure]
+            The reply, which may be a `PooledFailure`.
+        """
+        if host == self._hello.host:
+            return Success(self._server.serve(message, self._self))
+        opened = self.open_channel(host)
+        if not isinstance(opened, Success):
+            # Nothing was sent: the request can not have run.
+            return Failed(NoUpstream(opened.failure().detail))
+        return opened.unwrap().call(message, timeout_s, abort)
+
+    def find_pooler(self, member: str) -> str | None:
+        """Return the host that pools a member, or ``None``."""
+        return self._find_pooler(member)
+
+    def open_channel(self, host: str) -> Result[Channel, Failure]:
+        """Return the open channel to a host, dialling where needed."""
+        channel = self._channels.get(host)
+        if channel is not None and channel.is_open:
+            return Success(channel)
+        lock = self._dialling.setdefault(host, Semaphore())
+        with lock:
+            channel = self._channels.get(host)
+            if channel is not None and channel.is_open:
+                return Success(channel)
+            return self._dial(host)
+
+    def close(self) -> None:
+        """Close every channel."""
+        for channel in list(self._channels.values()):
+            channel.close_gracefully()
+
+    def forget(self, host: str) -> None:
+        """Close the channel to a host that is gone."""
+        channel = self._channels.pop(host, None)
+        self._dialling.pop(host, None)
+        if channel is not None:
+            channel.close()
+
+    def _dial(self, host: str) -> Result[Channel, Failure]:
+        endpoint = self._find_endpoint(host)
+        if endpoint is None:
+            return Failed(PeerUnreachable('host has no known address'))
+        dialled = dial(
+            endpoint, PEER_CODEC, timeout_s=DIAL_TIMEOUT_S, tls=self._tls
+        )
+        if not isinstance(dialled, Success):
+            return dialled
+        channel = dialled.unwrap()
+        welcome = channel.call(self._hello, DIAL_TIMEOUT_S).value_or(None)
+        if not isinstance(welcome, PeerWelcome) or welcome.host != host:
+            channel.close()
+            return Failed(PeerUnreachable('peer refused the connection'))
+        self._channels[host] = channel
+        return Success(channel)
+
+
+def read_failure(message: PooledFailure) -> Failure:
+    """Return the typed failure of its wire form."""
+    kind = _FAILURES.get(message.code, Failure)
+    return kind(message.detail)
+
+
+def _unwrap(reply: Result[Any, Failure]) -> Result[Any, Failure]:
+    if not isinstance(reply, Success):
+        return reply
+    message = reply.unwrap()
+    if isinstance(message, PooledFailure):
+        return Failed(read_failure(message))
+    return reply
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pipeline/answer.py
@@ -0,0 +1,47 @@
+"""Last filter: makes the answer that carries the session token."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.caller import Answer
+from trefoilpulley_core.declarations import WorkKind
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.token import TokenCodec
+    from trefoilpulley_node.pipeline.request import PipelineRequest
+
+
+class AnswerMaker:
+    """Turns a delivered request into the caller's answer.
+
+    Parameters
+    ----------
+    codec : TokenCodec
+        Signs the session token.
+    """
+
+    def __init__(self, codec: TokenCodec) -> None:
+        self._codec = codec
+
+    def make(self, req: PipelineRequest) -> Answer:
+        """Return the answer; a write raises the session's floor."""
+        delivered = req.delivered
+        token = req.token
+        if _raises_floor(req):
+            token = token.with_floor(
+                req.database.name, delivered.result.position
+            )
+        return Answer(
+            delivered.result.columns,
+            delivered.result.rows,
+            delivered.result.row_count,
+            self._codec.encode(token),
+            delivered.member,
+            delivered.age_ms,
+        )
+
+
+def _raises_floor(req: PipelineRequest) -> bool:
+    # A first read without a token fixes the floor that it has seen.
+    return req.work_class.work is WorkKind.WRITE or req.floor is None
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pipeline/deliver.py
@@ -0,0 +1,134 @@
+"""Filter that routes and executes until a request is settled."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.caller import LookUp
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NotPrimary
+from trefoilpulley_core.failure import NotRun
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import OutcomeUnknown
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.failure import StaleTerm
+from trefoilpulley_core.failure import WritesPaused
+from trefoilpulley_node.pipeline.request import Filter
+from trefoilpulley_node.pipeline.request import PipelineRequest
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_node.entry.views import Views
+    from trefoilpulley_node.pipeline.confirm import Confirm
+    from trefoilpulley_node.pipeline.execute import Executor
+    from trefoilpulley_node.pipeline.request import Delivered
+    from trefoilpulley_node.pipeline.route import Router
+
+VIEW_WAIT_S = 0.05
+"""Longest wait for a change of primary before the next attempt."""
+
+_ELSEWHERE = (NotPrimary, NoUpstream, ReplicaBehind, StaleTerm, WritesPaused)
+_UNCERTAIN = (OutcomeUnknown, PeerUnreachable)
+
+
+class Deliver(Filter):
+    """Tries members until one has run the request, or its time is up.
+
+    An attempt whose answer is lost leaves a write uncertain. It is sent
+    again under the same key, so that it takes effect once at most, and
+    no refusal says "not run" before the key is abandoned.
+
+    Parameters
+    ----------
+    router : Router
+        Chooses the member of each attempt.
+    executor : Executor
+        Runs each attempt.
+    confirm : Confirm
+        Settles uncertain writes.
+    views : Views
+        Tells of a change of primary.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        executor: Executor,
+        confirm: Confirm,
+        views: Views,
+        clock: Clock,
+    ) -> None:
+        self._router = router
+        self._executor = executor
+        self._confirm = confirm
+        self._views = views
+        self._clock = clock
+
+    def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
+        """Add the result."""
+        if isinstance(req.message, LookUp):
+            settled = self._confirm.settle(req, NotRun('was not run'))
+        else:
+            settled = self._deliver(req)
+        return settled.map(lambda found: replace(req, delivered=found))
+
+    def _deliver(self, req: PipelineRequest) -> Result[Delivered, Failure]:
+        excluded: frozenset[str] = frozenset()
+        is_uncertain = False
+        failure: Failure = NoUpstream('no member could be reached in time')
+        while self._clock.now() < req.deadline:
+            route = self._router.choose(req, excluded)
+            if not isinstance(route, Success):
+                excluded = frozenset()
+                self._wait(req)
+                continue
+            result = self._executor.execute(req, route.unwrap())
+            if isinstance(result, Success):
+                return result
+            failure = result.failure()
+            if isinstance(failure, _UNCERTAIN):
+                is_uncertain = True
+            elif not isinstance(failure, _ELSEWHERE):
+                break
+            excluded = self._exclude(req, excluded, route.unwrap())
+        return self._give_up(req, failure, is_uncertain)
+
+    def _exclude(
+        self, req: PipelineRequest, excluded: frozenset[str], route: Route
+    ) -> frozenset[str]:
+        if req.work_class.work is WorkKind.READ and not route.is_primary:
+            return excluded | {route.member}
+        self._wait(req)
+        return frozenset()
+
+    def _wait(self, req: PipelineRequest) -> None:
+        left_s = req.deadline - self._clock.now()
+        if left_s > 0:
+            self._views.wait_for_change(req.database, min(VIEW_WAIT_S, left_s))
+
+    def _give_up(
+        self, req: PipelineRequest, failure: Failure, is_uncertain: bool
+    ) -> Result[Delivered, Failure]:
+        if req.work_class.work is WorkKind.READ:
+            return Failed(_as_read_failure(failure))
+        if is_uncertain:
+            return self._confirm.settle(req, failure)
+        return Failed(failure)
+
+
+def _as_read_failure(failure: Failure) -> Failure:
+    # A read has no effect, so one without an answer has not run.
+    if failure.run_state is RunState.UNKNOWN:
+        return NoUpstream(failure.detail)
+    return failure
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -0,0 +1,144 @@
+"""Step that runs one attempt of a request at a member."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_core.peer import PooledRead
+from trefoilpulley_core.peer import PooledResolve
+from trefoilpulley_core.peer import PooledResult
+from trefoilpulley_core.peer import PooledWrite
+from trefoilpulley_core.peer import WorkScope
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_core.upstream import Statement
+from trefoilpulley_node.peers import read_failure
+from trefoilpulley_node.pipeline.request import Delivered
+
+if TYPE_CHECKING:
+    from gevent.event import Event
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_node.entry.views import Views
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pipeline.request import PipelineRequest
+
+ANSWER_MARGIN_S = 1.5
+"""Wait for a pooler beyond the time left to the request."""
+
+READ_CONFIRM_COPIES = 2
+"""Members that must hold what a floorless read has seen."""
+
+
+class Executor:
+    """Sends requests to the poolers of members.
+
+    Parameters
+    ----------
+    peers : Peers
+        Reaches the poolers.
+    views : Views
+        Takes the digests that come with the answers.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, peers: Peers, views: Views, clock: Clock) -> None:
+        self._peers = peers
+        self._views = views
+        self._clock = clock
+
+    def execute(
+        self, req: PipelineRequest, route: Route
+    ) -> Result[Delivered, Failure]:
+        """Run one attempt at the chosen member."""
+        scope = self._scope(req, route.member)
+        if req.work_class.work is WorkKind.WRITE:
+            message = _make_write(req, scope)
+            abort = self._views.changed_event(req.database.name)
+            return self._ask(route.member, message, scope, abort)
+        return self._ask(route.member, _make_read(req, route, scope), scope)
+
+    def resolve(
+        self, req: PipelineRequest, route: Route, remaining_s: float
+    ) -> Result[Delivered, Failure]:
+        """Look the outcome of a request up, or abandon its key."""
+        scope = WorkScope(
+            route.member,
+            req.tenant,
+            req.work_class.name,
+            max(1, round(1000 * remaining_s)),
+        )
+        message = PooledResolve(scope, req.key, req.work_class.safety.copies)
+        return self._ask(route.member, message, scope)
+
+    def _scope(self, req: PipelineRequest, member: str) -> WorkScope:
+        left_s = req.deadline - self._clock.now()
+        return WorkScope(
+            member,
+            req.tenant,
+            req.work_class.name,
+            max(1, round(1000 * left_s)),
+        )
+
+    def _ask(
+        self,
+        member: str,
+        message: Any,
+        scope: WorkScope,
+        abort: Event | None = None,
+    ) -> Result[Delivered, Failure]:
+        host = self._peers.find_pooler(member)
+        if host is None:
+            return Failed(NoUpstream('no host pools the member'))
+        sent_at = self._clock.now()
+        timeout_s = scope.remaining_ms / 1000 + ANSWER_MARGIN_S
+        reply = self._peers.ask_host(host, message, timeout_s, abort)
+        if not isinstance(reply, Success):
+            self._views.on_unreachable(member)
+            return reply
+        return self._take(member, reply.unwrap(), sent_at)
+
+    def _take(
+        self, member: str, reply: Any, sent_at: float
+    ) -> Result[Delivered, Failure]:
+        if not isinstance(reply, PooledResult | PooledFailure):
+            return Failed(PeerUnreachable('reply has an unexpected type'))
+        if reply.digest is not None:
+            self._views.on_digest(reply.digest, sent_at)
+        if isinstance(reply, PooledFailure):
+            return Failed(read_failure(reply))
+        age_ms = reply.digest.age_ms if reply.digest else None
+        return Success(Delivered(reply.result, member, age_ms or 0))
+
+
+def _make_write(req: PipelineRequest, scope: WorkScope) -> PooledWrite:
+    statement = Statement(req.message.sql, req.message.parameters)
+    return PooledWrite(scope, statement, req.key, req.work_class.safety.copies)
+
+
+def _make_read(
+    req: PipelineRequest, route: Route, scope: WorkScope
+) -> PooledRead:
+    freshness = req.work_class.freshness
+    is_present = freshness.kind is FreshnessKind.PRESENT
+    needs_copies = is_present or req.floor is None
+    return PooledRead(
+        scope,
+        Statement(req.message.sql, req.message.parameters),
+        req.floor or BEGINNING,
+        freshness.max_age_ms,
+        route.wait_ms,
+        READ_CONFIRM_COPIES if needs_copies and route.is_primary else 0,
+    )
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pipeline/route.py
@@ -0,0 +1,55 @@
+"""Step that chooses the member for one attempt of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.routing import RouteRequest
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_core.routing import RoutingPolicy
+    from trefoilpulley_node.entry.views import Views
+    from trefoilpulley_node.pipeline.request import PipelineRequest
+
+
+class Router:
+    """Asks the routing policy with what the host knows.
+
+    Parameters
+    ----------
+    policy : RoutingPolicy
+        Way to choose.
+    views : Views
+        Digests of the members.
+    zone : str
+        Availability zone of the host.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        policy: RoutingPolicy,
+        views: Views,
+        zone: str,
+        clock: Clock,
+    ) -> None:
+        self._policy = policy
+        self._views = views
+        self._zone = zone
+        self._clock = clock
+
+    def choose(
+        self, req: PipelineRequest, excluded: frozenset[str]
+    ) -> Result[Route, Failure]:
+        """Return the member for the next attempt."""
+        wanted = RouteRequest(
+            req.work_class, req.floor, self._zone, req.deadline, excluded
+        )
+        view = self._views.view(req.database)
+        return self._policy.choose(view, wanted, self._clock.now())
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/__init__.py
@@ -0,0 +1,1 @@
+"""Role that holds the connections of members and schedules their slots."""
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/age_prober.py
@@ -0,0 +1,116 @@
+"""Keeps the age of pooled replicas known."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from trefoilpulley_core.peer import Digests
+from trefoilpulley_core.peer import GetDigest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.peer import MemberDigest
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pooler.pooled_member import PooledMember
+
+PROBE_INTERVAL_S = 0.1
+"""Time between probes of a primary while reads state an age."""
+
+IDLE_INTERVAL_S = 1.0
+"""Time between probes of a primary while no read states an age."""
+
+USE_MEMORY_S = 10.0
+"""Time after its last aged read for which a replica counts as in use."""
+
+PROBE_TIMEOUT_S = 0.5
+"""Longest wait for a probe."""
+
+
+class AgeProber:
+    """Asks the primary's pooler for its position, stamped before asking.
+
+    Parameters
+    ----------
+    member : PooledMember
+        Replica whose age is kept.
+    find_database : Callable[[str], DatabaseEntry | None]
+        Database by its name.
+    peers : Peers
+        Reaches the poolers.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        member: PooledMember,
+        find_database: Callable[[str], DatabaseEntry | None],
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._find_database = find_database
+        self._peers = peers
+        self._clock = clock
+        self._primary = ''
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to probe."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the probes."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self._interval_s())
+            if not self._member.is_primary:
+                self._probe()
+
+    def _interval_s(self) -> float:
+        idle_s = self._clock.now() - self._member.last_aged_read
+        return PROBE_INTERVAL_S if idle_s < USE_MEMORY_S else IDLE_INTERVAL_S
+
+    def _probe(self) -> None:
+        if self._primary and self._probe_member(self._primary):
+            return
+        entry = self._find_database(self._member.database)
+        if entry is None:
+            return
+        for other in entry.members:
+            if other.name == self._member.entry.name:
+                continue
+            if self._probe_member(other.name):
+                self._primary = other.name
+                return
+        self._primary = ''
+
+    def _probe_member(self, name: str) -> bool:
+        sent_at = self._clock.now()
+        reply = self._peers.call_pooler(
+            name, GetDigest((name,)), PROBE_TIMEOUT_S
+        )
+        if not isinstance(reply, Success):
+            return False
+        digests = reply.unwrap()
+        if not isinstance(digests, Digests):
+            return False
+        return any(self._on_digest(d, sent_at) for d in digests.digests)
+
+    def _on_digest(self, digest: MemberDigest, sent_at: float) -> bool:
+        if not digest.is_primary or not digest.is_reachable:
+            return False
+        status = self._member.monitor.status
+        if status is not None and digest.term < status.term:
+            return False
+        self._member.age.on_probe(sent_at, digest.last)
+        return True
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/member_link.py
@@ -0,0 +1,200 @@
+"""Connection to the stand-in member's protocol."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import catalogue
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.upstream import Upstream
+from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.dial import dial
+from trefoilpulley_wire import member_codec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.position import Position
+    from trefoilpulley_core.upstream import MemberStatus
+    from trefoilpulley_core.upstream import OutcomeKey
+    from trefoilpulley_core.upstream import Statement
+    from trefoilpulley_core.upstream import StatementResult
+    from trefoilpulley_wire.channel import Channel
+
+CONNECT_TIMEOUT_S = 1.0
+"""Longest time to connect to a member."""
+
+CONTROL_TIMEOUT_S = 0.5
+"""Longest wait for the answer to a control message."""
+
+STATEMENT_TIMEOUT_S = 30.0
+"""Longest wait for a statement before its connection is closed."""
+
+_FAILURES = catalogue()
+
+
+class MemberLink(Upstream):
+    """One connection to one member.
+
+    Parameters
+    ----------
+    channel : Channel
+        Open channel to the member.
+    """
+
+    def __init__(self, channel: Channel) -> None:
+        self._channel = channel
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection works."""
+        return self._channel.is_open
+
+    def status(self) -> Result[MemberStatus, Failure]:
+        """Ask the member for its status."""
+        return self._control(member_codec.Status())
+
+    def read(
+        self, statement: Statement, floor: Position
+    ) -> Result[StatementResult, Failure]:
+        """Run a read in a snapshot that holds the floor."""
+        return self._work(member_codec.Read(statement, floor))
+
+    def write(
+        self, statement: Statement, term: int, key: OutcomeKey | None
+    ) -> Result[StatementResult, Failure]:
+        """Run a write and keep its outcome in one transaction."""
+        return self._work(member_codec.Write(statement, term, key))
+
+    def begin(self, term: int) -> Result[None, Failure]:
+        """Begin a transaction on this connection."""
+        return self._done(member_codec.BeginTransaction(term))
+
+    def run(self, statement: Statement) -> Result[StatementResult, Failure]:
+        """Run a statement inside the open transaction."""
+        return self._work(member_codec.RunStatement(statement))
+
+    def commit(
+        self, key: OutcomeKey | None
+    ) -> Result[StatementResult, Failure]:
+        """Commit the open transaction together with its outcome."""
+        return self._work(member_codec.CommitTransaction(key))
+
+    def rollback(self) -> Result[None, Failure]:
+        """Roll back the open transaction."""
+        return self._done(member_codec.RollbackTransaction())
+
+    def resolve(
+        self, key: OutcomeKey, term: int
+    ) -> Result[StatementResult, Failure]:
+        """Return the kept outcome of a key, or abandon the key."""
+        return self._work(member_codec.Resolve(key, term))
+
+    def fence(self, term: int) -> Result[MemberStatus, Failure]:
+        """Make the member refuse every lower term from now on."""
+        return self._control(member_codec.Fence(term))
+
+    def promote(self, term: int) -> Result[MemberStatus, Failure]:
+        """Make the member the primary of a term it is fenced at."""
+        return self._control(member_codec.Promote(term))
+
+    def follow(self, term: int, primary: str) -> Result[MemberStatus, Failure]:
+        """Make the member a replica of the primary of a term."""
+        return self._control(member_codec.Follow(term, primary))
+
+    def watch_progress(self) -> Result[MemberStatus, Failure]:
+        """Ask for reports whenever the member's progress changes."""
+        return self._control(member_codec.WatchProgress())
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+    def _control(self, message: Any) -> Result[MemberStatus, Failure]:
+        return self._call(message, CONTROL_TIMEOUT_S).map(
+            lambda reply: reply.status
+        )
+
+    def _work(self, message: Any) -> Result[StatementResult, Failure]:
+        return self._call(message, STATEMENT_TIMEOUT_S).map(
+            lambda reply: reply.result
+        )
+
+    def _done(self, message: Any) -> Result[None, Failure]:
+        return self._call(message, STATEMENT_TIMEOUT_S).map(lambda _: None)
+
+    def _call(self, message: Any, timeout_s: float) -> Result[Any, Failure]:
+        reply = self._channel.call(message, timeout_s)
+        if not isinstance(reply, Success):
+            # A late answer must not meet the next request.
+            self._channel.close()
+            return reply
+        answer = reply.unwrap()
+        if isinstance(answer, member_codec.MemberFailure):
+            kind = _FAILURES.get(answer.code, PeerUnreachable)
+            return Failed(kind(answer.detail))
+        return reply
+
+
+class _ReportHandler(Handler):
+    def __init__(
+        self,
+        on_status: Callable[[MemberStatus], None] | None,
+        on_lost: Callable[[], None] | None,
+    ) -> None:
+        self._on_status = on_status
+        self._on_lost = on_lost
+
+    def on_request(self, channel: Channel, message: Any) -> Any:
+        """Refuse requests: a member has none to send."""
+        return member_codec.MemberFailure('malformed-message')
+
+    def on_malformed(self, channel: Channel, failure: Failure) -> Any:
+        """Refuse what could not be decoded."""
+        return member_codec.MemberFailure(failure.code)
+
+    def on_notice(self, channel: Channel, message: Any) -> None:
+        """Take a report on progress."""
+        if self._on_status and isinstance(message, member_codec.MemberReport):
+            self._on_status(message.status)
+
+    def on_close(self, channel: Channel) -> None:
+        """Tell the owner that the connection has ended."""
+        if self._on_lost:
+            self._on_lost()
+
+
+def connect_member(
+    endpoint: Endpoint,
+    on_status: Callable[[MemberStatus], None] | None = None,
+    on_lost: Callable[[], None] | None = None,
+) -> Result[MemberLink, Failure]:
+    """Open a connection to a member.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address of the member.
+    on_status : Callable[[MemberStatus], None], optional
+        Takes reports on progress.
+    on_lost : Callable[[], None], optional
+        Called once when the connection ends.
+
+    Returns
+    -------
+    Result[MemberLink, Failure]
+        The connection, or `PeerUnreachable`.
+    """
+    return dial(
+        endpoint,
+        member_codec.MEMBER_CODEC,
+        _ReportHandler(on_status, on_lost),
+        CONNECT_TIMEOUT_S,
+    ).map(MemberLink)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -0,0 +1,110 @@
+"""All that a pooler keeps of one member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.freshness import AgeTracker
+from trefoilpulley_core.peer import MemberDigest
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_node.pooler.member_monitor import MemberMonitor
+from trefoilpulley_node.pooler.member_pool import MemberPool
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import MemberEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.slots import SlotQueue
+    from trefoilpulley_core.upstream import MemberStatus
+
+
+class PooledMember:
+    """Monitor, slots and age of one member.
+
+    Parameters
+    ----------
+    database : str
+        Database of the member.
+    entry : MemberEntry
+        Member and its limits.
+    queue : SlotQueue
+        Order of the work that waits for its slots.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        database: str,
+        entry: MemberEntry,
+        queue: SlotQueue,
+        clock: Clock,
+    ) -> None:
+        self._clock = clock
+        self.database = database
+        """Database of the member."""
+
+        self.entry = entry
+        """Member and its limits."""
+
+        self.monitor = MemberMonitor(entry, clock)
+        """Newest status."""
+
+        self.pool = MemberPool(entry, queue, clock)
+        """Slots and connections."""
+
+        self.age = AgeTracker()
+        """Age of the member's data."""
+
+        self.last_aged_read = float('-inf')
+        """Monotonic time of the last read that stated an age, seconds."""
+
+        self.monitor.listen(self._on_status)
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether the member is reachable and leads its term."""
+        status = self.monitor.status
+        return (
+            status is not None
+            and status.is_primary
+            and self.monitor.is_reachable
+        )
+
+    def start(self) -> None:
+        """Begin to watch the member."""
+        self.monitor.start()
+
+    def stop(self) -> None:
+        """Close every connection to the member."""
+        self.monitor.stop()
+        self.pool.close()
+
+    def age_ms(self) -> int | None:
+        """Return the greatest age of the data, or ``None``."""
+        if self.is_primary:
+            return 0
+        return self.age.age_ms(self._clock.now())
+
+    def make_digest(self) -> MemberDigest:
+        """Return what entry hosts learn of the member."""
+        status = self.monitor.status
+        if status is None:
+            return MemberDigest(
+                self.entry.name, False, 0, BEGINNING, 0, None, 0, 0, False
+            )
+        starts = status.history.starts
+        return MemberDigest(
+            self.entry.name,
+            status.is_primary,
+            status.term,
+            status.history.last,
+            starts[-1].index if starts else 0,
+            self.age_ms(),
+            0 if status.is_primary else self.age.lag_ms(),
+            self.pool.expected_wait_ms,
+            self.monitor.is_reachable,
+            self.pool.hold.is_active,
+        )
+
+    def _on_status(self, status: MemberStatus, now: float) -> None:
+        self.age.on_replica(status.history.last, now)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/pooler.py
@@ -0,0 +1,269 @@
+"""Pooler role: serves pooled work and control messages of members."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import WritesPaused
+from trefoilpulley_core import peer as messages
+from trefoilpulley_node import events
+from trefoilpulley_node.pooler.age_prober import AgeProber
+from trefoilpulley_node.pooler.pooled_member import PooledMember
+from trefoilpulley_node.pooler.pooled_work import PooledWork
+from trefoilpulley_node.pooler.transactions import Transactions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.catalog import MemberEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.slots import SlotQueue
+    from trefoilpulley_core.upstream import MemberStatus
+    from trefoilpulley_core.upstream import StatementResult
+    from trefoilpulley_node.peer_server import PeerIdentity
+    from trefoilpulley_node.peer_server import PeerServer
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pooler.member_link import MemberLink
+
+
+class Pooler:
+    """Pools the members that this host owns.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time.
+    make_queue : Callable[[MemberEntry], SlotQueue]
+        Makes the slot queue of a member.
+    find_database : Callable[[str], DatabaseEntry | None]
+        Database by its name.
+    find_member : Callable[[str], tuple[DatabaseEntry, MemberEntry] | None]
+        Member and its database by the member's name.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        make_queue: Callable[[MemberEntry], SlotQueue],
+        find_database: Callable[[str], DatabaseEntry | None],
+        find_member: Callable[[str], tuple[DatabaseEntry, MemberEntry] | None],
+    ) -> None:
+        self._clock = clock
+        self._make_queue = make_queue
+        self._find_database = find_database
+        self._find_member = find_member
+        self._work = PooledWork(clock)
+        self._peers: Peers | None = None
+        self._probers: dict[str, AgeProber] = {}
+        self.transactions = Transactions(self._work)
+        """Open transactions."""
+
+        self.members: dict[str, PooledMember] = {}
+        """Members pooled by this host."""
+
+    def serve_on(self, server: PeerServer, peers: Peers) -> None:
+        """Register the role's messages."""
+        self._peers = peers
+        server.register(messages.PooledRead, self.on_read)
+        server.register(messages.PooledWrite, self.on_write)
+        server.register(messages.PooledResolve, self.on_resolve)
+        server.register(messages.PooledBegin, self.on_begin)
+        server.register(messages.PooledRun, self.on_run)
+        server.register(messages.PooledCommit, self.on_commit)
+        server.register(messages.PooledRollback, self.on_rollback)
+        server.register(messages.GetDigest, self.on_get_digest)
+        server.register(messages.GetStatus, self.on_get_status)
+        server.register(messages.FenceMember, self.on_fence)
+        server.register(messages.PromoteMember, self.on_promote)
+        server.register(messages.FollowMember, self.on_follow)
+        server.register(messages.PauseWrites, self.on_pause)
+        server.register(messages.ResumeWrites, self.on_resume)
+        server.register(messages.WarmConnections, self.on_warm)
+        server.register_close(self.transactions.on_peer_lost)
+
+    def adopt(self, name: str) -> PooledMember | None:
+        """Return a member, starting to pool it where needed."""
+        member = self.members.get(name)
+        if member is not None:
+            return member
+        found = self._find_member(name)
+        if found is None:
+            return None
+        database, entry = found
+        member = PooledMember(
+            database.name, entry, self._make_queue(entry), self._clock
+        )
+        self.members[name] = member
+        member.start()
+        if self._peers is not None:
+            prober = AgeProber(
+                member, self._find_database, self._peers, self._clock
+            )
+            self._probers[name] = prober
+            prober.start()
+        return member
+
+    def release(self, name: str) -> None:
+        """Stop to pool a member that another host owns now."""
+        member = self.members.get(name)
+        if member is None or member.pool.slots_in_use or member.pool.waiting:
+            return
+        del self.members[name]
+        self._probers.pop(name).stop()
+        member.stop()
+
+    def stop(self) -> None:
+        """Close every connection to a member."""
+        for prober in self._probers.values():
+            prober.stop()
+        for member in self.members.values():
+            member.stop()
+
+    def on_read(self, req: messages.PooledRead, peer: PeerIdentity) -> Any:
+        """Serve a read."""
+        return self._with_member(req.scope.member, self._work.read, req)
+
+    def on_write(self, req: messages.PooledWrite, peer: PeerIdentity) -> Any:
+        """Serve a write."""
+        return self._with_member(req.scope.member, self._work.write, req)
+
+    def on_resolve(
+        self, req: messages.PooledResolve, peer: PeerIdentity
+    ) -> Any:
+        """Serve the look-up of an outcome."""
+        return self._with_member(req.scope.member, self._work.resolve, req)
+
+    def on_begin(self, req: messages.PooledBegin, peer: PeerIdentity) -> Any:
+        """Begin a transaction."""
+        member = self.adopt(req.scope.member)
+        if member is None:
+            return _refuse(NoUpstream('unknown member'), None)
+        begun = self.transactions.begin(member, req, peer)
+        if not isinstance(begun, Success):
+            return _refuse(begun.failure(), member)
+        return messages.PooledBegun(begun.unwrap())
+
+    def on_run(self, req: messages.PooledRun, peer: PeerIdentity) -> Any:
+        """Run a statement in a transaction."""
+        return self._reply(self.transactions.run(req, peer), None)
+
+    def on_commit(self, req: messages.PooledCommit, peer: PeerIdentity) -> Any:
+        """Commit a transaction."""
+        return self._reply(self.transactions.commit(req, peer), None)
+
+    def on_rollback(
+        self, req: messages.PooledRollback, peer: PeerIdentity
+    ) -> Any:
+        """Roll a transaction back."""
+        ended = self.transactions.rollback(req.transaction, peer)
+        if not isinstance(ended, Success):
+            return _refuse(ended.failure(), None)
+        return messages.PooledDone()
+
+    def on_get_digest(
+        self, req: messages.GetDigest, peer: PeerIdentity
+    ) -> messages.Digests:
+        """Tell the digests of members."""
+        members = (self.adopt(name) for name in req.members)
+        return messages.Digests(
+            tuple(m.make_digest() for m in members if m is not None)
+        )
+
+    def on_get_status(
+        self, req: messages.GetStatus, peer: PeerIdentity
+    ) -> Any:
+        """Ask a member for its status."""
+        return self._control(req.member, lambda link: link.status())
+
+    def on_fence(self, req: messages.FenceMember, peer: PeerIdentity) -> Any:
+        """Make a member refuse lower terms."""
+        return self._control(req.member, lambda link: link.fence(req.term))
+
+    def on_promote(
+        self, req: messages.PromoteMember, peer: PeerIdentity
+    ) -> Any:
+        """Make a member the primary of a term."""
+        return self._control(req.member, lambda link: link.promote(req.term))
+
+    def on_follow(self, req: messages.FollowMember, peer: PeerIdentity) -> Any:
+        """Make a member a replica."""
+        return self._control(
+            req.member, lambda link: link.follow(req.term, req.primary)
+        )
+
+    def on_pause(self, req: messages.PauseWrites, peer: PeerIdentity) -> Any:
+        """Hold the writes of a member."""
+        member = self.adopt(req.member)
+        if member is None:
+            return _refuse(NoUpstream('unknown member'), None)
+        if not member.pool.begin_hold(req.handover_id, req.hold_ms / 1000):
+            return _refuse(WritesPaused('by another handover'), member)
+        events.WRITES_PAUSED.log(member=req.member, handover=req.handover_id)
+        return messages.PauseReport(member.pool.writes_running)
+
+    def on_resume(self, req: messages.ResumeWrites, peer: PeerIdentity) -> Any:
+        """End a hold of writes."""
+        member = self.adopt(req.member)
+        if member is not None:
+            member.pool.end_hold(req.handover_id)
+            events.WRITES_RESUMED.log(
+                member=req.member, handover=req.handover_id
+            )
+        return messages.PooledDone()
+
+    def on_warm(
+        self, req: messages.WarmConnections, peer: PeerIdentity
+    ) -> Any:
+        """Open connections ahead of work."""
+        member = self.adopt(req.member)
+        if member is not None:
+            member.pool.warm(req.count)
+        return messages.PooledDone()
+
+    def _with_member(
+        self,
+        name: str,
+        run: Callable[[PooledMember, Any], Result[StatementResult, Failure]],
+        req: Any,
+    ) -> Any:
+        member = self.adopt(name)
+        if member is None:
+            return _refuse(NoUpstream('unknown member'), None)
+        return self._reply(run(member, req), member)
+
+    def _reply(
+        self,
+        result: Result[StatementResult, Failure],
+        member: PooledMember | None,
+    ) -> Any:
+        if not isinstance(result, Success):
+            return _refuse(result.failure(), member)
+        digest = None if member is None else member.make_digest()
+        return messages.PooledResult(result.unwrap(), digest)
+
+    def _control(
+        self,
+        name: str,
+        ask: Callable[[MemberLink], Result[MemberStatus, Failure]],
+    ) -> Any:
+        member = self.adopt(name)
+        if member is None:
+            return _refuse(NoUpstream('unknown member'), None)
+        reply: Result[MemberStatus, Failure] = member.monitor.control(ask)
+        if not isinstance(reply, Success):
+            return _refuse(reply.failure(), member)
+        return messages.StatusReport(reply.unwrap())
+
+
+def _refuse(
+    failure: Failure, member: PooledMember | None
+) -> messages.PooledFailure:
+    digest = None if member is None else member.make_digest()
+    return messages.PooledFailure(failure.code, failure.detail, digest)
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -21,6 +21,7 @@
 from trefoilpulley_core.failure import PeerUnreachable
 
 if TYPE_CHECKING:
+    from gevent.event import Event
     from websockets.frames import Frame as SocketFrame
     from websockets.protocol import Protocol
 
@@ -97,7 +98,10 @@
         return self._running
 
     def call(
-        self, message: Any, timeout_s: float | None = None
+        self,
+        message: Any,
+        timeout_s: float | None = None,
+        abort: Event | None = None,
     ) -> Result[Any, Failure]:
         """Send a request and wait for its reply.
 
@@ -107,6 +111,8 @@
             Typed request.
         timeout_s : float, optional
             Longest wait in seconds.
+        abort : Event, optional
+            Ends the wait early when it is set.
 
         Returns
         -------
@@ -120,6 +126,9 @@
         waiter = self._waiting[sequence] = AsyncResult()
         try:
             self._send(sequence, message)
+            if abort is not None:
+                gevent.wait([waiter, abort], timeout=timeout_s, count=1)
+                timeout_s = 0
             return waiter.get(timeout=timeout_s)
         except (OSError, gevent.Timeout) as exc:
             return Failed(PeerUnreachable(type(exc).__name__))
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from trefoilpulley_core.membership import messages
 from trefoilpulley_core import peer
 from trefoilpulley_wire.codec import Codec
 
 PEER_CODEC = Codec(
     (
+        messages.Exchange,
+        messages.News,
+        messages.Probe,
+        messages.ProbeAnswer,
+        messages.ProbeForMe,
+        messages.ProbeReport,
         peer.Digests,
         peer.FenceMember,
         peer.FollowMember,
