--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/connection_pacer.py
@@ -0,0 +1,69 @@
+"""Pace of new connections to one member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+OPENS_PER_S = 20.0
+"""Connections opened a second in the long run."""
+
+BURST_OPENS = 4.0
+"""Connections that may be opened at once after a quiet time."""
+
+OPENING_LIMIT = 2
+"""Connections that may be under way at once."""
+
+JITTER_SHARE = 0.5
+"""Largest part by which a pause is lengthened at random."""
+
+
+class ConnectionPacer:
+    """Spreads new connections by a token bucket with jitter.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._saved = BURST_OPENS
+        self._saved_at: float | None = None
+        self._opening = 0
+
+    @property
+    def opening(self) -> int:
+        """Connections under way."""
+        return self._opening
+
+    def try_open(self, now: float) -> float:
+        """Begin one connection, or return the pause before the next try.
+
+        Returns
+        -------
+        float
+            0 where the connection may be opened now, which `on_opened`
+            ends; otherwise a pause in seconds.
+        """
+        self._refill(now)
+        if self._opening < OPENING_LIMIT and self._saved >= 1:
+            self._saved -= 1
+            self._opening += 1
+            return 0.0
+        missing = max(1 - self._saved, 0.5)
+        pause_s = missing / OPENS_PER_S
+        return pause_s * (1 + JITTER_SHARE * self._rng.random())
+
+    def on_opened(self) -> None:
+        """Count a connection as opened or failed."""
+        self._opening = max(0, self._opening - 1)
+
+    def _refill(self, now: float) -> None:
+        if self._saved_at is not None:
+            earned = (now - self._saved_at) * OPENS_PER_S
+            self._saved = min(BURST_OPENS, self._saved + max(0.0, earned))
+        self._saved_at = now
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/retry_budget.py
@@ -0,0 +1,86 @@
+"""Retries as a share of fresh traffic."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.failure import RunState
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.failure import Failure
+
+RETRY_SHARE = 0.1
+"""Retries allowed for each fresh request."""
+
+BURST_RETRIES = 10.0
+"""Retries that an upstream may save up, and starts with."""
+
+UPSTREAM_LIMIT = 4096
+"""Upstreams that are remembered, the latest used."""
+
+
+class RetryBudget:
+    """Allows retries to an upstream as a share of its fresh requests."""
+
+    def __init__(self) -> None:
+        self._saved: OrderedDict[str, float] = OrderedDict()
+
+    def record_fresh(self, upstream: str) -> None:
+        """Count a first attempt at an upstream."""
+        saved = self._saved.get(upstream, BURST_RETRIES)
+        self._save(upstream, min(BURST_RETRIES, saved + RETRY_SHARE))
+
+    def try_retry(
+        self, upstream: str, failure: Failure, is_repeatable: bool
+    ) -> bool:
+        """Spend one retry on an upstream where a failure allows it.
+
+        Parameters
+        ----------
+        upstream : str
+            Member that the retry would go to.
+        failure : Failure
+            How the attempt before ended.
+        is_repeatable : bool
+            Whether the request may run more than once.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent again.
+        """
+        if not may_repeat(failure, is_repeatable):
+            return False
+        saved = self._saved.get(upstream, BURST_RETRIES)
+        if saved < 1:
+            return False
+        self._save(upstream, saved - 1)
+        return True
+
+    def saved(self, upstream: str) -> float:
+        """Return the retries that an upstream may still get."""
+        return self._saved.get(upstream, BURST_RETRIES)
+
+    def _save(self, upstream: str, saved: float) -> None:
+        self._saved[upstream] = saved
+        self._saved.move_to_end(upstream)
+        if len(self._saved) > UPSTREAM_LIMIT:
+            self._saved.popitem(last=False)
+
+
+def may_repeat(failure: Failure, is_repeatable: bool) -> bool:
+    """Return whether a request may be sent again after a failure.
+
+    Parameters
+    ----------
+    failure : Failure
+        How the attempt before ended.
+    is_repeatable : bool
+        Whether the request may run more than once.
+    """
+    if failure.run_state is RunState.NOT_RUN:
+        return failure.is_repeatable
+    if failure.run_state is RunState.UNKNOWN:
+        return is_repeatable
+    return False
--- a/packages/core/src/trefoilpulley_core/token.py
+++ b/packages/core/src/trefoilpulley_core/token.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import hashlib
+from typing import Any
 from typing import TYPE_CHECKING
 
 import cbor2
@@ -14,11 +16,18 @@
 
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import InvalidToken
+from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+TOKEN_LIMIT_BYTES = 8192
+"""Size of the largest token that is read."""
+
+FLOOR_LIMIT = 64
+"""Databases whose floors a token lists."""
+
 _SALT = b'trefoilpulley.session'
 
 
@@ -41,22 +50,47 @@
     """Tenant of the session."""
 
     floors: tuple[Floor, ...] = ()
-    """Floors of the databases that the session has touched."""
+    """Floors of the databases touched, the latest raised last."""
+
+    is_partial: bool = False
+    """Whether floors were left out, so that others are unknown."""
+
+    def floor_of(self, database: str) -> Position | None:
+        """Return the floor of a database.
 
-    def floor_of(self, database: str) -> Position:
-        """Return the floor of a database; the beginning if untouched."""
+        Returns
+        -------
+        Position | None
+            The beginning for a database that the session has not
+            touched; ``None`` where the floor was left out.
+        """
         for floor in self.floors:
             if floor.database == database:
                 return floor.position
-        return Position()
+        return None if self.is_partial else BEGINNING
 
     def with_floor(self, database: str, position: Position) -> SessionToken:
-        """Return a token whose floor of a database is no lower."""
+        """Return a token whose floor of a database is no lower.
+
+        A floor of a newer term stands for one of an older term: all
+        that was acknowledged in the older term is in the log before it.
+        """
         current = self.floor_of(database)
-        if position <= current:
+        if current is not None and position <= current:
             return self
         others = tuple(f for f in self.floors if f.database != database)
-        return SessionToken(self.tenant, (*others, Floor(database, position)))
+        floors = (*others, Floor(database, position))
+        is_partial = self.is_partial or len(floors) > FLOOR_LIMIT
+        return SessionToken(self.tenant, floors[-FLOOR_LIMIT:], is_partial)
+
+    def merge(self, other: SessionToken) -> SessionToken:
+        """Return a token that holds the floors of two."""
+        merged = SessionToken(
+            self.tenant, self.floors, self.is_partial or other.is_partial
+        )
+        for floor in other.floors:
+            merged = merged.with_floor(floor.database, floor.position)
+        return merged
 
 
 class TokenCodec:
@@ -72,7 +106,9 @@
 
     def __init__(self, deployment: str, keys: Sequence[str]) -> None:
         self._deployment = deployment
-        self._signer = Signer(list(keys), salt=_SALT)
+        self._signer = Signer(
+            list(keys), salt=_SALT, digest_method=hashlib.sha256
+        )
 
     def encode(self, token: SessionToken) -> bytes:
         """Return the signed form of a token."""
@@ -80,25 +116,51 @@
             (f.database, f.position.term, f.position.index)
             for f in token.floors
         ]
-        body = cbor2.dumps([self._deployment, token.tenant, floors])
-        return self._signer.sign(body)
+        body = [self._deployment, token.tenant, floors, token.is_partial]
+        return self._signer.sign(cbor2.dumps(body))
 
     def decode(
         self, data: bytes, tenant: str
     ) -> Result[SessionToken, Failure]:
         """Verify a signed token of a tenant."""
+        if len(data) > TOKEN_LIMIT_BYTES:
+            return Failed(InvalidToken('token is too large'))
         try:
             body = cbor2.loads(self._signer.unsign(data))
         except (BadSignature, cbor2.CBORDecodeError):
             return Failed(InvalidToken('signature does not match'))
-        deployment, owner, floors = body
+        return self._read_body(body, tenant)
+
+    def _read_body(
+        self, body: Any, tenant: str
+    ) -> Result[SessionToken, Failure]:
+        if not isinstance(body, list) or len(body) != 4:
+            return Failed(InvalidToken('body has another shape'))
+        deployment, owner, entries, is_partial = body
         if deployment != self._deployment:
             return Failed(InvalidToken('token of another deployment'))
         if owner != tenant:
             return Failed(InvalidToken('token of another tenant'))
-        return Success(
-            SessionToken(
-                owner,
-                tuple(Floor(d, Position(t, i)) for d, t, i in floors),
-            )
-        )
+        floors = _read_floors(entries)
+        if floors is None or not isinstance(is_partial, bool):
+            return Failed(InvalidToken('floors have another shape'))
+        return Success(SessionToken(owner, floors, is_partial))
+
+
+def _read_floors(entries: Any) -> tuple[Floor, ...] | None:
+    if not isinstance(entries, list) or len(entries) > FLOOR_LIMIT:
+        return None
+    if not all(_is_floor(entry) for entry in entries):
+        return None
+    return tuple(Floor(d, Position(t, i)) for d, t, i in entries)
+
+
+def _is_floor(entry: Any) -> bool:
+    if not isinstance(entry, list) or len(entry) != 3:
+        return False
+    database, term, index = entry
+    return isinstance(database, str) and _is_count(term) and _is_count(index)
+
+
+def _is_count(value: Any) -> bool:
+    return type(value) is int and value >= 0
