Cover the client's ends of transactions

Two deliberate faults in a trial copy passed the scenarios: a transaction that moves to a new connection, and one that goes on after a refused statement. Each has a scenario now that fails under its fault.

--- a/features/client_session.feature
+++ b/features/client_session.feature
@@ -43,6 +43,24 @@
     Then the client gets the error "TransactionLostError" with "transaction-lost" and "not-run"
     And the database has run nothing
 
+  Scenario: a transaction ends with a refused statement
+    Given the client runs "insert a" in a transaction
+    And the client's host refuses "Execute" with "overloaded"
+    And the client runs "insert b" in a transaction
+    When the client runs "insert c" in a transaction
+    Then the client gets the error "TransactionLostError" with "transaction-lost" and "not-run"
+    And the client has sent "Rollback" 1 times
+
+  Scenario: a transaction does not move to a new connection
+    Given the client runs "insert a" in a transaction
+    And the client's host breaks at "LookUp" before it is taken
+    When the client looks "order-7" up
+    Then the client gets the error "NotRunError" with "not-run" and "not-run"
+    And the client has moved to another host
+    When the client commits
+    Then the client gets the error "TransactionLostError" with "transaction-lost" and "not-run"
+    And the database has run nothing
+
   Scenario: a program goes on after it has rolled a lost transaction back
     Given the client runs "insert a" in a transaction
     And the client's host breaks at "Execute" before it is taken
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -222,6 +222,12 @@
         """Open another connection."""
         context.client.attempt(context.client.connect)
 
+    @staticmethod
+    @when('the client looks "{request_id}" up')
+    def look_up_named(context: Any, request_id: str) -> None:
+        """Ask for the outcome of a request."""
+        context.client.attempt(context.client.connection.look_up, request_id)
+
     @staticmethod
     @when("the client looks the error's request up")
     def look_up(context: Any) -> None:
