--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -0,0 +1,300 @@
+"""Many hosts' membership decisions on one virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+from itertools import count
+import random
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.membership.commands import Call
+from trefoilpulley_core.membership.commands import Tell
+from trefoilpulley_core.membership.membership import Membership
+from trefoilpulley_core.membership.membership import TICK_INTERVAL_S
+from trefoilpulley_core.membership.messages import Exchange
+from trefoilpulley_core.membership.messages import News
+from trefoilpulley_core.membership.messages import Probe
+from trefoilpulley_core.membership.messages import ProbeForMe
+from trefoilpulley_wire.peer_codec import PEER_CODEC
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+ZONE_DELAY_S = 0.0005
+"""One-way delay inside a zone, in seconds."""
+
+REGION_DELAY_S = 0.005
+"""One-way delay between zones, in seconds."""
+
+FRAME_OVERHEAD_BYTES = 60
+"""WebSocket, TCP and IP headers of one small message."""
+
+
+@dataclass
+class Traffic:
+    """What one host has sent and spent."""
+
+    messages: int = 0
+    """Messages sent, answers too."""
+
+    bytes_sent: int = 0
+    """Bytes sent, with the headers."""
+
+    cpu_s: float = 0.0
+    """Processor time of decisions and codec, in seconds."""
+
+
+@dataclass
+class FleetHost:
+    """One host of the fleet."""
+
+    entry: HostEntry
+    """Name and place."""
+
+    membership: Membership
+    """Decisions."""
+
+    is_up: bool = True
+    """Whether the process runs."""
+
+    paused_until: float = 0.0
+    """Virtual time until which the process stands still."""
+
+    traffic: Traffic = field(default_factory=Traffic)
+    """What it has sent and spent."""
+
+    @property
+    def live(self) -> frozenset[str]:
+        """Names of the hosts that it takes for live."""
+        zones = self.membership.live_hosts.zones
+        return frozenset(h for zone in zones for h in zone.hosts)
+
+
+class Fleet:
+    """Hosts, links and a clock in one process.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of every random choice.
+    is_counting : bool
+        Whether messages are encoded to count bytes and time.
+    make_membership : Callable[..., Membership]
+        Makes the decisions of a host.
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        is_counting: bool = False,
+        make_membership: Callable[..., Membership] = Membership,
+    ) -> None:
+        self.now = 0.0
+        """Virtual time in seconds."""
+
+        self.hosts: dict[str, FleetHost] = {}
+        """Hosts by name, those that have stopped too."""
+
+        self.cuts: set[frozenset[str]] = set()
+        """Pairs of zones, or of hosts, without a link."""
+
+        self._rng = random.Random(seed)
+        self._is_counting = is_counting
+        self._make_membership = make_membership
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._incarnations = count(1)
+
+    def add(
+        self,
+        name: str,
+        zone: str,
+        region: str = 'region',
+        listed: Sequence[HostEntry] = (),
+        seeds: Sequence[str] = (),
+    ) -> FleetHost:
+        """Start a host, or start it again under the same name."""
+        entry = make_entry(name, zone, region)
+        rng = random.Random(self._rng.random())
+        incarnation = next(self._incarnations)
+        membership = self._make_membership(entry, incarnation, seeds, rng)
+        host = self.hosts[name] = FleetHost(entry, membership)
+        membership.on_host_list(listed)
+        phase = self._rng.uniform(0, TICK_INTERVAL_S)
+        self._at(self.now + phase, lambda: self._tick(host))
+        return host
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + duration_s
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def run_until(
+        self, condition: Callable[[], bool], limit_s: float
+    ) -> float | None:
+        """Return the time until a condition holds, or ``None``."""
+        start = self.now
+        while self.now - start < limit_s:
+            if condition():
+                return self.now - start
+            self.run(0.01)
+        return None
+
+    def stop(self, name: str) -> None:
+        """Kill a host; nobody is told."""
+        self.hosts[name].is_up = False
+
+    def pause(self, name: str, duration_s: float) -> None:
+        """Let a host stand still for a time."""
+        self.hosts[name].paused_until = self.now + duration_s
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut the link between two zones or two hosts."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Bring every link back."""
+        self.cuts.clear()
+
+    def act(self, host: FleetHost, action: Callable[[], Any]) -> Any:
+        """Run an action of a host and carry out its commands."""
+        started = time.process_time() if self._is_counting else 0.0
+        result = action()
+        commands = host.membership.take_commands()
+        for command in commands:
+            self._carry_out(host, command)
+        if self._is_counting:
+            host.traffic.cpu_s += time.process_time() - started
+        return result
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), action))
+
+    def _tick(self, host: FleetHost) -> None:
+        if not host.is_up:
+            return
+        if host.paused_until > self.now:
+            self._at(host.paused_until, lambda: self._tick(host))
+            return
+        self.act(host, lambda: host.membership.on_tick(self.now))
+        self._at(self.now + TICK_INTERVAL_S, lambda: self._tick(host))
+
+    def _carry_out(self, host: FleetHost, command: Any) -> None:
+        if isinstance(command, Call):
+            self._call(host, command)
+        elif isinstance(command, Tell):
+            self._send(
+                host,
+                command.host,
+                command.message,
+                lambda target, news: target.membership.on_news(news),
+            )
+
+    def _call(self, host: FleetHost, call: Call) -> None:
+        finished: list[bool] = []
+
+        def finish(action: Callable[[], None]) -> None:
+            if not finished:
+                finished.append(True)
+                self._when_awake(host, action)
+
+        def reply(target: FleetHost, answer: Any) -> None:
+            self._send(
+                target,
+                host.entry.name,
+                answer,
+                lambda asker, message: finish(
+                    lambda: asker.membership.on_answer(
+                        call.call_id, message, self.now
+                    )
+                ),
+            )
+
+        self._send(
+            host,
+            call.host,
+            call.message,
+            lambda target, message: self._serve(target, message, reply),
+        )
+        self._at(
+            self.now + call.timeout_s,
+            lambda: finish(
+                lambda: host.membership.on_failure(call.call_id, self.now)
+            ),
+        )
+
+    def _serve(
+        self,
+        host: FleetHost,
+        message: Any,
+        reply: Callable[[FleetHost, Any], None],
+    ) -> None:
+        if isinstance(message, Probe):
+            reply(host, host.membership.on_probe(message, self.now))
+        elif isinstance(message, Exchange):
+            reply(host, host.membership.on_exchange(message))
+        elif isinstance(message, ProbeForMe):
+            host.membership.on_probe_for_me(
+                message, lambda report: reply(host, report)
+            )
+
+    def _send(
+        self,
+        sender: FleetHost,
+        name: str,
+        message: Any,
+        deliver: Callable[[FleetHost, Any], None],
+    ) -> None:
+        self._count(sender, message)
+        target = self.hosts.get(name)
+        if target is None or self._is_cut(sender.entry, target.entry):
+            return
+        is_near = sender.entry.zone == target.entry.zone
+        delay_s = ZONE_DELAY_S if is_near else REGION_DELAY_S
+        self._at(
+            self.now + delay_s,
+            lambda: self._when_awake(target, lambda: deliver(target, message)),
+        )
+
+    def _when_awake(self, host: FleetHost, action: Callable[[], None]) -> None:
+        if not host.is_up:
+            return
+        if host.paused_until > self.now:
+            self._at(host.paused_until, lambda: self._when_awake(host, action))
+            return
+        self.act(host, action)
+
+    def _is_cut(self, one: HostEntry, other: HostEntry) -> bool:
+        return (
+            frozenset((one.zone, other.zone)) in self.cuts
+            or frozenset((one.name, other.name)) in self.cuts
+        )
+
+    def _count(self, sender: FleetHost, message: Any) -> None:
+        if not self._is_counting:
+            return
+        data = PEER_CODEC.encode(1, message)
+        PEER_CODEC.decode(data)
+        sender.traffic.messages += 1
+        sender.traffic.bytes_sent += len(data) + FRAME_OVERHEAD_BYTES
+
+
+def make_entry(name: str, zone: str, region: str = 'region') -> HostEntry:
+    """Return the entry of a host of the fleet."""
+    return HostEntry(
+        name,
+        region,
+        zone,
+        Endpoint('10.0.0.1', 7000),
+        Endpoint('10.0.0.1', 7001),
+    )
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's key-value service."""
