--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/failure_detector.py
@@ -0,0 +1,167 @@
+"""Failure detection inside one availability zone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+from trefoilpulley_core.membership.inquiry import Inquiry
+from trefoilpulley_core.membership.record import HostState
+
+if TYPE_CHECKING:
+    import random
+
+    from trefoilpulley_core.membership.news import NewsSpread
+    from trefoilpulley_core.membership.probes import Probes
+
+RING_INTERVAL_S = 0.4
+"""Time between two probes of a host's successor, in seconds."""
+
+RANDOM_INTERVAL_S = 2.0
+"""Time between two probes of any host of the zone, in seconds."""
+
+HELPERS = 2
+"""Hosts that are asked to probe a silent one."""
+
+
+class FailureDetector:
+    """Probes one successor on a ring of the zone's hosts.
+
+    Each host has one predecessor that watches it, so that the cost of a
+    host does not grow with the zone. The ring's order is by hash, so
+    that hosts of one rack seldom follow one another. A random host is
+    probed besides, dead ones too, which brings together what a
+    partition has left apart.
+
+    Parameters
+    ----------
+    news : NewsSpread
+        Takes the verdicts.
+    probes : Probes
+        Sends the probes.
+    rng : random.Random
+        Picks helpers and random hosts.
+    """
+
+    def __init__(
+        self, news: NewsSpread, probes: Probes, rng: random.Random
+    ) -> None:
+        self._news = news
+        self._table = news.table
+        self._probes = probes
+        self._rng = rng
+        self._inquiries: dict[str, Inquiry] = {}
+        self._ring: tuple[str, ...] = ()
+        self._ring_version = -1
+        self._next_ring_at = 0.0
+        self._next_random_at = 0.0
+
+    @property
+    def suspected(self) -> tuple[str, ...]:
+        """Hosts that did not answer and are being inquired after."""
+        return tuple(sorted(self._inquiries))
+
+    def on_tick(self, now: float) -> None:
+        """Send the probes that are due."""
+        if now >= self._next_ring_at:
+            due = self._next_ring_at + RING_INTERVAL_S
+            self._next_ring_at = due if due > now else now + RING_INTERVAL_S
+            self._probe_successor()
+        if now >= self._next_random_at:
+            spread = self._rng.uniform(0.5, 1.5)
+            self._next_random_at = now + RANDOM_INTERVAL_S * spread
+            self._probe_random()
+
+    def on_wake(self) -> None:
+        """Draw no conclusion from what a pause has let time out."""
+        self._inquiries.clear()
+
+    def suspect(self, host: str, now: float) -> None:
+        """Inquire after a host that did not answer."""
+        record = self._table.find(host)
+        if record is None or record.state is HostState.DEAD:
+            return
+        if host in self._inquiries or record.entry.zone != self._news.zone:
+            return
+        inquiry = self._inquiries[host] = Inquiry(
+            self._probes,
+            lambda: host,
+            lambda: self._choose_helpers(host),
+            lambda at: self._clear(host),
+            lambda at: self._declare_dead(host),
+        )
+        inquiry.begin_round()
+        self._probe_successor()
+
+    def _probe_successor(self) -> None:
+        host = self._find_successor()
+        if host is not None:
+            self._probes.send(
+                host, lambda now: None, lambda now: self.suspect(host, now)
+            )
+
+    def _probe_random(self) -> None:
+        own = self._news.own.entry.name
+        hosts = [h for h in self._table.names_in(self._news.zone) if h != own]
+        if not hosts:
+            return
+        host = self._rng.choice(hosts)
+        self._probes.send(
+            host, lambda now: None, lambda now: self.suspect(host, now)
+        )
+
+    def _find_successor(self) -> str | None:
+        ring = self._live_ring()
+        own = self._news.own.entry.name
+        start = ring.index(own) if own in ring else 0
+        for host in ring[start + 1 :] + ring[:start]:
+            if host not in self._inquiries:
+                return host
+        return None
+
+    def _live_ring(self) -> tuple[str, ...]:
+        if self._ring_version != self._table.version:
+            self._ring_version = self._table.version
+            self._ring = tuple(sorted(self._live_names(), key=_ring_position))
+        return self._ring
+
+    def _live_names(self) -> list[str]:
+        names = self._table.names_in(self._news.zone)
+        return [n for n in names if self._is_live(n)]
+
+    def _is_live(self, host: str) -> bool:
+        record = self._table.find(host)
+        return record is not None and record.state is not HostState.DEAD
+
+    def _choose_helpers(self, subject: str) -> list[str]:
+        own = self._news.own.entry.name
+        excluded = {own, subject, *self._inquiries}
+        peers = [h for h in self._live_names() if h not in excluded]
+        if len(peers) < HELPERS:
+            peers += self._relays_nearby()
+        return self._rng.sample(peers, min(HELPERS, len(peers)))
+
+    def _relays_nearby(self) -> list[str]:
+        region = self._news.own.entry.region
+        zones = self._table.zones_of(region)
+        return [
+            relays[0]
+            for zone in zones
+            if zone != self._news.zone
+            and (relays := self._news.relays_of(zone))
+        ]
+
+    def _clear(self, host: str) -> None:
+        self._inquiries.pop(host, None)
+
+    def _declare_dead(self, host: str) -> None:
+        self._inquiries.pop(host, None)
+        record = self._table.find(host)
+        if record is not None:
+            self._news.announce(replace(record, state=HostState.DEAD))
+
+
+def _ring_position(host: str) -> int:
+    return xxh3_64_intdigest(host.encode())
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/live_hosts.py
@@ -0,0 +1,79 @@
+"""View of the live hosts, by which members find their poolers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.rendezvous import pick_host
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import MemberEntry
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneHosts:
+    """Hosts of one availability zone that take new work."""
+
+    zone: str
+    """Name of the availability zone."""
+
+    region: str
+    """Region of the availability zone."""
+
+    hosts: tuple[str, ...]
+    """Names of the hosts, sorted; none where the zone is lost."""
+
+    is_lost: bool = False
+    """Whether no host of the zone answers."""
+
+
+@dataclass(frozen=True)
+class LiveHosts:
+    """Live hosts of every availability zone, as one host sees them."""
+
+    region: str
+    """Region of the host that holds the view."""
+
+    version: int = 0
+    """Raised at each change of the view."""
+
+    zones: tuple[ZoneHosts, ...] = ()
+    """Availability zones, sorted by name."""
+
+    _poolers: dict[tuple[str, str], str | None] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
+
+    def hosts_of(self, zone: str) -> tuple[str, ...]:
+        """Return the live hosts of an availability zone."""
+        found = self._find_zone(zone)
+        return found.hosts if found else ()
+
+    def pooler_of(self, member: MemberEntry) -> str | None:
+        """Return the host that holds the connections of a member.
+
+        One of the member's zone; where no host is live there, one of
+        the other zones of its region.
+        """
+        key = member.name, member.zone
+        if key not in self._poolers:
+            hosts = self._candidates(member.zone)
+            self._poolers[key] = pick_host(member.name, hosts)
+        return self._poolers[key]
+
+    def _candidates(self, zone: str) -> tuple[str, ...]:
+        found = self._find_zone(zone)
+        if found and found.hosts:
+            return found.hosts
+        region = found.region if found else self.region
+        return tuple(
+            host
+            for other in self.zones
+            if other.region == region
+            for host in other.hosts
+        )
+
+    def _find_zone(self, zone: str) -> ZoneHosts | None:
+        return next((z for z in self.zones if z.zone == zone), None)
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -0,0 +1,209 @@
+"""Who is live: the decisions of one host."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.membership.failure_detector import FailureDetector
+from trefoilpulley_core.membership.messages import ProbeReport
+from trefoilpulley_core.membership.messages import Versions
+from trefoilpulley_core.membership.news import NewsSpread
+from trefoilpulley_core.membership.outbox import Outbox
+from trefoilpulley_core.membership.probes import Probes
+from trefoilpulley_core.membership.reconciler import Reconciler
+from trefoilpulley_core.membership.record import HostRecord
+from trefoilpulley_core.membership.record import HostState
+from trefoilpulley_core.membership.table import MembershipTable
+from trefoilpulley_core.membership.zone_watch import ZoneWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+    import random
+
+    from trefoilpulley_core.catalog import HostEntry
+    from trefoilpulley_core.membership.commands import Command
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.membership.messages import Exchange
+    from trefoilpulley_core.membership.messages import News
+    from trefoilpulley_core.membership.messages import Probe
+    from trefoilpulley_core.membership.messages import ProbeAnswer
+    from trefoilpulley_core.membership.messages import ProbeForMe
+
+TICK_INTERVAL_S = 0.1
+"""Time between two ticks, in seconds."""
+
+PAUSE_S = 0.6
+"""Gap between ticks that shows this process to have been paused."""
+
+JOIN_INTERVAL_S = 0.5
+"""Time between two attempts to join, in seconds."""
+
+FORGET_INTERVAL_S = 600.0
+"""Time between two removals of dead hosts, in seconds."""
+
+
+class Membership:
+    """Membership of one host.
+
+    Parameters
+    ----------
+    me : HostEntry
+        Entry of this host.
+    incarnation : int
+        Number of the process's start, above 0, higher at each start.
+    seeds : Sequence[str]
+        Names of hosts to ask where no list is to be had.
+    rng : random.Random
+        Source of every random choice.
+    """
+
+    def __init__(
+        self,
+        me: HostEntry,
+        incarnation: int,
+        seeds: Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        own = HostRecord(me, incarnation, HostState.ALIVE)
+        self._outbox = Outbox()
+        self._table = MembershipTable(me.region)
+        self._news = NewsSpread(own, self._table, self._outbox)
+        self._reconciler = Reconciler(self._news, self._outbox)
+        self._probes = Probes(self._outbox, self._news, self._reconciler)
+        self._detector = FailureDetector(self._news, self._probes, rng)
+        self._zone_watch = ZoneWatch(self._news, self._probes, rng)
+        self._seeds = tuple(s for s in seeds if s != me.name)
+        self._rng = rng
+        self._is_introduced = False
+        self._ticked_at: float | None = None
+        self._next_join_at = 0.0
+        self._next_forget_at = 0.0
+        self._news.announce(own)
+
+    @property
+    def live_hosts(self) -> LiveHosts:
+        """View of the live hosts."""
+        return self._table.live_hosts
+
+    @property
+    def own(self) -> HostRecord:
+        """Record of this host."""
+        return self._news.own
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this host carries its zone's news."""
+        return self._news.relay_index is not None
+
+    @property
+    def suspected(self) -> tuple[str, ...]:
+        """Hosts and zones that are being inquired after."""
+        return self._detector.suspected + self._zone_watch.suspected
+
+    def find_host(self, host: str) -> HostRecord | None:
+        """Return the record of a host, or ``None``."""
+        return self._table.find(host)
+
+    def records(self) -> News:
+        """Return every record."""
+        return self._table.records_of(())
+
+    def set_versions(self, versions: Versions) -> None:
+        """Say which documents this host holds."""
+        self._probes.versions = versions
+
+    def take_commands(self) -> tuple[Command, ...]:
+        """Return the commands that have come up, oldest first."""
+        self._news.flush()
+        return self._outbox.take()
+
+    def on_tick(self, now: float) -> None:
+        """Do what is due."""
+        self._note_time(now)
+        self._reconciler.on_tick(now)
+        self._join(now)
+        self._detector.on_tick(now)
+        self._zone_watch.on_tick(now)
+        if now >= self._next_forget_at:
+            self._next_forget_at = now + FORGET_INTERVAL_S
+            self._table.forget_unlisted_dead()
+
+    def on_host_list(self, entries: Iterable[HostEntry]) -> None:
+        """Join the platform's list with what the hosts know."""
+        self._table.apply_list(entries)
+
+    def on_answer(self, call_id: int, answer: Any, now: float) -> None:
+        """Take the answer to a call."""
+        self._note_time(now)
+        pending = self._outbox.finish(call_id)
+        if pending is not None:
+            pending.on_answer(answer, now)
+
+    def on_failure(self, call_id: int, now: float) -> None:
+        """Note that a call had no answer."""
+        self._note_time(now)
+        pending = self._outbox.finish(call_id)
+        if pending is not None:
+            pending.on_failure(now)
+
+    def on_probe(self, probe: Probe, now: float) -> ProbeAnswer:
+        """Return the answer to another host's probe."""
+        return self._probes.on_probe(probe, now)
+
+    def on_news(self, news: News) -> None:
+        """Take the records of another host."""
+        self._news.learn(news)
+
+    def on_exchange(self, exchange: Exchange) -> News:
+        """Take another host's records and return what it lacks."""
+        return self._reconciler.on_exchange(exchange)
+
+    def on_contact_lost(self, host: str, now: float) -> None:
+        """Inquire after a host whose connection broke."""
+        self._note_time(now)
+        self._detector.suspect(host, now)
+
+    def on_probe_for_me(
+        self, req: ProbeForMe, reply: Callable[[ProbeReport], None]
+    ) -> None:
+        """Probe a host on another one's behalf, then reply."""
+        self._probes.send(
+            req.host,
+            lambda now: reply(ProbeReport(is_reachable=True)),
+            lambda now: reply(ProbeReport(is_reachable=False)),
+        )
+
+    def on_leave(self) -> None:
+        """Say that this host takes no new work."""
+        self._news.change_own(HostState.LEAVING)
+
+    def _note_time(self, now: float) -> None:
+        paused = (
+            self._ticked_at is not None and now - self._ticked_at > PAUSE_S
+        )
+        self._ticked_at = now
+        if paused:
+            self._outbox.abandon_calls()
+            self._detector.on_wake()
+            self._zone_watch.on_wake()
+            self._reconciler.on_wake()
+
+    def _join(self, now: float) -> None:
+        if self._reconciler.is_joined and not self._is_introduced:
+            self._is_introduced = True
+            self._news.introduce()
+        if self._reconciler.is_joined or now < self._next_join_at:
+            return
+        self._next_join_at = now + JOIN_INTERVAL_S
+        hosts = self._hosts_to_ask()
+        if hosts:
+            self._reconciler.join(self._rng.choice(hosts))
+
+    def _hosts_to_ask(self) -> tuple[str, ...]:
+        own = self.own.entry
+        known = [r.entry.name for r in self.records().hosts]
+        others = tuple(h for h in known if h != own.name)
+        return others + self._seeds
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/news.py
@@ -0,0 +1,177 @@
+"""Spread of changed records inside the zone and between zones."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.membership.messages import News
+from trefoilpulley_core.membership.record import HostRecord
+from trefoilpulley_core.membership.record import HostState
+from trefoilpulley_core.membership.record import ZoneRecord
+from trefoilpulley_core.rendezvous import rank_hosts
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.membership.outbox import Outbox
+    from trefoilpulley_core.membership.table import MembershipTable
+
+RELAYS_PER_ZONE = 2
+"""Hosts of a zone that carry news to and from other zones."""
+
+
+class NewsSpread:
+    """Merges records and passes on those that are new.
+
+    The host that finds a change tells every host of its zone, once. The
+    relays of the zone tell a relay of each other zone, which tells the
+    hosts of its own.
+
+    Parameters
+    ----------
+    own : HostRecord
+        Record of this host.
+    table : MembershipTable
+        Records of all hosts.
+    outbox : Outbox
+        Takes the messages.
+    """
+
+    def __init__(
+        self, own: HostRecord, table: MembershipTable, outbox: Outbox
+    ) -> None:
+        self.own = own
+        """Record of this host."""
+
+        self.table = table
+        """Records of all hosts."""
+
+        self.zones_in_contact: set[str] = set()
+        """Zones whose hosts have answered this relay's last probe."""
+
+        self._outbox = outbox
+        self._to_zone = News()
+        self._to_zones = News()
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this host."""
+        return self.own.entry.zone
+
+    @property
+    def relay_index(self) -> int | None:
+        """Rank of this host among its zone's relays, if it is one."""
+        relays = self.relays_of(self.zone)
+        name = self.own.entry.name
+        return relays.index(name) if name in relays else None
+
+    def relays_of(self, zone: str) -> tuple[str, ...]:
+        """Return the hosts that carry a zone's news."""
+        live = self.table.live_hosts.hosts_of(zone)
+        return rank_hosts(f'relay/{zone}', live)[:RELAYS_PER_ZONE]
+
+    def announce(self, record: HostRecord) -> None:
+        """Merge a record that this host has found out itself."""
+        if self.table.merge(record):
+            self._to_zone = _with_host(self._to_zone, record)
+            self._carry(News((record,)))
+
+    def announce_zone(self, record: ZoneRecord) -> None:
+        """Merge a zone's record that this host has found out itself."""
+        if self.table.merge_zone(record):
+            self._to_zone = _with_zone(self._to_zone, record)
+            self._carry(News((), (record,)))
+
+    def learn(self, news: News) -> None:
+        """Merge the records of another host."""
+        for record in news.hosts:
+            self.learn_host(record)
+        for zone_record in news.zones:
+            self.learn_zone(zone_record)
+
+    def learn_host(self, record: HostRecord) -> None:
+        """Merge a record, or refute it where it is wrong on this host."""
+        if record.entry.name == self.own.entry.name:
+            self._refute(record)
+        elif self.table.merge(record):
+            self._carry(News((record,)))
+
+    def learn_zone(self, record: ZoneRecord) -> None:
+        """Merge a zone's record, or refute a loss that is none."""
+        if not record.supersedes(self.table.find_zone(record.zone)):
+            return
+        if record.is_lost and self._is_reached(record.zone):
+            self.refute_loss(record)
+            return
+        self.table.merge_zone(record)
+        self._carry(News((), (record,)))
+
+    def refute_loss(self, record: ZoneRecord) -> None:
+        """Say that a zone answers, whatever a record says."""
+        version = record.version + 1
+        self.announce_zone(ZoneRecord(record.zone, version, is_lost=False))
+
+    def change_own(self, state: HostState) -> None:
+        """Change the state of this host."""
+        self.own = replace(self.own, state=state)
+        self.announce(self.own)
+
+    def introduce(self) -> None:
+        """Tell the zone of this host, whoever has heard of it."""
+        self._to_zone = _with_host(self._to_zone, self.own)
+        self._carry(News((self.own,)))
+
+    def flush(self) -> None:
+        """Send what has changed since the last time."""
+        zone_news, self._to_zone = self._to_zone, News()
+        zones_news, self._to_zones = self._to_zones, News()
+        if zone_news != News():
+            self._tell_zone(zone_news)
+        if zones_news != News():
+            self._tell_zones(zones_news)
+
+    def _is_reached(self, zone: str) -> bool:
+        return zone == self.zone or zone in self.zones_in_contact
+
+    def _refute(self, record: HostRecord) -> None:
+        if not record.supersedes(self.own):
+            return
+        self.own = replace(self.own, incarnation=record.incarnation + 1)
+        self.announce(self.own)
+
+    def _carry(self, news: News) -> None:
+        if self.relay_index is None:
+            return
+        for record in news.hosts:
+            if record.entry.zone == self.zone:
+                self._to_zones = _with_host(self._to_zones, record)
+            else:
+                self._to_zone = _with_host(self._to_zone, record)
+        for zone_record in news.zones:
+            self._to_zones = _with_zone(self._to_zones, zone_record)
+            self._to_zone = _with_zone(self._to_zone, zone_record)
+
+    def _tell_zone(self, news: News) -> None:
+        for host in self.table.names_in(self.zone):
+            record = self.table.find(host)
+            if host == self.own.entry.name or record is None:
+                continue
+            if record.state is not HostState.DEAD:
+                self._outbox.tell(host, news)
+
+    def _tell_zones(self, news: News) -> None:
+        index = self.relay_index or 0
+        for zone in self.table.live_hosts.zones:
+            relays = self.relays_of(zone.zone)
+            if zone.zone == self.zone or not relays:
+                continue
+            self._outbox.tell(relays[min(index, len(relays) - 1)], news)
+
+
+def _with_host(news: News, record: HostRecord) -> News:
+    others = tuple(r for r in news.hosts if r.entry.name != record.entry.name)
+    return replace(news, hosts=(*others, record))
+
+
+def _with_zone(news: News, record: ZoneRecord) -> News:
+    others = tuple(z for z in news.zones if z.zone != record.zone)
+    return replace(news, zones=(*others, record))
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/outbox.py
@@ -0,0 +1,71 @@
+"""Commands on their way out, and the calls that wait for an answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.membership.commands import Call
+from trefoilpulley_core.membership.commands import Tell
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.membership.commands import Command
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """What happens when a call ends."""
+
+    on_answer: Callable[[Any, float], None]
+    """Takes the answer and the time."""
+
+    on_failure: Callable[[float], None]
+    """Takes the time at which the call failed."""
+
+
+class Outbox:
+    """Collects commands until the runner takes them."""
+
+    def __init__(self) -> None:
+        self._commands: list[Command] = []
+        self._pending: dict[int, Pending] = {}
+        self._next_call_id = 1
+
+    @property
+    def waiting_calls(self) -> int:
+        """Number of calls without an answer yet."""
+        return len(self._pending)
+
+    def call(
+        self, host: str, message: Any, timeout_s: float, pending: Pending
+    ) -> None:
+        """Send a request to a host."""
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        self._pending[call_id] = pending
+        self._commands.append(Call(call_id, host, message, timeout_s))
+
+    def tell(self, host: str, message: Any) -> None:
+        """Send a one-way message to a host."""
+        self._commands.append(Tell(host, message))
+
+    def add(self, command: Command) -> None:
+        """Add any command."""
+        self._commands.append(command)
+
+    def take(self) -> tuple[Command, ...]:
+        """Return the commands that have come up, oldest first."""
+        commands = tuple(self._commands)
+        self._commands.clear()
+        return commands
+
+    def finish(self, call_id: int) -> Pending | None:
+        """Return what waits for a call, once."""
+        return self._pending.pop(call_id, None)
+
+    def abandon_calls(self) -> None:
+        """Draw no conclusion from the calls that still wait."""
+        self._pending.clear()
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/membership/table.py
@@ -0,0 +1,224 @@
+"""Records of all hosts and availability zones, as one host holds them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+from trefoilpulley_core.catalog import Presence
+from trefoilpulley_core.membership.live_hosts import LiveHosts
+from trefoilpulley_core.membership.live_hosts import ZoneHosts
+from trefoilpulley_core.membership.messages import News
+from trefoilpulley_core.membership.record import HostRecord
+from trefoilpulley_core.membership.record import HostState
+from trefoilpulley_core.membership.record import ZoneDigest
+from trefoilpulley_core.membership.record import ZoneRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+    from trefoilpulley_core.catalog import HostEntry
+
+
+class MembershipTable:
+    """Newest record seen of each host and each availability zone.
+
+    Records merge in any order and any number of times to the same
+    table.
+
+    Parameters
+    ----------
+    region : str
+        Region of the host that holds the table.
+    """
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        self._hosts: dict[str, HostRecord] = {}
+        self._by_zone: dict[str, dict[str, HostRecord]] = defaultdict(dict)
+        self._zones: dict[str, ZoneRecord] = {}
+        self._digests: dict[str, int] = defaultdict(int)
+        self._listed: frozenset[str] = frozenset()
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._view = LiveHosts(region)
+        self.version = 0
+        """Raised at each change."""
+
+    @property
+    def digest(self) -> int:
+        """Digest of all records; equal where the tables are equal."""
+        total = 0
+        for digest in self._digests.values():
+            total ^= digest
+        return total
+
+    @property
+    def live_hosts(self) -> LiveHosts:
+        """View of the live hosts."""
+        if self._view.version != self.version:
+            self._view = self._build_view()
+        return self._view
+
+    def find(self, host: str) -> HostRecord | None:
+        """Return the record of a host, or ``None``."""
+        return self._hosts.get(host)
+
+    def find_zone(self, zone: str) -> ZoneRecord | None:
+        """Return the record of an availability zone, or ``None``."""
+        return self._zones.get(zone)
+
+    def names_in(self, zone: str) -> tuple[str, ...]:
+        """Return every known host of a zone, the dead ones too."""
+        return tuple(sorted(self._by_zone[zone]))
+
+    def zones_of(self, region: str) -> tuple[str, ...]:
+        """Return the zones of a region that have known hosts."""
+        return tuple(
+            sorted(
+                zone
+                for zone, records in self._by_zone.items()
+                if any(r.entry.region == region for r in records.values())
+            )
+        )
+
+    def zones_outside(self, region: str) -> tuple[str, ...]:
+        """Return the zones of the other regions."""
+        inside = self.zones_of(region)
+        return tuple(sorted(z for z in self._by_zone if z not in inside))
+
+    def merge(self, record: HostRecord) -> bool:
+        """Take a host's record in where it is newer."""
+        name = record.entry.name
+        if not record.supersedes(self._hosts.get(name)):
+            return False
+        self._remove(name)
+        self._hosts[name] = record
+        self._by_zone[record.entry.zone][name] = record
+        self._toggle(record)
+        self.version += 1
+        return True
+
+    def merge_zone(self, record: ZoneRecord) -> bool:
+        """Take a zone's record in where it is newer."""
+        current = self._zones.get(record.zone)
+        if not record.supersedes(current):
+            return False
+        for kept in (current, record):
+            if kept is not None:
+                self._digests[kept.zone] ^= _zone_fingerprint(kept)
+        self._zones[record.zone] = record
+        self.version += 1
+        return True
+
+    def apply_list(self, entries: Iterable[HostEntry]) -> None:
+        """Join the platform's list, which lags behind the records.
+
+        A listed host without a record is taken for live until a probe
+        shows otherwise; a host that the list says is leaving gets no
+        new work, whatever it says itself.
+        """
+        entries = tuple(entries)
+        leaving = frozenset(
+            e.name for e in entries if e.presence is Presence.LEAVING
+        )
+        if leaving != self._listed_leaving:
+            self._listed_leaving = leaving
+            self.version += 1
+        self._listed = frozenset(e.name for e in entries)
+        for entry in entries:
+            self.merge(HostRecord(entry, 0, HostState.ALIVE))
+
+    def forget_unlisted_dead(self) -> None:
+        """Remove the dead hosts that the platform lists no more."""
+        for name, record in list(self._hosts.items()):
+            if record.state is HostState.DEAD and name not in self._listed:
+                self._remove(name)
+
+    def zone_digests(self) -> tuple[ZoneDigest, ...]:
+        """Return the digest of each zone."""
+        return tuple(ZoneDigest(z, d) for z, d in self._digests.items())
+
+    def differing_zones(self, others: Iterable[ZoneDigest]) -> tuple[str, ...]:
+        """Return the zones whose records differ from another table's."""
+        theirs = {z.zone: z.digest for z in others}
+        known = theirs.keys() | self._digests.keys()
+        return tuple(
+            sorted(
+                z for z in known if theirs.get(z, 0) != self._digests.get(z, 0)
+            )
+        )
+
+    def records_of(self, zones: Collection[str]) -> News:
+        """Return the records of some zones, or of all where none is named."""
+        return News(
+            tuple(
+                r
+                for zone, records in self._by_zone.items()
+                if not zones or zone in zones
+                for r in records.values()
+            ),
+            tuple(
+                z for z in self._zones.values() if not zones or z.zone in zones
+            ),
+        )
+
+    def newer_than(self, zones: Collection[str], news: News) -> News:
+        """Return the records of some zones that other records lack."""
+        hosts = {r.entry.name: r for r in news.hosts}
+        lost = {z.zone: z for z in news.zones}
+        mine = self.records_of(zones)
+        return News(
+            tuple(
+                r for r in mine.hosts if r.supersedes(hosts.get(r.entry.name))
+            ),
+            tuple(z for z in mine.zones if z.supersedes(lost.get(z.zone))),
+        )
+
+    def _remove(self, name: str) -> None:
+        record = self._hosts.pop(name, None)
+        if record is not None:
+            self._by_zone[record.entry.zone].pop(name, None)
+            self._toggle(record)
+
+    def _toggle(self, record: HostRecord) -> None:
+        if record.state is not HostState.DEAD:
+            self._digests[record.entry.zone] ^= _fingerprint(record)
+
+    def _build_view(self) -> LiveHosts:
+        zones = tuple(
+            self._build_zone(zone)
+            for zone in sorted(self._by_zone)
+            if self._by_zone[zone]
+        )
+        return LiveHosts(self._region, self.version, zones)
+
+    def _build_zone(self, zone: str) -> ZoneHosts:
+        records = self._by_zone[zone].values()
+        region = next(iter(records)).entry.region
+        lost = self._zones.get(zone)
+        if lost is not None and lost.is_lost:
+            return ZoneHosts(zone, region, (), is_lost=True)
+        hosts = [r for r in records if self._takes_work(r)]
+        if not hosts:
+            hosts = [r for r in records if r.state is not HostState.DEAD]
+        names = tuple(sorted(r.entry.name for r in hosts))
+        return ZoneHosts(zone, region, names)
+
+    def _takes_work(self, record: HostRecord) -> bool:
+        return (
+            record.state is HostState.ALIVE
+            and record.entry.name not in self._listed_leaving
+        )
+
+
+def _fingerprint(record: HostRecord) -> int:
+    text = f'{record.entry.name}|{record.incarnation}|{record.state}'
+    return xxh3_64_intdigest(text.encode())
+
+
+def _zone_fingerprint(record: ZoneRecord) -> int:
+    text = f'{record.zone}|{record.version}'
+    return xxh3_64_intdigest(text.encode())
--- a/packages/standins/src/trefoilpulley_standins/membership_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -18,7 +18,6 @@
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.membership.membership import TICK_INTERVAL_S
 from trefoilpulley_core.membership.messages import Exchange
-from trefoilpulley_core.membership.messages import News
 from trefoilpulley_core.membership.messages import Probe
 from trefoilpulley_core.membership.messages import ProbeForMe
 from trefoilpulley_wire.peer_codec import PEER_CODEC
