Serve the first request end to end and mend failure types

Cause: read_failure gave a class that no decision tests for: a data class with slots leaves its first class among its parent's subclasses, and the catalogue returned that one; members answer WatchProgress without a status. Ruled out: routing (the replica was excluded rightly) and ages. Change: the catalogue keeps the class its module exports; a scenario.

--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -11,6 +11,9 @@
 
 from trefoilpulley_core.caller import Execute
 from trefoilpulley_core.failure import MalformedMessage
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_node.peers import read_failure
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 
 
@@ -64,3 +67,15 @@
         """Compare the sequence number that a refusal would carry."""
         found = CALLER_CODEC.decode_sequence(context.data)
         assert found == sequence
+
+    @staticmethod
+    @when('the failure "{code}" is read from the wire')
+    def read_failure(context: Any, code: str) -> None:
+        """Turn a wire form into a typed failure."""
+        context.failure = read_failure(PooledFailure(code))
+
+    @staticmethod
+    @then('it is the very class that decisions test for')
+    def check_failure(context: Any) -> None:
+        """Expect the class itself, not a copy of the same name."""
+        assert isinstance(context.failure, ReplicaBehind)
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -17,3 +17,7 @@
       | 0763466f6fa0   | 7        |
       | ff             | 0        |
       | 6161           | 0        |
+
+  Scenario: a refusal read from the wire is of the type that was sent
+    When the failure "replica-behind" is read from the wire
+    Then it is the very class that decisions test for
--- a/packages/core/src/trefoilpulley_core/failure.py
+++ b/packages/core/src/trefoilpulley_core/failure.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+import sys
 from typing import ClassVar
 
 
@@ -205,6 +206,14 @@
     pending: list[type[Failure]] = [Failure]
     while pending:
         kind = pending.pop()
-        found[kind.code] = kind
         pending.extend(kind.__subclasses__())
+        if _is_final(kind):
+            found[kind.code] = kind
     return found
+
+
+def _is_final(kind: type[Failure]) -> bool:
+    # A data class with slots replaces the class it is made from, which
+    # stays among its parent's subclasses.
+    module = sys.modules[kind.__module__]
+    return getattr(module, kind.__name__, None) is kind
--- a/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
+++ b/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
@@ -119,7 +119,7 @@
             STATEMENT_TIMEOUT_S,
         )
         if isinstance(reply, Success):
-            digest = xxh3_128_hexdigest(repr(statement))
+            digest = xxh3_128_hexdigest(repr(statement).encode())
             self._open[message.transaction] = replace(
                 bound, statements=(*bound.statements, digest)
             )
@@ -138,7 +138,7 @@
         if bound is None:
             return Failed(TransactionLost('no such transaction'))
         del self._open[message.transaction]
-        digest = xxh3_128_hexdigest('\n'.join(bound.statements))
+        digest = xxh3_128_hexdigest('\n'.join(bound.statements).encode())
         key = OutcomeKey(tenant, message.request_id, digest)
         req = replace(bound.request, key=key)
         copies = req.work_class.safety.copies
--- a/packages/node/src/trefoilpulley_node/pooler/member_link.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_link.py
@@ -111,7 +111,8 @@
 
     def watch_progress(self) -> Result[MemberStatus, Failure]:
         """Ask for reports whenever the member's progress changes."""
-        return self._control(member_codec.WatchProgress())
+        watching = self._done(member_codec.WatchProgress())
+        return watching.bind(lambda _: self.status())
 
     def close(self) -> None:
         """Close the connection."""
