--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/links/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the links between availability zones."""
--- a/packages/standins/src/trefoilpulley_standins/member/run.py
+++ b/packages/standins/src/trefoilpulley_standins/member/run.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-import json
-import signal
 from typing import TYPE_CHECKING
 
-import click
-import gevent
-from gevent.event import Event
-
+from trefoilpulley_standins._process import announce
+from trefoilpulley_standins._process import wait_until_ended
 from trefoilpulley_standins.member.server import MemberServer
 
 if TYPE_CHECKING:
@@ -23,22 +19,14 @@
 
     One JSON line for each member tells its ports once it serves.
     """
-    ended = Event()
-    gevent.signal_handler(signal.SIGTERM, ended.set)
-    gevent.signal_handler(signal.SIGINT, ended.set)
     servers = [MemberServer(cfg) for cfg in settings]
     for server in servers:
         server.start()
-        _announce(server)
-    ended.wait()
+        announce(
+            server.engine.name,
+            port=server.port,
+            replication_port=server.replication_port,
+        )
+    wait_until_ended()
     for server in servers:
         server.stop()
-
-
-def _announce(server: MemberServer) -> None:
-    ready = {
-        'name': server.engine.name,
-        'port': server.port,
-        'replication_port': server.replication_port,
-    }
-    click.echo(json.dumps(ready))
--- a/packages/standins/src/trefoilpulley_standins/platform/__main__.py
+++ b/packages/standins/src/trefoilpulley_standins/platform/__main__.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
-import signal
 
 import click
-import gevent
-from gevent.event import Event
 
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_standins._process import announce
+from trefoilpulley_standins._process import wait_until_ended
 from trefoilpulley_standins.platform.server import PlatformService
 from trefoilpulley_standins.platform.settings import load_settings
 from trefoilpulley_standins.platform.settings import PlatformSettings
@@ -28,11 +26,8 @@
     cfg = load_settings(seed_file) if seed_file else PlatformSettings()
     service = PlatformService(Endpoint('127.0.0.1', port), cfg)
     service.start()
-    click.echo(json.dumps({'name': 'platform', 'port': service.port}))
-    ended = Event()
-    gevent.signal_handler(signal.SIGTERM, ended.set)
-    gevent.signal_handler(signal.SIGINT, ended.set)
-    ended.wait()
+    announce('platform', port=service.port)
+    wait_until_ended()
     service.stop()
 
 
