Add the coordination of databases: duty, detection, promotion, handover

Cause: nobody else orders promotions, and the return to the old layout is where faults have hurt most. Change: decisions without I/O in the core package, one state machine a database, and a driver that carries their commands out. Terms are granted ahead to one named process each, so that a failover needs no call to the platform's service.

--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Duties, detection, promotion and handover of databases."""
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/database.py
@@ -0,0 +1,343 @@
+"""Watches one database and changes its primary where needed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from trefoilpulley_core.coordination import commands
+from trefoilpulley_core.coordination.commands import EditRecord
+from trefoilpulley_core.coordination.commands import Purpose
+from trefoilpulley_core.coordination.detection import Detector
+from trefoilpulley_core.coordination.detection import Verdict
+from trefoilpulley_core.coordination.edits import ClaimTerms
+from trefoilpulley_core.coordination.edits import EndHandover
+from trefoilpulley_core.coordination.edits import ForgetRelapses
+from trefoilpulley_core.coordination.edits import RecordPrimary
+from trefoilpulley_core.coordination.follower_care import FollowerCare
+from trefoilpulley_core.coordination.handover import Handover
+from trefoilpulley_core.coordination.handover import HandoverStage
+from trefoilpulley_core.coordination.layout import preference
+from trefoilpulley_core.coordination.polling import Polling
+from trefoilpulley_core.coordination.promotion import Promotion
+from trefoilpulley_core.coordination.promotion import PromotionStage
+from trefoilpulley_core.coordination.return_policy import ReturnPolicy
+from trefoilpulley_core.coordination.shard import HandoverRecord
+from trefoilpulley_core.coordination.terms import has_grants
+from trefoilpulley_core.coordination.terms import usable_term
+from trefoilpulley_core.peer import StatusReport
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.coordination.commands import CallDone
+    from trefoilpulley_core.coordination.commands import Commands
+    from trefoilpulley_core.coordination.shard import DatabaseRecord
+
+BUSY_WAKE_S = 0.005
+"""Time between two ticks while a promotion or handover runs."""
+
+CALM_WAKE_S = 0.05
+"""Time between two ticks otherwise."""
+
+PAUSE_LIMIT_S = 1.0
+"""Time between two ticks after which old evidence is dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a coordinator is told at each tick."""
+
+    entry: DatabaseEntry
+    """Members as the platform lists them now."""
+
+    stopped: frozenset[str] = frozenset()
+    """Zones whose members are in a planned stop."""
+
+    poll_interval_s: float = 0.3
+    """Time between two probes of one member."""
+
+    is_service_up: bool = True
+    """Whether the platform's service answers."""
+
+
+class DatabaseCoordinator:
+    """Coordinates one database while this process holds its duty.
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        Members of the database.
+    holder : str
+        Name under which this process holds terms.
+    record : DatabaseRecord
+        Record as the service holds it.
+    """
+
+    def __init__(
+        self, entry: DatabaseEntry, holder: str, record: DatabaseRecord
+    ) -> None:
+        self._entry = entry
+        self.holder = holder
+        """Name under which this process holds terms."""
+
+        self._last_used = 0
+        self._handovers_begun = 0
+        self._around = Surroundings(entry)
+        self._ticked_at: float | None = None
+        self.record = record
+        """Record as the service holds it."""
+
+        self.promotion: Promotion | None = None
+        """Promotion in progress."""
+
+        self.handover: Handover | None = None
+        """Handover in progress."""
+
+        self.verdict = Verdict.CUT_OFF
+        """What the evidence said at the last tick."""
+
+        self._forget_evidence()
+
+    @property
+    def database(self) -> str:
+        """Name of the database."""
+        return self._entry.name
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a promotion or handover runs."""
+        return self.promotion is not None or self.handover is not None
+
+    @property
+    def wake_s(self) -> float:
+        """Time after which the next tick is due."""
+        return BUSY_WAKE_S if self.is_busy else CALM_WAKE_S
+
+    def stand_down(self) -> None:
+        """Drop what runs, since the duty has ended."""
+        self._ticked_at = None
+        self._forget_evidence()
+
+    def on_tick(self, around: Surroundings, now: float) -> Commands:
+        """Probe, weigh the evidence and move what runs forward."""
+        self._take_surroundings(around, now)
+        probes = self._polling.on_tick(around.poll_interval_s, now)
+        self.verdict = self.detector.verdict(now)
+        self._polling.is_urgent = self.verdict is not Verdict.HEALTHY
+        return probes + self._move_on(now)
+
+    def on_call_done(self, done: CallDone, now: float) -> Commands:
+        """Take the outcome of a call."""
+        self._take_evidence(done)
+        if done.call.purpose is not Purpose.STEP:
+            return ()
+        if self.promotion is not None:
+            steps = self.promotion.on_call_done(done, now)
+            return steps + self._settle_promotion(now)
+        if self.handover is not None:
+            steps = self.handover.on_call_done(done, now)
+            return steps + self._settle_handover(now)
+        return ()
+
+    def on_record(self, record: DatabaseRecord, now: float) -> Commands:
+        """Take the record as the service holds it."""
+        self.record = record
+        if self.handover is None or self.promotion is not None:
+            return ()
+        steps = self.handover.on_record(record, now)
+        return steps + self._settle_handover(now)
+
+    def _take_surroundings(self, around: Surroundings, now: float) -> None:
+        last = self._ticked_at
+        self._ticked_at = now
+        self._around = around
+        is_changed = around.entry.members != self._entry.members
+        self._entry = around.entry
+        if is_changed or last is None or now - last > PAUSE_LIMIT_S:
+            self._forget_evidence()
+
+    def _forget_evidence(self) -> None:
+        self.detector = Detector(self._entry)
+        self._polling = Polling(self._entry)
+        self._care = FollowerCare(self._entry)
+        self._policy = ReturnPolicy(self._entry)
+        self._must_retry = False
+        self.verdict = Verdict.CUT_OFF
+        self.promotion = None
+        self.handover = None
+
+    def _take_evidence(self, done: CallDone) -> None:
+        self._polling.on_call_done(done)
+        member = done.call.member
+        if member not in self.detector.watches:
+            return
+        match done.result:
+            case Success(StatusReport(status)):
+                self.detector.on_status(status, done.sent_at)
+            case Success():
+                return
+            case _ if done.call.purpose is Purpose.PROBE:
+                self.detector.on_silence(
+                    member, done.sent_at, done.is_from_pooler
+                )
+
+    def _move_on(self, now: float) -> Commands:
+        if self.promotion is not None:
+            steps = self.promotion.on_tick(now)
+            return steps + self._settle_promotion(now)
+        if self._is_primary_lost:
+            return self._replace_primary(now)
+        if self.handover is not None:
+            return self._continue_handover(now)
+        if self.verdict is Verdict.HEALTHY:
+            return self._keep_layout(now)
+        return ()
+
+    @property
+    def _is_primary_lost(self) -> bool:
+        if self.verdict is Verdict.CUT_OFF:
+            return False
+        return self.verdict.is_lost or self._must_retry
+
+    def _replace_primary(self, now: float) -> Commands:
+        ended: Commands = ()
+        if self.handover is not None:
+            ended = self.handover.abandon('primary lost')
+            ended += self._settle_handover(now)
+        wanted = preference(self._entry, self._around.stopped)
+        return ended + self._begin_promotion(wanted, now)
+
+    def _begin_promotion(self, wanted: list[str], now: float) -> Commands:
+        above = self._highest_known_term
+        term = usable_term(self.record, self.holder, above)
+        if term is None:
+            return (self._claim(above),)
+        self._last_used = term
+        is_planned = self.handover is not None
+        self.promotion = Promotion(self._entry, term, wanted, now, is_planned)
+        reason = 'handover' if is_planned else self.verdict.value
+        began = commands.PromotionBegan(self.database, term, reason)
+        return (began, *self.promotion.on_tick(now))
+
+    @property
+    def _highest_known_term(self) -> int:
+        return max(self._last_used, self.detector.highest_term)
+
+    def _claim(self, above: int) -> EditRecord:
+        return EditRecord(ClaimTerms(self.database, self.holder, above))
+
+    def _settle_promotion(self, now: float) -> Commands:
+        current = self.promotion
+        out: Commands = ()
+        if current.has_primary and not current.is_announced:
+            out += self._announce(current, now)
+        if not current.stage.is_over:
+            return out
+        self.promotion = None
+        self._must_retry = current.stage is PromotionStage.FAILED
+        outcome = current.stage.value
+        out += (commands.PromotionEnded(self.database, current.term, outcome),)
+        if self.handover is not None:
+            out += self.handover.abandon(outcome) + self._settle_handover(now)
+        return out
+
+    def _announce(self, current: Promotion, now: float) -> Commands:
+        current.is_announced = True
+        edit = RecordPrimary(
+            self.database, current.term, current.primary, current.is_planned
+        )
+        notice = commands.PrimaryPromoted(
+            self.database,
+            current.term,
+            current.primary,
+            current.elapsed_ms(now),
+        )
+        out: Commands = (EditRecord(edit), notice)
+        if self.handover is not None:
+            out += self.handover.release() + self._end_handover('done', now)
+        return out
+
+    def _continue_handover(self, now: float) -> Commands:
+        current = self.handover.record
+        stopped = self._around.stopped
+        if not self._policy.is_wanted(current.target, current.source, stopped):
+            steps = self.handover.abandon(_CANCELLED)
+        else:
+            steps = self.handover.on_tick(now)
+        return steps + self._settle_handover(now)
+
+    def _settle_handover(self, now: float) -> Commands:
+        current = self.handover
+        if current.stage is HandoverStage.ABANDONED:
+            return self._end_handover(current.outcome, now)
+        if current.stage is HandoverStage.READY:
+            return self._switch(current, now)
+        return ()
+
+    def _switch(self, current: Handover, now: float) -> Commands:
+        wanted = preference(self._entry, self._around.stopped)
+        wanted.remove(current.record.target)
+        wanted.insert(0, current.record.target)
+        steps = self._begin_promotion(wanted, now)
+        if self.promotion is not None:
+            return steps
+        released = current.abandon('no term granted')
+        return steps + released + self._settle_handover(now)
+
+    def _end_handover(self, outcome: str, now: float) -> Commands:
+        current = self.handover
+        self.handover = None
+        is_failed = outcome not in ('done', _CANCELLED)
+        handover_id = current.record.handover_id
+        notice = commands.HandoverEnded(
+            self.database, handover_id, outcome, current.pause_ms(now)
+        )
+        edit = EndHandover(self.database, handover_id, is_failed)
+        return (EditRecord(edit), notice)
+
+    def _keep_layout(self, now: float) -> Commands:
+        leader = self.detector.leader
+        out = self._care.on_tick(self.detector, now)
+        if leader.term > self.record.term:
+            edit = RecordPrimary(self.database, leader.term, leader.member)
+            out += (EditRecord(edit),)
+        above = self._highest_known_term
+        if not has_grants(self.record, self.holder, above):
+            out += (self._claim(above),)
+        if not self._around.is_service_up:
+            return out
+        return out + self._keep_handovers(now)
+
+    def _keep_handovers(self, now: float) -> Commands:
+        leader = self.detector.leader
+        stopped = self._around.stopped
+        orphan = self.record.handover
+        if orphan is not None:
+            edit = EndHandover(self.database, orphan.handover_id, True)
+            return (EditRecord(edit),)
+        if self.record.relapses:
+            if self._policy.is_quiet(leader, stopped, now):
+                return (EditRecord(ForgetRelapses(self.database)),)
+        target = self._policy.choose_target(
+            self.detector, self.record, stopped, now
+        )
+        if target is None:
+            return ()
+        return self._begin_handover(leader.member, target, now)
+
+    def _begin_handover(
+        self, source: str, target: str, now: float
+    ) -> Commands:
+        self._handovers_begun += 1
+        handover_id = f'{self.holder}/{self._handovers_begun}'
+        record = HandoverRecord(handover_id, self.holder, source, target)
+        self.handover = Handover(self._entry, record, now)
+        began = commands.HandoverBegan(
+            self.database, handover_id, source, target
+        )
+        return (began, *self.handover.begin())
+
+
+_CANCELLED = 'cancelled'
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/duty.py
@@ -0,0 +1,326 @@
+"""Which process coordinates a shard.
+
+The duty is a key bound to a lease. While the service is out nobody can
+take a lease, so the last known holder goes on, or where it is gone the
+first live host in the order of succession. Two processes that both
+believe to have the duty do no harm: each uses terms of its own.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.coordination.succession import Succession
+from trefoilpulley_core.coordination.terms import host_of
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.catalog import HostEntry
+
+LEASE_TTL_S = 3
+"""Time to live of a host's lease."""
+
+RENEW_S = 1.0
+"""Time between two renewals."""
+
+READ_S = 1.0
+"""Time between two reads of a duty by its first successors."""
+
+RETRY_S = 0.5
+"""Time between two attempts to get a lease."""
+
+OUTAGE_S = 2.0
+"""Time without an answer after which the service counts as out."""
+
+EVIDENCE_S = 3.0
+"""Age above which a failed call says nothing of the present."""
+
+RELEASE_S = 300.0
+"""Time for which another host must be first before it gets the duty."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Asks for a lease."""
+
+    ttl_s: int
+    """Time to live."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeepAlive:
+    """Renews the lease."""
+
+    lease_id: int
+    """Lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadDuty:
+    """Reads who has a duty."""
+
+    shard: int
+    """Number of the shard."""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeDuty:
+    """Takes a duty that nobody has."""
+
+    shard: int
+    """Number of the shard."""
+
+    lease_id: int
+    """Lease to bind it to."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseDuty:
+    """Gives a duty back."""
+
+    shard: int
+    """Number of the shard."""
+
+    revision: int
+    """Revision at which it was taken."""
+
+
+DutyCommand = GrantLease | KeepAlive | ReadDuty | TakeDuty | ReleaseDuty
+"""Call to the platform's service."""
+
+
+@dataclass(slots=True)
+class DutyView:
+    """What this process knows of one duty."""
+
+    holder: str = ''
+    """Process last known to have it; empty for none."""
+
+    revision: int = 0
+    """Revision at which this process took it; 0 where it did not."""
+
+    is_pending: bool = False
+    """Whether a call about it runs."""
+
+    read_at: float = float('-inf')
+    """Time of the last call, in seconds."""
+
+    absences: int = 0
+    """Reads in a row that found no holder."""
+
+    outranked_since: float | None = None
+    """Time since which another host comes first."""
+
+    is_standing_in: bool = False
+    """Whether this process has acted in the present outage."""
+
+
+class Duty:
+    """Duties of one process.
+
+    Parameters
+    ----------
+    holder : str
+        Name of the process: host and incarnation.
+    """
+
+    def __init__(self, holder: str) -> None:
+        self._holder = holder
+        self._host = host_of(holder)
+        self._lease_id = 0
+        self._lease_until = float('-inf')
+        self._renewed_at = float('-inf')
+        self._is_leasing = False
+        self._answered_at = float('-inf')
+        self._failed_at = float('-inf')
+        self._live: frozenset[str] = frozenset()
+        self.succession = Succession()
+        """Order in which hosts take each duty."""
+
+        self.views: dict[int, DutyView] = {}
+        """What is known of the duties of interest, by shard."""
+
+    @property
+    def is_service_up(self) -> bool:
+        """Whether the last call was answered."""
+        return self._answered_at >= self._failed_at
+
+    @property
+    def lease_id(self) -> int:
+        """Lease of this process, or 0."""
+        return self._lease_id
+
+    def may_act(self, shard: int, now: float) -> bool:
+        """Return whether this process coordinates a shard now."""
+        view = self.views.get(shard)
+        if view is None:
+            return False
+        if view.revision and now < self._lease_until:
+            return True
+        if not self._is_outage(now):
+            return False
+        return view.is_standing_in or self._stands_in(shard, view)
+
+    def on_tick(
+        self,
+        hosts: Sequence[HostEntry],
+        databases: Sequence[DatabaseEntry],
+        now: float,
+    ) -> tuple[DutyCommand, ...]:
+        """Return the calls that are due."""
+        self._live = frozenset(h.name for h in hosts)
+        self.succession.update(hosts, databases)
+        self._take_interest()
+        if self.is_service_up:
+            self._end_outage()
+        out = self._tend_lease(now)
+        for shard, view in self.views.items():
+            out += self._tend(shard, view, now)
+        return out
+
+    def on_lease(self, lease_id: int, ttl_s: float, sent_at: float) -> None:
+        """Take a granted or renewed lease."""
+        self.on_answer(sent_at)
+        self._is_leasing = False
+        self._lease_id = lease_id
+        self._renewed_at = sent_at
+        self._lease_until = sent_at + ttl_s
+
+    def on_lease_lost(self, sent_at: float) -> None:
+        """Give up every duty, since the lease has lapsed."""
+        self.on_answer(sent_at)
+        self._is_leasing = False
+        self._lease_id = 0
+        self._lease_until = float('-inf')
+        for view in self.views.values():
+            view.revision = 0
+
+    def on_lease_failed(self, sent_at: float, now: float) -> None:
+        """Take a call for a lease that went unanswered."""
+        self.on_failure(sent_at, now)
+        self._is_leasing = False
+        self._renewed_at = now - RENEW_S + RETRY_S
+
+    def on_read(
+        self,
+        shard: int,
+        holder: str,
+        lease_id: int,
+        revision: int,
+        sent_at: float,
+    ) -> None:
+        """Take the present holder of a duty; empty for none."""
+        self.on_answer(sent_at)
+        view = self.views.get(shard)
+        if view is None:
+            return
+        view.is_pending = False
+        view.holder = holder or view.holder
+        view.absences = 0 if holder else view.absences + 1
+        is_own = holder == self._holder and lease_id == self._lease_id
+        view.revision = revision if is_own else 0
+
+    def on_taken(self, shard: int, revision: int, sent_at: float) -> None:
+        """Take the success of `TakeDuty`."""
+        self.on_read(shard, self._holder, self._lease_id, revision, sent_at)
+
+    def on_call_failed(
+        self, shard: int, sent_at: float, is_answer: bool, now: float
+    ) -> None:
+        """Take a failed call about a duty; it is read again."""
+        if is_answer:
+            self.on_answer(sent_at)
+        else:
+            self.on_failure(sent_at, now)
+        view = self.views.get(shard)
+        if view is not None:
+            view.is_pending = False
+
+    def on_answer(self, sent_at: float) -> None:
+        """Note that the service has answered a call."""
+        self._answered_at = max(self._answered_at, sent_at)
+
+    def on_failure(self, sent_at: float, now: float) -> None:
+        """Note that the service has not answered a call."""
+        if sent_at >= self._answered_at:
+            self._failed_at = now
+
+    def _take_interest(self) -> None:
+        wanted = self.succession.shards_of(self._host)
+        for shard in wanted - self.views.keys():
+            self.views[shard] = DutyView()
+        for shard in self.views.keys() - wanted:
+            if not self.views[shard].revision:
+                del self.views[shard]
+
+    def _end_outage(self) -> None:
+        for view in self.views.values():
+            view.is_standing_in = False
+
+    def _is_outage(self, now: float) -> bool:
+        if self.is_service_up or now - self._failed_at > EVIDENCE_S:
+            return False
+        return now - self._answered_at >= OUTAGE_S
+
+    def _stands_in(self, shard: int, view: DutyView) -> bool:
+        host = host_of(view.holder)
+        if host not in self._live:
+            ranked = self.succession.ranking(shard)
+            host = next((h for h in ranked if h in self._live), '')
+        view.is_standing_in = host == self._host
+        return view.is_standing_in
+
+    def _tend_lease(self, now: float) -> tuple[DutyCommand, ...]:
+        if self._is_leasing or now < self._renewed_at + RENEW_S:
+            return ()
+        if self._lease_id:
+            self._is_leasing = True
+            return (KeepAlive(self._lease_id),)
+        if not any(self._is_claimable(s, v) for s, v in self.views.items()):
+            return ()
+        self._is_leasing = True
+        return (GrantLease(LEASE_TTL_S),)
+
+    def _tend(
+        self, shard: int, view: DutyView, now: float
+    ) -> tuple[DutyCommand, ...]:
+        if view.is_pending:
+            return ()
+        if view.revision:
+            return self._tend_held(shard, view, now)
+        if self._is_claimable(shard, view) and now < self._lease_until:
+            view.absences = 0
+            return self._call(view, TakeDuty(shard, self._lease_id), now)
+        if now < view.read_at + self._read_interval_s(shard):
+            return ()
+        return self._call(view, ReadDuty(shard), now)
+
+    def _tend_held(
+        self, shard: int, view: DutyView, now: float
+    ) -> tuple[DutyCommand, ...]:
+        if self.succession.rank(shard, self._host) == 0:
+            view.outranked_since = None
+            return ()
+        if view.outranked_since is None:
+            view.outranked_since = now
+        if now - view.outranked_since < RELEASE_S:
+            return ()
+        revision, view.revision = view.revision, 0
+        view.outranked_since = None
+        return self._call(view, ReleaseDuty(shard, revision), now)
+
+    def _call(
+        self, view: DutyView, command: DutyCommand, now: float
+    ) -> tuple[DutyCommand, ...]:
+        view.is_pending = True
+        view.read_at = now
+        return (command,)
+
+    def _is_claimable(self, shard: int, view: DutyView) -> bool:
+        return view.absences > self.succession.rank(shard, self._host)
+
+    def _read_interval_s(self, shard: int) -> float:
+        return READ_S * max(1, self.succession.rank(shard, self._host))
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/polling.py
@@ -0,0 +1,90 @@
+"""When each member of a database is probed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.coordination.commands import CallMember
+from trefoilpulley_core.coordination.commands import Purpose
+from trefoilpulley_core.peer import GetStatus
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.coordination.commands import CallDone
+    from trefoilpulley_core.coordination.commands import Commands
+
+MIN_INTERVAL_S = 0.3
+"""Time between two probes of a member where few are watched."""
+
+MEMBER_INTERVAL_S = 0.12
+"""Time between two probes of any member by one coordinator."""
+
+URGENT_INTERVAL_S = 0.1
+"""Time between two probes of a member under suspicion."""
+
+PROBE_TIMEOUT_S = 0.25
+"""Longest wait for the answer to a probe."""
+
+
+def poll_interval_s(member_count: int) -> float:
+    """Return the time between two probes of one member.
+
+    Parameters
+    ----------
+    member_count : int
+        Members that this process watches.
+    """
+    return max(MIN_INTERVAL_S, member_count * MEMBER_INTERVAL_S)
+
+
+class Polling:
+    """Probes the members of one database in turn.
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        Members of the database.
+    """
+
+    def __init__(self, entry: DatabaseEntry) -> None:
+        self._database = entry.name
+        self._members = [m.name for m in entry.members]
+        self._due_at: dict[str, float] = {}
+        self._pending: set[str] = set()
+        self.is_urgent = True
+        """Whether evidence is needed at once."""
+
+    def on_tick(self, interval_s: float, now: float) -> Commands:
+        """Return the probes that are due."""
+        if self.is_urgent:
+            interval_s = min(interval_s, URGENT_INTERVAL_S)
+        due = [m for m in self._members if self._is_due(m, interval_s, now)]
+        return tuple(self._probe(m, interval_s, now) for m in due)
+
+    def on_call_done(self, done: CallDone) -> None:
+        """Take the outcome of a probe."""
+        if done.call.purpose is Purpose.PROBE:
+            self._pending.discard(done.call.member)
+
+    def _is_due(self, member: str, interval_s: float, now: float) -> bool:
+        if member in self._pending:
+            return False
+        due_at = self._due_at.get(member)
+        return due_at is None or now >= min(due_at, now + interval_s)
+
+    def _probe(self, member: str, interval_s: float, now: float) -> CallMember:
+        self._spread(member, interval_s, now)
+        self._pending.add(member)
+        return CallMember(
+            self._database,
+            member,
+            GetStatus(member),
+            PROBE_TIMEOUT_S,
+            Purpose.PROBE,
+        )
+
+    def _spread(self, member: str, interval_s: float, now: float) -> None:
+        share = self._members.index(member) / len(self._members)
+        is_first = member not in self._due_at
+        delay_s = interval_s * (share or 1.0) if is_first else interval_s
+        self._due_at[member] = now + delay_s
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/shard_coordinator.py
@@ -0,0 +1,211 @@
+"""Coordinates the databases of one shard and keeps their records."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.coordination.commands import EditRecord
+from trefoilpulley_core.coordination.commands import LoadShard
+from trefoilpulley_core.coordination.commands import StoreShard
+from trefoilpulley_core.coordination.database import CALM_WAKE_S
+from trefoilpulley_core.coordination.database import DatabaseCoordinator
+from trefoilpulley_core.coordination.edits import ClaimTerms
+from trefoilpulley_core.coordination.shard import decode_shard
+from trefoilpulley_core.coordination.shard import encode_shard
+from trefoilpulley_core.coordination.shard import ShardRecord
+from trefoilpulley_core.coordination.terms import has_grants
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.coordination.commands import CallDone
+    from trefoilpulley_core.coordination.commands import Commands
+    from trefoilpulley_core.coordination.database import Surroundings
+    from trefoilpulley_core.coordination.edits import RecordEdit
+
+SERVICE_RETRY_S = 0.5
+"""Time between two attempts while the service does not answer."""
+
+REFRESH_S = 10.0
+"""Time between two reads of the records by a process on standby."""
+
+
+class ShardCoordinator:
+    """Coordinators of one shard, and the key that holds their records.
+
+    Parameters
+    ----------
+    shard : int
+        Number of the shard.
+    holder : str
+        Name under which this process holds terms.
+    """
+
+    def __init__(self, shard: int, holder: str) -> None:
+        self._shard = shard
+        self._holder = holder
+        self._revision = 0
+        self._retry_at = 0.0
+        self._loaded_at: float | None = None
+        self._is_loading = False
+        self._storing: ShardRecord | None = None
+        self.record = ShardRecord()
+        """Records as the service last held them."""
+
+        self.pending: list[RecordEdit] = []
+        """Edits that are not stored yet."""
+
+        self.databases: dict[str, DatabaseCoordinator] = {}
+        """Coordinators by the name of the database."""
+
+        self.is_acting = False
+        """Whether this process has the duty."""
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the records were read once."""
+        return self._loaded_at is not None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a promotion or handover runs."""
+        return any(d.is_busy for d in self.databases.values())
+
+    @property
+    def wake_s(self) -> float:
+        """Time after which the next tick is due."""
+        if not self.is_acting:
+            return CALM_WAKE_S
+        wakes = (d.wake_s for d in self.databases.values())
+        return min(wakes, default=CALM_WAKE_S)
+
+    def on_tick(
+        self, around: Sequence[Surroundings], is_acting: bool, now: float
+    ) -> Commands:
+        """Move every database forward, or keep ready on standby."""
+        self._take_databases(around)
+        self._take_duty(is_acting)
+        if not self.is_loaded:
+            return self._load_when_due(now)
+        out: Commands = ()
+        if is_acting:
+            for one in around:
+                coordinator = self.databases[one.entry.name]
+                out += coordinator.on_tick(one, now)
+        else:
+            out += self._stand_by(now)
+        return self._carry(out, now)
+
+    def on_call_done(
+        self, done: CallDone, is_acting: bool, now: float
+    ) -> Commands:
+        """Take the outcome of a call to a member."""
+        self._take_duty(is_acting)
+        coordinator = self.databases.get(done.call.database)
+        if coordinator is None or not is_acting:
+            return ()
+        return self._carry(coordinator.on_call_done(done, now), now)
+
+    def on_loaded(self, value: bytes, revision: int, now: float) -> Commands:
+        """Take the records as the service holds them."""
+        self._is_loading = False
+        self._loaded_at = now
+        return self._take_record(decode_shard(value), revision, now)
+
+    def on_stored(self, revision: int, now: float) -> Commands:
+        """Take the success of a write."""
+        stored, self._storing = self._storing, None
+        self._loaded_at = now
+        return self._take_record(stored, revision, now)
+
+    def on_store_unsure(self, now: float) -> Commands:
+        """Read again after a conflict or a lost answer."""
+        self._storing = None
+        return self._load()
+
+    def on_service_down(self, now: float) -> Commands:
+        """Try again later."""
+        self._storing = None
+        self._is_loading = False
+        self._retry_at = now + SERVICE_RETRY_S
+        return ()
+
+    def _take_databases(self, around: Sequence[Surroundings]) -> None:
+        names = {a.entry.name for a in around}
+        for name in set(self.databases) - names:
+            del self.databases[name]
+        for one in around:
+            name = one.entry.name
+            if name not in self.databases:
+                self.databases[name] = DatabaseCoordinator(
+                    one.entry, self._holder, self.record.find(name)
+                )
+
+    def _take_duty(self, is_acting: bool) -> None:
+        if self.is_acting and not is_acting:
+            self.pending.clear()
+            for coordinator in self.databases.values():
+                coordinator.stand_down()
+        self.is_acting = is_acting
+
+    def _stand_by(self, now: float) -> Commands:
+        if now - self._loaded_at >= REFRESH_S:
+            return self._load_when_due(now)
+        records = (self.record.find(name) for name in self.databases)
+        return tuple(
+            EditRecord(ClaimTerms(r.database, self._holder, r.term))
+            for r in records
+            if not has_grants(r, self._holder, r.term)
+        )
+
+    def _load_when_due(self, now: float) -> Commands:
+        if self._is_loading or self._storing or now < self._retry_at:
+            return ()
+        return self._load()
+
+    def _load(self) -> Commands:
+        self._is_loading = True
+        return (LoadShard(self._shard),)
+
+    def _carry(self, out: Commands, now: float) -> Commands:
+        for command in out:
+            if isinstance(command, EditRecord):
+                self._put_edit(command.edit)
+        rest = tuple(c for c in out if not isinstance(c, EditRecord))
+        return rest + self._store(now)
+
+    def _put_edit(self, edit: RecordEdit) -> None:
+        if edit not in self.pending:
+            self.pending.append(edit)
+
+    def _store(self, now: float) -> Commands:
+        if not self.pending or self._storing or self._is_loading:
+            return ()
+        if now < self._retry_at or not self.is_loaded:
+            return ()
+        self._storing = self._edited()
+        value = encode_shard(self._storing)
+        return (StoreShard(self._shard, self._revision, value),)
+
+    def _edited(self) -> ShardRecord:
+        edited = self.record
+        for edit in self.pending:
+            changed = edit.apply(edited.find(edit.database))
+            if changed != edited.find(edit.database):
+                edited = edited.with_database(changed)
+        return edited
+
+    def _take_record(
+        self, record: ShardRecord, revision: int, now: float
+    ) -> Commands:
+        self.record = record
+        self._revision = revision
+        self.pending = [e for e in self.pending if self._changes(e)]
+        out: Commands = ()
+        for name, coordinator in self.databases.items():
+            out += coordinator.on_record(record.find(name), now)
+        return self._carry(out, now)
+
+    def _changes(self, edit: RecordEdit) -> bool:
+        record = self.record.find(edit.database)
+        return edit.apply(record) != record
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/coordination/succession.py
@@ -0,0 +1,102 @@
+"""Order in which the hosts take over the duty of a shard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from trefoilpulley_core.coordination.shard import shard_of
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.catalog import HostEntry
+
+SUCCESSORS = 3
+"""Hosts that keep ready for a duty."""
+
+SHARDS_RANKED_AT_ONCE = 8
+"""Shards whose order is worked out at one tick."""
+
+
+class Succession:
+    """Ranks the hosts for each shard by their hash.
+
+    Hosts near to the shard's members come first, and among them those
+    outside the zones of the home primaries: a zone that fails should
+    not take a primary and its coordinator at once. Successors stand in
+    zones of their own where there are enough.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: tuple[HostEntry, ...] = ()
+        self._databases: tuple[DatabaseEntry, ...] = ()
+        self._stale: list[int] = []
+        self._rankings: dict[int, tuple[str, ...]] = {}
+        self.members: dict[int, list[DatabaseEntry]] = {}
+        """Databases of each shard."""
+
+    def update(
+        self,
+        hosts: Sequence[HostEntry],
+        databases: Sequence[DatabaseEntry],
+    ) -> None:
+        """Take the present hosts and databases."""
+        if tuple(databases) != self._databases:
+            self._databases = tuple(databases)
+            self._group()
+            self._stale = list(self.members)
+        if tuple(hosts) != self._hosts:
+            self._hosts = tuple(hosts)
+            self._stale = list(self.members)
+        for shard in self._stale[:SHARDS_RANKED_AT_ONCE]:
+            self._rankings[shard] = self._rank_hosts(shard)
+        del self._stale[:SHARDS_RANKED_AT_ONCE]
+
+    def ranking(self, shard: int) -> tuple[str, ...]:
+        """Return the first successors for a duty, the best first."""
+        return self._rankings.get(shard, ())
+
+    def rank(self, shard: int, host: str) -> int:
+        """Return a host's place in the order, from 0."""
+        ranking = self.ranking(shard)
+        return ranking.index(host) if host in ranking else SUCCESSORS
+
+    def shards_of(self, host: str) -> set[int]:
+        """Return the shards for which a host keeps ready."""
+        return {s for s, r in self._rankings.items() if host in r}
+
+    def _group(self) -> None:
+        self.members = {}
+        for entry in self._databases:
+            self.members.setdefault(shard_of(entry), []).append(entry)
+        gone = self._rankings.keys() - self.members.keys()
+        for shard in gone:
+            del self._rankings[shard]
+
+    def _rank_hosts(self, shard: int) -> tuple[str, ...]:
+        entries = self.members[shard]
+        near = {m.zone for e in entries for m in e.members}
+        homes = {e.members[0].zone for e in entries}
+        scored = [
+            (
+                h.zone not in near,
+                h.zone in homes,
+                xxhash.xxh3_64_intdigest(f'{shard}/{h.name}'),
+                h,
+            )
+            for h in self._hosts
+        ]
+        scored.sort(key=lambda s: s[:3])
+        ranked = [s[-1] for s in scored]
+        return tuple(h.name for h in _spread_zones(ranked)[:SUCCESSORS])
+
+
+def _spread_zones(ranked: list[HostEntry]) -> list[HostEntry]:
+    first: dict[str, HostEntry] = {}
+    for host in ranked:
+        first.setdefault(host.zone, host)
+    firsts = list(first.values())
+    return firsts + [h for h in ranked if first[h.zone] is not h]
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinator role: runs the decisions on promotions and handovers."""
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/coordination/driver.py
@@ -0,0 +1,197 @@
+"""Runs the coordination of the shards that fall to this host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent import Greenlet
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.coordination.commands import CallDone
+from trefoilpulley_core.coordination.commands import CallMember
+from trefoilpulley_core.coordination.commands import LoadShard
+from trefoilpulley_core.coordination.commands import Notice
+from trefoilpulley_core.coordination.commands import StoreShard
+from trefoilpulley_core.coordination.database import CALM_WAKE_S
+from trefoilpulley_core.coordination.database import Surroundings
+from trefoilpulley_core.coordination.duty import Duty
+from trefoilpulley_core.coordination.layout import stopped_zones
+from trefoilpulley_core.coordination.polling import poll_interval_s
+from trefoilpulley_core.coordination.shard_coordinator import ShardCoordinator
+from trefoilpulley_core.coordination.terms import holder_name
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_node.coordination.dump import CoordinationState
+from trefoilpulley_node.coordination.dump import describe_shard
+from trefoilpulley_node.coordination.duty_runner import DutyRunner
+from trefoilpulley_node.coordination.shard_store import ShardStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.coordination.commands import Command
+    from trefoilpulley_core.coordination.commands import Commands
+    from trefoilpulley_core.platform import Platform
+    from trefoilpulley_node.coordination.situation import NoticeListener
+    from trefoilpulley_node.coordination.situation import PoolerCaller
+    from trefoilpulley_node.coordination.situation import Situation
+
+
+class CoordinationDriver:
+    """Greenlets around the decisions of the coordinator role.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    incarnation : int
+        Number of this process's start.
+    platform : Platform
+        The platform's service.
+    poolers : PoolerCaller
+        Way to the members.
+    observe : Callable[[], Situation]
+        Returns the deployment as this host sees it now.
+    clock : Clock
+        Monotonic time.
+    listener : NoticeListener
+        Takes what operators want to see.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        platform: Platform,
+        poolers: PoolerCaller,
+        observe: Callable[[], Situation],
+        clock: Clock,
+        listener: NoticeListener,
+    ) -> None:
+        self._holder = holder_name(host, incarnation)
+        self._poolers = poolers
+        self._observe = observe
+        self._clock = clock
+        self._listener = listener
+        self._duty = Duty(self._holder)
+        self._duty_runner = DutyRunner(
+            self._duty, self._holder, platform, clock
+        )
+        self._store = ShardStore(platform)
+        self._shards: dict[int, ShardCoordinator] = {}
+        self._loop: Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to coordinate."""
+        self._loop = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End every duty, so that a successor takes over at once."""
+        if self._loop is None:
+            return
+        self._loop.kill()
+        self._loop = None
+        self._duty_runner.end_lease()
+
+    def dump(self) -> CoordinationState:
+        """Return the state for the state dump."""
+        now = self._clock.now()
+        return CoordinationState(
+            self._holder,
+            self._duty.is_service_up,
+            tuple(
+                describe_shard(number, shard, self._duty.may_act(number, now))
+                for number, shard in sorted(self._shards.items())
+            ),
+        )
+
+    def _run(self) -> None:
+        while True:
+            self._tick()
+            wakes = (s.wake_s for s in self._shards.values())
+            gevent.sleep(min(wakes, default=CALM_WAKE_S))
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        seen = self._observe()
+        self._duty_runner.tick(seen.live_hosts, seen.catalog.databases, now)
+        self._take_shards()
+        interval_s = self._poll_interval_s(now)
+        for number, shard in list(self._shards.items()):
+            entries = self._duty.succession.members.get(number, ())
+            around = [
+                self._surroundings(entry, seen, interval_s)
+                for entry in entries
+            ]
+            is_acting = self._duty.may_act(number, now)
+            self._carry_out(number, shard.on_tick(around, is_acting, now))
+
+    def _take_shards(self) -> None:
+        for number in self._duty.views.keys() - self._shards.keys():
+            self._shards[number] = ShardCoordinator(number, self._holder)
+        for number in self._shards.keys() - self._duty.views.keys():
+            del self._shards[number]
+
+    def _poll_interval_s(self, now: float) -> float:
+        watched = sum(
+            len(entry.members)
+            for number in self._shards
+            if self._duty.may_act(number, now)
+            for entry in self._duty.succession.members.get(number, ())
+        )
+        return poll_interval_s(watched)
+
+    def _surroundings(
+        self, entry: DatabaseEntry, seen: Situation, interval_s: float
+    ) -> Surroundings:
+        return Surroundings(
+            entry,
+            stopped_zones(seen.declarations, entry),
+            interval_s,
+            self._duty.is_service_up,
+        )
+
+    def _carry_out(self, number: int, out: Commands) -> None:
+        for command in out:
+            self._carry_out_one(number, command)
+
+    def _carry_out_one(self, number: int, command: Command) -> None:
+        match command:
+            case CallMember():
+                gevent.spawn(self._call_member, number, command)
+            case LoadShard() | StoreShard():
+                gevent.spawn(self._call_service, number, command)
+            case Notice():
+                self._listener.on_notice(command)
+
+    def _call_member(self, number: int, call: CallMember) -> None:
+        sent_at = self._clock.now()
+        result = Failed(PeerUnreachable('timed out'))
+        with gevent.Timeout(call.timeout_s, False):
+            result = self._poolers.call_pooler(
+                call.member, call.message, call.timeout_s
+            )
+        shard = self._shards.get(number)
+        if shard is None:
+            return
+        is_from_pooler = not isinstance(result, Success) and not isinstance(
+            result.failure(), PeerUnreachable
+        )
+        done = CallDone(call, sent_at, result, is_from_pooler)
+        now = self._clock.now()
+        is_acting = self._duty.may_act(number, now)
+        self._carry_out(number, shard.on_call_done(done, is_acting, now))
+
+    def _call_service(
+        self, number: int, command: LoadShard | StoreShard
+    ) -> None:
+        sent_at = self._clock.now()
+        outcome = self._store.run(command)
+        now = self._clock.now()
+        self._duty_runner.note(outcome.is_answered, sent_at, now)
+        shard = self._shards.get(number)
+        if shard is not None:
+            self._carry_out(number, outcome.tell(shard, now))
