Start whole deployments on one machine

A deployment needs settings of some forty processes and links that agree on each other's addresses. The layout derives them from the deployment's sizes; each zone sees the catalogue with the ports of its own links, so that every path between zones can be delayed and cut.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/deployment.py
@@ -0,0 +1,106 @@
+"""Deployments that the stand-ins can start on one machine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes and delays of one deployment."""
+
+    name: str
+    """Name of the deployment and of its declarations' example."""
+
+    region: str
+    """Region."""
+
+    zones: tuple[str, ...]
+    """Availability zones."""
+
+    ledger: str
+    """Ledger that the databases belong to."""
+
+    tenants: tuple[str, ...]
+    """Tenants with a secret each."""
+
+    schema: tuple[str, ...]
+    """Statements that lay out each database."""
+
+    databases: int = 3
+    """Databases of the ledger."""
+
+    members: int = 3
+    """Members of each database."""
+
+    slots: int = 2
+    """Slots of each member."""
+
+    connections: int = 16
+    """Connections of each member."""
+
+    connect_ms: float = 12.0
+    """Time that a new connection to a member costs, in milliseconds."""
+
+    zone_delay_ms: float = 3.0
+    """One-way delay between availability zones, in milliseconds."""
+
+    client_delay_ms: float = 1.0
+    """One-way delay to callers, in milliseconds."""
+
+    jitter_ms: float = 0.5
+    """Greatest delay added at random between zones, in milliseconds."""
+
+    loss: float = 0.0005
+    """Share of the packets between zones that are sent again."""
+
+    lag_ms: float = 5.0
+    """Lag of the replicas in milliseconds."""
+
+    hosts: int = 8
+    """Entry hosts."""
+
+    def zone_of_host(self, number: int) -> str:
+        """Return the zone of an entry host."""
+        return self.zones[number % len(self.zones)]
+
+    def zone_of_member(self, database: int, number: int) -> str:
+        """Return the zone of a member; home primaries are spread."""
+        return self.zones[(database + number) % len(self.zones)]
+
+
+_FILINGS = (
+    'create table filings ('
+    'id integer primary key autoincrement, '
+    'request text not null, session text not null, part integer not null)',
+    'create index filings_of_session on filings (session)',
+)
+_BOOKINGS = tuple(sql.replace('filings', 'bookings') for sql in _FILINGS)
+
+DEPLOYMENTS = (
+    Deployment(
+        'karamanlis',
+        'gr-north',
+        ('gr-north-a', 'gr-north-b', 'gr-north-c'),
+        'register-ledger',
+        ('karamanlis', 'weavers', 'clan-societies'),
+        _FILINGS,
+    ),
+    Deployment(
+        'sleevecraft',
+        'luzon',
+        ('manila-north', 'manila-south', 'laguna', 'pampanga'),
+        'shared-ledger',
+        ('stall-owners', 'kiosk-chains', 'print-houses'),
+        _BOOKINGS,
+        connections=30,
+        connect_ms=30.0,
+        zone_delay_ms=5.0,
+    ),
+)
+"""Deployments by the sizes of today."""
+
+
+def find_deployment(name: str) -> Deployment:
+    """Return the deployment with a name."""
+    return next(d for d in DEPLOYMENTS if d.name == name)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/launch.py
@@ -0,0 +1,54 @@
+"""Command that starts a whole deployment on this machine."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from trefoilpulley_standins._process import wait_until_ended
+from trefoilpulley_standins.deployment import DEPLOYMENTS
+from trefoilpulley_standins.deployment import find_deployment
+from trefoilpulley_standins.starting import make_layout
+from trefoilpulley_standins.starting import start_deployment
+
+
+@click.command()
+@click.option(
+    '--deployment',
+    'name',
+    type=click.Choice([d.name for d in DEPLOYMENTS]),
+    default='karamanlis',
+    show_default=True,
+)
+@click.option(
+    '--dir',
+    'directory',
+    type=click.Path(path_type=Path),
+    default=Path('build/run'),
+    show_default=True,
+    help='Directory of the settings files and logs.',
+)
+@click.option('--seed', default=1, help='Seed of the links.')
+def main(name: str, directory: Path, seed: int) -> None:
+    """Run a deployment until SIGTERM or SIGINT."""
+    layout = make_layout(find_deployment(name), directory, seed)
+    processes = start_deployment(layout, directory)
+    try:
+        for route in layout.routes:
+            line = {
+                'host': route.host,
+                'zone': route.zone,
+                'address': route.endpoint.address,
+                'port': route.endpoint.port,
+                'pid': processes.pid_of(route.host),
+            }
+            click.echo(json.dumps(line))
+        wait_until_ended()
+    finally:
+        processes.stop()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/layout.py
@@ -0,0 +1,318 @@
+"""Addresses and settings of every process of a deployment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+import secrets
+import string
+from typing import TYPE_CHECKING
+
+
+from trefoilpulley_core.catalog import DatabaseEntry
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.catalog import MemberEntry
+from trefoilpulley_core.configuration.document import encode_configuration
+from trefoilpulley_core.configuration.document import encode_databases
+from trefoilpulley_core.configuration.document import encode_hosts
+from trefoilpulley_core.declarations import Configuration
+from trefoilpulley_core.keys import CATALOG_DATABASES_KEY
+from trefoilpulley_core.keys import CATALOG_HOSTS_KEY
+from trefoilpulley_core.keys import CONFIGURATION_KEY
+from trefoilpulley_node.settings import NodeSettings
+from trefoilpulley_node.settings import SeedPeer
+from trefoilpulley_node.settings import TenantSecret
+from trefoilpulley_node.settings import ZoneDistance
+from trefoilpulley_standins._ports import PortAllocator
+from trefoilpulley_standins.links.quality import Quality
+from trefoilpulley_standins.links.quality import ZonePair
+from trefoilpulley_standins.links.settings import LinkSettings
+from trefoilpulley_standins.links.settings import LinksSettings
+from trefoilpulley_standins.member.settings import GroupSettings
+from trefoilpulley_standins.member.settings import MemberPeer
+from trefoilpulley_standins.member.settings import MemberSettings
+from trefoilpulley_standins.platform.settings import PlatformSettings
+from trefoilpulley_standins.platform.settings import PortRoute
+from trefoilpulley_standins.platform.settings import SeedValue
+from trefoilpulley_standins.platform.settings import ZoneView
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.declarations import Declarations
+    from trefoilpulley_standins.deployment import Deployment
+
+CALLERS_ZONE = 'callers'
+"""Zone of the callers."""
+
+SEED_PEERS = 3
+"""Hosts that each host may ask while the service is out."""
+
+_SECRET_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRoute:
+    """Entry host as callers reach it."""
+
+    host: str
+    """Name of the host."""
+
+    zone: str
+    """Availability zone of the host."""
+
+    endpoint: Endpoint
+    """Address of the link to the host."""
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Settings of every process of a deployment."""
+
+    deployment: Deployment
+    """Deployment."""
+
+    databases: tuple[DatabaseEntry, ...]
+    """Database groups with their own addresses."""
+
+    replication: dict[str, Endpoint]
+    """Replication address of each member."""
+
+    members: GroupSettings
+    """Settings of the members."""
+
+    hosts: tuple[NodeSettings, ...]
+    """Settings of the entry hosts."""
+
+    routes: tuple[CallerRoute, ...]
+    """Entry hosts as callers reach them."""
+
+    platform_control: Endpoint
+    """Address for orders to the platform's service."""
+
+    platform: PlatformSettings
+    """Settings of the platform's service."""
+
+    links: LinksSettings
+    """Settings of the links."""
+
+
+class LayoutBuilder:
+    """Assigns addresses, then derives every process's settings.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Sizes and delays.
+    ports : PortAllocator
+        Source of free ports.
+    declarations : Declarations
+        Declarations in force at the start.
+    log_dir : Path
+        Directory of the hosts' logs.
+    seed : int
+        Seed of jitter and loss on the links.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        ports: PortAllocator,
+        declarations: Declarations,
+        log_dir: Path,
+        seed: int,
+    ) -> None:
+        self._deployment = deployment
+        self._ports = ports
+        self._declarations = declarations
+        self._log_dir = log_dir
+        self._seed = seed
+        self._links: dict[tuple[str, Endpoint], LinkSettings] = {}
+        self._databases = self._make_databases()
+        self._hosts = self._make_hosts()
+        self._replication = {
+            m.name: ports.next() for d in self._databases for m in d.members
+        }
+        self._secrets = tuple(
+            TenantSecret(t, secrets.token_hex(_SECRET_BYTES))
+            for t in deployment.tenants
+        )
+        self._token_key = secrets.token_hex(_SECRET_BYTES)
+        self._peer_secret = secrets.token_hex(_SECRET_BYTES)
+        self._operator_secret = secrets.token_hex(_SECRET_BYTES)
+
+    def build(self) -> Layout:
+        """Return the settings of every process."""
+        members = self._make_member_settings()
+        views = tuple(self._make_view(z) for z in self._deployment.zones)
+        hosts = tuple(self._make_node_settings(h, views) for h in self._hosts)
+        routes = tuple(
+            CallerRoute(
+                h.name, h.zone, self._reach(CALLERS_ZONE, h.zone, h.endpoint)
+            )
+            for h in self._hosts
+        )
+        return Layout(
+            self._deployment,
+            self._databases,
+            self._replication,
+            members,
+            hosts,
+            routes,
+            self._ports.next(),
+            PlatformSettings(self._make_values(), views),
+            LinksSettings(
+                self._ports.next(),
+                tuple(self._links.values()),
+                self._make_qualities(),
+                self._seed,
+            ),
+        )
+
+    def _make_databases(self) -> tuple[DatabaseEntry, ...]:
+        return tuple(
+            self._make_database(number)
+            for number in range(self._deployment.databases)
+        )
+
+    def _make_database(self, number: int) -> DatabaseEntry:
+        dep = self._deployment
+        name = f'{dep.ledger}/{number}'
+        members = tuple(
+            MemberEntry(
+                f'{name}/{string.ascii_lowercase[i]}',
+                dep.zone_of_member(number, i),
+                self._ports.next(),
+                dep.slots,
+                dep.connections,
+            )
+            for i in range(dep.members)
+        )
+        return DatabaseEntry(name, dep.ledger, members)
+
+    def _make_hosts(self) -> tuple[HostEntry, ...]:
+        dep = self._deployment
+        return tuple(
+            HostEntry(
+                f'host-{number}',
+                dep.region,
+                dep.zone_of_host(number),
+                self._ports.next(),
+                self._ports.next(),
+            )
+            for number in range(dep.hosts)
+        )
+
+    def _make_member_settings(self) -> GroupSettings:
+        return GroupSettings(
+            tuple(
+                self._make_member(d, m)
+                for d in self._databases
+                for m in d.members
+            )
+        )
+
+    def _make_member(
+        self, database: DatabaseEntry, member: MemberEntry
+    ) -> MemberSettings:
+        dep = self._deployment
+        peers = tuple(
+            MemberPeer(
+                other.name,
+                self._reach(
+                    member.zone, other.zone, self._replication[other.name]
+                ),
+            )
+            for other in database.members
+            if other.name != member.name
+        )
+        return MemberSettings(
+            member.name,
+            member.endpoint,
+            self._replication[member.name],
+            database.members[0].name,
+            peers,
+            dep.schema,
+            dep.slots,
+            dep.connections,
+            dep.connect_ms,
+            lag_ms=dep.lag_ms,
+        )
+
+    def _make_view(self, zone: str) -> ZoneView:
+        targets = [
+            (m.zone, m.endpoint) for d in self._databases for m in d.members
+        ]
+        targets.extend((h.zone, h.peer_endpoint) for h in self._hosts)
+        routes = tuple(
+            PortRoute(endpoint.port, self._reach(zone, other, endpoint).port)
+            for other, endpoint in targets
+            if other != zone
+        )
+        return ZoneView(zone, self._ports.next(), routes)
+
+    def _make_node_settings(
+        self, host: HostEntry, views: tuple[ZoneView, ...]
+    ) -> NodeSettings:
+        dep = self._deployment
+        platform = next(v.listen for v in views if v.zone == host.zone)
+        return NodeSettings(
+            dep.name,
+            host.name,
+            host.region,
+            host.zone,
+            host.endpoint,
+            host.peer_endpoint,
+            platform,
+            (self._token_key,),
+            self._peer_secret,
+            self._operator_secret,
+            self._secrets,
+            self._make_seeds(host),
+            tuple(
+                ZoneDistance(z, dep.zone_delay_ms)
+                for z in dep.zones
+                if z != host.zone
+            ),
+            log_path=str(self._log_dir / f'{host.name}.log'),
+        )
+
+    def _make_seeds(self, host: HostEntry) -> tuple[SeedPeer, ...]:
+        others = [h for h in self._hosts if h.name != host.name]
+        others.sort(key=lambda h: (h.zone != host.zone, h.name))
+        return tuple(
+            SeedPeer(h.name, self._reach(host.zone, h.zone, h.peer_endpoint))
+            for h in others[:SEED_PEERS]
+        )
+
+    def _make_values(self) -> tuple[SeedValue, ...]:
+        configuration = Configuration(1, 'start', self._declarations)
+        values = {
+            CATALOG_DATABASES_KEY: encode_databases(self._databases),
+            CATALOG_HOSTS_KEY: encode_hosts(self._hosts),
+            CONFIGURATION_KEY: encode_configuration(configuration),
+        }
+        return tuple(SeedValue(k, v.decode()) for k, v in values.items())
+
+    def _make_qualities(self) -> tuple[Quality, ...]:
+        dep = self._deployment
+        between = [
+            Quality(ZonePair(a, b), dep.zone_delay_ms, dep.jitter_ms, dep.loss)
+            for a in dep.zones
+            for b in dep.zones
+            if a != b
+        ]
+        for zone in dep.zones:
+            pair = ZonePair(CALLERS_ZONE, zone)
+            between.append(Quality(pair, dep.client_delay_ms))
+            between.append(Quality(pair.reversed, dep.client_delay_ms))
+        return tuple(between)
+
+    def _reach(self, zone: str, other: str, target: Endpoint) -> Endpoint:
+        if zone == other:
+            return target
+        link = self._links.get((zone, target))
+        if link is None:
+            pair = ZonePair(zone, other)
+            link = LinkSettings(pair, self._ports.next(), target)
+            self._links[zone, target] = link
+        return link.listen
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/starting.py
@@ -0,0 +1,43 @@
+"""Starts a deployment from its example of declarations."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.declarations_check import check_declarations
+from trefoilpulley_standins._ports import PortAllocator
+from trefoilpulley_standins.layout import LayoutBuilder
+from trefoilpulley_standins.processes import Processes
+
+if TYPE_CHECKING:
+    from trefoilpulley_standins.deployment import Deployment
+    from trefoilpulley_standins.layout import Layout
+
+EXAMPLES = Path('examples')
+"""Directory of the declarations, from the root of the repository."""
+
+
+def make_layout(deployment: Deployment, directory: Path, seed: int) -> Layout:
+    """Return the layout of a deployment on free ports."""
+    directory.mkdir(parents=True, exist_ok=True)
+    path = EXAMPLES / f'{deployment.name}.json'
+    checked = check_declarations(path.read_text(encoding='utf-8'))
+    ports = PortAllocator()
+    builder = LayoutBuilder(
+        deployment, ports, checked.unwrap(), directory, seed
+    )
+    layout = builder.build()
+    ports.release()
+    return layout
+
+
+def start_deployment(layout: Layout, directory: Path) -> Processes:
+    """Start every process of a layout."""
+    processes = Processes(layout, directory)
+    try:
+        processes.start()
+    except BaseException:
+        processes.stop()
+        raise
+    return processes
