--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/configuration/holder.py
@@ -0,0 +1,106 @@
+"""Newest revision of each document that a host has seen."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+import zlib
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.catalog import Catalog
+from trefoilpulley_core.configuration.document import decode_configuration
+from trefoilpulley_core.configuration.document import decode_databases
+from trefoilpulley_core.configuration.document import decode_hosts
+from trefoilpulley_core.configuration.document import MalformedDocument
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.declarations import Configuration
+from trefoilpulley_core.declarations import Declarations
+from trefoilpulley_core.membership.messages import Versions
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.configuration.messages import Document
+    from trefoilpulley_core.failure import Failure
+
+_DECODERS = {
+    DocumentKind.CONFIGURATION: decode_configuration,
+    DocumentKind.DATABASES: decode_databases,
+    DocumentKind.HOSTS: decode_hosts,
+}
+
+
+class ConfigurationHolder:
+    """Holds the newest documents and never takes an older one."""
+
+    def __init__(self) -> None:
+        self._documents: dict[DocumentKind, Document] = {}
+        self.configuration = Configuration(0, '', Declarations())
+        """Declarations in force."""
+
+        self.catalog = Catalog()
+        """Database groups and hosts."""
+
+    @property
+    def versions(self) -> Versions:
+        """Revisions held."""
+        return Versions(
+            self.revision_of(DocumentKind.CONFIGURATION),
+            self.revision_of(DocumentKind.DATABASES),
+            self.revision_of(DocumentKind.HOSTS),
+        )
+
+    def find(self, kind: DocumentKind) -> Document | None:
+        """Return a document, or ``None`` before the first."""
+        return self._documents.get(kind)
+
+    def revision_of(self, kind: DocumentKind) -> int:
+        """Return the revision held of a document; 0 before the first."""
+        document = self._documents.get(kind)
+        return document.revision if document else 0
+
+    def take(self, document: Document) -> Result[bool, Failure]:
+        """Take a document in where it is newer.
+
+        Returns
+        -------
+        Result[bool, Failure]
+            Whether it was newer, or `MalformedDocument`; what is held
+            then stays in force.
+        """
+        if document.revision <= self.revision_of(document.kind):
+            return Success(False)
+        decoded = _decode(document)
+        if not isinstance(decoded, Success):
+            return decoded
+        self._documents[document.kind] = document
+        self._put_in_force(document.kind, decoded.unwrap())
+        return Success(True)
+
+    def _put_in_force(self, kind: DocumentKind, value: Any) -> None:
+        if kind is DocumentKind.CONFIGURATION:
+            self.configuration = value
+        elif kind is DocumentKind.DATABASES:
+            self.catalog = Catalog(value, self.catalog.hosts)
+        else:
+            self.catalog = Catalog(self.catalog.databases, value)
+
+
+def _decode(document: Document) -> Result[Any, Failure]:
+    try:
+        text = document.text
+    except zlib.error:
+        return Failed(MalformedDocument('not compressed'))
+    decoded = _DECODERS[document.kind](text)
+    if document.kind is not DocumentKind.CONFIGURATION:
+        return decoded
+    return decoded.bind(lambda found: _check_revision(document, found))
+
+
+def _check_revision(
+    document: Document, found: Configuration
+) -> Result[Configuration, Failure]:
+    if found.revision != document.revision:
+        return Failed(MalformedDocument('revision is not the stated one'))
+    return Success(found)
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/configuration/spread.py
@@ -0,0 +1,186 @@
+"""Spread of the documents from the service to every host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from trefoilpulley_core.configuration.commands import Fetch
+from trefoilpulley_core.configuration.commands import Push
+from trefoilpulley_core.configuration.commands import ReadService
+from trefoilpulley_core.configuration.commands import SetWatch
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.rendezvous import rank_hosts
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.configuration.commands import Command
+    from trefoilpulley_core.configuration.holder import ConfigurationHolder
+    from trefoilpulley_core.configuration.messages import Document
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.membership.messages import Versions
+
+CHECK_INTERVAL_S = 5.0
+"""Time between a watcher's checks that it has missed nothing."""
+
+WATCH_RETRY_S = 0.5
+"""Time after which a broken watch is begun again, in seconds."""
+
+FETCH_RETRY_S = 1.0
+"""Time after which a document is asked for again, in seconds."""
+
+CHILDREN = 4
+"""Hosts to which each host passes a new document on."""
+
+WATCHERS = 2
+"""Hosts of a zone that ask the service; the first also watches."""
+
+
+class DocumentSpread:
+    """One host's part in the spread.
+
+    One host of a zone watches the service, and a second checks it now
+    and then. A new document goes down a tree of the zone's hosts, whose
+    order changes with each revision, so that each host sends it about
+    once. A host that a push has missed sees a greater revision in the
+    probes of its peers and fetches the document from them.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    zone : str
+        Availability zone of this host.
+    holder : ConfigurationHolder
+        Newest documents.
+    """
+
+    def __init__(
+        self, host: str, zone: str, holder: ConfigurationHolder
+    ) -> None:
+        self._host = host
+        self._zone = zone
+        self._holder = holder
+        self._commands: list[Command] = []
+        self._peers: tuple[str, ...] = ()
+        self._ranked: tuple[str, ...] = ()
+        self._is_watching = False
+        self._has_read = False
+        self._next_check_at = 0.0
+        self._next_watch_at = 0.0
+        self._fetching: dict[DocumentKind, float] = {}
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this host watches the service for its zone."""
+        return self._ranked[:1] == (self._host,)
+
+    @property
+    def is_checking(self) -> bool:
+        """Whether this host asks the service now and then."""
+        return self._host in self._ranked[:WATCHERS]
+
+    def take_commands(self) -> tuple[Command, ...]:
+        """Return the commands that have come up, oldest first."""
+        commands = tuple(self._commands)
+        self._commands.clear()
+        return commands
+
+    def on_live_hosts(self, live: LiveHosts) -> None:
+        """Learn which hosts of the zone are live."""
+        peers = live.hosts_of(self._zone)
+        if peers != self._peers:
+            self._peers = peers
+            self._ranked = rank_hosts(f'watcher/{self._zone}', peers)
+
+    def on_tick(self, now: float) -> None:
+        """Do what is due."""
+        self._keep_watch(now)
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + CHECK_INTERVAL_S
+        if self.is_checking or not self._has_read:
+            self._commands.append(ReadService(tuple(DocumentKind)))
+
+    def on_changed(self, kind: DocumentKind) -> None:
+        """Note that a watch has seen a change."""
+        self._commands.append(ReadService((kind,)))
+
+    def on_watch_broken(self, now: float) -> None:
+        """Note that the watch has ended."""
+        self._is_watching = False
+        self._next_watch_at = now + WATCH_RETRY_S
+
+    def on_read(self, document: Document) -> Result[bool, Failure]:
+        """Take a document that the service or a peer was asked for."""
+        is_first = self._holder.revision_of(document.kind) == 0
+        taken = self._take(document)
+        if taken != Success(True):
+            return taken
+        if self.is_watcher:
+            self._push(document, self._choose_children(document))
+        elif not is_first:
+            self._push(document, self._ranked[:1])
+        return taken
+
+    def on_push(self, document: Document) -> Result[bool, Failure]:
+        """Take a document that a peer has sent, and pass it on."""
+        taken = self._take(document)
+        if taken == Success(True):
+            self._push(document, self._choose_children(document))
+        return taken
+
+    def on_service_answered(self) -> None:
+        """Note that the service has answered a read."""
+        self._has_read = True
+
+    def on_versions(self, host: str, versions: Versions, now: float) -> None:
+        """Fetch the documents of which a peer holds a newer revision."""
+        if versions == self._holder.versions:
+            return
+        theirs = {
+            DocumentKind.CONFIGURATION: versions.configuration,
+            DocumentKind.DATABASES: versions.databases,
+            DocumentKind.HOSTS: versions.hosts,
+        }
+        for kind, revision in theirs.items():
+            if revision > self._holder.revision_of(kind):
+                self._fetch(host, kind, now)
+
+    def _fetch(self, host: str, kind: DocumentKind, now: float) -> None:
+        if now < self._fetching.get(kind, now):
+            return
+        self._fetching[kind] = now + FETCH_RETRY_S
+        self._commands.append(Fetch(host, kind))
+
+    def _keep_watch(self, now: float) -> None:
+        if self._is_watching and not self.is_watcher:
+            self._is_watching = False
+            self._commands.append(SetWatch(is_wanted=False))
+        if not self.is_watcher or self._is_watching:
+            return
+        if now >= self._next_watch_at:
+            self._is_watching = True
+            self._commands.append(SetWatch(is_wanted=True))
+            self._commands.append(ReadService(tuple(DocumentKind)))
+
+    def _take(self, document: Document) -> Result[bool, Failure]:
+        self._fetching.pop(document.kind, None)
+        return self._holder.take(document)
+
+    def _push(self, document: Document, hosts: tuple[str, ...]) -> None:
+        for host in hosts:
+            self._commands.append(Push(host, document))
+
+    def _choose_children(self, document: Document) -> tuple[str, ...]:
+        if self._host not in self._ranked:
+            return ()
+        root = self._ranked[0]
+        others = tuple(p for p in self._peers if p != root)
+        key = f'{document.kind}/{document.revision}'
+        order = (root, *rank_hosts(key, others))
+        first = CHILDREN * order.index(self._host) + 1
+        return order[first : first + CHILDREN]
--- a/packages/core/src/trefoilpulley_core/declarations.py
+++ b/packages/core/src/trefoilpulley_core/declarations.py
@@ -153,3 +153,6 @@
 
     declarations: Declarations
     """Document in force."""
+
+    recent_changes: tuple[str, ...] = ()
+    """Identifiers of the changes before, newest first."""
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from trefoilpulley_core.configuration import messages as documents
 from trefoilpulley_core.membership import messages
 from trefoilpulley_core import peer
 from trefoilpulley_wire.codec import Codec
 
 PEER_CODEC = Codec(
     (
+        documents.Document,
+        documents.FetchDocument,
         messages.Exchange,
         messages.News,
         messages.Probe,
