Add the command line

Operators check, apply and show declarations, change targets, plan stops and look at hosts; callers run statements. A change goes by compare-and-swap on the revision that the command has seen, and its outcome is told as applied, not applied or unknown; an unknown one is asked again under its change id.

--- /dev/null
+++ b/packages/cli/src/trefoilpulley_cli/execute.py
@@ -0,0 +1,145 @@
+"""Command ``exec``."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+from typing import TYPE_CHECKING
+
+import click
+
+from trefoilpulley_cli.invocation import Invocation
+from trefoilpulley_cli.invocation import json_option
+from trefoilpulley_cli.invocation import pass_invocation
+from trefoilpulley_cli.report import Reporter
+from trefoilpulley_client import connect
+from trefoilpulley_client.endpoints import format_endpoint
+from trefoilpulley_client import Error
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from trefoilpulley_cli.settings import OperatorSettings
+    from trefoilpulley_client import Connection
+    from trefoilpulley_client import Cursor
+
+
+@click.command('exec')
+@click.argument('sql')
+@click.option('--class', 'work_class', required=True, help='Class of work.')
+@click.option('--database', default='', help="Database; the settings' if not.")
+@click.option(
+    '--parameters', default='[]', help='JSON list of the parameters.'
+)
+@click.option(
+    '--request-id', default='', help='Identifier to repeat a request by.'
+)
+@click.option(
+    '--session',
+    'session_path',
+    type=click.Path(dir_okay=False, path_type=Path),
+    help='File that keeps the session token from one call to the next.',
+)
+@json_option
+@pass_invocation
+def execute(
+    invocation: Invocation,
+    sql: str,
+    work_class: str,
+    database: str,
+    parameters: str,
+    request_id: str,
+    session_path: Path | None,
+    is_json: bool,
+) -> None:
+    """Run the statement SQL on its own."""
+    reporter = Reporter(is_json)
+    values = _read_parameters(parameters)
+    cfg = invocation.load_settings()
+    database = database or cfg.database
+    try:
+        with _connect(
+            invocation, cfg, work_class, database, _read_token(session_path)
+        ) as connection:
+            cursor = connection.cursor()
+            cursor.execute(sql, values, request_id=request_id)
+            _keep_token(session_path, connection.token)
+            reporter.print(_describe(cursor), _format(cursor))
+    except Error as exc:
+        _refuse(reporter, exc)
+
+
+def _connect(
+    invocation: Invocation,
+    cfg: OperatorSettings,
+    work_class: str,
+    database: str,
+    token: bytes,
+) -> Connection:
+    outside = invocation.outside
+    return connect(
+        [format_endpoint(h.endpoint) for h in cfg.hosts],
+        cfg.tenant,
+        cfg.secret,
+        database,
+        work_class,
+        token=token,
+        autocommit=True,
+        dialer=outside.make_dialer(cfg),
+        timer=outside.make_timer(),
+        rng=outside.make_rng(),
+    )
+
+
+def _read_parameters(text: str) -> list[Any]:
+    try:
+        values = json.loads(text)
+    except ValueError as exc:
+        raise click.UsageError(f'--parameters: {exc}') from exc
+    if not isinstance(values, list):
+        raise click.UsageError('--parameters: a JSON list is expected')
+    return values
+
+
+def _read_token(path: Path | None) -> bytes:
+    if path is None or not path.exists():
+        return b''
+    return path.read_bytes()
+
+
+def _keep_token(path: Path | None, token: bytes) -> None:
+    if path is not None:
+        path.write_bytes(token)
+
+
+def _describe(cursor: Cursor) -> dict[str, Any]:
+    return {
+        'columns': [c[0] for c in cursor.description or ()],
+        'rows': cursor.fetchall() if cursor.description else [],
+        'row_count': cursor.rowcount,
+        'member': cursor.member,
+        'age_ms': cursor.age_ms,
+    }
+
+
+def _format(cursor: Cursor) -> Iterable[str]:
+    if cursor.description:
+        yield '\t'.join(c[0] for c in cursor.description)
+    for row in cursor if cursor.description else ():
+        yield '\t'.join('' if v is None else str(v) for v in row)
+    yield f'({cursor.rowcount} rows; {cursor.member}; {cursor.age_ms} ms old)'
+
+
+def _refuse(reporter: Reporter, exc: Error) -> None:
+    document = {
+        'code': exc.code,
+        'run_state': exc.run_state.value,
+        'is_repeatable': exc.is_repeatable,
+        'detail': exc.detail,
+        'request_id': exc.request_id,
+    }
+    line = f'{exc.code} ({exc.run_state.value}): {exc.detail}'
+    if exc.request_id:
+        line += f' [request id {exc.request_id}]'
+    reporter.refuse({'failure': document}, [line])
--- /dev/null
+++ b/packages/cli/src/trefoilpulley_cli/invocation.py
@@ -0,0 +1,58 @@
+"""What the command was started with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+from returns.result import Success
+
+from trefoilpulley_cli.outside import Outside
+from trefoilpulley_cli.settings import load_settings
+from trefoilpulley_cli.settings import OperatorSettings
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.platform import Platform
+
+
+@dataclass(frozen=True, slots=True)
+class Invocation:
+    """One start of the command."""
+
+    outside: Outside
+    """Ways to the platform's service and the entry hosts."""
+
+    settings_path: Path | None
+    """Settings file, where one is named."""
+
+    def load_settings(self) -> OperatorSettings:
+        """Return the settings, or end the command with their faults."""
+        if self.settings_path is None:
+            raise click.UsageError(
+                'name a settings file with --settings or '
+                'TREFOILPULLEY_SETTINGS'
+            )
+        loaded = load_settings(self.settings_path)
+        if isinstance(loaded, Success):
+            return loaded.unwrap()
+        failure = loaded.failure()
+        faults = getattr(failure, 'faults', ()) or (failure.detail,)
+        raise click.UsageError('settings: ' + '; '.join(faults))
+
+    def open_platform(self) -> Platform:
+        """Return a client of the platform's service."""
+        cfg = self.load_settings()
+        if cfg.platform is None:
+            raise click.UsageError('settings: $.platform is required')
+        return self.outside.open_platform(cfg.platform)
+
+
+pass_invocation = click.make_pass_decorator(Invocation)
+"""Gives a command its `Invocation`."""
+
+json_option = click.option(
+    '--json', 'is_json', is_flag=True, help='Print JSON.'
+)
+"""Option of every command that prints."""
--- /dev/null
+++ b/packages/cli/src/trefoilpulley_cli/settings.py
@@ -0,0 +1,111 @@
+"""Settings of an operator or caller at the command line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+import ssl
+from typing import TYPE_CHECKING
+
+from cattrs import ClassValidationError
+from cattrs.preconf.json import make_converter
+from cattrs import transform_error
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import RunState
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidOperatorSettings(Failure):
+    """The settings file can't be read or has faults."""
+
+    code = 'invalid-operator-settings'
+    run_state = RunState.NOT_RUN
+
+    faults: tuple[str, ...] = ()
+    """Each fault with its path."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostAddress:
+    """Entry host and its address for callers."""
+
+    name: str
+    """Name of the host."""
+
+    endpoint: Endpoint
+    """Address for callers."""
+
+
+@dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Certificates towards the entry hosts."""
+
+    authorities: str
+    """Path of the authorities that sign the hosts' certificates, PEM."""
+
+    certificate: str = ''
+    """Path of the own certificate chain, PEM; empty for none."""
+
+    key: str = ''
+    """Path of the own private key, PEM; empty for none."""
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Where the deployment is, and by which secrets it is used."""
+
+    platform: Endpoint | None = None
+    """Address of the platform's key-value service."""
+
+    hosts: tuple[HostAddress, ...] = ()
+    """Entry hosts."""
+
+    operator_secret: str = ''
+    """Secret of the operators, for state dumps."""
+
+    tenant: str = ''
+    """Tenant whose statements are run."""
+
+    secret: str = ''
+    """Secret of the tenant."""
+
+    database: str = ''
+    """Database of the statements."""
+
+    tls: TlsFiles | None = None
+    """Certificates; plain TCP without them."""
+
+
+_CONVERTER = make_converter(forbid_extra_keys=True)
+
+
+def load_settings(path: Path) -> Result[OperatorSettings, Failure]:
+    """Read and check a settings file."""
+    try:
+        document = json.loads(path.read_text(encoding='utf-8'))
+        if not isinstance(document, dict):
+            return Failed(InvalidOperatorSettings('not a JSON object'))
+        return Success(_CONVERTER.structure(document, OperatorSettings))
+    except (OSError, ValueError) as exc:
+        return Failed(InvalidOperatorSettings(str(exc)))
+    except ClassValidationError as exc:
+        faults = tuple(transform_error(exc, path='$'))
+        return Failed(InvalidOperatorSettings('settings have faults', faults))
+
+
+def make_tls_context(tls: TlsFiles | None) -> ssl.SSLContext | None:
+    """Return the client context of the certificates, if there are any."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(cafile=tls.authorities)
+    if tls.certificate:
+        context.load_cert_chain(tls.certificate, tls.key or None)
+    return context
--- /dev/null
+++ b/packages/cli/src/trefoilpulley_cli/targets.py
@@ -0,0 +1,141 @@
+"""Commands ``targets get`` and ``targets set``."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+import click
+
+from trefoilpulley_cli.change import change_id_option
+from trefoilpulley_cli.change import DeclarationsChange
+from trefoilpulley_cli.in_force import read_in_force
+from trefoilpulley_cli.invocation import Invocation
+from trefoilpulley_cli.invocation import json_option
+from trefoilpulley_cli.invocation import pass_invocation
+from trefoilpulley_cli.report import Reporter
+from trefoilpulley_core.declarations import Freshness
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.declarations_form import describe_class
+from trefoilpulley_core.failure import UnknownClass
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.declarations import Declarations
+    from trefoilpulley_core.declarations import WorkClass
+
+_FRESHNESS_WORDS = (
+    FreshnessKind.SESSION.value,
+    FreshnessKind.PRESENT.value,
+)
+
+
+@click.group()
+def targets() -> None:
+    """Look at the targets of classes of work, or change them."""
+
+
+@targets.command('get')
+@click.argument('name', required=False, metavar='[CLASS]')
+@json_option
+@pass_invocation
+def get_targets(
+    invocation: Invocation, name: str | None, is_json: bool
+) -> None:
+    """Show the targets of CLASS, or of every class."""
+    reporter = Reporter(is_json)
+    configuration = read_in_force(invocation, reporter)
+    classes = configuration.declarations.classes
+    chosen = {
+        c.name: describe_class(c) for c in classes if name in (None, c.name)
+    }
+    if name is not None and not chosen:
+        reporter.refuse_failure(UnknownClass(name))
+    reporter.print(
+        {'revision': configuration.revision, 'classes': chosen},
+        [f'{key}: {json.dumps(value)}' for key, value in chosen.items()],
+    )
+
+
+@targets.command('set')
+@click.argument('name', metavar='CLASS')
+@click.option('--age-ms', type=int, help='Greatest age of the answers.')
+@click.option(
+    '--freshness',
+    type=click.Choice(_FRESHNESS_WORDS),
+    help="The session's own writes, or the primary's present.",
+)
+@click.option('--within-ms', type=int, help='Time until an answer is due.')
+@click.option('--share', type=float, help='Share of answers in time.')
+@click.option('--copies', type=int, help='Members that hold a write.')
+@click.option(
+    '--repeatable/--not-repeatable',
+    'is_repeatable',
+    default=None,
+    help='Whether a request may run more than once.',
+)
+@change_id_option
+@json_option
+@pass_invocation
+def set_targets(
+    invocation: Invocation,
+    name: str,
+    change_id: str,
+    is_json: bool,
+    **given: Any,
+) -> None:
+    """Change targets of CLASS; those not given stay as they are."""
+    if all(value is None for value in given.values()):
+        raise click.UsageError('name at least one target')
+    if given['age_ms'] is not None and given['freshness'] is not None:
+        raise click.UsageError('--age-ms and --freshness exclude each other')
+    reporter = Reporter(is_json)
+
+    def edit(current: Declarations) -> Declarations:
+        work_class = current.find_class(name)
+        if work_class is None:
+            reporter.refuse_failure(UnknownClass(name))
+        changed = _change_class(work_class, **given)
+        classes = tuple(
+            changed if c.name == name else c for c in current.classes
+        )
+        return replace(current, classes=classes)
+
+    DeclarationsChange(invocation, reporter, change_id).run(edit)
+
+
+def _change_class(
+    work_class: WorkClass,
+    age_ms: int | None,
+    freshness: str | None,
+    within_ms: int | None,
+    share: float | None,
+    copies: int | None,
+    is_repeatable: bool | None,
+) -> WorkClass:
+    return replace(
+        work_class,
+        freshness=_change_freshness(work_class.freshness, age_ms, freshness),
+        promptness=_replace_given(
+            work_class.promptness, within_ms=within_ms, share=share
+        ),
+        safety=_replace_given(
+            work_class.safety, copies=copies, is_repeatable=is_repeatable
+        ),
+    )
+
+
+def _change_freshness(
+    current: Freshness, age_ms: int | None, word: str | None
+) -> Freshness:
+    if age_ms is not None:
+        return Freshness(FreshnessKind.AGE, age_ms)
+    if word is not None:
+        return Freshness(FreshnessKind(word))
+    return current
+
+
+def _replace_given(target: Any, **values: Any) -> Any:
+    given = {k: v for k, v in values.items() if v is not None}
+    return replace(target, **given)
