Run membership and the spread of documents on a host

The decisions need their carriers: probes, news and documents go over the peer connections, reads and watches to the platform's service. Lists of the platform are taken from hosts of the own zone first, since they hold addresses as each zone reaches them.

--- a/packages/core/src/trefoilpulley_core/configuration/spread.py
+++ b/packages/core/src/trefoilpulley_core/configuration/spread.py
@@ -32,6 +32,13 @@
 FETCH_RETRY_S = 1.0
 """Time after which a document is asked for again, in seconds."""
 
+OTHER_ZONE_GRACE_S = 5.0
+"""Time that the own zone has to bring a list of the platform's.
+
+The lists hold addresses as each zone reaches them, so that another
+zone's copy is the second choice.
+"""
+
 CHILDREN = 4
 """Hosts to which each host passes a new document on."""
 
@@ -72,6 +79,7 @@
         self._next_check_at = 0.0
         self._next_watch_at = 0.0
         self._fetching: dict[DocumentKind, float] = {}
+        self._behind_since: dict[DocumentKind, float] = {}
 
     @property
     def is_watcher(self) -> bool:
@@ -151,6 +159,11 @@
                 self._fetch(host, kind, now)
 
     def _fetch(self, host: str, kind: DocumentKind, now: float) -> None:
+        since = self._behind_since.setdefault(kind, now)
+        is_waiting = now - since < OTHER_ZONE_GRACE_S
+        is_list = kind is not DocumentKind.CONFIGURATION
+        if is_list and is_waiting and host not in self._peers:
+            return
         if now < self._fetching.get(kind, now):
             return
         self._fetching[kind] = now + FETCH_RETRY_S
@@ -169,6 +182,7 @@
 
     def _take(self, document: Document) -> Result[bool, Failure]:
         self._fetching.pop(document.kind, None)
+        self._behind_since.pop(document.kind, None)
         return self._holder.take(document)
 
     def _push(self, document: Document, hosts: tuple[str, ...]) -> None:
--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -107,6 +107,10 @@
         """Return the record of a host, or ``None``."""
         return self._table.find(host)
 
+    def find_entry(self, host: str) -> HostEntry | None:
+        """Return the addresses of a host, or ``None``."""
+        return self._table.find_entry(host)
+
     def records(self) -> News:
         """Return every record."""
         return self._table.records_of(())
--- a/packages/core/src/trefoilpulley_core/membership/table.py
+++ b/packages/core/src/trefoilpulley_core/membership/table.py
@@ -41,7 +41,7 @@
         self._by_zone: dict[str, dict[str, HostRecord]] = defaultdict(dict)
         self._zones: dict[str, ZoneRecord] = {}
         self._digests: dict[str, int] = defaultdict(int)
-        self._listed: frozenset[str] = frozenset()
+        self._listed: dict[str, HostEntry] = {}
         self._listed_leaving: frozenset[str] = frozenset()
         self._view = LiveHosts(region)
         self.version = 0
@@ -66,6 +66,16 @@
         """Return the record of a host, or ``None``."""
         return self._hosts.get(host)
 
+    def find_entry(self, host: str) -> HostEntry | None:
+        """Return a host's entry: the platform's, else the host's own.
+
+        The platform lists the addresses as this zone reaches them.
+        """
+        if host in self._listed:
+            return self._listed[host]
+        record = self._hosts.get(host)
+        return record.entry if record else None
+
     def find_zone(self, zone: str) -> ZoneRecord | None:
         """Return the record of an availability zone, or ``None``."""
         return self._zones.get(zone)
@@ -127,7 +137,7 @@
         if leaving != self._listed_leaving:
             self._listed_leaving = leaving
             self.version += 1
-        self._listed = frozenset(e.name for e in entries)
+        self._listed = {e.name: e for e in entries}
         for entry in entries:
             self.merge(HostRecord(entry, 0, HostState.ALIVE))
 
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/configuration_runner.py
@@ -0,0 +1,277 @@
+"""Runs the spread of the documents on this host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from trefoilpulley_core.configuration.commands import Fetch
+from trefoilpulley_core.configuration.commands import Push
+from trefoilpulley_core.configuration.commands import ReadService
+from trefoilpulley_core.configuration.commands import SetWatch
+from trefoilpulley_core.configuration.messages import Document
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.configuration.messages import FetchDocument
+from trefoilpulley_core.failure import NotRun
+from trefoilpulley_node.document_reader import DocumentReader
+from trefoilpulley_node.document_reader import PREFIXES
+from trefoilpulley_node import events
+from trefoilpulley_node.peer_server import make_reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns.result import Result
+
+    from trefoilpulley_core.catalog import Catalog
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.configuration.commands import Command
+    from trefoilpulley_core.configuration.holder import ConfigurationHolder
+    from trefoilpulley_core.configuration.spread import DocumentSpread
+    from trefoilpulley_core.declarations import Configuration
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.membership.messages import Versions
+    from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Platform
+    from trefoilpulley_core.platform import Watch
+    from trefoilpulley_node.peer_server import PeerIdentity
+    from trefoilpulley_node.peer_server import PeerServer
+    from trefoilpulley_node.peers import Peers
+
+TICK_INTERVAL_S = 0.2
+"""Time between two ticks, in seconds."""
+
+FETCH_TIMEOUT_S = 1.0
+"""Longest wait for a peer's document, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationState:
+    """Documents in the state dump."""
+
+    configuration_revision: int
+    """Revision of the declarations in force."""
+
+    change_id: str
+    """Change that brought them."""
+
+    databases_revision: int
+    """Revision of the list of database groups."""
+
+    hosts_revision: int
+    """Revision of the list of hosts."""
+
+    is_watcher: bool
+    """Whether this host watches the service for its zone."""
+
+    is_service_answering: bool
+    """Whether the last read of the service was answered."""
+
+
+class ConfigurationRunner:
+    """Carries the spread over the service and the peer connections.
+
+    Parameters
+    ----------
+    holder : ConfigurationHolder
+        Newest documents.
+    spread : DocumentSpread
+        Decisions.
+    platform : Platform
+        The platform's service.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        spread: DocumentSpread,
+        platform: Platform,
+        clock: Clock,
+    ) -> None:
+        self._holder = holder
+        self._spread = spread
+        self._platform = platform
+        self._reader = DocumentReader(platform)
+        self._clock = clock
+        self._peers: Peers | None = None
+        self._greenlet: gevent.Greenlet | None = None
+        self._watches: list[Watch] = []
+        self._watch_epoch = 0
+        self._is_service_answering = True
+        self._on_change: list[Callable[[DocumentKind], None]] = []
+
+    @property
+    def configuration(self) -> Configuration:
+        """Declarations in force."""
+        return self._holder.configuration
+
+    @property
+    def catalog(self) -> Catalog:
+        """Database groups and hosts."""
+        return self._holder.catalog
+
+    @property
+    def versions(self) -> Versions:
+        """Revisions held."""
+        return self._holder.versions
+
+    def subscribe(self, on_change: Callable[[DocumentKind], None]) -> None:
+        """Call back whenever a document comes into force."""
+        self._on_change.append(on_change)
+
+    def serve_on(self, server: PeerServer, peers: Peers) -> None:
+        """Serve the messages of other hosts."""
+        self._peers = peers
+        server.register(Document, self._on_push)
+        server.register(FetchDocument, self._on_fetch)
+
+    def start(self) -> None:
+        """Ask the service once, then go on in the background."""
+        self._read(ReadService(tuple(DocumentKind)))
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the background work."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self._end_watches()
+
+    def on_live_hosts(self, live: LiveHosts) -> None:
+        """Learn which hosts are live."""
+        self._spread.on_live_hosts(live)
+
+    def on_versions(self, host: str, versions: Versions) -> None:
+        """Learn which documents a peer holds."""
+        self._spread.on_versions(host, versions, self._clock.now())
+        self._pump()
+
+    def dump(self) -> ConfigurationState:
+        """Return the part of the state dump."""
+        held = self._holder.versions
+        return ConfigurationState(
+            held.configuration,
+            self._holder.configuration.change_id,
+            held.databases,
+            held.hosts,
+            self._spread.is_watcher,
+            self._is_service_answering,
+        )
+
+    def _run(self) -> None:
+        while True:
+            self._spread.on_tick(self._clock.now())
+            self._pump()
+            gevent.sleep(TICK_INTERVAL_S)
+
+    def _pump(self) -> None:
+        for command in self._spread.take_commands():
+            gevent.spawn(self._carry_out, command)
+
+    def _carry_out(self, command: Command) -> None:
+        if isinstance(command, ReadService):
+            self._read(command)
+        elif isinstance(command, SetWatch):
+            self._set_watch(command.is_wanted)
+        elif isinstance(command, Fetch):
+            self._fetch(command)
+        elif isinstance(command, Push):
+            self._push(command)
+        self._pump()
+
+    def _read(self, command: ReadService) -> None:
+        for kind in command.kinds:
+            found = self._reader.read(kind)
+            self._note_service(found)
+            document = found.value_or(None)
+            if document is not None:
+                self._note(document, self._spread.on_read(document))
+
+    def _note_service(self, found: Result[Any, Failure]) -> None:
+        is_answering = isinstance(found, Success)
+        if is_answering:
+            self._spread.on_service_answered()
+        if is_answering != self._is_service_answering:
+            self._is_service_answering = is_answering
+            event = (
+                events.PLATFORM_REACHABLE
+                if is_answering
+                else events.PLATFORM_UNREACHABLE
+            )
+            event.log()
+
+    def _set_watch(self, is_wanted: bool) -> None:
+        self._end_watches()
+        if not is_wanted:
+            return
+        epoch = self._watch_epoch
+        for kind, prefix in PREFIXES.items():
+            watch = self._begin_watch(kind, prefix, epoch)
+            if epoch != self._watch_epoch:
+                watch.cancel()
+                return
+            self._watches.append(watch)
+
+    def _begin_watch(
+        self, kind: DocumentKind, prefix: str, epoch: int
+    ) -> Watch:
+        def on_change(entry: KeyValue) -> None:
+            self._spread.on_changed(kind)
+            self._pump()
+
+        def on_failure(failure: Failure) -> None:
+            if epoch == self._watch_epoch:
+                self._end_watches()
+                self._spread.on_watch_broken(self._clock.now())
+
+        return self._platform.watch(prefix, on_change, on_failure)
+
+    def _end_watches(self) -> None:
+        self._watch_epoch += 1
+        watches, self._watches = self._watches, []
+        for watch in watches:
+            watch.cancel()
+
+    def _fetch(self, command: Fetch) -> None:
+        reply = self._peers.call_host(
+            command.host, FetchDocument(command.kind), FETCH_TIMEOUT_S
+        ).value_or(None)
+        if isinstance(reply, Document):
+            self._note(reply, self._spread.on_read(reply))
+
+    def _push(self, command: Push) -> None:
+        opened = self._peers.open_channel(command.host)
+        if isinstance(opened, Success):
+            opened.unwrap().notify(command.document)
+
+    def _on_push(self, document: Document, peer: PeerIdentity) -> None:
+        self._note(document, self._spread.on_push(document))
+        self._pump()
+
+    def _on_fetch(self, req: FetchDocument, peer: PeerIdentity) -> Any:
+        document = self._holder.find(req.kind)
+        if document is None:
+            return make_reply(NotRun('no such document yet'))
+        return document
+
+    def _note(self, document: Document, taken: Result[bool, Failure]) -> None:
+        if not isinstance(taken, Success):
+            events.DOCUMENT_REFUSED.log(
+                kind=str(document.kind),
+                revision=document.revision,
+                detail=taken.failure().detail,
+            )
+            return
+        if not taken.unwrap():
+            return
+        events.DOCUMENT_IN_FORCE.log(
+            kind=str(document.kind), revision=document.revision
+        )
+        for on_change in self._on_change:
+            on_change(document.kind)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/document_reader.py
@@ -0,0 +1,89 @@
+"""Reads the documents that the platform's service holds."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.configuration.document import decode_configuration
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.configuration.messages import make_document
+from trefoilpulley_core.keys import CATALOG_DATABASES_KEY
+from trefoilpulley_core.keys import CATALOG_HOSTS_KEY
+from trefoilpulley_core.keys import CONFIGURATION_KEY
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.configuration.messages import Document
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Platform
+
+PREFIXES = {
+    DocumentKind.CONFIGURATION: CONFIGURATION_KEY,
+    DocumentKind.DATABASES: CATALOG_DATABASES_KEY,
+    DocumentKind.HOSTS: CATALOG_HOSTS_KEY,
+}
+"""Keys of each document.
+
+A list that outgrows one value stands in several keys under the prefix.
+"""
+
+
+class DocumentReader:
+    """Reads the documents whose keys have changed.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform's service.
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self._seen: dict[DocumentKind, tuple[tuple[str, int], ...]] = {}
+
+    def read(self, kind: DocumentKind) -> Result[Document | None, Failure]:
+        """Return a document, or ``None`` where it has not changed."""
+        found = self._platform.get_revisions(PREFIXES[kind])
+        if not isinstance(found, Success):
+            return found
+        if _revisions(found.unwrap()) == self._seen.get(kind, ()):
+            return Success(None)
+        read = self._platform.get_prefix(PREFIXES[kind])
+        return read.map(lambda entries: self._take(kind, entries))
+
+    def _take(
+        self, kind: DocumentKind, entries: Sequence[KeyValue]
+    ) -> Document | None:
+        self._seen[kind] = _revisions(entries)
+        if not entries:
+            return None
+        if kind is DocumentKind.CONFIGURATION:
+            return _read_configuration(entries[0])
+        revision = max(e.mod_revision for e in entries)
+        return make_document(kind, revision, _join_lists(entries))
+
+
+def _revisions(entries: Sequence[KeyValue]) -> tuple[tuple[str, int], ...]:
+    return tuple((e.key, e.mod_revision) for e in entries)
+
+
+def _read_configuration(entry: KeyValue) -> Document | None:
+    decoded = decode_configuration(entry.value).value_or(None)
+    if decoded is None:
+        return None
+    return make_document(
+        DocumentKind.CONFIGURATION, decoded.revision, entry.value
+    )
+
+
+def _join_lists(entries: Sequence[KeyValue]) -> bytes:
+    if len(entries) == 1:
+        return entries[0].value
+    items = [item for entry in entries for item in json.loads(entry.value)]
+    return json.dumps(items, separators=(',', ':')).encode()
