Route to the likeliest holder of a floor and replay the policies

Cause: at a lag of 500 ms reads of a session's own write went to the primary, though a majority holds every acknowledged write.

--- a/packages/core/src/trefoilpulley_core/routing_targets.py
+++ b/packages/core/src/trefoilpulley_core/routing_targets.py
@@ -9,6 +9,7 @@
 from trefoilpulley_core._routing_rules import route_to_primary
 from trefoilpulley_core._routing_rules import route_to_replica
 from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.routing import find_primary
 from trefoilpulley_core.routing import RoutingPolicy
 
@@ -78,6 +79,8 @@
             if not _may_serve(member, primary, req, now):
                 continue
             wait_ms = _floor_wait_ms(member, primary, req.floor, now)
+            if wait_ms > LEAST_WAIT_MS and _is_likeliest(member, view, req):
+                wait_ms = LEAST_WAIT_MS
             cost_ms = wait_ms + _answer_ms(member, req, now)
             if cost_ms < best_ms:
                 best, best_ms, best_wait_ms = member, cost_ms, wait_ms
@@ -141,20 +144,52 @@
     digest = member.digest
     if floor.index == 0 or digest.last >= floor:
         return 0.0
-    if primary is None:
-        return _NEVER
-    known = primary.digest
-    for copy in known.copies:
-        if copy.member == member.member and copy.position >= floor:
-            return 0.0
-    if digest.term < floor.term:
+    if primary is None or digest.term < floor.term:
         return _NEVER
+    if _copied_to(member, primary) >= floor:
+        return 0.0
     wait_ms = digest.lag_ms - member.round_trip_ms / 2
-    if known.last >= floor:
+    if primary.digest.last >= floor:
         wait_ms -= (now - primary.observed_at) * 1000
     return max(LEAST_WAIT_MS, wait_ms)
 
 
+def _copied_to(member: MemberView, primary: MemberView) -> Position:
+    """Return what a replica has confirmed to its primary."""
+    for copy in primary.digest.copies:
+        if copy.member == member.member:
+            return copy.position
+    return BEGINNING
+
+
+def _is_likeliest(
+    member: MemberView, view: DatabaseView, req: RouteRequest
+) -> bool:
+    """Return whether a replica is the likeliest to hold the floor.
+
+    A floor stands for an acknowledged write, which a majority holds: in
+    a group of three, one of the replicas that have not refused has it.
+    """
+    others = [
+        m
+        for m in view.members
+        if m.member not in req.excluded and not _leads(m)
+    ]
+    return max(others, key=_progress) is member
+
+
+def _leads(member: MemberView) -> bool:
+    return member.digest is not None and member.digest.is_primary
+
+
+def _progress(member: MemberView) -> tuple[Position, int]:
+    """Return a key by which the most advanced replica is greatest."""
+    digest = member.digest
+    if digest is None:
+        return BEGINNING, 0
+    return digest.last, -digest.lag_ms
+
+
 def _answer_ms(member: MemberView, req: RouteRequest, now: float) -> float:
     """Return the expected time to an answer without a wait."""
     cost_ms = member.round_trip_ms + member.digest.queue_ms
--- a/packages/core/src/trefoilpulley_core/slot_lane.py
+++ b/packages/core/src/trefoilpulley_core/slot_lane.py
@@ -47,6 +47,9 @@
         self.within_s = 0.0
         """Promptness target in seconds."""
 
+        self.load = 0.0
+        """Slots that the class has kept busy of late."""
+
         self.service = ServiceTime()
         """Service times of the class."""
 
--- a/packages/core/src/trefoilpulley_core/slots_deadline.py
+++ b/packages/core/src/trefoilpulley_core/slots_deadline.py
@@ -65,7 +65,7 @@
         if len(self._lane_of) >= QUEUE_LIMIT:
             return self._refuse(ticket, 'the queue is full')
         lane = self._find_lane(ticket)
-        wait_s = self._wait_s(lane, lane.key_of(ticket, now), now)
+        wait_s = self._wait_s(lane, lane.key_of(ticket, now))
         if now + wait_s + lane.service.careful_s > ticket.deadline:
             wait_ms = round(1000 * wait_s)
             return self._refuse(ticket, f'expected wait {wait_ms} ms')
@@ -141,6 +141,7 @@
         lane.strictness = targets.strictness(lane.work_class)
         lane.danger = targets.danger(lane.work_class, self._now)
         lane.within_s = targets.within_s(lane.work_class)
+        lane.load = lane.service.load(self._now)
 
     def _sort_lanes(self) -> None:
         self._lanes.sort(key=lambda lane: lane.strictness, reverse=True)
@@ -186,7 +187,7 @@
                 critical, critical_at = lane, head.deadline
         return critical or earliest
 
-    def _wait_s(self, lane: SlotLane, key: float, now: float) -> float:
+    def _wait_s(self, lane: SlotLane, key: float) -> float:
         """Return the time until work of a lane would get a slot."""
         ahead_s = lane.ahead_s(key)
         stricter_load = 0.0
@@ -195,7 +196,7 @@
                 continue
             ahead_s += max(other.ahead_s(key), other.due_s(key))
             if other.level > lane.level:
-                stricter_load += other.service.load(now)
+                stricter_load += other.load
         load = min(_HIGHEST_LOAD, stricter_load / self._slots)
         wait_s = ahead_s / self._slots + self._residual_s()
         return wait_s / (1 - load)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/policy_entry.py
@@ -0,0 +1,155 @@
+"""Fake entry host on a virtual clock, around a real routing policy."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.routing import DatabaseView
+from trefoilpulley_core.routing import MemberView
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_core.routing import RouteRequest
+    from trefoilpulley_core.routing import RoutingPolicy
+    from trefoilpulley_standins.policy_loop import VirtualLoop
+    from trefoilpulley_standins.policy_pooler import FakePooler
+
+REFRESH_INTERVAL_S = 0.25
+"""Time between two questions for the digests, in seconds."""
+
+IN_ZONE_S = 0.0005
+"""Delay between two hosts of one availability zone, in seconds."""
+
+
+class FakeEntry:
+    """Entry host that routes by a policy and its own view.
+
+    Parameters
+    ----------
+    loop : VirtualLoop
+        Virtual clock.
+    policy : RoutingPolicy
+        Policy to replay.
+    zone : str
+        Availability zone of the host.
+    names : tuple[str, ...]
+        Names of the members.
+    zones : tuple[str, ...]
+        Availability zones of the members.
+    poolers : tuple[FakePooler, ...]
+        Poolers of the members.
+    one_way_s : float
+        Delay between two availability zones, in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        policy: RoutingPolicy,
+        zone: str,
+        names: tuple[str, ...],
+        zones: tuple[str, ...],
+        poolers: tuple[FakePooler, ...],
+        one_way_s: float,
+    ) -> None:
+        self._loop = loop
+        self._policy = policy
+        self.zone = zone
+        """Availability zone of the host."""
+
+        self._names = names
+        self._poolers = dict(zip(names, poolers, strict=True))
+        self._delays_s = {
+            name: IN_ZONE_S if z == zone else one_way_s
+            for name, z in zip(names, zones, strict=True)
+        }
+        self._views = {
+            name: MemberView(
+                name, z, None, 0.0, 2000 * self._delays_s[name], False
+            )
+            for name, z in zip(names, zones, strict=True)
+        }
+
+    def refresh(self) -> Generator[Any, Any, None]:
+        """Ask for the digests, as a process."""
+        while True:
+            for name in self._names:
+                self._loop.spawn(self._ask_digest(name))
+            yield REFRESH_INTERVAL_S
+
+    def read(
+        self, req: RouteRequest, tenant: str, service_s: float
+    ) -> Generator[Any, Any, Result[Route, Failure]]:
+        """Run a read; try another member where one is behind."""
+        while self._loop.now < req.deadline:
+            chosen = self._policy.choose(self._view(), req, self._loop.now)
+            if not isinstance(chosen, Success):
+                return chosen
+            route = chosen.unwrap()
+            result = yield from self._attempt(req, route, tenant, service_s)
+            if isinstance(result, Success):
+                return chosen
+            if not isinstance(result.failure(), ReplicaBehind):
+                return result
+            excluded = req.excluded | {route.member}
+            req = replace(req, excluded=excluded)
+        return Failed(NoUpstream('no time is left'))
+
+    def write(
+        self, req: RouteRequest, tenant: str, service_s: float
+    ) -> Generator[Any, Any, Result[Any, Failure]]:
+        """Run a write at the primary."""
+        chosen = self._policy.choose(self._view(), req, self._loop.now)
+        if not isinstance(chosen, Success):
+            return chosen
+        name = chosen.unwrap().member
+        sent_at = self._loop.now
+        yield self._delays_s[name]
+        pooler = self._poolers[name]
+        result = yield from pooler.write(req, tenant, service_s)
+        digest = pooler.digest()
+        yield self._delays_s[name]
+        self._take_digest(digest, sent_at)
+        return result
+
+    def _attempt(
+        self, req: RouteRequest, route: Route, tenant: str, service_s: float
+    ) -> Generator[Any, Any, Result[None, Failure]]:
+        sent_at = self._loop.now
+        yield self._delays_s[route.member]
+        pooler = self._poolers[route.member]
+        result = yield from pooler.read(req, route, tenant, service_s)
+        digest = pooler.digest()
+        yield self._delays_s[route.member]
+        self._take_digest(digest, sent_at)
+        return result
+
+    def _ask_digest(self, name: str) -> Generator[Any, Any, None]:
+        sent_at = self._loop.now
+        yield self._delays_s[name]
+        digest = self._poolers[name].digest()
+        yield self._delays_s[name]
+        self._take_digest(digest, sent_at)
+
+    def _take_digest(self, digest: Any, sent_at: float) -> None:
+        known = self._views[digest.member]
+        if known.digest is not None and sent_at < known.observed_at:
+            return
+        self._views[digest.member] = replace(
+            known, digest=digest, observed_at=sent_at
+        )
+
+    def _view(self) -> DatabaseView:
+        members = tuple(self._views[name] for name in self._names)
+        return DatabaseView('replayed/0', members)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/policy_pooler.py
@@ -0,0 +1,196 @@
+"""Fake pooler of one member on a virtual clock."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.freshness import AgeTracker
+from trefoilpulley_core.peer import MemberDigest
+from trefoilpulley_core.slots import Ticket
+from trefoilpulley_standins.policy_group import TERM
+from trefoilpulley_standins.policy_loop import Signal
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+    import random
+
+    from trefoilpulley_core.routing import Route
+    from trefoilpulley_core.routing import RouteRequest
+    from trefoilpulley_core.slots import SlotQueue
+    from trefoilpulley_standins.policy_group import FakeGroup
+    from trefoilpulley_standins.policy_loop import VirtualLoop
+
+PROBE_INTERVAL_S = 0.1
+"""Time between two probes of the primary, in seconds."""
+
+LEAST_SERVICE_SHARE = 0.5
+"""Part of the mean below which no service time falls."""
+
+
+class FakePooler:
+    """Slots, waits for floors and the age of one member.
+
+    Parameters
+    ----------
+    loop : VirtualLoop
+        Virtual clock.
+    rng : random.Random
+        Source of the service times.
+    group : FakeGroup
+        Logs of the members.
+    names : tuple[str, ...]
+        Names of the members; the first leads.
+    number : int
+        Number of the member in the group.
+    queue : SlotQueue
+        Order of the waiting work.
+    slots : int
+        Pieces of work that run at once.
+    """
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        rng: random.Random,
+        group: FakeGroup,
+        names: tuple[str, ...],
+        number: int,
+        queue: SlotQueue,
+        slots: int,
+    ) -> None:
+        self._loop = loop
+        self._rng = rng
+        self._group = group
+        self._names = names
+        self._number = number
+        self._queue = queue
+        self._free = slots
+        self._ids = itertools.count(1)
+        self._granted: dict[int, Signal] = {}
+        self.age = AgeTracker()
+        """Age of the member's data."""
+
+        self.false_ages = 0
+        """Reads whose stated age was below the true one."""
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether the member leads."""
+        return self._number == 0
+
+    def digest(self) -> MemberDigest:
+        """Return what entry hosts learn of the member."""
+        now = self._loop.now
+        copies = ()
+        if self.is_primary:
+            copies = self._group.acknowledgements(self._names)
+        return MemberDigest(
+            self._names[self._number],
+            self.is_primary,
+            TERM,
+            self._group.position(self._number),
+            1,
+            0 if self.is_primary else self.age.age_ms(now),
+            0 if self.is_primary else self.age.lag_ms(),
+            self._queue.expected_wait_ms(now),
+            True,
+            copies=copies,
+        )
+
+    def probe(self, one_way_s: float) -> Generator[Any, Any, None]:
+        """Date the replica by probes, as a process."""
+        while True:
+            sent_at = self._loop.now
+            yield one_way_s
+            position = self._group.position(0)
+            yield one_way_s
+            self.age.on_probe(sent_at, position)
+            held = self._group.position(self._number)
+            self.age.on_replica(held, self._loop.now, TERM)
+            yield PROBE_INTERVAL_S
+
+    def read(
+        self, req: RouteRequest, route: Route, tenant: str, service_s: float
+    ) -> Generator[Any, Any, Result[None, Failure]]:
+        """Run a read once the member holds the floor."""
+        held_at = self._group.arrival_of(self._number, route.floor)
+        missing_s = held_at - self._loop.now
+        if missing_s > 0 and missing_s * 1000 > route.wait_ms:
+            yield route.wait_ms / 1000
+            return Failed(ReplicaBehind())
+        if missing_s > 0:
+            yield missing_s
+        if not self._is_young(req):
+            return Failed(ReplicaBehind())
+        is_granted = yield from self._run(req, tenant, False, service_s)
+        return Success(None) if is_granted else Failed(Overloaded())
+
+    def write(
+        self, req: RouteRequest, tenant: str, service_s: float
+    ) -> Generator[Any, Any, Result[Any, Failure]]:
+        """Run a write and wait for its second copy."""
+        is_granted = yield from self._run(req, tenant, True, service_s)
+        if not is_granted:
+            return Failed(Overloaded())
+        position, known_at = self._group.append()
+        yield max(0.0, known_at - self._loop.now)
+        return Success(position)
+
+    def _is_young(self, req: RouteRequest) -> bool:
+        limit_ms = req.work_class.freshness.max_age_ms
+        if limit_ms is None or self.is_primary:
+            return True
+        age_ms = self.age.age_ms(self._loop.now)
+        if age_ms is None or age_ms > limit_ms:
+            return False
+        true_ms = 1000 * self._group.true_age_s(self._number)
+        self.false_ages += true_ms > age_ms
+        return True
+
+    def _run(
+        self, req: RouteRequest, tenant: str, is_write: bool, mean_s: float
+    ) -> Generator[Any, Any, bool]:
+        """Wait for a slot and hold it for a service time."""
+        ticket = Ticket(
+            next(self._ids),
+            tenant,
+            req.work_class.name,
+            req.deadline,
+            is_write,
+        )
+        if not isinstance(self._queue.offer(ticket, self._loop.now), Success):
+            return False
+        granted = Signal(self._loop)
+        self._granted[ticket.ticket_id] = granted
+        self._loop.call_at(ticket.deadline, self._dispatch)
+        self._dispatch()
+        if not (yield granted):
+            return False
+        least_s = LEAST_SERVICE_SHARE * mean_s
+        held_s = least_s + self._rng.expovariate(1 / (mean_s - least_s))
+        yield held_s
+        self._free += 1
+        is_in_time = self._loop.now <= ticket.deadline
+        self._queue.record_service(ticket.work_class, held_s, is_in_time)
+        self._dispatch()
+        return True
+
+    def _dispatch(self) -> None:
+        now = self._loop.now
+        for ticket in self._queue.expire(now):
+            self._granted.pop(ticket.ticket_id).set(False)
+        while self._free:
+            ticket = self._queue.take(now, True)
+            if ticket is None:
+                return
+            self._free -= 1
+            self._granted.pop(ticket.ticket_id).set(True)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/policy_run.py
@@ -0,0 +1,259 @@
+"""One seeded replay of a routing policy and a slot queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.routing import RouteRequest
+from trefoilpulley_core.routing_plain import PlainRouting
+from trefoilpulley_core.routing_targets import TargetRouting
+from trefoilpulley_core.routing_thin import ThinRouting
+from trefoilpulley_core.slots_deadline import DeadlineSlots
+from trefoilpulley_core.slots_fifo import FifoSlots
+from trefoilpulley_core.targets import ClassTargets
+from trefoilpulley_standins.policy_deployment import READ_SERVICE_S
+from trefoilpulley_standins.policy_deployment import WRITE_SERVICE_S
+from trefoilpulley_standins.policy_entry import FakeEntry
+from trefoilpulley_standins.policy_group import FakeGroup
+from trefoilpulley_standins.policy_group import REPLICAS
+from trefoilpulley_standins.policy_loop import VirtualLoop
+from trefoilpulley_standins.policy_pooler import FakePooler
+from trefoilpulley_standins.policy_tally import Tally
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from trefoilpulley_core.declarations import WorkClass
+    from trefoilpulley_core.routing import RoutingPolicy
+    from trefoilpulley_core.slots import SlotQueue
+    from trefoilpulley_standins.policy_deployment import Deployment
+
+THINK_TIME_S = 0.03
+"""Mean time between a session's answer and its next request."""
+
+SESSION_READS = 3
+"""Reads of its own write that a session makes."""
+
+CLIENT_S = 0.001
+"""Delay between a caller and its entry host, in seconds."""
+
+JUST_WRITTEN = 'just-written'
+"""Name under which the first read after a write is counted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Traffic of one replay."""
+
+    sessions_per_s: float
+    """Sessions begun a second, each with a write and its reads."""
+
+    lookups_per_s: float
+    """Aged reads a second outside of sessions."""
+
+    lag_s: float
+    """Mean replication lag in seconds."""
+
+    seconds: float = 10.0
+    """Virtual time of the traffic, in seconds."""
+
+    flood_per_s: float = 0.0
+    """Aged reads a second of one tenant that floods."""
+
+
+class PolicyRun:
+    """Replays traffic on one database group under one policy.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Deployment to replay.
+    policy : str
+        Name of the policy: ``thin``, ``plain`` or ``targets``.
+    load : Load
+        Traffic.
+    seed : int
+        Seed of all randomness.
+    """
+
+    def __init__(
+        self, deployment: Deployment, policy: str, load: Load, seed: int
+    ) -> None:
+        self._deployment = deployment
+        self._policy = policy
+        self._load = load
+        self._rng = random.Random(seed)
+        self._loop = VirtualLoop()
+        self.tally = Tally()
+        """Counts by class of work and by tenant."""
+
+        self._targets = self._make_targets()
+        self._poolers = self._make_poolers()
+        self._entries = self._make_entries()
+
+    @property
+    def false_ages(self) -> int:
+        """Reads whose stated age was below the true one."""
+        return sum(p.false_ages for p in self._poolers)
+
+    def run(self) -> Tally:
+        """Replay the traffic and let it drain."""
+        load = self._load
+        arrivals = (
+            (load.sessions_per_s, self._session),
+            (load.lookups_per_s, self._lookup),
+            (load.flood_per_s, self._flood),
+        )
+        for rate, begin in arrivals:
+            if rate:
+                self._loop.spawn(self._arrive(rate, begin))
+        drain_s = 2 * self._deployment.write.promptness.within_ms / 1000
+        self._loop.run_until(1.0 + load.seconds + drain_s)
+        return self.tally
+
+    def _make_targets(self) -> ClassTargets:
+        targets = ClassTargets()
+        targets.declare(self._deployment.classes)
+        return targets
+
+    def _make_routing(self) -> RoutingPolicy:
+        if self._policy == 'targets':
+            return TargetRouting(self._targets)
+        return PlainRouting() if self._policy == 'plain' else ThinRouting()
+
+    def _make_queue(self) -> SlotQueue:
+        slots = self._deployment.slots
+        if self._policy != 'targets':
+            return FifoSlots(slots)
+        return DeadlineSlots(slots, self._make_targets())
+
+    def _make_poolers(self) -> tuple[FakePooler, ...]:
+        deployment = self._deployment
+        group = FakeGroup(
+            self._loop, self._rng, self._load.lag_s, deployment.one_way_s
+        )
+        names = self._names
+        poolers = tuple(
+            FakePooler(
+                self._loop,
+                self._rng,
+                group,
+                names,
+                number,
+                self._make_queue(),
+                deployment.slots,
+            )
+            for number in range(REPLICAS + 1)
+        )
+        for pooler in poolers[1:]:
+            self._loop.spawn(pooler.probe(deployment.one_way_s))
+        return poolers
+
+    def _make_entries(self) -> tuple[FakeEntry, ...]:
+        deployment = self._deployment
+        policy = self._make_routing()
+        entries = tuple(
+            FakeEntry(
+                self._loop,
+                policy,
+                zone,
+                self._names,
+                deployment.zones[: REPLICAS + 1],
+                self._poolers,
+                deployment.one_way_s,
+            )
+            for zone in deployment.zones
+        )
+        for entry in entries:
+            self._loop.spawn(entry.refresh())
+        return entries
+
+    @property
+    def _names(self) -> tuple[str, ...]:
+        return tuple(f'member-{i}' for i in range(REPLICAS + 1))
+
+    def _arrive(self, rate: float, begin: Any) -> Generator[Any, Any, None]:
+        yield 1.0
+        while self._loop.now < 1.0 + self._load.seconds:
+            self._loop.spawn(begin())
+            yield self._rng.expovariate(rate)
+
+    def _session(self) -> Generator[Any, Any, None]:
+        floor = yield from self._request(
+            self._deployment.write, BEGINNING, 'steady'
+        )
+        if floor is None:
+            return
+        for turn in range(SESSION_READS):
+            yield self._rng.expovariate(1 / THINK_TIME_S)
+            also = () if turn else (JUST_WRITTEN,)
+            yield from self._request(
+                self._deployment.session_read, floor, 'steady', also
+            )
+        yield from self._request(self._deployment.aged_read, floor, 'steady')
+
+    def _lookup(self) -> Generator[Any, Any, None]:
+        yield from self._request(
+            self._deployment.aged_read, BEGINNING, 'steady'
+        )
+
+    def _flood(self) -> Generator[Any, Any, None]:
+        yield from self._request(
+            self._deployment.aged_read, BEGINNING, 'flood'
+        )
+
+    def _request(
+        self,
+        work_class: WorkClass,
+        floor: Position,
+        tenant: str,
+        also: tuple[str, ...] = (),
+    ) -> Generator[Any, Any, Position | None]:
+        """Send one request through a random entry host."""
+        started_at = self._loop.now
+        deadline = started_at + work_class.promptness.within_ms / 1000
+        entry = self._rng.choice(self._entries)
+        yield CLIENT_S
+        req = RouteRequest(work_class, floor, entry.zone, deadline - CLIENT_S)
+        if work_class is self._deployment.write:
+            result = yield from entry.write(req, tenant, WRITE_SERVICE_S)
+        else:
+            result = yield from entry.read(req, tenant, READ_SERVICE_S)
+        yield CLIENT_S
+        names = (work_class.name, f'{tenant}/{work_class.name}', *also)
+        if not isinstance(result, Success):
+            self._count_refusal(names, started_at)
+            return None
+        self._count_answer(names, started_at, deadline, result.unwrap())
+        return (
+            result.unwrap() if isinstance(result.unwrap(), Position) else None
+        )
+
+    def _count_refusal(
+        self, names: tuple[str, ...], started_at: float
+    ) -> None:
+        elapsed_s = self._loop.now - started_at
+        self._targets.record_refusal(names[0], self._loop.now)
+        for name in names:
+            self.tally.refuse(name, elapsed_s)
+
+    def _count_answer(
+        self,
+        names: tuple[str, ...],
+        started_at: float,
+        deadline: float,
+        found: Any,
+    ) -> None:
+        elapsed_s = self._loop.now - started_at
+        self._targets.record(names[0], elapsed_s, self._loop.now)
+        is_replica = not isinstance(found, Position) and not found.is_primary
+        is_in_time = self._loop.now <= deadline
+        for name in names:
+            self.tally.answer(name, is_in_time, is_replica)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/policy_tally.py
@@ -0,0 +1,76 @@
+"""Counts of what became of the requests of one replay."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import field
+
+
+@dataclass(slots=True)
+class ClassTally:
+    """Requests of one class of work or of one tenant."""
+
+    total: int = 0
+    """Requests."""
+
+    in_time: int = 0
+    """Requests answered in time."""
+
+    refused: int = 0
+    """Requests that were refused."""
+
+    at_replica: int = 0
+    """Reads that a replica answered."""
+
+    answered: int = 0
+    """Requests answered, late ones included."""
+
+    refusal_s: list[float] = field(default_factory=list)
+    """Time to each refusal, in seconds."""
+
+    @property
+    def in_time_share(self) -> float:
+        """Share of the requests answered in time."""
+        return self.in_time / self.total if self.total else 1.0
+
+    @property
+    def replica_share(self) -> float:
+        """Share of the answered reads that a replica answered."""
+        return self.at_replica / self.answered if self.answered else 0.0
+
+    @property
+    def refused_share(self) -> float:
+        """Share of the requests that were refused."""
+        return self.refused / self.total if self.total else 0.0
+
+    @property
+    def median_refusal_s(self) -> float:
+        """Median time to a refusal, in seconds."""
+        ordered = sorted(self.refusal_s)
+        return ordered[len(ordered) // 2] if ordered else 0.0
+
+
+class Tally:
+    """Counts by any name: a class of work, a tenant or both."""
+
+    def __init__(self) -> None:
+        self._by_name: defaultdict[str, ClassTally] = defaultdict(ClassTally)
+
+    def __getitem__(self, name: str) -> ClassTally:
+        return self._by_name[name]
+
+    def answer(self, name: str, is_in_time: bool, is_replica: bool) -> None:
+        """Count an answer."""
+        tally = self._by_name[name]
+        tally.total += 1
+        tally.answered += 1
+        tally.in_time += is_in_time
+        tally.at_replica += is_replica
+
+    def refuse(self, name: str, elapsed_s: float) -> None:
+        """Count a refusal."""
+        tally = self._by_name[name]
+        tally.total += 1
+        tally.refused += 1
+        tally.refusal_s.append(elapsed_s)
