Make a quiet host's membership and spread cheaper

Ticks, relay look-ups and checks of the service were most of a quiet host's work. Ticks come half as often, the relays of a zone are kept a version of the table, and both lists of the platform are checked by one call, every 10 s.

--- a/packages/core/src/trefoilpulley_core/configuration/commands.py
+++ b/packages/core/src/trefoilpulley_core/configuration/commands.py
@@ -12,10 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadService:
-    """Read documents that the service holds in a newer revision."""
-
-    kinds: tuple[DocumentKind, ...]
-    """Which documents."""
+    """Read the documents that the service holds in a newer revision."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/trefoilpulley_core/configuration/spread.py
+++ b/packages/core/src/trefoilpulley_core/configuration/spread.py
@@ -23,7 +23,7 @@
     from trefoilpulley_core.membership.live_hosts import LiveHosts
     from trefoilpulley_core.membership.messages import Versions
 
-CHECK_INTERVAL_S = 5.0
+CHECK_INTERVAL_S = 10.0
 """Time between a watcher's checks that it has missed nothing."""
 
 WATCH_RETRY_S = 0.5
@@ -111,11 +111,11 @@
             return
         self._next_check_at = now + CHECK_INTERVAL_S
         if self.is_checking or not self._has_read:
-            self._commands.append(ReadService(tuple(DocumentKind)))
+            self._commands.append(ReadService())
 
-    def on_changed(self, kind: DocumentKind) -> None:
+    def on_changed(self) -> None:
         """Note that a watch has seen a change."""
-        self._commands.append(ReadService((kind,)))
+        self._commands.append(ReadService())
 
     def on_watch_broken(self, now: float) -> None:
         """Note that the watch has ended."""
@@ -178,7 +178,7 @@
         if now >= self._next_watch_at:
             self._is_watching = True
             self._commands.append(SetWatch(is_wanted=True))
-            self._commands.append(ReadService(tuple(DocumentKind)))
+            self._commands.append(ReadService())
 
     def _take(self, document: Document) -> Result[bool, Failure]:
         self._fetching.pop(document.kind, None)
--- a/packages/core/src/trefoilpulley_core/keys.py
+++ b/packages/core/src/trefoilpulley_core/keys.py
@@ -5,6 +5,9 @@
 CONFIGURATION_KEY = '/trefoilpulley/configuration'
 """Declarations in force, as JSON of a `Configuration`."""
 
+CATALOG_PREFIX = '/platform/'
+"""Prefix of the lists that the platform writes."""
+
 CATALOG_DATABASES_KEY = '/platform/databases'
 """Database groups; the platform writes, the system reads."""
 
--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -32,7 +32,7 @@
     from trefoilpulley_core.membership.messages import ProbeAnswer
     from trefoilpulley_core.membership.messages import ProbeForMe
 
-TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.2
 """Time between two ticks, in seconds."""
 
 PAUSE_S = 0.6
--- a/packages/core/src/trefoilpulley_core/membership/news.py
+++ b/packages/core/src/trefoilpulley_core/membership/news.py
@@ -49,6 +49,8 @@
         """Zones whose hosts have answered this relay's last probe."""
 
         self._outbox = outbox
+        self._relays: dict[str, tuple[str, ...]] = {}
+        self._relays_version = -1
         self._to_zone = News()
         self._to_zones = News()
 
@@ -66,8 +68,14 @@
 
     def relays_of(self, zone: str) -> tuple[str, ...]:
         """Return the hosts that carry a zone's news."""
-        live = self.table.live_hosts.hosts_of(zone)
-        return rank_hosts(f'relay/{zone}', live)[:RELAYS_PER_ZONE]
+        if self._relays_version != self.table.version:
+            self._relays_version = self.table.version
+            self._relays.clear()
+        if zone not in self._relays:
+            live = self.table.live_hosts.hosts_of(zone)
+            ranked = rank_hosts(f'relay/{zone}', live)
+            self._relays[zone] = ranked[:RELAYS_PER_ZONE]
+        return self._relays[zone]
 
     def announce(self, record: HostRecord) -> None:
         """Merge a record that this host has found out itself."""
--- a/packages/node/src/trefoilpulley_node/configuration_runner.py
+++ b/packages/node/src/trefoilpulley_node/configuration_runner.py
@@ -18,7 +18,7 @@
 from trefoilpulley_core.configuration.messages import FetchDocument
 from trefoilpulley_core.failure import NotRun
 from trefoilpulley_node.document_reader import DocumentReader
-from trefoilpulley_node.document_reader import PREFIXES
+from trefoilpulley_node.document_reader import SOURCES
 from trefoilpulley_node import events
 from trefoilpulley_node.peer_server import make_reply
 
@@ -43,7 +43,7 @@
     from trefoilpulley_node.peer_server import PeerServer
     from trefoilpulley_node.peers import Peers
 
-TICK_INTERVAL_S = 0.2
+TICK_INTERVAL_S = 0.5
 """Time between two ticks, in seconds."""
 
 FETCH_TIMEOUT_S = 1.0
@@ -134,7 +134,7 @@
 
     def start(self) -> None:
         """Ask the service once, then go on in the background."""
-        self._read(ReadService(tuple(DocumentKind)))
+        self._read()
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -176,7 +176,7 @@
 
     def _carry_out(self, command: Command) -> None:
         if isinstance(command, ReadService):
-            self._read(command)
+            self._read()
         elif isinstance(command, SetWatch):
             self._set_watch(command.is_wanted)
         elif isinstance(command, Fetch):
@@ -185,9 +185,8 @@
             self._push(command)
         self._pump()
 
-    def _read(self, command: ReadService) -> None:
-        for kind in command.kinds:
-            found = self._reader.read(kind)
+    def _read(self) -> None:
+        for found in self._reader.read_changed():
             self._note_service(found)
             document = found.value_or(None)
             if document is not None:
@@ -211,18 +210,16 @@
         if not is_wanted:
             return
         epoch = self._watch_epoch
-        for kind, prefix in PREFIXES.items():
-            watch = self._begin_watch(kind, prefix, epoch)
+        for prefix in SOURCES:
+            watch = self._begin_watch(prefix, epoch)
             if epoch != self._watch_epoch:
                 watch.cancel()
                 return
             self._watches.append(watch)
 
-    def _begin_watch(
-        self, kind: DocumentKind, prefix: str, epoch: int
-    ) -> Watch:
+    def _begin_watch(self, prefix: str, epoch: int) -> Watch:
         def on_change(entry: KeyValue) -> None:
-            self._spread.on_changed(kind)
+            self._spread.on_changed()
             self._pump()
 
         def on_failure(failure: Failure) -> None:
--- a/packages/node/src/trefoilpulley_node/document_reader.py
+++ b/packages/node/src/trefoilpulley_node/document_reader.py
@@ -13,9 +13,11 @@
 from trefoilpulley_core.configuration.messages import make_document
 from trefoilpulley_core.keys import CATALOG_DATABASES_KEY
 from trefoilpulley_core.keys import CATALOG_HOSTS_KEY
+from trefoilpulley_core.keys import CATALOG_PREFIX
 from trefoilpulley_core.keys import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from trefoilpulley_core.configuration.messages import Document
@@ -33,6 +35,9 @@
 A list that outgrows one value stands in several keys under the prefix.
 """
 
+SOURCES = (CONFIGURATION_KEY, CATALOG_PREFIX)
+"""Prefixes that are watched and checked, each by one call."""
+
 
 class DocumentReader:
     """Reads the documents whose keys have changed.
@@ -47,13 +52,30 @@
         self._platform = platform
         self._seen: dict[DocumentKind, tuple[tuple[str, int], ...]] = {}
 
-    def read(self, kind: DocumentKind) -> Result[Document | None, Failure]:
-        """Return a document, or ``None`` where it has not changed."""
-        found = self._platform.get_revisions(PREFIXES[kind])
-        if not isinstance(found, Success):
-            return found
-        if _revisions(found.unwrap()) == self._seen.get(kind, ()):
-            return Success(None)
+    def read_changed(self) -> Iterator[Result[Document | None, Failure]]:
+        """Yield each document that has changed.
+
+        A source without any change yields ``None``.
+        """
+        for source in SOURCES:
+            found = self._platform.get_revisions(source)
+            if not isinstance(found, Success):
+                yield found
+                return
+            yield Success(None)
+            yield from self._read_newer(source, found.unwrap())
+
+    def _read_newer(
+        self, source: str, entries: Sequence[KeyValue]
+    ) -> Iterator[Result[Document | None, Failure]]:
+        for kind, prefix in PREFIXES.items():
+            if not prefix.startswith(source):
+                continue
+            present = [e for e in entries if e.key.startswith(prefix)]
+            if _revisions(present) != self._seen.get(kind, ()):
+                yield self._read(kind)
+
+    def _read(self, kind: DocumentKind) -> Result[Document | None, Failure]:
         read = self._platform.get_prefix(PREFIXES[kind])
         return read.map(lambda entries: self._take(kind, entries))
 
--- a/packages/node/src/trefoilpulley_node/membership_runner.py
+++ b/packages/node/src/trefoilpulley_node/membership_runner.py
@@ -13,6 +13,7 @@
 from trefoilpulley_core.membership.commands import Call
 from trefoilpulley_core.membership.commands import SeeVersions
 from trefoilpulley_core.membership.commands import Tell
+from trefoilpulley_core.membership.live_hosts import ZoneHosts
 from trefoilpulley_core.membership.membership import TICK_INTERVAL_S
 from trefoilpulley_core.membership.messages import Exchange
 from trefoilpulley_core.membership.messages import News
@@ -34,7 +35,6 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.membership.live_hosts import LiveHosts
-    from trefoilpulley_core.membership.live_hosts import ZoneHosts
     from trefoilpulley_core.membership.membership import Membership
     from trefoilpulley_core.membership.messages import Versions
     from trefoilpulley_node.peer_server import PeerIdentity
