Replay the coordination on a virtual clock

Cause: the order of succession hashed text where the library takes bytes; nothing had run it. Change: models of members, service, links and hosts around the decisions, seeded schedules of faults, and the mended hash. A process on standby ticks every 0.2 s.

--- a/packages/core/src/trefoilpulley_core/coordination/shard.py
+++ b/packages/core/src/trefoilpulley_core/coordination/shard.py
@@ -132,6 +132,6 @@
     Databases of one shard share the zone of their home primary, so that
     its coordinator can be near to them and outside that zone.
     """
-    part = xxhash.xxh3_64_intdigest(entry.name) % SHARDS_A_ZONE
+    part = xxhash.xxh3_64_intdigest(entry.name.encode()) % SHARDS_A_ZONE
     name = f'{entry.members[0].zone}#{part}'
-    return xxhash.xxh3_64_intdigest(name) % SHARD_NUMBERS
+    return xxhash.xxh3_64_intdigest(name.encode()) % SHARD_NUMBERS
--- a/packages/core/src/trefoilpulley_core/coordination/shard_coordinator.py
+++ b/packages/core/src/trefoilpulley_core/coordination/shard_coordinator.py
@@ -26,6 +26,9 @@
 SERVICE_RETRY_S = 0.5
 """Time between two attempts while the service does not answer."""
 
+STANDBY_WAKE_S = 0.2
+"""Time between two ticks of a process on standby."""
+
 REFRESH_S = 10.0
 """Time between two reads of the records by a process on standby."""
 
@@ -42,7 +45,9 @@
     """
 
     def __init__(self, shard: int, holder: str) -> None:
-        self._shard = shard
+        self.shard = shard
+        """Number of the shard."""
+
         self._holder = holder
         self._revision = 0
         self._retry_at = 0.0
@@ -75,7 +80,7 @@
     def wake_s(self) -> float:
         """Time after which the next tick is due."""
         if not self.is_acting:
-            return CALM_WAKE_S
+            return STANDBY_WAKE_S
         wakes = (d.wake_s for d in self.databases.values())
         return min(wakes, default=CALM_WAKE_S)
 
@@ -165,7 +170,7 @@
 
     def _load(self) -> Commands:
         self._is_loading = True
-        return (LoadShard(self._shard),)
+        return (LoadShard(self.shard),)
 
     def _carry(self, out: Commands, now: float) -> Commands:
         for command in out:
@@ -185,7 +190,7 @@
             return ()
         self._storing = self._edited()
         value = encode_shard(self._storing)
-        return (StoreShard(self._shard, self._revision, value),)
+        return (StoreShard(self.shard, self._revision, value),)
 
     def _edited(self) -> ShardRecord:
         edited = self.record
--- a/packages/core/src/trefoilpulley_core/coordination/succession.py
+++ b/packages/core/src/trefoilpulley_core/coordination/succession.py
@@ -84,7 +84,7 @@
             (
                 h.zone not in near,
                 h.zone in homes,
-                xxhash.xxh3_64_intdigest(f'{shard}/{h.name}'),
+                _score(shard, h.name),
                 h,
             )
             for h in self._hosts
@@ -94,6 +94,10 @@
         return tuple(h.name for h in _spread_zones(ranked)[:SUCCESSORS])
 
 
+def _score(shard: int, host: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{shard}/{host}'.encode())
+
+
 def _spread_zones(ranked: list[HostEntry]) -> list[HostEntry]:
     first: dict[str, HostEntry] = {}
     for host in ranked:
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_history.py
@@ -0,0 +1,109 @@
+"""What the callers of a model database were told, and its faults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from trefoilpulley_core.position import Position
+    from trefoilpulley_standins.explore_member import ModelMember
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """One write that a caller was told of."""
+
+    value: str
+    """Content of the write."""
+
+    term: int
+    """Term of the primary."""
+
+    time: float
+    """Time of the acknowledgement, in seconds."""
+
+
+@dataclass(slots=True)
+class WriteHistory:
+    """Writes of the callers and what became of them."""
+
+    waiting: dict[str, Position] = field(default_factory=dict)
+    """Writes that wait for their copies."""
+
+    acknowledged: list[Acknowledged] = field(default_factory=list)
+    """Writes that the callers were told of, in order."""
+
+    primaries: dict[int, set[str]] = field(default_factory=dict)
+    """Members that acknowledged writes, by term."""
+
+    def begin(self, value: str, position: Position) -> None:
+        """Note a write that a primary has taken."""
+        self.waiting[value] = position
+
+    def acknowledge(
+        self, primary: ModelMember, copies: int, now: float
+    ) -> None:
+        """Acknowledge the primary's writes that have their copies."""
+        suffix = f'@{primary.name}'
+        ready = [
+            value
+            for value, position in self.waiting.items()
+            if position.term == primary.term
+            and value.endswith(suffix)
+            and primary.copies_of(position) >= copies
+        ]
+        for value in ready:
+            del self.waiting[value]
+            self.acknowledged.append(Acknowledged(value, primary.term, now))
+            names = self.primaries.setdefault(primary.term, set())
+            names.add(primary.name)
+
+    def faults(self, members: Iterable[ModelMember]) -> list[str]:
+        """Return every breach of what must always hold."""
+        return [
+            *self._double_leads(),
+            *self._late_acknowledgements(),
+            *self._lost_writes(members),
+        ]
+
+    def gap_s(self, after: float) -> float:
+        """Return the longest time without an acknowledgement.
+
+        Parameters
+        ----------
+        after : float
+            Time from which acknowledgements count, in seconds.
+        """
+        times = [a.time for a in self.acknowledged if a.time >= after]
+        pairs = zip(times, times[1:])
+        return max((b - a for a, b in pairs), default=float('inf'))
+
+    def _double_leads(self) -> list[str]:
+        return [
+            f'term {term} acknowledged by {sorted(names)}'
+            for term, names in self.primaries.items()
+            if len(names) > 1
+        ]
+
+    def _late_acknowledgements(self) -> list[str]:
+        highest = 0
+        late: list[str] = []
+        for one in self.acknowledged:
+            if one.term < highest:
+                late.append(f'{one.value} acknowledged by an old primary')
+            highest = max(highest, one.term)
+        return late
+
+    def _lost_writes(self, members: Iterable[ModelMember]) -> list[str]:
+        leaders = [m for m in members if m.is_primary]
+        leader = max(leaders, key=lambda m: m.term, default=None)
+        if leader is None:
+            return []
+        held = {entry.value for entry in leader.log}
+        return [
+            f'{a.value} lost' for a in self.acknowledged if a.value not in held
+        ]
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_host.py
@@ -0,0 +1,298 @@
+"""Model of a host that runs the coordination decisions."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.coordination.commands import CallDone
+from trefoilpulley_core.coordination.commands import CallMember
+from trefoilpulley_core.coordination.commands import LoadShard
+from trefoilpulley_core.coordination.commands import Notice
+from trefoilpulley_core.coordination.commands import StoreShard
+from trefoilpulley_core.coordination.database import Surroundings
+from trefoilpulley_core.coordination.duty import Duty
+from trefoilpulley_core.coordination.duty import GrantLease
+from trefoilpulley_core.coordination.duty import KeepAlive
+from trefoilpulley_core.coordination.duty import ReadDuty
+from trefoilpulley_core.coordination.duty import ReleaseDuty
+from trefoilpulley_core.coordination.duty import TakeDuty
+from trefoilpulley_core.coordination.layout import stopped_zones
+from trefoilpulley_core.coordination.shard_coordinator import ShardCoordinator
+from trefoilpulley_core.coordination.shard_coordinator import STANDBY_WAKE_S
+from trefoilpulley_core.coordination.terms import holder_name
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.keys import duty_key
+from trefoilpulley_core.keys import shard_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.coordination.commands import Command
+    from trefoilpulley_core.coordination.duty import DutyCommand
+    from trefoilpulley_standins.explore_world import World
+
+SERVICE_TIMEOUT_S = 0.5
+"""Time after which a call to the service counts as failed."""
+
+LEASE_TTL_S = 3.0
+"""Time to live of a lease."""
+
+
+class ModelHost:
+    """One host in a `World`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host.
+    zone : str
+        Availability zone.
+    world : World
+        Members, service and links.
+    """
+
+    def __init__(self, name: str, zone: str, world: World) -> None:
+        self._world = world
+        self._paused_until = 0.0
+        self._held: list[Callable[[], None]] = []
+        self.name = name
+        """Name of the host."""
+
+        self.zone = zone
+        """Availability zone."""
+
+        self.is_up = True
+        """Whether the process runs."""
+
+        self.holder = holder_name(name, 1)
+        """Name under which it holds terms."""
+
+        self.duty = Duty(self.holder)
+        """Decisions on duties."""
+
+        self.shards: dict[int, ShardCoordinator] = {}
+        """Shards of interest."""
+
+        self.notices: list[tuple[float, Notice]] = []
+        """What it reported, with the time."""
+
+    @property
+    def acts(self) -> bool:
+        """Whether the host coordinates now."""
+        now = self._world.now
+        return self.is_up and any(
+            self.duty.may_act(number, now) for number in self.shards
+        )
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._world.after(0.0, self._tick)
+
+    def pause(self, duration_s: float) -> None:
+        """Stop the process for a while without its knowledge."""
+        self._paused_until = self._world.now + duration_s
+
+    def _when_running(self, action: Callable[[], None]) -> Callable[[], None]:
+        def run() -> None:
+            if not self.is_up:
+                return
+            if self._world.now < self._paused_until:
+                self._world.at(self._paused_until, run)
+                return
+            action()
+
+        return run
+
+    def _tick(self) -> None:
+        self._when_running(self._tick_now)()
+
+    def _tick_now(self) -> None:
+        world = self._world
+        databases = (world.entry,)
+        for command in self.duty.on_tick(
+            world.live_hosts, databases, world.now
+        ):
+            self._run_duty(command)
+        for number in self.duty.views:
+            if number not in self.shards:
+                self.shards[number] = ShardCoordinator(number, self.holder)
+        around = Surroundings(
+            world.entry,
+            stopped_zones(world.declarations, world.entry),
+            is_service_up=self.duty.is_service_up,
+        )
+        for number, shard in self.shards.items():
+            acts = self.duty.may_act(number, world.now)
+            self._carry_out(shard, shard.on_tick((around,), acts, world.now))
+        wakes = (s.wake_s for s in self.shards.values())
+        world.after(min(wakes, default=STANDBY_WAKE_S), self._tick)
+
+    def _carry_out(
+        self, shard: ShardCoordinator, out: tuple[Command, ...]
+    ) -> None:
+        for command in out:
+            match command:
+                case CallMember():
+                    self._call_member(shard, command)
+                case LoadShard() | StoreShard():
+                    self._call_records(shard, command)
+                case Notice():
+                    self.notices.append((self._world.now, command))
+
+    def _call_member(self, shard: ShardCoordinator, call: CallMember) -> None:
+        sent_at = self._world.now
+        is_open = True
+
+        def finish(result: Any) -> None:
+            nonlocal is_open
+            if not is_open:
+                return
+            is_open = False
+            is_from_pooler = not isinstance(
+                result, Success
+            ) and not isinstance(result.failure(), PeerUnreachable)
+            done = CallDone(call, sent_at, result, is_from_pooler)
+            now = self._world.now
+            acts = self.duty.may_act(shard.shard, now)
+            self._carry_out(shard, shard.on_call_done(done, acts, now))
+
+        def reply(result: Any) -> None:
+            self._when_running(lambda: finish(result))()
+
+        self._world.call_member(
+            self.zone, call.member, call.message, call.timeout_s, reply
+        )
+        lost = Failed(PeerUnreachable())
+        self._world.after(call.timeout_s, lambda: reply(lost))
+
+    def _call_service(
+        self,
+        serve: Callable[[], Any],
+        take: Callable[[Any], None],
+        fail: Callable[[bool], None],
+    ) -> None:
+        world = self._world
+        is_cut = self.zone in world.cut_from_service
+        if is_cut or not world.service.is_up:
+            world.after(
+                SERVICE_TIMEOUT_S, self._when_running(lambda: fail(False))
+            )
+            return
+
+        def arrive() -> None:
+            answer = serve()
+            if world.service.loses_answers:
+                world.after(
+                    SERVICE_TIMEOUT_S, self._when_running(lambda: fail(True))
+                )
+                return
+            world.after(
+                world.service.delay_s / 2,
+                self._when_running(lambda: take(answer)),
+            )
+
+        world.after(world.service.delay_s / 2, arrive)
+
+    def _call_records(
+        self, shard: ShardCoordinator, command: LoadShard | StoreShard
+    ) -> None:
+        service = self._world.service
+        key = shard_key(command.shard)
+        sent_at = self._world.now
+
+        def take(answer: Any) -> None:
+            now = self._world.now
+            self.duty.on_answer(sent_at)
+            if isinstance(command, LoadShard):
+                value = answer.value if answer else b''
+                revision = answer.revision if answer else 0
+                out = shard.on_loaded(value, revision, now)
+            elif answer is None:
+                out = shard.on_store_unsure(now)
+            else:
+                out = shard.on_stored(answer, now)
+            self._carry_out(shard, out)
+
+        def fail(is_unsure: bool) -> None:
+            now = self._world.now
+            self.duty.on_failure(sent_at, now)
+            if is_unsure and isinstance(command, StoreShard):
+                self._carry_out(shard, shard.on_store_unsure(now))
+            else:
+                self._carry_out(shard, shard.on_service_down(now))
+
+        def serve() -> Any:
+            if isinstance(command, LoadShard):
+                return service.read(key)
+            return service.swap(key, command.expected_revision, command.value)
+
+        self._call_service(serve, take, fail)
+
+    def _run_duty(self, command: DutyCommand) -> None:
+        match command:
+            case GrantLease() | KeepAlive():
+                self._lease(command)
+            case ReadDuty(shard) | TakeDuty(shard) | ReleaseDuty(shard):
+                self._run_shard_duty(shard, command)
+
+    def _lease(self, command: GrantLease | KeepAlive) -> None:
+        service = self._world.service
+        sent_at = self._world.now
+
+        def serve() -> int | None:
+            now = self._world.now
+            if isinstance(command, GrantLease):
+                return service.grant(LEASE_TTL_S, now)
+            is_kept = service.renew(command.lease_id, LEASE_TTL_S, now)
+            return command.lease_id if is_kept else None
+
+        def take(lease_id: int | None) -> None:
+            if lease_id is None:
+                self.duty.on_lease_lost(sent_at)
+            else:
+                self.duty.on_lease(lease_id, LEASE_TTL_S, sent_at)
+
+        def fail(is_unsure: bool) -> None:
+            self.duty.on_lease_failed(sent_at, self._world.now)
+
+        self._call_service(serve, take, fail)
+
+    def _run_shard_duty(self, shard: int, command: DutyCommand) -> None:
+        service = self._world.service
+        sent_at = self._world.now
+        key = duty_key(shard)
+
+        def serve() -> Any:
+            match command:
+                case TakeDuty(_, lease_id):
+                    value = self.holder.encode()
+                    return service.swap(key, 0, value, lease_id)
+                case ReleaseDuty(_, revision):
+                    current = service.values.get(key)
+                    if current and current.revision == revision:
+                        del service.values[key]
+                    return None
+            return service.read(key)
+
+        def take(answer: Any) -> None:
+            now = self._world.now
+            if isinstance(command, TakeDuty) and answer is not None:
+                self.duty.on_taken(shard, answer, sent_at)
+            elif isinstance(command, TakeDuty):
+                self.duty.on_call_failed(shard, sent_at, True, now)
+            elif answer is None:
+                self.duty.on_read(shard, '', 0, 0, sent_at)
+            else:
+                holder = answer.value.decode()
+                self.duty.on_read(
+                    shard, holder, answer.lease_id, answer.revision, sent_at
+                )
+
+        def fail(is_unsure: bool) -> None:
+            self.duty.on_call_failed(shard, sent_at, False, self._world.now)
+
+        self._call_service(serve, take, fail)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_schedules.py
@@ -0,0 +1,152 @@
+"""Seeded schedules of several faults against the coordination.
+
+``python -m trefoilpulley_standins.explore_schedules --count 200`` runs
+so many schedules and prints each that breaks a rule, with its seed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import random
+
+import click
+
+from trefoilpulley_standins.explore_script import Stage
+from trefoilpulley_standins.explore_script import Step
+
+FAULTS_FROM_S = 8.0
+"""Time of the first fault."""
+
+FAULTS_UNTIL_S = 28.0
+"""Time of the last fault."""
+
+HEALED_S = 40.0
+"""Time at which every fault ends."""
+
+SETTLED_S = 160.0
+"""Time by which the home layout must stand again."""
+
+ZONES = ('a', 'b', 'c', 'd')
+"""Availability zones; the first three have members."""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Outcome of one schedule."""
+
+    faults: tuple[str, ...]
+    """Breaches of what must always hold."""
+
+    is_settled: bool
+    """Whether the home primary leads and writes are acknowledged."""
+
+    promotions: int
+    """Promotions that began."""
+
+
+def make_schedule(rng: random.Random, fault_count: int) -> tuple[Step, ...]:
+    """Return faults at random times, the first one a lost primary."""
+    steps = [Step(FAULTS_FROM_S, *_lost_primary(rng))]
+    for _ in range(fault_count):
+        time = rng.uniform(FAULTS_FROM_S - 1.0, FAULTS_UNTIL_S)
+        steps.append(Step(round(time, 3), *_any_fault(rng)))
+        end = time + rng.choice((0.2, 1.0, 4.0, 12.0))
+        steps.append(Step(round(end, 3), *_any_end(rng)))
+    return tuple(sorted(steps, key=lambda s: s.time))
+
+
+def run_schedule(steps: tuple[Step, ...], seed: int) -> Verdict:
+    """Play a schedule, end the faults and judge what came of it."""
+    stage = Stage(ZONES, 0.005, seed, write_every_s=0.1)
+    for step in steps:
+        stage.plan(step)
+    stage.plan(Step(HEALED_S, 'healed'))
+    for zone in ZONES:
+        stage.plan(Step(HEALED_S, 'stop-cancelled', (zone,)))
+    for member in stage.world.entry.members:
+        stage.plan(Step(HEALED_S, 'member-staying', (member.name,)))
+    stage.world.run_until(SETTLED_S)
+    return judge(stage)
+
+
+def judge(stage: Stage) -> Verdict:
+    """Return what came of a stage."""
+    world = stage.world
+    leader = world.leader()
+    last = world.history.acknowledged[-1].time
+    home = world.entry.members[0].name
+    is_home = leader is not None and leader.name == home
+    names = [type(n).__name__ for h in stage.hosts for _, n in h.notices]
+    return Verdict(
+        tuple(world.history.faults(world.members.values())),
+        is_home and last > world.now - 1.0,
+        names.count('PromotionBegan'),
+    )
+
+
+def _lost_primary(rng: random.Random) -> tuple[str, tuple[str, ...]]:
+    return rng.choice(
+        (
+            ('member-down', ('primary',)),
+            ('member-isolated', ('primary',)),
+            ('member-unpooled', ('primary',)),
+            ('zone-cut', ('a',)),
+            ('stop-planned', ('a',)),
+            ('member-leaving', ('primary',)),
+        )
+    )
+
+
+def _any_fault(rng: random.Random) -> tuple[str, tuple[str, ...]]:
+    zone = rng.choice(ZONES)
+    member = f'ledger/0/{rng.choice(ZONES[:3])}'
+    pause_s = str(rng.choice((0.3, 1.5, 5.0)))
+    return rng.choice(
+        (
+            ('member-down', (member,)),
+            ('member-down', ('primary',)),
+            ('member-isolated', ('primary',)),
+            ('member-unpooled', (member,)),
+            ('zone-cut', (zone,)),
+            ('link-cut', tuple(rng.sample(ZONES, 2))),
+            ('service-down', ()),
+            ('service-slow', ()),
+            ('service-silent', ()),
+            ('host-paused', ('acting', pause_s)),
+            ('host-down', ('acting',)),
+            ('stop-planned', (zone,)),
+            ('member-leaving', (member,)),
+        )
+    )
+
+
+def _any_end(rng: random.Random) -> tuple[str, tuple[str, ...]]:
+    zone = rng.choice(ZONES)
+    return rng.choice(
+        (
+            ('healed', ()),
+            ('service-up', ()),
+            ('zone-joined', (zone,)),
+            ('stop-cancelled', (zone,)),
+        )
+    )
+
+
+@click.command()
+@click.option('--count', default=200, help='Schedules to run.')
+@click.option('--first-seed', default=0, help='Seed of the first one.')
+def main(count: int, first_seed: int) -> None:
+    """Run schedules of two and three faults and print the breaches."""
+    broken = 0
+    for seed in range(first_seed, first_seed + count):
+        steps = make_schedule(random.Random(seed), 1 + seed % 2)
+        verdict = run_schedule(steps, seed)
+        if verdict.faults or not verdict.is_settled:
+            broken += 1
+            click.echo(f'seed {seed}: {verdict}')
+    click.echo(f'{count} schedules, {broken} broken')
+    raise SystemExit(broken > 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_script.py
@@ -0,0 +1,284 @@
+"""Faults and orders that a trace or a schedule plays on a world."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+import random
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.catalog import Presence
+from trefoilpulley_core.declarations import PlannedStop
+from trefoilpulley_standins.explore_host import ModelHost
+from trefoilpulley_standins.explore_world import World
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_NOWHERE = Endpoint('127.0.0.1', 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One line of a trace."""
+
+    time: float
+    """Virtual time in seconds."""
+
+    event: str
+    """Kind of the event, such as ``member-down``."""
+
+    parties: tuple[str, ...] = ()
+    """Members, zones or hosts that it strikes."""
+
+
+class Stage:
+    """A world with its hosts, and the events that strike them.
+
+    Parameters
+    ----------
+    zones : tuple[str, ...]
+        Availability zones.
+    one_way_s : float
+        Delay between two zones.
+    seed : int
+        Seed of the delays.
+    host_count : int
+        Number of hosts, spread over the zones.
+    lag_s : float
+        Time for which replicas hold records back.
+    write_every_s : float
+        Time between two writes of the callers.
+    """
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        one_way_s: float,
+        seed: int,
+        host_count: int = 7,
+        lag_s: float = 0.0,
+        write_every_s: float = 0.01,
+    ) -> None:
+        rng = random.Random(seed)
+        self.zones = zones
+        """Availability zones."""
+
+        self.world = World(zones, one_way_s, rng, lag_s, write_every_s)
+        """Members, service and links."""
+
+        self.hosts = [
+            ModelHost(f'h{i}', zones[i % len(zones)], self.world)
+            for i in range(host_count)
+        ]
+        """Hosts, dead ones too."""
+
+        self._list_hosts()
+        for host in self.hosts:
+            host.start()
+        self.world.start_traffic()
+
+    @property
+    def acting(self) -> list[ModelHost]:
+        """Hosts that coordinate now."""
+        return [h for h in self.hosts if h.acts]
+
+    def plan(self, step: Step) -> None:
+        """Have an event happen at its time."""
+        self.world.at(step.time, lambda: self.play(step))
+
+    def play(self, step: Step) -> None:
+        """Have an event happen now."""
+        _EVENTS[step.event](self, step.parties)
+
+    def heal(self) -> None:
+        """End every fault."""
+        world = self.world
+        world.cut_links.clear()
+        world.isolated.clear()
+        world.unpooled.clear()
+        world.cut_from_service.clear()
+        world.service.is_up = True
+        world.service.loses_answers = False
+        world.service.delay_s = 0.002
+        for member in world.members.values():
+            member.is_up = True
+
+    def find_host(self, name: str) -> ModelHost | None:
+        """Return a host; ``acting`` stands for the one with the duty."""
+        if name == 'acting':
+            return next(iter(self.acting), None)
+        return next(h for h in self.hosts if h.name == name)
+
+    def find_member(self, name: str) -> str:
+        """Return a member's name; ``primary`` stands for the leader."""
+        leader = self.world.leader()
+        if name == 'primary' and leader is not None:
+            return leader.name
+        if name == 'primary':
+            return self.world.entry.members[0].name
+        return name
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others and from the service."""
+        for other in self.zones:
+            if other != zone:
+                self.world.cut_links.add(frozenset((zone, other)))
+        self.world.cut_from_service.add(zone)
+
+    def join_zone(self, zone: str) -> None:
+        """Join a zone again."""
+        kept = {pair for pair in self.world.cut_links if zone not in pair}
+        self.world.cut_links = kept
+        self.world.cut_from_service.discard(zone)
+
+    def kill_host(self, host: ModelHost | None) -> None:
+        """End a host's process; the others learn of it later."""
+        if host is None:
+            return
+        host.is_up = False
+        self.world.after(1.0, self._list_hosts)
+
+    def set_presence(self, name: str, presence: Presence) -> None:
+        """Change the platform's list of members."""
+        members = tuple(
+            replace(m, presence=presence) if m.name == name else m
+            for m in self.world.entry.members
+        )
+        self.world.entry = replace(self.world.entry, members=members)
+
+    def plan_stop(self, zone: str) -> None:
+        """Declare a planned stop."""
+        stop = PlannedStop(f'stop-{zone}', self.world.entry.ledger, zone)
+        stops = (*self.world.declarations.stops, stop)
+        declared = replace(self.world.declarations, stops=stops)
+        self.world.declarations = declared
+
+    def cancel_stop(self, zone: str) -> None:
+        """Withdraw a planned stop."""
+        stops = self.world.declarations.stops
+        kept = tuple(s for s in stops if s.zone != zone)
+        declared = replace(self.world.declarations, stops=kept)
+        self.world.declarations = declared
+
+    def _list_hosts(self) -> None:
+        self.world.live_hosts = tuple(
+            HostEntry(h.name, 'region', h.zone, _NOWHERE, _NOWHERE)
+            for h in self.hosts
+            if h.is_up
+        )
+
+
+def _member_down(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.members[stage.find_member(parties[0])].is_up = False
+
+
+def _member_up(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.members[stage.find_member(parties[0])].is_up = True
+
+
+def _member_isolated(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.isolated.add(stage.find_member(parties[0]))
+
+
+def _member_joined(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.isolated.discard(parties[0])
+
+
+def _member_unpooled(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.unpooled.add(stage.find_member(parties[0]))
+
+
+def _member_pooled(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.unpooled.discard(parties[0])
+
+
+def _member_leaving(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.set_presence(stage.find_member(parties[0]), Presence.LEAVING)
+
+
+def _member_staying(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.set_presence(parties[0], Presence.LIVE)
+
+
+def _zone_cut(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.cut_zone(parties[0])
+
+
+def _zone_joined(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.join_zone(parties[0])
+
+
+def _link_cut(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.cut_links.add(frozenset(parties))
+
+
+def _link_joined(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.cut_links.discard(frozenset(parties))
+
+
+def _service_down(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.service.is_up = False
+
+
+def _service_slow(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.service.delay_s = 0.8
+
+
+def _service_silent(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.service.loses_answers = True
+
+
+def _service_up(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.world.service.is_up = True
+    stage.world.service.loses_answers = False
+    stage.world.service.delay_s = 0.002
+
+
+def _host_paused(stage: Stage, parties: tuple[str, ...]) -> None:
+    host = stage.find_host(parties[0])
+    if host is not None:
+        host.pause(float(parties[1]))
+
+
+def _host_down(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.kill_host(stage.find_host(parties[0]))
+
+
+def _stop_planned(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.plan_stop(parties[0])
+
+
+def _stop_cancelled(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.cancel_stop(parties[0])
+
+
+def _healed(stage: Stage, parties: tuple[str, ...]) -> None:
+    stage.heal()
+
+
+_EVENTS: dict[str, Callable[[Stage, tuple[str, ...]], None]] = {
+    'member-down': _member_down,
+    'member-up': _member_up,
+    'member-isolated': _member_isolated,
+    'member-joined': _member_joined,
+    'member-unpooled': _member_unpooled,
+    'member-pooled': _member_pooled,
+    'member-leaving': _member_leaving,
+    'member-staying': _member_staying,
+    'zone-cut': _zone_cut,
+    'zone-joined': _zone_joined,
+    'link-cut': _link_cut,
+    'link-joined': _link_joined,
+    'service-down': _service_down,
+    'service-slow': _service_slow,
+    'service-silent': _service_silent,
+    'service-up': _service_up,
+    'host-paused': _host_paused,
+    'host-down': _host_down,
+    'stop-planned': _stop_planned,
+    'stop-cancelled': _stop_cancelled,
+    'healed': _healed,
+}
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_world.py
@@ -0,0 +1,347 @@
+"""Small world on a virtual clock around the coordination decisions.
+
+Members, the platform's service, callers' writes and the links between
+zones are models; the decisions are the product's own.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import heapq
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.catalog import DatabaseEntry
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.catalog import MemberEntry
+from trefoilpulley_core.declarations import Declarations
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import StaleTerm
+from trefoilpulley_core.peer import FenceMember
+from trefoilpulley_core.peer import FollowMember
+from trefoilpulley_core.peer import GetStatus
+from trefoilpulley_core.peer import PauseReport
+from trefoilpulley_core.peer import PauseWrites
+from trefoilpulley_core.peer import PooledDone
+from trefoilpulley_core.peer import PromoteMember
+from trefoilpulley_core.peer import ResumeWrites
+from trefoilpulley_core.peer import StatusReport
+from trefoilpulley_standins.explore_history import WriteHistory
+from trefoilpulley_standins.explore_member import ModelMember
+from trefoilpulley_standins.explore_service import ModelService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from trefoilpulley_core.position import Position
+
+REPLICATE_S = 0.02
+"""Time between two messages from a primary to a replica."""
+
+MEMBER_DELAY_S = 0.001
+"""One-way delay between a pooler and its member."""
+
+WRITE_S = 0.004
+"""Time for which a write holds its slot."""
+
+_NOWHERE = Endpoint('127.0.0.1', 1)
+
+
+@dataclass(slots=True)
+class Hold:
+    """Hold of the writes of one member."""
+
+    handover_id: str = ''
+    """Handover that holds them."""
+
+    until: float = 0.0
+    """End of the hold."""
+
+
+class World:
+    """Members, service, links and callers on a virtual clock.
+
+    Parameters
+    ----------
+    zones : tuple[str, ...]
+        Availability zones; the first three have a member each.
+    one_way_s : float
+        Delay between two zones.
+    rng : random.Random
+        Source of the delays' jitter.
+    lag_s : float
+        Time for which replicas hold records back.
+    write_every_s : float
+        Time between two writes of the callers.
+    """
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        one_way_s: float,
+        rng: random.Random,
+        lag_s: float = 0.0,
+        write_every_s: float = 0.01,
+    ) -> None:
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._one_way_s = one_way_s
+        self._rng = rng
+        self._lag_s = lag_s
+        self._write_every_s = write_every_s
+        self._writes = itertools.count(1)
+        self._running: dict[str, int] = {}
+        self.now = 0.0
+        """Virtual time in seconds."""
+
+        self.service = ModelService()
+        """The platform's service."""
+
+        self.cut_links: set[frozenset[str]] = set()
+        """Pairs of zones that cannot reach each other."""
+
+        self.isolated: set[str] = set()
+        """Members that nothing reaches."""
+
+        self.unpooled: set[str] = set()
+        """Members that their own zone's hosts cannot reach."""
+
+        self.cut_from_service: set[str] = set()
+        """Zones that cannot reach the platform's service."""
+
+        self.entry = _make_database(zones)
+        """The database."""
+
+        self.declarations = Declarations()
+        """Declarations in force."""
+
+        self.live_hosts: tuple[HostEntry, ...] = ()
+        """Hosts as every host sees them."""
+
+        self.holds = {m.name: Hold() for m in self.entry.members}
+        """Holds of writes by member."""
+
+        self.members = _make_members(self.entry)
+        """Members by name."""
+
+        self.history = WriteHistory()
+        """What the callers were told."""
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        event = (max(time, self.now), next(self._order), action)
+        heapq.heappush(self._events, event)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self.at(self.now + delay_s, action)
+
+    def run_until(self, time: float) -> None:
+        """Run everything that happens until a time."""
+        while self._events and self._events[0][0] <= time:
+            self.now, _, action = heapq.heappop(self._events)
+            self.service.expire(self.now)
+            action()
+        self.now = time
+
+    def start_traffic(self) -> None:
+        """Begin to replicate and to write."""
+        self._replicate()
+        self._write()
+
+    def is_linked(self, one: str, other: str) -> bool:
+        """Return whether two zones reach each other."""
+        return frozenset((one, other)) not in self.cut_links
+
+    def delay_s(self, one: str, other: str) -> float:
+        """Return the delay of one message between two zones."""
+        base_s = MEMBER_DELAY_S if one == other else self._one_way_s
+        return base_s * (1 + 0.3 * self._rng.random())
+
+    def call_member(
+        self,
+        zone: str,
+        member: str,
+        message: Any,
+        timeout_s: float,
+        reply: Callable[[Any], None],
+    ) -> None:
+        """Carry a control message; reply once or never.
+
+        Parameters
+        ----------
+        zone : str
+            Zone of the calling host.
+        member : str
+            Name of the member.
+        message : Any
+            Control message.
+        timeout_s : float
+            Unused here: the caller's host keeps its own time-out.
+        reply : Callable[[Any], None]
+            Called with a result.
+        """
+        target = self.members[member]
+        if not self.is_linked(zone, target.zone):
+            return
+        there_s = self.delay_s(zone, target.zone) + MEMBER_DELAY_S
+
+        def arrive() -> None:
+            if not self.is_linked(zone, target.zone):
+                return
+            result = self._serve(target, message)
+            back_s = MEMBER_DELAY_S + self.delay_s(target.zone, zone)
+            self.after(back_s, answer(result))
+
+        def answer(result: Any) -> Callable[[], None]:
+            return lambda: (
+                reply(result) if self.is_linked(zone, target.zone) else None
+            )
+
+        self.after(there_s, arrive)
+
+    def leader(self) -> ModelMember | None:
+        """Return the running member that leads the highest term."""
+        leaders = [m for m in self.members.values() if m.is_primary]
+        return max(leaders, key=lambda m: m.term, default=None)
+
+    def _serve(self, target: ModelMember, message: Any) -> Any:
+        hold = self.holds[target.name]
+        match message:
+            case PauseWrites(_, handover_id, hold_ms):
+                hold.handover_id = handover_id
+                hold.until = self.now + hold_ms / 1000
+                return Success(PauseReport(self._running.get(target.name, 0)))
+            case ResumeWrites(_, handover_id):
+                if hold.handover_id == handover_id:
+                    hold.until = 0.0
+                return Success(PooledDone())
+        if not self._is_pooled(target):
+            return Failed(NoUpstream())
+        if not self._apply(target, message):
+            return Failed(StaleTerm())
+        if isinstance(
+            message, GetStatus | FenceMember | PromoteMember | FollowMember
+        ):
+            return Success(StatusReport(target.status(self.now)))
+        return Success(PooledDone())
+
+    def _apply(self, target: ModelMember, message: Any) -> bool:
+        match message:
+            case FenceMember(_, term):
+                return target.fence(term, self.now)
+            case PromoteMember(_, term):
+                return target.promote(term)
+            case FollowMember(_, term, primary):
+                return target.follow(term, primary, self.now)
+        return True
+
+    def _is_pooled(self, member: ModelMember) -> bool:
+        if not member.is_up or member.name in self.isolated:
+            return False
+        return member.name not in self.unpooled
+
+    def _is_replicating(self, one: ModelMember, other: ModelMember) -> bool:
+        if not one.is_up or not other.is_up:
+            return False
+        if self.isolated & {one.name, other.name}:
+            return False
+        return self.is_linked(one.zone, other.zone)
+
+    def _replicate(self) -> None:
+        for primary in self.members.values():
+            if primary.is_primary:
+                self._send_log(primary)
+        self.after(REPLICATE_S, self._replicate)
+
+    def _send_log(self, primary: ModelMember) -> None:
+        term, log = primary.term, primary.log
+        for other in self.members.values():
+            if other is primary or not self._is_replicating(primary, other):
+                continue
+            delay_s = self.delay_s(primary.zone, other.zone)
+            self.after(
+                delay_s + self._lag_s,
+                lambda o=other: self._take_log(primary, o, term, log),
+            )
+
+    def _take_log(
+        self, primary: ModelMember, other: ModelMember, term: int, log: Any
+    ) -> None:
+        if not self._is_replicating(primary, other):
+            return
+        position = other.append(term, primary.name, log, self.now)
+        if position is None:
+            return
+        delay_s = self.delay_s(other.zone, primary.zone)
+        self.after(
+            delay_s,
+            lambda: self._take_confirm(primary, other, term, position),
+        )
+
+    def _take_confirm(
+        self,
+        primary: ModelMember,
+        other: ModelMember,
+        term: int,
+        position: Position,
+    ) -> None:
+        if self._is_replicating(primary, other):
+            primary.confirm(other.name, term, position)
+            self._acknowledge(primary)
+
+    def _acknowledge(self, primary: ModelMember) -> None:
+        if primary.name in self.unpooled:
+            return
+        self.history.acknowledge(primary, self.entry.majority, self.now)
+
+    def _write(self) -> None:
+        self.after(self._write_every_s, self._write)
+        value = f'w{next(self._writes)}'
+        for primary in list(self.members.values()):
+            if self._takes_writes(primary):
+                self._begin_write(primary, primary.term, value)
+
+    def _takes_writes(self, primary: ModelMember) -> bool:
+        is_held = self.now < self.holds[primary.name].until
+        return primary.is_primary and self._is_pooled(primary) and not is_held
+
+    def _begin_write(
+        self, primary: ModelMember, term: int, value: str
+    ) -> None:
+        name = primary.name
+        self._running[name] = self._running.get(name, 0) + 1
+
+        def finish() -> None:
+            self._running[name] -= 1
+            if not self._is_pooled(primary):
+                return
+            position = primary.write(term, f'{value}@{name}')
+            if position is not None:
+                self.history.begin(f'{value}@{name}', position)
+
+        self.after(WRITE_S, finish)
+
+
+def _make_database(zones: tuple[str, ...]) -> DatabaseEntry:
+    members = tuple(
+        MemberEntry(f'ledger/0/{zone}', zone, _NOWHERE, 2, 16)
+        for zone in zones[:3]
+    )
+    return DatabaseEntry('ledger/0', 'ledger', members)
+
+
+def _make_members(entry: DatabaseEntry) -> dict[str, ModelMember]:
+    home = entry.members[0].name
+    members = {
+        m.name: ModelMember(m.name, m.zone, primary=home, contact_at=0.0)
+        for m in entry.members
+    }
+    members[home].lead(1)
+    return members
