--- /dev/null
+++ b/features/steps/configuration_page_steps.py
@@ -0,0 +1,47 @@
+"""Steps on the page of the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from pathlib import Path
+import re
+from typing import Any
+
+from behave import then
+from behave import when
+
+from trefoilpulley_cli.settings import OperatorSettings
+from trefoilpulley_core.declarations_fault import FaultCode
+from trefoilpulley_node.settings import NodeSettings
+
+SUBJECTS = {
+    'fault of declarations': set(FaultCode),
+    'setting of the process': {f.name for f in fields(NodeSettings)},
+    'setting of the command line': {f.name for f in fields(OperatorSettings)},
+}
+"""Words that must stand in the first column of a table."""
+
+
+class ConfigurationPageSteps:
+    """Steps that compare the page with the code."""
+
+    @staticmethod
+    @when('the tables of the page "{path}" are read')
+    def read_tables(context: Any, path: str) -> None:
+        """Collect the words of the first columns by section."""
+        context.words = {}
+        section = ''
+        for line in Path(path).read_text().splitlines():
+            if line.startswith('#'):
+                section = line.lstrip('# ')
+            elif line.startswith('| `'):
+                first = line.split('|')[1]
+                words = context.words.setdefault(section, set())
+                words.update(re.findall('`([^`]+)`', first))
+
+    @staticmethod
+    @then('each {subject} stands in the table of the section "{section}"')
+    def expect_words(context: Any, subject: str, section: str) -> None:
+        """Compare the words."""
+        found = context.words[section]
+        assert found == SUBJECTS[subject], found ^ SUBJECTS[subject]
--- a/packages/cli/src/trefoilpulley_cli/settings.py
+++ b/packages/cli/src/trefoilpulley_cli/settings.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InvalidOperatorSettings(Failure):
-    """The settings file can't be read or has faults."""
+    """The command line's settings can't be read or have faults."""
 
     code = 'invalid-operator-settings'
     run_state = RunState.NOT_RUN
