Wire membership, configuration, coordination and target policies

Cause: the process still read its documents by polling and promoted nobody. Change: composition root with the runners, target routing, deadline slots, connection budget and pacer, retry budget, admission by tenant, proof of leadership for reads of the present, release of members another host owns.

--- a/packages/core/src/trefoilpulley_core/peer.py
+++ b/packages/core/src/trefoilpulley_core/peer.py
@@ -121,6 +121,9 @@
     Only at a primary; 0 asks for none.
     """
 
+    needs_leader: bool = False
+    """Whether the member must surely lead when the read arrives."""
+
 
 @dataclass(frozen=True, slots=True)
 class PooledWrite:
--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+import random
 import time
 from typing import TYPE_CHECKING
 
-from trefoilpulley_core.membership.live_hosts import LiveHosts
-from trefoilpulley_core.membership.live_hosts import ZoneHosts
+from trefoilpulley_core.admission import Admission
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.configuration.holder import ConfigurationHolder
+from trefoilpulley_core.configuration.spread import DocumentSpread
+from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.retry_budget import RetryBudget
+from trefoilpulley_core.targets import ClassTargets
 from trefoilpulley_core.token import TokenCodec
 from trefoilpulley_node.clock import MonotonicClock
+from trefoilpulley_node.configuration_runner import ConfigurationRunner
+from trefoilpulley_node.coordination.driver import CoordinationDriver
+from trefoilpulley_node.coordination.situation import Situation
 from trefoilpulley_node.directory import Directory
 from trefoilpulley_node.entry.caller_server import CallerServer
 from trefoilpulley_node.entry.caller_server import EntryParts
@@ -19,8 +29,10 @@
 from trefoilpulley_node.entry.views import Views
 from trefoilpulley_node.etcd_gateway import EtcdGateway
 from trefoilpulley_node.etcd_platform import EtcdPlatform
+from trefoilpulley_node.membership_runner import MembershipRunner
 from trefoilpulley_node.metrics import Metrics
 from trefoilpulley_node.node import Node
+from trefoilpulley_node.notice_log import NoticeLog
 from trefoilpulley_node.peer_server import PeerServer
 from trefoilpulley_node.peers import Peers
 from trefoilpulley_node.pipeline.admit import Admit
@@ -35,117 +47,262 @@
 from trefoilpulley_node.pipeline.session_floor import SessionFloor
 from trefoilpulley_node.policies import make_routing
 from trefoilpulley_node.policies import make_slot_queue
+from trefoilpulley_node.pool_owner import PoolOwner
 from trefoilpulley_node.pooler.pooler import Pooler
 from trefoilpulley_node.pooler.pooler_state import dump_pooler
-from trefoilpulley_node.stored_documents import StoredDocuments
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.listener import Listener
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
 if TYPE_CHECKING:
+    from trefoilpulley_core.configuration.messages import DocumentKind
+    from trefoilpulley_core.declarations import Declarations
     from trefoilpulley_node.settings import NodeSettings
 
 
-def compose(cfg: NodeSettings) -> Node:
-    """Return the wired process of one entry host."""
-    clock = MonotonicClock()
-    incarnation = time.time_ns()
-    platform = EtcdPlatform(
-        EtcdGateway(f'http://{cfg.platform.address}:{cfg.platform.port}')
-    )
-    documents = StoredDocuments(platform)
-
-    def get_live() -> LiveHosts:
-        zones = sorted({h.zone for h in documents.catalog.hosts})
-        return LiveHosts(
-            cfg.region,
-            0,
-            tuple(
-                ZoneHosts(
-                    z,
-                    cfg.region,
-                    tuple(
-                        sorted(
-                            h.name
-                            for h in documents.catalog.hosts
-                            if h.zone == z
-                        )
-                    ),
-                )
-                for z in zones
+class Composition:
+    """Builds each part once, on first use.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Settings of the process.
+    """
+
+    def __init__(self, cfg: NodeSettings) -> None:
+        self._cfg = cfg
+        self._clock = MonotonicClock()
+        self._incarnation = time.time_ns()
+        self._rng = random.Random(self._incarnation)
+        self._targets = ClassTargets()
+        self._tokens = TokenCodec(cfg.deployment, cfg.token_keys)
+        self._state = StateSource(cfg.operator_secret)
+
+    def compose(self) -> Node:
+        """Return the wired process."""
+        self._connect_services()
+        self._register_state()
+        return Node(
+            self._cfg,
+            (
+                self._documents,
+                self._membership,
+                self._views,
+                self._pool_owner,
+                self._coordination,
             ),
+            self._membership,
+            self._callers,
+            self._peer_listener,
+            self._admit,
+            self._pooler,
+            self._peers,
+            self._transactions,
         )
 
-    def get_declarations():
-        return documents.configuration.declarations
-
-    directory = Directory(lambda: documents.catalog, get_live)
-    peer_server = PeerServer(cfg.host, incarnation, cfg.peer_secret)
-    peers = Peers(
-        PeerHello(cfg.host, cfg.zone, incarnation, cfg.peer_secret),
-        peer_server,
-        directory.find_peer_endpoint,
-        directory.find_pooler,
-    )
-    pooler = Pooler(
-        clock,
-        lambda member: make_slot_queue(cfg.slots, member),
-        directory.find_database,
-        directory.find_member,
-    )
-    pooler.serve_on(peer_server, peers)
-    views = Views(clock, peers, get_declarations)
-    tokens = TokenCodec(cfg.deployment, cfg.token_keys)
-    router = Router(make_routing(cfg.routing), views, cfg.zone, clock)
-    executor = Executor(peers, views, clock)
-    confirm = Confirm(router, executor, views, clock)
-    admit = Admit()
-    authenticate = Authenticate(cfg.tenants, get_declarations)
-    state = StateSource(cfg.operator_secret)
-    parts = EntryParts(
-        cfg.host,
-        authenticate,
-        admit,
-        Pipeline(
+    @cached_property
+    def _platform(self) -> EtcdPlatform:
+        endpoint = self._cfg.platform
+        return EtcdPlatform(
+            EtcdGateway(f'http://{endpoint.address}:{endpoint.port}')
+        )
+
+    @cached_property
+    def _documents(self) -> ConfigurationRunner:
+        holder = ConfigurationHolder()
+        spread = DocumentSpread(self._cfg.host, self._cfg.zone, holder)
+        return ConfigurationRunner(holder, spread, self._platform, self._clock)
+
+    @cached_property
+    def _membership(self) -> MembershipRunner:
+        cfg = self._cfg
+        me = HostEntry(
+            cfg.host, cfg.region, cfg.zone, cfg.listen, cfg.peer_listen
+        )
+        membership = Membership(
+            me, self._incarnation, [s.name for s in cfg.seeds], self._rng
+        )
+        return MembershipRunner(membership, self._clock, cfg.seeds)
+
+    @cached_property
+    def _directory(self) -> Directory:
+        return Directory(
+            lambda: self._documents.catalog,
+            lambda: self._membership.live_hosts,
+        )
+
+    @cached_property
+    def _peer_server(self) -> PeerServer:
+        return PeerServer(
+            self._cfg.host, self._incarnation, self._cfg.peer_secret
+        )
+
+    @cached_property
+    def _peers(self) -> Peers:
+        cfg = self._cfg
+        return Peers(
+            PeerHello(cfg.host, cfg.zone, self._incarnation, cfg.peer_secret),
+            self._peer_server,
+            self._membership.find_peer_endpoint,
+            self._directory.find_pooler,
+        )
+
+    @cached_property
+    def _pooler(self) -> Pooler:
+        return Pooler(
+            self._clock,
+            lambda m: make_slot_queue(self._cfg.slots, m, self._targets),
+            self._directory.find_database,
+            self._directory.find_member,
+            self._peers,
+            self._rng,
+        )
+
+    @cached_property
+    def _pool_owner(self) -> PoolOwner:
+        return PoolOwner(self._cfg.host, self._directory, self._pooler)
+
+    @cached_property
+    def _coordination(self) -> CoordinationDriver:
+        return CoordinationDriver(
+            self._cfg.host,
+            self._incarnation,
+            self._platform,
+            self._peers,
+            self._observe,
+            self._clock,
+            NoticeLog(),
+        )
+
+    @cached_property
+    def _views(self) -> Views:
+        return Views(self._clock, self._peers, self._get_declarations)
+
+    @cached_property
+    def _router(self) -> Router:
+        policy = make_routing(self._cfg.routing, self._targets)
+        return Router(policy, self._views, self._cfg.zone, self._clock)
+
+    @cached_property
+    def _executor(self) -> Executor:
+        return Executor(self._peers, self._views, self._clock)
+
+    @cached_property
+    def _confirm(self) -> Confirm:
+        return Confirm(self._router, self._executor, self._views, self._clock)
+
+    @cached_property
+    def _admit(self) -> Admit:
+        return Admit(Admission(self._targets), self._clock)
+
+    @cached_property
+    def _authenticate(self) -> Authenticate:
+        return Authenticate(self._cfg.tenants, self._get_declarations)
+
+    @cached_property
+    def _transactions(self) -> EntryTransactions:
+        return EntryTransactions(
+            self._router,
+            self._peers,
+            self._confirm,
+            self._views,
+            self._clock,
+        )
+
+    @cached_property
+    def _prepare(self) -> Pipeline:
+        return Pipeline(
             (
-                authenticate,
-                Classify(get_declarations, directory.find_database),
-                SessionFloor(tokens),
-                admit,
+                self._authenticate,
+                Classify(
+                    self._get_declarations, self._directory.find_database
+                ),
+                SessionFloor(self._tokens),
+                self._admit,
             )
-        ),
-        Pipeline((Deliver(router, executor, confirm, views, clock),)),
-        EntryTransactions(router, peers, confirm, views, clock),
-        AnswerMaker(tokens),
-        tokens,
-        state,
-        Metrics(cfg.statsd),
-        clock,
-    )
-    callers = Listener(cfg.listen, CALLER_CODEC, CallerServer(parts))
-    peer_listener = Listener(cfg.peer_listen, PEER_CODEC, peer_server)
-    state.register(
-        'entry',
-        lambda: EntryState(
-            cfg.host,
-            cfg.zone,
-            len(callers.channels),
-            admit.running,
-            len(parts.transactions),
-            views.databases_in_use,
-            peers.open_channels,
-            admit.is_draining,
-            documents.configuration.revision,
-        ),
-    )
-    state.register('pooler', lambda: dump_pooler(pooler))
-    return Node(
-        cfg,
-        (documents, views),
-        callers,
-        peer_listener,
-        admit,
-        pooler,
-        peers,
-        parts.transactions,
-    )
+        )
+
+    @cached_property
+    def _deliver(self) -> Pipeline:
+        deliver = Deliver(
+            self._router,
+            self._executor,
+            self._confirm,
+            self._views,
+            RetryBudget(),
+            self._clock,
+        )
+        return Pipeline((deliver,))
+
+    @cached_property
+    def _callers(self) -> Listener:
+        parts = EntryParts(
+            self._cfg.host,
+            self._authenticate,
+            self._admit,
+            self._prepare,
+            self._deliver,
+            self._transactions,
+            AnswerMaker(self._tokens),
+            self._targets,
+            self._tokens,
+            self._state,
+            Metrics(self._cfg.statsd),
+            self._clock,
+        )
+        return Listener(self._cfg.listen, CALLER_CODEC, CallerServer(parts))
+
+    @cached_property
+    def _peer_listener(self) -> Listener:
+        return Listener(self._cfg.peer_listen, PEER_CODEC, self._peer_server)
+
+    def _get_declarations(self) -> Declarations:
+        return self._documents.configuration.declarations
+
+    def _observe(self) -> Situation:
+        live = self._membership.live_hosts
+        names = {host for zone in live.zones for host in zone.hosts}
+        catalog = self._documents.catalog
+        return Situation(
+            catalog,
+            self._get_declarations(),
+            tuple(h for h in catalog.hosts if h.name in names),
+        )
+
+    def _connect_services(self) -> None:
+        self._documents.serve_on(self._peer_server, self._peers)
+        self._membership.serve_on(self._peer_server, self._peers)
+        self._pooler.serve_on(self._peer_server)
+        self._documents.subscribe(self._on_document)
+        self._membership.subscribe_live(self._documents.on_live_hosts)
+        self._membership.subscribe_versions(self._documents.on_versions)
+
+    def _on_document(self, kind: DocumentKind) -> None:
+        self._targets.declare(self._get_declarations().classes)
+        self._membership.set_host_list(self._documents.catalog.hosts)
+        self._membership.set_versions(self._documents.versions)
+
+    def _register_state(self) -> None:
+        self._state.register('entry', self._dump_entry)
+        self._state.register('pooler', lambda: dump_pooler(self._pooler))
+        self._state.register('membership', self._membership.dump)
+        self._state.register('configuration', self._documents.dump)
+        self._state.register('coordination', self._coordination.dump)
+
+    def _dump_entry(self) -> EntryState:
+        return EntryState(
+            self._cfg.host,
+            self._cfg.zone,
+            len(self._callers.channels),
+            self._admit.running,
+            len(self._transactions),
+            self._views.databases_in_use,
+            self._peers.open_channels,
+            self._admit.is_draining,
+            self._targets.snapshot(self._clock.now()),
+        )
+
+
+def compose(cfg: NodeSettings) -> Node:
+    """Return the wired process of one entry host."""
+    return Composition(cfg).compose()
--- a/packages/node/src/trefoilpulley_node/directory.py
+++ b/packages/node/src/trefoilpulley_node/directory.py
@@ -9,7 +9,6 @@
 
     from trefoilpulley_core.catalog import Catalog
     from trefoilpulley_core.catalog import DatabaseEntry
-    from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.catalog import MemberEntry
     from trefoilpulley_core.membership.live_hosts import LiveHosts
 
@@ -35,7 +34,6 @@
         self._indexed: Catalog | None = None
         self._databases: dict[str, DatabaseEntry] = {}
         self._members: dict[str, tuple[DatabaseEntry, MemberEntry]] = {}
-        self._endpoints: dict[str, Endpoint] = {}
 
     def find_database(self, name: str) -> DatabaseEntry | None:
         """Return the database with a name, or ``None``."""
@@ -49,11 +47,6 @@
         self._index()
         return self._members.get(name)
 
-    def find_peer_endpoint(self, host: str) -> Endpoint | None:
-        """Return the peer address of a host, or ``None``."""
-        self._index()
-        return self._endpoints.get(host)
-
     def find_pooler(self, member: str) -> str | None:
         """Return the live host that pools a member, or ``None``."""
         found = self.find_member(member)
@@ -70,4 +63,3 @@
         self._members = {
             m.name: (d, m) for d in catalog.databases for m in d.members
         }
-        self._endpoints = {h.name: h.peer_endpoint for h in catalog.hosts}
--- a/packages/node/src/trefoilpulley_node/entry/caller_server.py
+++ b/packages/node/src/trefoilpulley_node/entry/caller_server.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.failure import NotAuthenticated
+from trefoilpulley_core.failure import NotRun
 from trefoilpulley_core.failure import OutcomeUnknown
 from trefoilpulley_core.token import SessionToken
 from trefoilpulley_node import events
@@ -21,7 +22,10 @@
 from trefoilpulley_wire.channel import Handler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.targets import ClassTargets
     from trefoilpulley_core.token import TokenCodec
     from trefoilpulley_node.entry.entry_transactions import EntryTransactions
     from trefoilpulley_node.entry.state import StateSource
@@ -69,6 +73,9 @@
     answers: AnswerMaker
     """Makes the answers."""
 
+    targets: ClassTargets
+    """How the classes do against their targets."""
+
     tokens: TokenCodec
     """Signs session tokens."""
 
@@ -127,7 +134,6 @@
     def _serve(self, serve: Any, message: Any, caller: CallerIdentity) -> Any:
         parts = self._parts
         started = parts.clock.now()
-        parts.admit.running += 1
         try:
             reply = serve(message, caller)
         except Exception as exc:  # a fault must not end the connection
@@ -135,8 +141,6 @@
                 message=type(message).__name__, error=repr(exc)
             )
             reply = refuse(OutcomeUnknown('internal error'))
-        finally:
-            parts.admit.running -= 1
         parts.metrics.time('request', 1000 * (parts.clock.now() - started))
         if isinstance(reply, messages.Refusal):
             parts.metrics.count(f'refused.{reply.code}')
@@ -163,8 +167,9 @@
     ) -> Any:
         if message.transaction:
             return self._on_run(message, caller)
-        prepared = self._prepare(message, caller)
-        return self._answer(prepared.bind(self._parts.deliver.run))
+        return self._answer(
+            self._admitted(message, caller, self._parts.deliver.run)
+        )
 
     def _on_run(
         self, message: messages.Execute, caller: CallerIdentity
@@ -186,14 +191,17 @@
     def _on_look_up(
         self, message: messages.LookUp, caller: CallerIdentity
     ) -> Any:
-        prepared = self._prepare(message, caller)
-        return self._answer(prepared.bind(self._parts.deliver.run))
+        return self._answer(
+            self._admitted(message, caller, self._parts.deliver.run)
+        )
 
     def _on_begin(
         self, message: messages.Begin, caller: CallerIdentity
     ) -> Any:
-        begun = self._prepare(message, caller).bind(
-            lambda req: self._parts.transactions.begin(req, caller.connection)
+        begun = self._admitted(
+            message,
+            caller,
+            lambda req: self._parts.transactions.begin(req, caller.connection),
         )
         if not isinstance(begun, Success):
             return refuse(begun.failure())
@@ -218,11 +226,34 @@
             return refuse(ended.failure())
         return messages.Done()
 
-    def _prepare(
-        self, message: Any, caller: CallerIdentity
-    ) -> Result[PipelineRequest, Failure]:
-        req = PipelineRequest(caller.tenant, message, self._parts.clock.now())
-        return self._parts.prepare.run(req)
+    def _admitted(
+        self,
+        message: Any,
+        caller: CallerIdentity,
+        work: Callable[[PipelineRequest], Result[Any, Failure]],
+    ) -> Result[Any, Failure]:
+        parts = self._parts
+        req = PipelineRequest(caller.tenant, message, parts.clock.now())
+        prepared = parts.prepare.run(req)
+        if not isinstance(prepared, Success):
+            return prepared
+        try:
+            result = work(prepared.unwrap())
+        finally:
+            parts.admit.finish(caller.tenant)
+        self._record(prepared.unwrap(), result)
+        return result
+
+    def _record(
+        self, req: PipelineRequest, result: Result[Any, Failure]
+    ) -> None:
+        now = self._parts.clock.now()
+        name = req.work_class.name
+        if isinstance(result, Success):
+            elapsed_s = now - req.arrived_at
+            self._parts.targets.record(name, elapsed_s, now)
+        elif isinstance(result.failure(), NotRun):
+            self._parts.targets.record_refusal(name, now)
 
     def _answer(self, result: Result[PipelineRequest, Failure]) -> Any:
         if not isinstance(result, Success):
--- a/packages/node/src/trefoilpulley_node/entry/entry_state.py
+++ b/packages/node/src/trefoilpulley_node/entry/entry_state.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from trefoilpulley_core.targets import ClassReport
+
 
 @dataclass(frozen=True, slots=True)
 class EntryState:
@@ -33,5 +35,5 @@
     is_draining: bool
     """Whether the host is leaving."""
 
-    configuration_revision: int
-    """Revision of the declarations in force."""
+    classes: tuple[ClassReport, ...]
+    """Each class of work against its target."""
--- a/packages/node/src/trefoilpulley_node/node.py
+++ b/packages/node/src/trefoilpulley_node/node.py
@@ -13,6 +13,7 @@
     from collections.abc import Sequence
 
     from trefoilpulley_node.entry.entry_transactions import EntryTransactions
+    from trefoilpulley_node.membership_runner import MembershipRunner
     from trefoilpulley_node.peers import Peers
     from trefoilpulley_node.pipeline.admit import Admit
     from trefoilpulley_node.pooler.pooler import Pooler
@@ -22,6 +23,9 @@
 DRAIN_POLL_S = 0.05
 """Time between looks at the running work while draining."""
 
+LEAVE_SETTLE_S = 1.0
+"""Time in which peers learn that this host leaves."""
+
 
 class Service(abc.ABC):
     """Part that works in the background."""
@@ -44,6 +48,8 @@
         Settings of the process.
     services : Sequence[Service]
         Background parts, in the order in which they start.
+    membership : MembershipRunner
+        Tells the peers that this host leaves.
     callers : Listener
         Connections of callers.
     peer_listener : Listener
@@ -62,6 +68,7 @@
         self,
         cfg: NodeSettings,
         services: Sequence[Service],
+        membership: MembershipRunner,
         callers: Listener,
         peer_listener: Listener,
         admit: Admit,
@@ -71,6 +78,7 @@
     ) -> None:
         self._cfg = cfg
         self._services = tuple(services)
+        self._membership = membership
         self._callers = callers
         self._peer_listener = peer_listener
         self._admit = admit
@@ -91,6 +99,9 @@
         events.HOST_DRAINING.log(host=self._cfg.host)
         self._admit.is_draining = True
         self._callers.stop_accepting()
+        self._membership.leave()
+        # Peers that have not heard of it yet still send pooled work.
+        gevent.sleep(LEAVE_SETTLE_S)
         with gevent.Timeout(self._cfg.drain_s, False):
             while self._has_work():
                 gevent.sleep(DRAIN_POLL_S)
--- a/packages/node/src/trefoilpulley_node/peers.py
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -17,6 +17,7 @@
 from trefoilpulley_core.peer import PeerHello
 from trefoilpulley_core.peer import PeerWelcome
 from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_node.coordination.situation import PoolerCaller
 from trefoilpulley_node.peer_server import PeerIdentity
 from trefoilpulley_wire.dial import dial
 from trefoilpulley_wire.peer_codec import PEER_CODEC
@@ -37,7 +38,7 @@
 _FAILURES = catalogue()
 
 
-class Peers:
+class Peers(PoolerCaller):
     """Channels to other hosts, opened on use and kept.
 
     Parameters
--- a/packages/node/src/trefoilpulley_node/pipeline/deliver.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/deliver.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.retry_budget import RetryBudget
     from trefoilpulley_core.routing import Route
     from trefoilpulley_node.entry.views import Views
     from trefoilpulley_node.pipeline.confirm import Confirm
@@ -57,6 +58,8 @@
         Settles uncertain writes.
     views : Views
         Tells of a change of primary.
+    retries : RetryBudget
+        Bounds the attempts after the first.
     clock : Clock
         Monotonic time.
     """
@@ -67,12 +70,14 @@
         executor: Executor,
         confirm: Confirm,
         views: Views,
+        retries: RetryBudget,
         clock: Clock,
     ) -> None:
         self._router = router
         self._executor = executor
         self._confirm = confirm
         self._views = views
+        self._retries = retries
         self._clock = clock
 
     def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
@@ -86,6 +91,7 @@
     def _deliver(self, req: PipelineRequest) -> Result[Delivered, Failure]:
         excluded: frozenset[str] = frozenset()
         is_uncertain = False
+        attempts = 0
         failure: Failure = NoUpstream('no member could be reached in time')
         while self._clock.now() < req.deadline:
             route = self._router.choose(req, excluded)
@@ -93,6 +99,11 @@
                 excluded = frozenset()
                 self._wait(req)
                 continue
+            member = route.unwrap().member
+            if not self._may_send(member, failure, attempts):
+                self._wait(req)
+                continue
+            attempts += 1
             result = self._executor.execute(req, route.unwrap())
             if isinstance(result, Success):
                 return result
@@ -104,6 +115,13 @@
             excluded = self._exclude(req, excluded, route.unwrap())
         return self._give_up(req, failure, is_uncertain)
 
+    def _may_send(self, member: str, failure: Failure, attempts: int) -> bool:
+        if not attempts:
+            self._retries.record_fresh(member)
+            return True
+        # The key of its outcome makes every write idempotent.
+        return self._retries.try_retry(member, failure, is_repeatable=True)
+
     def _exclude(
         self, req: PipelineRequest, excluded: frozenset[str], route: Route
     ) -> frozenset[str]:
--- a/packages/node/src/trefoilpulley_node/pipeline/execute.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -137,8 +137,9 @@
     return PooledRead(
         scope,
         Statement(req.message.sql, req.message.parameters),
-        req.floor or BEGINNING,
+        route.floor or req.floor or BEGINNING,
         freshness.max_age_ms,
         route.wait_ms,
         READ_CONFIRM_COPIES if needs_copies and route.is_primary else 0,
+        is_present,
     )
--- a/packages/node/src/trefoilpulley_node/pooler/age_prober.py
+++ b/packages/node/src/trefoilpulley_node/pooler/age_prober.py
@@ -75,6 +75,7 @@
             gevent.sleep(self._interval_s())
             if not self._member.is_primary:
                 self._probe()
+                self._ask_replica()
 
     def _interval_s(self) -> float:
         idle_s = self._clock.now() - self._member.last_aged_read
@@ -94,6 +95,15 @@
                 return
         self._primary = ''
 
+    def _ask_replica(self) -> None:
+        asked_at = self._clock.now()
+        status = self._member.monitor.control(lambda link: link.status())
+        if isinstance(status, Success):
+            found = status.unwrap()
+            self._member.age.on_replica(
+                found.history.last, asked_at, found.fenced_term
+            )
+
     def _probe_member(self, name: str) -> bool:
         sent_at = self._clock.now()
         reply = self._peers.call_pooler(
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/pooler/leadership_prover.py
@@ -0,0 +1,100 @@
+"""Proves that a pooled primary still leads, for reads of the present."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult
+from returns.result import Success
+
+from trefoilpulley_core.leadership import LeadershipProof
+from trefoilpulley_core.peer import GetStatus
+from trefoilpulley_core.peer import StatusReport
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.pooler.member_monitor import MemberMonitor
+
+ROUND_TIMEOUT_S = 0.3
+"""Longest wait for the members' answers in one round."""
+
+
+class LeadershipProver:
+    """Asks the members of a group; rounds serve all reads that wait.
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        Database group.
+    member : str
+        Name of the pooled member.
+    monitor : MemberMonitor
+        Way to the pooled member.
+    peers : Peers
+        Way to the other members.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        entry: DatabaseEntry,
+        member: str,
+        monitor: MemberMonitor,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        self._others = [m.name for m in entry.members if m.name != member]
+        self._majority = entry.majority
+        self._monitor = monitor
+        self._peers = peers
+        self._clock = clock
+        self._proof = LeadershipProof(len(entry.members))
+        self._round: AsyncResult | None = None
+
+    def prove(self, since: float) -> bool:
+        """Return whether the member surely led at a time or later."""
+        for _ in range(2):
+            if self._proof.is_proven_since(since):
+                return True
+            self._run_round()
+        return self._proof.is_proven_since(since)
+
+    def _run_round(self) -> None:
+        # A read that joins a running round may need one more: the
+        # round's questions left before the read arrived.
+        if self._round is not None:
+            self._round.wait()
+            return
+        self._round = AsyncResult()
+        try:
+            self._ask_all()
+        finally:
+            ended, self._round = self._round, None
+            ended.set(None)
+
+    def _ask_all(self) -> None:
+        asked_at = self._clock.now()
+        status = self._monitor.control(lambda link: link.status())
+        if not isinstance(status, Success) or not status.unwrap().is_primary:
+            self._proof.reset()
+            return
+        own = status.unwrap()
+        self._proof.on_primary(own.term, own.fenced_term, asked_at)
+        asking = [gevent.spawn(self._ask, name) for name in self._others]
+        needed = self._majority - 1
+        for _ in gevent.iwait(asking, timeout=ROUND_TIMEOUT_S):
+            needed -= 1
+            if needed <= 0 and self._proof.is_proven_since(asked_at):
+                return
+
+    def _ask(self, name: str) -> None:
+        asked_at = self._clock.now()
+        reply = self._peers.call_pooler(
+            name, GetStatus(name), ROUND_TIMEOUT_S
+        ).value_or(None)
+        if isinstance(reply, StatusReport):
+            self._proof.on_replica(name, reply.status.fenced_term, asked_at)
--- a/packages/node/src/trefoilpulley_node/pooler/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_pool.py
@@ -16,7 +16,6 @@
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import Overloaded
 from trefoilpulley_core.slots import Ticket
-from trefoilpulley_node.pooler.member_link import connect_member
 from trefoilpulley_node.pooler.write_hold import WriteHold
 
 if TYPE_CHECKING:
@@ -24,11 +23,9 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.peer import WorkScope
     from trefoilpulley_core.slots import SlotQueue
+    from trefoilpulley_node.pooler.member_connections import MemberConnections
     from trefoilpulley_node.pooler.member_link import MemberLink
 
-SPARE_CONNECTIONS = 1
-"""Idle connections kept beyond the slots."""
-
 
 @dataclass(eq=False, slots=True)
 class SlotLease:
@@ -53,21 +50,26 @@
         Member and its limits.
     queue : SlotQueue
         Order of the waiting work.
+    connections : MemberConnections
+        Connections for work.
     clock : Clock
         Monotonic time.
     """
 
     def __init__(
-        self, member: MemberEntry, queue: SlotQueue, clock: Clock
+        self,
+        member: MemberEntry,
+        queue: SlotQueue,
+        connections: MemberConnections,
+        clock: Clock,
     ) -> None:
         self._member = member
         self._queue = queue
         self._clock = clock
-        self._idle: list[MemberLink] = []
+        self._connections = connections
         self._granted: dict[int, AsyncResult] = {}
         self._ids = itertools.count(1)
         self._slots_in_use = 0
-        self._opening = 0
         self.hold = WriteHold(clock)
         """Hold of writes during a handover."""
 
@@ -87,7 +89,7 @@
     @property
     def connections(self) -> int:
         """Number of connections open for work."""
-        return len(self._idle) + self._slots_in_use
+        return self._connections.open_for_work
 
     @property
     def expected_wait_ms(self) -> int:
@@ -129,28 +131,20 @@
 
     def release(self, lease: SlotLease, is_in_time: bool = True) -> None:
         """Return a slot, and its connection where it still works."""
-        if lease.link.is_open and self._keeps_idle():
-            self._idle.append(lease.link)
-        else:
-            lease.link.close()
+        self._connections.give_back(lease.link)
         held_s = self._clock.now() - lease.taken_at
         self._queue.record_service(lease.ticket.work_class, held_s, is_in_time)
         self._free_slot(lease.ticket)
 
     def warm(self, count: int) -> int:
-        """Open idle connections ahead of work, one after the other.
+        """Open idle connections ahead of work.
 
         Returns
         -------
         int
             Connections that are open for work.
         """
-        wanted = min(count, self._member.slots + SPARE_CONNECTIONS)
-        while self.connections + self._opening < wanted:
-            opened = self._open()
-            if not isinstance(opened, Success):
-                break
-            self._idle.append(opened.unwrap())
+        self._connections.warm(count)
         return self.connections
 
     def begin_hold(self, handover_id: str, hold_s: float) -> bool:
@@ -167,11 +161,7 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    def _keeps_idle(self) -> bool:
-        return len(self._idle) < self._member.slots + SPARE_CONNECTIONS
+        self._connections.close()
 
     def _dispatch(self) -> None:
         now = self._clock.now()
@@ -203,19 +193,8 @@
         self._dispatch()
 
     def _connect(self, ticket: Ticket) -> Result[SlotLease, Failure]:
-        while self._idle:
-            link = self._idle.pop()
-            if link.is_open:
-                return Success(SlotLease(link, ticket, self._clock.now()))
-        opened = self._open()
-        if not isinstance(opened, Success):
+        lent = self._connections.lend(ticket.deadline)
+        if not isinstance(lent, Success):
             self._free_slot(ticket)
             return Failed(NoUpstream('member can not be connected'))
-        return Success(SlotLease(opened.unwrap(), ticket, self._clock.now()))
-
-    def _open(self) -> Result[MemberLink, Failure]:
-        self._opening += 1
-        try:
-            return connect_member(self._member.endpoint)
-        finally:
-            self._opening -= 1
+        return Success(SlotLease(lent.unwrap(), ticket, self._clock.now()))
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -4,17 +4,24 @@
 
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.connection_budget import ConnectionBudget
+from trefoilpulley_core.connection_pacer import ConnectionPacer
 from trefoilpulley_core.freshness import AgeTracker
 from trefoilpulley_core.peer import MemberDigest
 from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_node.pooler.leadership_prover import LeadershipProver
+from trefoilpulley_node.pooler.member_connections import MemberConnections
 from trefoilpulley_node.pooler.member_monitor import MemberMonitor
 from trefoilpulley_node.pooler.member_pool import MemberPool
 
 if TYPE_CHECKING:
+    import random
+
+    from trefoilpulley_core.catalog import DatabaseEntry
     from trefoilpulley_core.catalog import MemberEntry
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.slots import SlotQueue
-    from trefoilpulley_core.upstream import MemberStatus
+    from trefoilpulley_node.peers import Peers
 
 
 class PooledMember:
@@ -22,25 +29,31 @@
 
     Parameters
     ----------
-    database : str
-        Database of the member.
+    database : DatabaseEntry
+        Database group of the member.
     entry : MemberEntry
         Member and its limits.
     queue : SlotQueue
         Order of the work that waits for its slots.
+    peers : Peers
+        Way to the other members of the group.
     clock : Clock
         Monotonic time.
+    rng : random.Random
+        Source of jitter.
     """
 
     def __init__(
         self,
-        database: str,
+        database: DatabaseEntry,
         entry: MemberEntry,
         queue: SlotQueue,
+        peers: Peers,
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._clock = clock
-        self.database = database
+        self.database = database.name
         """Database of the member."""
 
         self.entry = entry
@@ -49,7 +62,13 @@
         self.monitor = MemberMonitor(entry, clock)
         """Newest status."""
 
-        self.pool = MemberPool(entry, queue, clock)
+        connections = MemberConnections(
+            entry,
+            ConnectionBudget(entry.connections, entry.slots),
+            ConnectionPacer(rng),
+            clock,
+        )
+        self.pool = MemberPool(entry, queue, connections, clock)
         """Slots and connections."""
 
         self.age = AgeTracker()
@@ -58,7 +77,12 @@
         self.last_aged_read = float('-inf')
         """Monotonic time of the last read that stated an age, seconds."""
 
-        self.monitor.listen(self._on_status)
+        self.prover = LeadershipProver(
+            database, entry.name, self.monitor, peers, clock
+        )
+        """Proof that the member still leads."""
+
+        self.monitor.listen(connections.on_status)
 
     @property
     def is_primary(self) -> bool:
@@ -105,6 +129,3 @@
             self.monitor.is_reachable,
             self.pool.hold.is_active,
         )
-
-    def _on_status(self, status: MemberStatus, now: float) -> None:
-        self.age.on_replica(status.history.last, now)
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
@@ -50,6 +50,7 @@
         self, member: PooledMember, req: PooledRead
     ) -> Result[StatementResult, Failure]:
         """Run a read that holds the floor and the stated age."""
+        arrived_at = self._clock.now()
         if not member.monitor.is_reachable:
             return Failed(NoUpstream('member is not reachable'))
         waited = member.monitor.wait_for_position(
@@ -59,7 +60,10 @@
             return Failed(ReplicaBehind('floor is not reached'))
         if not self._is_fresh(member, req.max_age_ms):
             return Failed(ReplicaBehind('data is older than stated'))
-        return self._read_at(member, req)
+        result = self._read_at(member, req)
+        if req.needs_leader and not member.prover.prove(arrived_at):
+            return Failed(NotPrimary('leadership can not be proven'))
+        return result
 
     def write(
         self, member: PooledMember, req: PooledWrite
--- a/packages/node/src/trefoilpulley_node/pooler/pooler.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooler.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import random
 
     from trefoilpulley_core.catalog import DatabaseEntry
     from trefoilpulley_core.catalog import MemberEntry
@@ -46,6 +47,10 @@
         Database by its name.
     find_member : Callable[[str], tuple[DatabaseEntry, MemberEntry] | None]
         Member and its database by the member's name.
+    peers : Peers
+        Way to other hosts.
+    rng : random.Random
+        Source of jitter.
     """
 
     def __init__(
@@ -54,13 +59,16 @@
         make_queue: Callable[[MemberEntry], SlotQueue],
         find_database: Callable[[str], DatabaseEntry | None],
         find_member: Callable[[str], tuple[DatabaseEntry, MemberEntry] | None],
+        peers: Peers,
+        rng: random.Random,
     ) -> None:
         self._clock = clock
         self._make_queue = make_queue
         self._find_database = find_database
         self._find_member = find_member
         self._work = PooledWork(clock)
-        self._peers: Peers | None = None
+        self._peers = peers
+        self._rng = rng
         self._probers: dict[str, AgeProber] = {}
         self.transactions = Transactions(self._work)
         """Open transactions."""
@@ -68,9 +76,8 @@
         self.members: dict[str, PooledMember] = {}
         """Members pooled by this host."""
 
-    def serve_on(self, server: PeerServer, peers: Peers) -> None:
+    def serve_on(self, server: PeerServer) -> None:
         """Register the role's messages."""
-        self._peers = peers
         server.register(messages.PooledRead, self.on_read)
         server.register(messages.PooledWrite, self.on_write)
         server.register(messages.PooledResolve, self.on_resolve)
@@ -98,16 +105,20 @@
             return None
         database, entry = found
         member = PooledMember(
-            database.name, entry, self._make_queue(entry), self._clock
+            database,
+            entry,
+            self._make_queue(entry),
+            self._peers,
+            self._clock,
+            self._rng,
         )
         self.members[name] = member
         member.start()
-        if self._peers is not None:
-            prober = AgeProber(
-                member, self._find_database, self._peers, self._clock
-            )
-            self._probers[name] = prober
-            prober.start()
+        prober = AgeProber(
+            member, self._find_database, self._peers, self._clock
+        )
+        self._probers[name] = prober
+        prober.start()
         return member
 
     def release(self, name: str) -> None:
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -50,7 +50,9 @@
     """
 
     def __init__(self, types: Iterable[type]) -> None:
-        self._converter = make_converter(omit_if_default=True)
+        self._converter = make_converter(
+            omit_if_default=True, detailed_validation=False
+        )
         self._types = {kind.__name__: kind for kind in types}
 
     def encode(self, sequence: int, message: Any) -> bytes:
