Report a member's progress at once where none was sent of late

A change waited for the whole joining time before its report. Reports now leave at once and changes join only while one was just sent. An observer can ask for the status without a limited connection.

--- a/packages/standins/src/trefoilpulley_standins/member/_feed.py
+++ b/packages/standins/src/trefoilpulley_standins/member/_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,8 @@
 
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_standins.member.replication import Confirm
+from trefoilpulley_standins.member.replication import Observe
+from trefoilpulley_standins.member.replication import Observed
 from trefoilpulley_standins.member.replication import Refused
 from trefoilpulley_standins.member.replication import SetLag
 from trefoilpulley_standins.member.replication import Subscribe
@@ -46,7 +49,9 @@
         self._replicator = replicator
 
     def on_request(self, channel: Channel, message: Any) -> Any:
-        """Answer a replica's subscription."""
+        """Answer a replica's subscription or an observer."""
+        if isinstance(message, Observe):
+            return Observed(self._engine.status(time.monotonic()))
         if not isinstance(message, Subscribe):
             return Refused(MalformedMessage.code)
         return self._engine.on_subscribe(message)
--- a/packages/standins/src/trefoilpulley_standins/member/replication.py
+++ b/packages/standins/src/trefoilpulley_standins/member/replication.py
@@ -6,6 +6,7 @@
 
 from trefoilpulley_core.position import LogHistory
 from trefoilpulley_core.position import Position
+from trefoilpulley_core.upstream import MemberStatus
 from trefoilpulley_standins.member.record import Record
 from trefoilpulley_wire.codec import Codec
 
@@ -87,7 +88,30 @@
     """Lag in milliseconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Asks for the status without one of the limited connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class Observed:
+    """Answer to `Observe`."""
+
+    status: MemberStatus
+    """Status of the member."""
+
+
 REPLICATION_CODEC = Codec(
-    (Subscribe, Subscribed, Snapshot, Refused, Confirm, Append, SetLag)
+    (
+        Append,
+        Confirm,
+        Observe,
+        Observed,
+        Refused,
+        SetLag,
+        Snapshot,
+        Subscribe,
+        Subscribed,
+    )
 )
 """Codec of the connections between members."""
--- a/packages/standins/src/trefoilpulley_standins/member/server.py
+++ b/packages/standins/src/trefoilpulley_standins/member/server.py
@@ -33,7 +33,7 @@
     from trefoilpulley_wire.channel import Channel
 
 REPORT_JOIN_S = 0.005
-"""Time over which changes are joined into one report, in seconds."""
+"""Least time between two reports, in seconds."""
 
 REPORT_INTERVAL_S = 0.1
 """Longest time between two reports, in seconds."""
@@ -50,6 +50,7 @@
 
     def __init__(self, cfg: MemberSettings) -> None:
         self._changed = Signal()
+        self._changes = 0
         self._watchers: set[Channel] = set()
         self._slots = Slots(cfg.slots, cfg.statement_ms / 1000)
         self.engine = MemberEngine(
@@ -57,7 +58,7 @@
         )
         """State of the member."""
 
-        self.engine.observers.append(self._changed.fire)
+        self.engine.observers.append(self._on_changed)
         peers = {peer.name: peer.endpoint for peer in cfg.peers}
         self._replicator = Replicator(
             self.engine, self._changed, peers, cfg.lag_ms / 1000
@@ -239,11 +240,17 @@
 
     def _report(self) -> None:
         while True:
-            if self._changed.wait(REPORT_INTERVAL_S):
-                gevent.sleep(REPORT_JOIN_S)
+            seen = self._changes
             report = wire.MemberReport(self.status())
             for channel in list(self._watchers):
                 channel.notify(report)
+            gevent.sleep(REPORT_JOIN_S)
+            if seen == self._changes:
+                self._changed.wait(REPORT_INTERVAL_S - REPORT_JOIN_S)
+
+    def _on_changed(self) -> None:
+        self._changes += 1
+        self._changed.fire()
 
 
 class MemberListener(Listener):
