Let the fleet on the virtual clock hold the documents too

The spread of a change, the calls to the platform's service and a start in an outage have to be replayed and measured at many sizes of zone. An answer now goes to the process that asked, not to one that was started later under its name.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/document_fleet.py
@@ -0,0 +1,252 @@
+"""Many hosts' membership and documents on one virtual clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.configuration.commands import Fetch
+from trefoilpulley_core.configuration.commands import Push
+from trefoilpulley_core.configuration.commands import ReadService
+from trefoilpulley_core.configuration.commands import SetWatch
+from trefoilpulley_core.configuration.holder import ConfigurationHolder
+from trefoilpulley_core.configuration.messages import Document
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.configuration.messages import FetchDocument
+from trefoilpulley_core.configuration.spread import DocumentSpread
+from trefoilpulley_core.membership.commands import Call
+from trefoilpulley_core.membership.commands import SeeVersions
+from trefoilpulley_standins.membership_fleet import Fleet
+from trefoilpulley_standins.membership_fleet import FleetHost
+from trefoilpulley_standins.membership_fleet import REGION_DELAY_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FETCH_TIMEOUT_S = 1.0
+"""Longest wait for a peer's document, in seconds."""
+
+SERVICE_TIMEOUT_S = 1.0
+"""Longest wait for an answer of the service, in seconds."""
+
+
+@dataclass
+class FleetService:
+    """The platform's service, as far as the spread sees it."""
+
+    documents: dict[DocumentKind, Document] = field(default_factory=dict)
+    """Newest documents."""
+
+    is_down: bool = False
+    """Whether nobody gets an answer."""
+
+    cut_zones: set[str] = field(default_factory=set)
+    """Zones without a link to the service."""
+
+    watchers: set[str] = field(default_factory=set)
+    """Hosts whose watches are in force."""
+
+    calls: Counter[str] = field(default_factory=Counter)
+    """Calls by host; a watch is one for each prefix."""
+
+    def answers(self, zone: str) -> bool:
+        """Return whether the hosts of a zone get answers."""
+        return not self.is_down and zone not in self.cut_zones
+
+
+@dataclass
+class DocumentState:
+    """Documents of one host."""
+
+    holder: ConfigurationHolder
+    """Newest documents."""
+
+    spread: DocumentSpread
+    """Decisions."""
+
+
+class DocumentFleet(Fleet):
+    """A fleet whose hosts hold the documents too.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of every random choice.
+    is_counting : bool
+        Whether messages are encoded to count bytes and time.
+    make_holder : Callable[[], ConfigurationHolder]
+        Makes a host's holder.
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        is_counting: bool = False,
+        make_holder: Callable[[], ConfigurationHolder] = ConfigurationHolder,
+    ) -> None:
+        super().__init__(seed, is_counting)
+        self.service = FleetService()
+        """The platform's service."""
+
+        self.documents: dict[str, DocumentState] = {}
+        """Documents by host."""
+
+        self._make_holder = make_holder
+
+    def add(
+        self, name: str, zone: str, *args: Any, **kwargs: Any
+    ) -> FleetHost:
+        """Start a host, or start it again under the same name."""
+        holder = self._make_holder()
+        spread = DocumentSpread(name, zone, holder)
+        self.documents[name] = DocumentState(holder, spread)
+        return super().add(name, zone, *args, **kwargs)
+
+    def publish(self, document: Document) -> None:
+        """Write a document to the service, as another party would."""
+        self.service.documents[document.kind] = document
+        for name in self.service.watchers:
+            host = self.hosts[name]
+            spread = self.documents[name].spread
+            if self.service.answers(host.entry.zone):
+                self.at(
+                    self.now + REGION_DELAY_S,
+                    lambda h=host, s=spread: self.when_awake(h, s.on_changed),
+                )
+
+    def take_service_down(self) -> None:
+        """Begin an outage of the service and break the watches."""
+        self.service.is_down = True
+        watchers, self.service.watchers = self.service.watchers, set()
+        for name in watchers:
+            spread = self.documents[name].spread
+            self.when_awake(
+                self.hosts[name], lambda s=spread: s.on_watch_broken(self.now)
+            )
+
+    def bring_service_up(self) -> None:
+        """End the outage of the service."""
+        self.service.is_down = False
+
+    def revisions(self, kind: DocumentKind) -> dict[str, int]:
+        """Return the revision that each running host holds."""
+        return {
+            name: self.documents[name].holder.revision_of(kind)
+            for name, host in self.hosts.items()
+            if host.is_up
+        }
+
+    def tick(self, host: FleetHost) -> None:
+        """Let a host do what is due."""
+        super().tick(host)
+        state = self.documents[host.entry.name]
+        state.spread.on_live_hosts(host.membership.live_hosts)
+        state.spread.on_tick(self.now)
+
+    def act(self, host: FleetHost, action: Callable[[], Any]) -> Any:
+        """Run an action of a host and carry out its commands."""
+        return super().act(host, lambda: self._act(host, action))
+
+    def carry_out(self, host: FleetHost, command: Any) -> None:
+        """Carry out a command of a host."""
+        super().carry_out(host, command)
+        if isinstance(command, SeeVersions):
+            self._see_versions(host, command)
+
+    def serve(
+        self,
+        host: FleetHost,
+        message: Any,
+        reply: Callable[[FleetHost, Any], None],
+    ) -> None:
+        """Let a host serve a request."""
+        super().serve(host, message, reply)
+        if isinstance(message, FetchDocument):
+            document = self.documents[host.entry.name].holder.find(
+                message.kind
+            )
+            if document is not None:
+                reply(host, document)
+
+    def _act(self, host: FleetHost, action: Callable[[], Any]) -> Any:
+        result = action()
+        self._take_document_commands(host)
+        return result
+
+    def _see_versions(self, host: FleetHost, command: SeeVersions) -> None:
+        state = self.documents[host.entry.name]
+        state.spread.on_versions(command.host, command.versions, self.now)
+        self._take_document_commands(host)
+
+    def _take_document_commands(self, host: FleetHost) -> None:
+        state = self.documents[host.entry.name]
+        host.membership.set_versions(state.holder.versions)
+        for command in state.spread.take_commands():
+            self._carry_out_document(host, state, command)
+
+    def _carry_out_document(
+        self, host: FleetHost, state: DocumentState, command: Any
+    ) -> None:
+        name = host.entry.name
+        if isinstance(command, ReadService):
+            self._read(host, state)
+        elif isinstance(command, SetWatch):
+            self._set_watch(host, state, command.is_wanted)
+        elif isinstance(command, Push):
+            self.send(
+                host,
+                command.host,
+                command.document,
+                lambda target, document: self.documents[
+                    target.entry.name
+                ].spread.on_push(document),
+            )
+        elif isinstance(command, Fetch):
+            message = FetchDocument(command.kind)
+            self.call(
+                host,
+                Call(0, command.host, message, FETCH_TIMEOUT_S),
+                lambda document: self.documents[name].spread.on_read(document),
+                lambda: None,
+            )
+
+    def _read(self, host: FleetHost, state: DocumentState) -> None:
+        newer = [
+            d
+            for d in self.service.documents.values()
+            if d.revision > state.holder.revision_of(d.kind)
+        ]
+        self.service.calls[host.entry.name] += 2 + len(newer)
+        if not self.service.answers(host.entry.zone):
+            return
+
+        def take() -> None:
+            state.spread.on_service_answered()
+            for document in newer:
+                state.spread.on_read(document)
+
+        self.at(
+            self.now + 2 * REGION_DELAY_S,
+            lambda: self.when_awake(host, take),
+        )
+
+    def _set_watch(
+        self, host: FleetHost, state: DocumentState, is_wanted: bool
+    ) -> None:
+        name = host.entry.name
+        self.service.watchers.discard(name)
+        if not is_wanted:
+            return
+        self.service.calls[name] += 2
+        if self.service.answers(host.entry.zone):
+            self.service.watchers.add(name)
+            return
+        self.at(
+            self.now + SERVICE_TIMEOUT_S,
+            lambda: self.when_awake(
+                host, lambda: state.spread.on_watch_broken(self.now)
+            ),
+        )
--- a/packages/standins/src/trefoilpulley_standins/membership_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -127,7 +127,7 @@
         host = self.hosts[name] = FleetHost(entry, membership)
         membership.on_host_list(listed)
         phase = self._rng.uniform(0, TICK_INTERVAL_S)
-        self._at(self.now + phase, lambda: self._tick(host))
+        self.at(self.now + phase, lambda: self._tick(host))
         return host
 
     def run(self, duration_s: float) -> None:
@@ -171,73 +171,85 @@
         result = action()
         commands = host.membership.take_commands()
         for command in commands:
-            self._carry_out(host, command)
+            self.carry_out(host, command)
         if self._is_counting:
             host.traffic.cpu_s += time.process_time() - started
         return result
 
-    def _at(self, when: float, action: Callable[[], None]) -> None:
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Run an action at a virtual time."""
         heapq.heappush(self._events, (when, next(self._order), action))
 
     def _tick(self, host: FleetHost) -> None:
         if not host.is_up:
             return
         if host.paused_until > self.now:
-            self._at(host.paused_until, lambda: self._tick(host))
+            self.at(host.paused_until, lambda: self._tick(host))
             return
-        self.act(host, lambda: host.membership.on_tick(self.now))
-        self._at(self.now + TICK_INTERVAL_S, lambda: self._tick(host))
+        self.act(host, lambda: self.tick(host))
+        self.at(self.now + TICK_INTERVAL_S, lambda: self._tick(host))
 
-    def _carry_out(self, host: FleetHost, command: Any) -> None:
+    def tick(self, host: FleetHost) -> None:
+        """Let a host do what is due."""
+        host.membership.on_tick(self.now)
+
+    def carry_out(self, host: FleetHost, command: Any) -> None:
+        """Carry out a command of a host."""
         if isinstance(command, Call):
-            self._call(host, command)
+            self.call(
+                host,
+                command,
+                lambda answer: host.membership.on_answer(
+                    command.call_id, answer, self.now
+                ),
+                lambda: host.membership.on_failure(command.call_id, self.now),
+            )
         elif isinstance(command, Tell):
-            self._send(
+            self.send(
                 host,
                 command.host,
                 command.message,
                 lambda target, news: target.membership.on_news(news),
             )
 
-    def _call(self, host: FleetHost, call: Call) -> None:
+    def call(
+        self,
+        host: FleetHost,
+        call: Call,
+        on_answer: Callable[[Any], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        """Send a request and hand its answer back, or its time-out."""
         finished: list[bool] = []
 
         def finish(action: Callable[[], None]) -> None:
             if not finished:
                 finished.append(True)
-                self._when_awake(host, action)
+                self.when_awake(host, action)
 
         def reply(target: FleetHost, answer: Any) -> None:
-            self._send(
+            self.send(
                 target,
                 host.entry.name,
                 answer,
-                lambda asker, message: finish(
-                    lambda: asker.membership.on_answer(
-                        call.call_id, message, self.now
-                    )
-                ),
+                lambda asker, message: finish(lambda: on_answer(message)),
             )
 
-        self._send(
+        self.send(
             host,
             call.host,
             call.message,
-            lambda target, message: self._serve(target, message, reply),
-        )
-        self._at(
-            self.now + call.timeout_s,
-            lambda: finish(
-                lambda: host.membership.on_failure(call.call_id, self.now)
-            ),
+            lambda target, message: self.serve(target, message, reply),
         )
+        self.at(self.now + call.timeout_s, lambda: finish(on_failure))
 
-    def _serve(
+    def serve(
         self,
         host: FleetHost,
         message: Any,
         reply: Callable[[FleetHost, Any], None],
     ) -> None:
+        """Let a host serve a request."""
         if isinstance(message, Probe):
             reply(host, host.membership.on_probe(message, self.now))
         elif isinstance(message, Exchange):
@@ -247,29 +259,31 @@
                 message, lambda report: reply(host, report)
             )
 
-    def _send(
+    def send(
         self,
         sender: FleetHost,
         name: str,
         message: Any,
         deliver: Callable[[FleetHost, Any], None],
     ) -> None:
+        """Send a message; a cut link or a stopped host drops it."""
         self._count(sender, message)
         target = self.hosts.get(name)
         if target is None or self._is_cut(sender.entry, target.entry):
             return
         is_near = sender.entry.zone == target.entry.zone
         delay_s = ZONE_DELAY_S if is_near else REGION_DELAY_S
-        self._at(
+        self.at(
             self.now + delay_s,
-            lambda: self._when_awake(target, lambda: deliver(target, message)),
+            lambda: self.when_awake(target, lambda: deliver(target, message)),
         )
 
-    def _when_awake(self, host: FleetHost, action: Callable[[], None]) -> None:
+    def when_awake(self, host: FleetHost, action: Callable[[], None]) -> None:
+        """Run an action of a host now, or when its pause ends."""
         if not host.is_up:
             return
         if host.paused_until > self.now:
-            self._at(host.paused_until, lambda: self._when_awake(host, action))
+            self.at(host.paused_until, lambda: self.when_awake(host, action))
             return
         self.act(host, action)
 
@@ -297,3 +311,14 @@
         Endpoint('10.0.0.1', 7000),
         Endpoint('10.0.0.1', 7001),
     )
+
+
+def make_entries(
+    zones: int, hosts: int, regions: int = 1
+) -> tuple[HostEntry, ...]:
+    """Return the entries of a fleet of equal zones."""
+    return tuple(
+        make_entry(f'z{z}-h{h}', f'z{z}', f'r{z % regions}')
+        for z in range(zones)
+        for h in range(hosts)
+    )
