Close a silent member's connections and let service times fade

Cause: work at a frozen member waited for the whole statement timeout, and the 15 s it held its slot made the queue refuse every later write as unable to be in time; refused work brings no new sample, so it never recovered. Ruled out: copies and terms (both were right in the state dump). Change: the monitor closes every connection when the member stops to report; a service time without samples fades to the initial one.

--- a/packages/core/src/trefoilpulley_core/slot_service.py
+++ b/packages/core/src/trefoilpulley_core/slot_service.py
@@ -16,7 +16,13 @@
 class ServiceTime:
     """Mean, spread and load of the service times of one class."""
 
-    __slots__ = ('_busy_s', '_loaded_at', 'deviation_s', 'mean_s')
+    __slots__ = (
+        '_busy_s',
+        '_faded_at',
+        '_loaded_at',
+        'deviation_s',
+        'mean_s',
+    )
 
     def __init__(self) -> None:
         self.mean_s = INITIAL_SERVICE_S
@@ -27,6 +33,7 @@
 
         self._busy_s = 0.0
         self._loaded_at = 0.0
+        self._faded_at = 0.0
 
     @property
     def careful_s(self) -> float:
@@ -46,6 +53,21 @@
         self._busy_s = self._decayed_s(now) + service_s
         self._loaded_at = max(now, self._loaded_at)
 
+    def fade(self, now: float) -> None:
+        """Let an estimate without new samples return to the initial one.
+
+        Work that is refused for a long service time brings no sample
+        that could prove the time shorter again.
+        """
+        idle_s = now - max(self._loaded_at, self._faded_at)
+        if idle_s <= 0:
+            return
+        kept = math.exp(-idle_s / LOAD_MEMORY_S)
+        above_s = max(0.0, self.mean_s - INITIAL_SERVICE_S)
+        self.mean_s -= above_s * (1 - kept)
+        self.deviation_s *= kept
+        self._faded_at = now
+
     def load(self, now: float) -> float:
         """Return the slots that the class has kept busy of late."""
         return self._decayed_s(now) / LOAD_MEMORY_S
--- a/packages/node/src/trefoilpulley_node/pooler/member_connections.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_connections.py
@@ -53,12 +53,12 @@
         self._pacer = pacer
         self._clock = clock
         self._idle: list[MemberLink] = []
-        self._lent = 0
+        self._lent: set[MemberLink] = set()
 
     @property
     def open_for_work(self) -> int:
         """Connections open or under way, without the control one."""
-        return len(self._idle) + self._lent + self._pacer.opening
+        return len(self._idle) + len(self._lent) + self._pacer.opening
 
     @property
     def _own_open(self) -> int:
@@ -82,7 +82,7 @@
         while True:
             link = self._pop_idle()
             if link is not None:
-                self._lent += 1
+                self._lent.add(link)
                 return Success(link)
             pause_s = self._try_open()
             if not pause_s:
@@ -93,7 +93,7 @@
 
     def give_back(self, link: MemberLink) -> None:
         """Keep a connection for later, or close it."""
-        self._lent -= 1
+        self._lent.discard(link)
         plan = self._budget.plan(
             self._own_open + 1, len(self._idle) + 1, self._clock.now()
         )
@@ -117,6 +117,12 @@
                 return
             self.give_back(opened.unwrap())
 
+    def close_all(self) -> None:
+        """Close every connection, so that no work waits on them."""
+        for link in list(self._lent):
+            link.close()
+        self.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -141,5 +147,5 @@
         finally:
             self._pacer.on_opened()
         if isinstance(opened, Success):
-            self._lent += 1
+            self._lent.add(opened.unwrap())
         return opened
--- a/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
@@ -52,6 +52,7 @@
         self._changed = Event()
         self._greenlet: gevent.Greenlet | None = None
         self._listeners: list[Callable[[MemberStatus, float], None]] = []
+        self._on_lost: list[Callable[[], None]] = []
         self.copy_waiters = CopyWaiters()
         """Writes that wait for their copies."""
 
@@ -78,6 +79,10 @@
         """Call back with each status and the time of its arrival."""
         self._listeners.append(listener)
 
+    def listen_lost(self, listener: Callable[[], None]) -> None:
+        """Call back when the member stops to report."""
+        self._on_lost.append(listener)
+
     def control(
         self,
         ask: Callable[[MemberLink], Result[MemberStatus, Failure]],
@@ -128,6 +133,8 @@
             self._link = None
             link.close()
             self.copy_waiters.on_lost()
+            for listener in self._on_lost:
+                listener()
             events.MEMBER_LOST.log(member=self._member.name)
 
     def _wait_until_lost(self) -> None:
--- a/packages/node/src/trefoilpulley_node/pooler/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_pool.py
@@ -131,8 +131,11 @@
 
     def release(self, lease: SlotLease, is_in_time: bool = True) -> None:
         """Return a slot, and its connection where it still works."""
-        self._connections.give_back(lease.link)
         held_s = self._clock.now() - lease.taken_at
+        if not lease.link.is_open:
+            # The end of a connection says nothing of the work on it.
+            held_s = 0.0
+        self._connections.give_back(lease.link)
         self._queue.record_service(lease.ticket.work_class, held_s, is_in_time)
         self._free_slot(lease.ticket)
 
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -83,6 +83,7 @@
         """Proof that the member still leads."""
 
         self.monitor.listen(connections.on_status)
+        self.monitor.listen_lost(connections.close_all)
 
     @property
     def is_primary(self) -> bool:
