Print the rows of a statement

Cause: the command described the answer before it printed the lines, and both fetched from the same cursor, so that a person saw no row; found in a run against three hosts' processes on loopback. Change: the lines come from the described answer; a scenario compares the whole output.

--- a/features/cli_hosts.feature
+++ b/features/cli_hosts.feature
@@ -30,6 +30,10 @@
     Then the command exits with 0
     And the second statement carried the session of the first
 
+  Scenario: the rows of a statement are printed
+    When the command "exec --class filing insert" is run
+    Then the command's output has the lines "n, 1, (1 rows; ledger/0/a; 0 ms old)"
+
   Scenario: a refused statement tells its code and its request id
     Given every entry host refuses "Execute" with "overloaded" for the command line
     When the command "exec --class filing --request-id order-7 --json insert" is run
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -282,6 +282,13 @@
         """Look for a text in the output."""
         assert text in context.cli.result.output, context.cli.result.output
 
+    @staticmethod
+    @then('the command\'s output has the lines "{lines}"')
+    def expect_lines(context: Any, lines: str) -> None:
+        """Compare the whole output."""
+        found = context.cli.result.output.splitlines()
+        assert found == lines.split(', '), found
+
     @staticmethod
     @then('the command\'s JSON has {value} at "{path}"')
     def expect_value(context: Any, value: str, path: str) -> None:
--- a/packages/cli/src/trefoilpulley_cli/execute.py
+++ b/packages/cli/src/trefoilpulley_cli/execute.py
@@ -65,7 +65,8 @@
             cursor = connection.cursor()
             cursor.execute(sql, values, request_id=request_id)
             _keep_token(session_path, connection.token)
-            reporter.print(_describe(cursor), _format(cursor))
+            document = _describe(cursor)
+            reporter.print(document, _format(document))
     except Error as exc:
         _refuse(reporter, exc)
 
@@ -123,12 +124,15 @@
     }
 
 
-def _format(cursor: Cursor) -> Iterable[str]:
-    if cursor.description:
-        yield '\t'.join(c[0] for c in cursor.description)
-    for row in cursor if cursor.description else ():
+def _format(document: dict[str, Any]) -> Iterable[str]:
+    if document['columns']:
+        yield '\t'.join(document['columns'])
+    for row in document['rows']:
         yield '\t'.join('' if v is None else str(v) for v in row)
-    yield f'({cursor.rowcount} rows; {cursor.member}; {cursor.age_ms} ms old)'
+    yield (
+        f'({document["row_count"]} rows; {document["member"]}; '
+        f'{document["age_ms"]} ms old)'
+    )
 
 
 def _refuse(reporter: Reporter, exc: Error) -> None:
