Verify a session token once and sign it anew only when it changes

Cause: each read verified and signed the same token again. Change: a cache of verified tokens; an unchanged token is sent back as it is.

--- a/packages/node/src/trefoilpulley_node/pipeline/answer.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/answer.py
@@ -27,20 +27,24 @@
     def make(self, req: PipelineRequest) -> Answer:
         """Return the answer; a write raises the session's floor."""
         delivered = req.delivered
-        token = req.token
-        if _raises_floor(req):
-            token = token.with_floor(
-                req.database.name, delivered.result.position
-            )
         return Answer(
             delivered.result.columns,
             delivered.result.rows,
             delivered.result.row_count,
-            self._codec.encode(token),
+            self._make_token(req),
             delivered.member,
             delivered.age_ms,
         )
 
+    def _make_token(self, req: PipelineRequest) -> bytes:
+        token = req.token
+        if _raises_floor(req):
+            position = req.delivered.result.position
+            token = token.with_floor(req.database.name, position)
+        if token is req.token and req.message.token:
+            return req.message.token
+        return self._codec.encode(token)
+
 
 def _raises_floor(req: PipelineRequest) -> bool:
     # A first read without a token fixes the floor that it has seen.
--- a/packages/node/src/trefoilpulley_node/pipeline/session_floor.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/session_floor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from returns.result import Result
@@ -16,6 +17,9 @@
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.token import TokenCodec
 
+TOKENS_CACHED = 4096
+"""Verified tokens that are kept, as reads send the same one again."""
+
 
 class SessionFloor(Filter):
     """Takes the floor of the database from the session token.
@@ -27,13 +31,13 @@
     """
 
     def __init__(self, codec: TokenCodec) -> None:
-        self._codec = codec
+        self._decode = lru_cache(TOKENS_CACHED)(codec.decode)
 
     def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
         """Add the session and its floor; a missing token has none."""
         if not req.message.token:
             return Success(replace(req, token=SessionToken(req.tenant)))
-        decoded = self._codec.decode(req.message.token, req.tenant)
+        decoded = self._decode(req.message.token, req.tenant)
         return decoded.map(lambda token: _with_token(req, token))
 
 
