State the outcomes of faults in failover and return

Cause: the coordination had no scenarios. A pooler that answers tells that its member is away, so that the coordinator need not wait as long as for a pooler that is silent.

--- /dev/null
+++ b/features/steps/coordination_replay_steps.py
@@ -0,0 +1,146 @@
+"""Steps that replay traces against the coordination."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from trefoilpulley_core.coordination.commands import HandoverBegan
+from trefoilpulley_core.coordination.commands import PromotionBegan
+from trefoilpulley_standins.explore_schedules import judge
+from trefoilpulley_standins.explore_schedules import make_schedule
+from trefoilpulley_standins.explore_schedules import play_schedule
+from trefoilpulley_standins.explore_script import Stage
+from trefoilpulley_standins.explore_script import Step
+
+TRACES = Path(__file__).parent.parent / 'traces' / 'coordination'
+
+WARM_UP_S = 5.0
+"""Time until the hosts have their duties, in seconds."""
+
+SEED = 1
+
+
+class CoordinationReplaySteps:
+    """Steps on a stage of hosts and members."""
+
+    @staticmethod
+    @given('coordination hosts and members of "{deployment}"')
+    def make_stage(context: Any, deployment: str) -> None:
+        """Build the zones and delays of a deployment."""
+        if deployment == 'karamanlis':
+            context.stage = Stage(('a', 'b', 'c'), 0.003, SEED, 8)
+        else:
+            context.stage = Stage(('a', 'b', 'c', 'd'), 0.005, SEED, 7)
+
+    @staticmethod
+    @when('the coordination trace "{name}" is replayed for {time:g} seconds')
+    def replay(context: Any, name: str, time: float) -> None:
+        """Play the lines of a trace."""
+        text = (TRACES / f'{name}.jsonl').read_text(encoding='utf-8')
+        for line in text.splitlines():
+            fields = json.loads(line)
+            step = Step(
+                fields['time'], fields['event'], tuple(fields['parties'])
+            )
+            context.stage.plan(step)
+        context.stage.world.run_until(time)
+
+    @staticmethod
+    @when('the coordination meets {count:d} generated faults of seed {seed:d}')
+    def generate(context: Any, count: int, seed: int) -> None:
+        """Play a generated schedule until it has settled."""
+        steps = make_schedule(random.Random(seed), count)
+        context.stage = play_schedule(steps, seed)
+
+    @staticmethod
+    @then('the coordination broke no rule')
+    def check_rules(context: Any) -> None:
+        """Look for lost writes, two primaries and late acknowledgements."""
+        world = context.stage.world
+        faults = world.history.faults(world.members.values())
+        assert world.history.acknowledged
+        assert not faults, faults
+
+    @staticmethod
+    @then('member "{zone}" leads in the end')
+    def check_leader(context: Any, zone: str) -> None:
+        """Compare the leader's zone."""
+        assert context.stage.world.leader().zone == zone
+
+    @staticmethod
+    @then('{promotions:d} promotions and {handovers:d} handovers have begun')
+    def check_counts(context: Any, promotions: int, handovers: int) -> None:
+        """Count what the hosts reported."""
+        notices = _notices(context)
+        begun = [n for _, n in notices if isinstance(n, PromotionBegan)]
+        unplanned = [n for n in begun if n.reason != 'handover']
+        moved = [n for _, n in notices if isinstance(n, HandoverBegan)]
+        assert len(unplanned) == promotions, notices
+        assert len(moved) == handovers, notices
+
+    @staticmethod
+    @then('writes were acknowledged at least every {gap:g} seconds')
+    def check_gap(context: Any, gap: float) -> None:
+        """Compare the longest time without an acknowledgement."""
+        found = context.stage.world.history.gap_s(WARM_UP_S)
+        assert found <= gap, found
+
+    @staticmethod
+    @then(
+        'writes after {time:g} seconds were acknowledged at least every '
+        '{gap:g} seconds'
+    )
+    def check_late_gap(context: Any, time: float, gap: float) -> None:
+        """Compare the longest gap after a time."""
+        found = context.stage.world.history.gap_s(time)
+        assert found <= gap, found
+
+    @staticmethod
+    @then(
+        'the first return waited {first:g} seconds and the second {second:g}'
+    )
+    def check_hold_down(context: Any, first: float, second: float) -> None:
+        """Compare the waits after the home primary came back."""
+        times = [
+            t for t, n in _notices(context) if isinstance(n, HandoverBegan)
+        ]
+        waited = times[0] - 10.0, times[1] - 24.0
+        assert first <= waited[0] < second <= waited[1], waited
+
+    @staticmethod
+    @then('no write was acknowledged between {start:g} and {end:g} seconds')
+    def check_silence(context: Any, start: float, end: float) -> None:
+        """Look for acknowledgements in a time without a majority."""
+        acknowledged = context.stage.world.history.acknowledged
+        assert not [a for a in acknowledged if start < a.time < end]
+
+    @staticmethod
+    @then('no term was used by two processes')
+    def check_terms(context: Any) -> None:
+        """Compare the terms of all promotions."""
+        terms = [
+            n.term
+            for _, n in _notices(context)
+            if isinstance(n, PromotionBegan)
+        ]
+        assert terms
+        assert len(terms) == len(set(terms)), terms
+
+    @staticmethod
+    @then('the home layout stands again')
+    def check_settled(context: Any) -> None:
+        """Expect the home primary to lead and to acknowledge."""
+        verdict = judge(context.stage)
+        assert verdict.is_settled, verdict
+
+
+def _notices(context: Any) -> list[tuple[float, Any]]:
+    found = [n for h in context.stage.hosts for n in h.notices]
+    return sorted(found, key=lambda one: one[0])
--- a/packages/node/src/trefoilpulley_node/pooler/pooler.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooler.py
@@ -10,6 +10,7 @@
 
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.failure import WritesPaused
 from trefoilpulley_core import peer as messages
 from trefoilpulley_node import events
@@ -269,10 +270,17 @@
             return _refuse(NoUpstream('unknown member'), None)
         reply: Result[MemberStatus, Failure] = member.monitor.control(ask)
         if not isinstance(reply, Success):
-            return _refuse(reply.failure(), member)
+            return _refuse(_as_witnessed(reply.failure()), member)
         return messages.StatusReport(reply.unwrap())
 
 
+def _as_witnessed(failure: Failure) -> Failure:
+    """Tell a member that is away from a pooler that is."""
+    if isinstance(failure, PeerUnreachable):
+        return NoUpstream('member does not answer')
+    return failure
+
+
 def _refuse(
     failure: Failure, member: PooledMember | None
 ) -> messages.PooledFailure:
--- a/packages/standins/src/trefoilpulley_standins/deployment.py
+++ b/packages/standins/src/trefoilpulley_standins/deployment.py
@@ -27,6 +27,12 @@
     schema: tuple[str, ...]
     """Statements that lay out each database."""
 
+    table: str
+    """Table that the workload uses."""
+
+    write_class: str
+    """Class of work of the workload's transactions."""
+
     databases: int = 3
     """Databases of the ledger."""
 
@@ -85,6 +91,8 @@
         'register-ledger',
         ('karamanlis', 'weavers', 'clan-societies'),
         _FILINGS,
+        'filings',
+        'filing',
     ),
     Deployment(
         'sleevecraft',
@@ -93,6 +101,8 @@
         'shared-ledger',
         ('stall-owners', 'kiosk-chains', 'print-houses'),
         _BOOKINGS,
+        'bookings',
+        'booking',
         connections=30,
         connect_ms=30.0,
         zone_delay_ms=5.0,
--- a/packages/standins/src/trefoilpulley_standins/explore_schedules.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_schedules.py
@@ -55,8 +55,8 @@
     return tuple(sorted(steps, key=lambda s: s.time))
 
 
-def run_schedule(steps: tuple[Step, ...], seed: int) -> Verdict:
-    """Play a schedule, end the faults and judge what came of it."""
+def play_schedule(steps: tuple[Step, ...], seed: int) -> Stage:
+    """Play a schedule, end the faults and let things settle."""
     stage = Stage(ZONES, 0.005, seed, write_every_s=0.1)
     for step in steps:
         stage.plan(step)
@@ -66,7 +66,7 @@
     for member in stage.world.entry.members:
         stage.plan(Step(HEALED_S, 'member-staying', (member.name,)))
     stage.world.run_until(SETTLED_S)
-    return judge(stage)
+    return stage
 
 
 def judge(stage: Stage) -> Verdict:
@@ -140,7 +140,7 @@
     broken = 0
     for seed in range(first_seed, first_seed + count):
         steps = make_schedule(random.Random(seed), 1 + seed % 2)
-        verdict = run_schedule(steps, seed)
+        verdict = judge(play_schedule(steps, seed))
         if verdict.faults or not verdict.is_settled:
             broken += 1
             click.echo(f'seed {seed}: {verdict}')
--- a/packages/standins/src/trefoilpulley_standins/explore_world.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_world.py
@@ -195,6 +195,8 @@
         def arrive() -> None:
             if not self.is_linked(zone, target.zone):
                 return
+            if target.name in self.isolated:
+                return
             result = self._serve(target, message)
             back_s = MEMBER_DELAY_S + self.delay_s(target.zone, zone)
             self.after(back_s, answer(result))
@@ -243,9 +245,8 @@
         return True
 
     def _is_pooled(self, member: ModelMember) -> bool:
-        if not member.is_up or member.name in self.isolated:
-            return False
-        return member.name not in self.unpooled
+        is_away = member.name in self.isolated | self.unpooled
+        return member.is_up and not is_away
 
     def _is_replicating(self, one: ModelMember, other: ModelMember) -> bool:
         if not one.is_up or not other.is_up:
--- a/packages/standins/src/trefoilpulley_standins/membership_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -209,7 +209,9 @@
                 host,
                 command.host,
                 command.message,
-                lambda target, news: target.membership.on_news(news),
+                lambda target, news: target.membership.on_news(
+                    news, host.entry.name
+                ),
             )
 
     def call(
--- a/packages/standins/src/trefoilpulley_standins/policy_entry.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_entry.py
@@ -117,7 +117,8 @@
         sent_at = self._loop.now
         yield self._delays_s[name]
         pooler = self._poolers[name]
-        result = yield from pooler.write(req, tenant, service_s)
+        due = self._due_at_pooler(req, name)
+        result = yield from pooler.write(due, tenant, service_s)
         digest = pooler.digest()
         yield self._delays_s[name]
         self._take_digest(digest, sent_at)
@@ -129,12 +130,17 @@
         sent_at = self._loop.now
         yield self._delays_s[route.member]
         pooler = self._poolers[route.member]
-        result = yield from pooler.read(req, route, tenant, service_s)
+        due = self._due_at_pooler(req, route.member)
+        result = yield from pooler.read(due, route, tenant, service_s)
         digest = pooler.digest()
         yield self._delays_s[route.member]
         self._take_digest(digest, sent_at)
         return result
 
+    def _due_at_pooler(self, req: RouteRequest, name: str) -> RouteRequest:
+        """Leave the answer the time for its way back."""
+        return replace(req, deadline=req.deadline - self._delays_s[name])
+
     def _ask_digest(self, name: str) -> Generator[Any, Any, None]:
         sent_at = self._loop.now
         yield self._delays_s[name]
--- a/packages/standins/src/trefoilpulley_standins/starting.py
+++ b/packages/standins/src/trefoilpulley_standins/starting.py
@@ -11,6 +11,7 @@
 from trefoilpulley_standins.processes import Processes
 
 if TYPE_CHECKING:
+    from trefoilpulley_core.declarations import Declarations
     from trefoilpulley_standins.deployment import Deployment
     from trefoilpulley_standins.layout import Layout
 
@@ -18,14 +19,18 @@
 """Directory of the declarations, from the root of the repository."""
 
 
+def load_declarations(deployment: Deployment) -> Declarations:
+    """Return the declarations of a deployment's example."""
+    path = EXAMPLES / f'{deployment.name}.json'
+    return check_declarations(path.read_text(encoding='utf-8')).unwrap()
+
+
 def make_layout(deployment: Deployment, directory: Path, seed: int) -> Layout:
     """Return the layout of a deployment on free ports."""
     directory.mkdir(parents=True, exist_ok=True)
-    path = EXAMPLES / f'{deployment.name}.json'
-    checked = check_declarations(path.read_text(encoding='utf-8'))
     ports = PortAllocator()
     builder = LayoutBuilder(
-        deployment, ports, checked.unwrap(), directory, seed
+        deployment, ports, load_declarations(deployment), directory, seed
     )
     layout = builder.build()
     ports.release()
