Check an old verdict with the accused before it is believed

Verdicts out of an exchange, or from a host that is itself taken for dead, are now checked by one probe. A starting host asks two listed hosts and a seed at once: with a list whose hosts had all been replaced, one host took over 2.5 s to be seen.

--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.membership.reconciler import Reconciler
 from trefoilpulley_core.membership.record import HostRecord
 from trefoilpulley_core.membership.record import HostState
+from trefoilpulley_core.membership.rumours import Rumours
 from trefoilpulley_core.membership.table import MembershipTable
 from trefoilpulley_core.membership.zone_watch import ZoneWatch
 
@@ -41,6 +42,9 @@
 JOIN_INTERVAL_S = 0.5
 """Time between two attempts to join, in seconds."""
 
+JOIN_HOSTS = 2
+"""Listed hosts that are asked at each attempt, besides one seed."""
+
 FORGET_INTERVAL_S = 600.0
 """Time between two removals of dead hosts, in seconds."""
 
@@ -71,8 +75,11 @@
         self._outbox = Outbox()
         self._table = MembershipTable(me.region)
         self._news = NewsSpread(own, self._table, self._outbox)
-        self._reconciler = Reconciler(self._news, self._outbox)
+        self._reconciler = Reconciler(
+            self._news, self._outbox, lambda news: self._rumours.learn(news)
+        )
         self._probes = Probes(self._outbox, self._news, self._reconciler)
+        self._rumours = Rumours(self._news, self._probes, self._outbox)
         self._detector = FailureDetector(self._news, self._probes, rng)
         self._zone_watch = ZoneWatch(self._news, self._probes, rng)
         self._seeds = tuple(s for s in seeds if s != me.name)
@@ -157,9 +164,13 @@
         """Return the answer to another host's probe."""
         return self._probes.on_probe(probe, now)
 
-    def on_news(self, news: News) -> None:
+    def on_news(self, news: News, sender: str) -> None:
         """Take the records of another host."""
-        self._news.learn(news)
+        known = self._table.find(sender)
+        if known is None or known.state is HostState.DEAD:
+            self._rumours.learn(news)
+        else:
+            self._news.learn(news)
 
     def on_exchange(self, exchange: Exchange) -> News:
         """Take another host's records and return what it lacks."""
@@ -194,6 +205,7 @@
             self._detector.on_wake()
             self._zone_watch.on_wake()
             self._reconciler.on_wake()
+            self._rumours.on_wake()
 
     def _join(self, now: float) -> None:
         if self._reconciler.is_joined and not self._is_introduced:
@@ -202,12 +214,22 @@
         if self._reconciler.is_joined or now < self._next_join_at:
             return
         self._next_join_at = now + JOIN_INTERVAL_S
-        hosts = self._hosts_to_ask()
-        if hosts:
-            self._reconciler.join(self._rng.choice(hosts))
+        for host in self._hosts_to_ask():
+            self._ask_to_join(host)
+
+    def _ask_to_join(self, host: str) -> None:
+        self._probes.send(
+            host,
+            lambda now: self._reconciler.join(host),
+            lambda now: None,
+        )
 
     def _hosts_to_ask(self) -> tuple[str, ...]:
-        own = self.own.entry
-        known = [r.entry.name for r in self.records().hosts]
-        others = tuple(h for h in known if h != own.name)
-        return others + self._seeds
+        known = [
+            r.entry.name
+            for r in self.records().hosts
+            if r.state is not HostState.DEAD and r != self.own
+        ]
+        sample = self._rng.sample(known, min(JOIN_HOSTS, len(known)))
+        seeds = self._rng.sample(self._seeds, min(1, len(self._seeds)))
+        return (*sample, *seeds)
--- a/packages/core/src/trefoilpulley_core/membership/reconciler.py
+++ b/packages/core/src/trefoilpulley_core/membership/reconciler.py
@@ -10,6 +10,7 @@
 from trefoilpulley_core.membership.outbox import Pending
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from trefoilpulley_core.membership.news import NewsSpread
@@ -32,13 +33,21 @@
     Parameters
     ----------
     news : NewsSpread
-        Takes the records.
+        Holds the records.
     outbox : Outbox
         Takes the calls.
+    learn : Callable[[News], None]
+        Takes another host's records.
     """
 
-    def __init__(self, news: NewsSpread, outbox: Outbox) -> None:
+    def __init__(
+        self,
+        news: NewsSpread,
+        outbox: Outbox,
+        learn: Callable[[News], None],
+    ) -> None:
         self._news = news
+        self._learn = learn
         self._table = news.table
         self._outbox = outbox
         self._seen_version = 0
@@ -77,7 +86,7 @@
     def on_exchange(self, exchange: Exchange) -> News:
         """Merge another host's records and return what it lacks."""
         answer = self._table.newer_than(exchange.zones, exchange.news)
-        self._news.learn(exchange.news)
+        self._learn(exchange.news)
         return answer
 
     def _is_due(self, now: float) -> bool:
@@ -96,7 +105,7 @@
         self._is_running = False
         if isinstance(answer, News):
             self.is_joined = True
-            self._news.learn(answer)
+            self._learn(answer)
 
     def _on_failure(self, now: float) -> None:
         self._is_running = False
--- a/packages/node/src/trefoilpulley_node/membership_runner.py
+++ b/packages/node/src/trefoilpulley_node/membership_runner.py
@@ -242,7 +242,7 @@
         return answer
 
     def _on_news(self, news: News, peer: PeerIdentity) -> None:
-        self._membership.on_news(news)
+        self._membership.on_news(news, peer.host)
         self._pump()
 
     def _on_contact_lost(self, peer: PeerIdentity) -> None:
