Offer TLS to callers and mutual TLS between hosts

Cause: connections were plain TCP only. Change: contexts of the standard library from the settings, TLS 1.3.

--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -50,6 +50,9 @@
 from trefoilpulley_node.pool_owner import PoolOwner
 from trefoilpulley_node.pooler.pooler import Pooler
 from trefoilpulley_node.pooler.pooler_state import dump_pooler
+from trefoilpulley_node.tls import make_caller_context
+from trefoilpulley_node.tls import make_peer_client_context
+from trefoilpulley_node.tls import make_peer_server_context
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.listener import Listener
 from trefoilpulley_wire.peer_codec import PEER_CODEC
@@ -145,6 +148,7 @@
             self._peer_server,
             self._membership.find_peer_endpoint,
             self._directory.find_pooler,
+            make_peer_client_context(cfg.tls),
         )
 
     @cached_property
@@ -250,11 +254,21 @@
             Metrics(self._cfg.statsd),
             self._clock,
         )
-        return Listener(self._cfg.listen, CALLER_CODEC, CallerServer(parts))
+        return Listener(
+            self._cfg.listen,
+            CALLER_CODEC,
+            CallerServer(parts),
+            make_caller_context(self._cfg.tls),
+        )
 
     @cached_property
     def _peer_listener(self) -> Listener:
-        return Listener(self._cfg.peer_listen, PEER_CODEC, self._peer_server)
+        return Listener(
+            self._cfg.peer_listen,
+            PEER_CODEC,
+            self._peer_server,
+            make_peer_server_context(self._cfg.tls),
+        )
 
     def _get_declarations(self) -> Declarations:
         return self._documents.configuration.declarations
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/tls.py
@@ -0,0 +1,48 @@
+"""TLS contexts of the process, from the standard library."""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from trefoilpulley_node.settings import TlsSettings
+
+
+def make_caller_context(cfg: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return the server context for callers, or ``None`` without TLS."""
+    if cfg is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    _harden(context, cfg)
+    return context
+
+
+def make_peer_server_context(
+    cfg: TlsSettings | None,
+) -> ssl.SSLContext | None:
+    """Return the server context for hosts, which must show certificates."""
+    if cfg is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    _harden(context, cfg)
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_verify_locations(cfg.authorities)
+    return context
+
+
+def make_peer_client_context(
+    cfg: TlsSettings | None,
+) -> ssl.SSLContext | None:
+    """Return the client context for the connections to other hosts."""
+    if cfg is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    _harden(context, cfg)
+    context.load_verify_locations(cfg.authorities)
+    return context
+
+
+def _harden(context: ssl.SSLContext, cfg: TlsSettings) -> None:
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.load_cert_chain(cfg.certificate, cfg.key)
