Measure the policies and keep connections within the limit

Cause: three poolers of one member could pass its limit, strict work waited until its last moment under overload, and a read that met a replica behind used up the retry budget. Change: two connections stay free for newcomers and the excess is given back; strict work is critical once half of its time is gone; a replica that is behind costs no retry; a command measures the policies.

--- a/packages/core/src/trefoilpulley_core/connection_budget.py
+++ b/packages/core/src/trefoilpulley_core/connection_budget.py
@@ -10,6 +10,9 @@
 SPARE_CONNECTIONS = 1
 """Idle connections kept beyond the slots."""
 
+RESERVED_CONNECTIONS = 2
+"""Connections left free for the control connections of newcomers."""
+
 SETTLE_S = 2.0
 """Time for which no other pooler's connection may be seen before a
 pooler takes more than half of the limit, in seconds."""
@@ -49,7 +52,7 @@
     """
 
     def __init__(self, limit: int, slots: int) -> None:
-        self._limit = limit
+        self._usable = limit - RESERVED_CONNECTIONS
         self._slots = slots
         self._own = 0
         self._room = 0
@@ -71,7 +74,7 @@
             Monotonic time of the answer, in seconds.
         """
         self._own = own_open
-        self._room = max(0, self._limit - connections_open)
+        self._room = self._usable - connections_open
         self._counted_at = now
         if connections_open > own_open:
             self._alone_since = None
@@ -85,9 +88,8 @@
     def allowance(self, now: float) -> int:
         """Return the most connections that the pooler may hold."""
         if self._is_alone(now):
-            return self._limit - CONTROL_CONNECTIONS
-        half = self._limit // 2
-        shared = min(half, self._own + self._room // 2)
+            return self._usable
+        shared = min(self._usable // 2, self._own + self._room // 2)
         return max(CONTROL_CONNECTIONS, shared)
 
     def may_open(self, own_open: int, now: float) -> bool:
--- a/packages/core/src/trefoilpulley_core/retry_budget.py
+++ b/packages/core/src/trefoilpulley_core/retry_budget.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.failure import ReplicaBehind
 from trefoilpulley_core.failure import RunState
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
     ) -> bool:
         """Spend one retry on an upstream where a failure allows it.
 
+        A replica that is behind refuses before it takes a slot, and is
+        not asked twice, so that going on to another costs no retry.
+
         Parameters
         ----------
         upstream : str
@@ -52,6 +56,8 @@
         """
         if not may_repeat(failure, is_repeatable):
             return False
+        if isinstance(failure, ReplicaBehind):
+            return True
         saved = self._saved.get(upstream, BURST_RETRIES)
         if saved < 1:
             return False
--- a/packages/core/src/trefoilpulley_core/slot_lane.py
+++ b/packages/core/src/trefoilpulley_core/slot_lane.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from trefoilpulley_core.slots import Ticket
 
+EARLY_SHARE = 0.5
+"""Part of the promptness target left when work becomes critical."""
+
 _SPARE_ENTRIES = 64
 
 
@@ -145,7 +148,8 @@
             return False
         latest = head.deadline - self.service.careful_s
         drained = self._last_key - self.backlog_s / self._slots
-        margin_s = guard_s + self.danger * self.within_s
+        early_share = max(EARLY_SHARE, self.danger)
+        margin_s = guard_s + early_share * self.within_s
         return now + margin_s >= min(latest, drained)
 
     def _compact(self) -> None:
--- a/packages/core/src/trefoilpulley_core/slots_deadline.py
+++ b/packages/core/src/trefoilpulley_core/slots_deadline.py
@@ -142,6 +142,7 @@
         lane.danger = targets.danger(lane.work_class, self._now)
         lane.within_s = targets.within_s(lane.work_class)
         lane.load = lane.service.load(self._now)
+        lane.service.fade(self._now)
 
     def _sort_lanes(self) -> None:
         self._lanes.sort(key=lambda lane: lane.strictness, reverse=True)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/policy_cases.py
@@ -0,0 +1,154 @@
+"""Cases of the policy replay and the figures of one seed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpulley_standins.policy_connections import ConnectionRun
+from trefoilpulley_standins.policy_deployment import DEPLOYMENTS
+from trefoilpulley_standins.policy_deployment import READ_SERVICE_S
+from trefoilpulley_standins.policy_deployment import WRITE_SERVICE_S
+from trefoilpulley_standins.policy_run import JUST_WRITTEN
+from trefoilpulley_standins.policy_run import Load
+from trefoilpulley_standins.policy_run import PolicyRun
+from trefoilpulley_standins.policy_run import SESSION_READS
+from trefoilpulley_standins.policy_shares import FixedShareRun
+from trefoilpulley_standins.policy_shares import PooledRun
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpulley_standins.policy_deployment import Deployment
+    from trefoilpulley_standins.policy_shares import ShareRun
+
+POLICIES = ('thin', 'plain', 'targets')
+"""The thin version's policy, the plain one and the product's."""
+
+LAGS_S = (0.005, 0.05, 0.5)
+"""Replication lags of the read cases, in seconds."""
+
+MEMBERS = 3
+"""Members of a database group."""
+
+_SESSIONS_PER_S = 100.0
+_OVERLOAD = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One figure of one seed."""
+
+    case: str
+    """Deployment and load."""
+
+    policy: str
+    """Policy that was replayed."""
+
+    name: str
+    """What is measured."""
+
+    value: float
+    """Value."""
+
+    is_worst_high: bool = False
+    """Whether the highest value is the worst."""
+
+
+def measure_seed(seed: int) -> tuple[Figure, ...]:
+    """Return the figures of every case at one seed."""
+    found: list[Figure] = []
+    for deployment in DEPLOYMENTS:
+        for policy in POLICIES:
+            found += _measure_reads(deployment, policy, seed)
+            found += _measure_overload(deployment, policy, seed)
+            found += _measure_fairness(deployment, policy, seed)
+        found += _measure_shares(deployment, seed)
+        found += _measure_connections(deployment, seed)
+    return tuple(found)
+
+
+def _measure_reads(
+    deployment: Deployment, policy: str, seed: int
+) -> Iterator[Figure]:
+    for lag_s in LAGS_S:
+        run = PolicyRun(deployment, policy, Load(20, 200, lag_s, 6.0), seed)
+        tally = run.run()
+        case = f'{deployment.name}, lag {round(1000 * lag_s)} ms'
+        aged = tally[deployment.aged_read.name]
+        written = tally[JUST_WRITTEN]
+        yield Figure(case, policy, 'aged at replicas', aged.replica_share)
+        name = 'just written at replicas'
+        yield Figure(case, policy, name, written.replica_share)
+        p99_ms = 1000 * written.p99_answer_s
+        yield Figure(case, policy, 'just written p99 ms', p99_ms, True)
+        for work_class in deployment.classes:
+            share = tally[work_class.name].in_time_share
+            yield Figure(case, policy, f'{work_class.name} in time', share)
+        yield Figure(case, policy, 'false ages', run.false_ages, True)
+
+
+def _measure_overload(
+    deployment: Deployment, policy: str, seed: int
+) -> Iterator[Figure]:
+    session_s = WRITE_SERVICE_S + (SESSION_READS + 1) * READ_SERVICE_S
+    capacity = MEMBERS * deployment.slots * _OVERLOAD
+    lookups = (capacity - _SESSIONS_PER_S * session_s) / READ_SERVICE_S
+    load = Load(_SESSIONS_PER_S, lookups, 0.05, 3.0)
+    tally = PolicyRun(deployment, policy, load, seed).run()
+    case = f'{deployment.name}, twice the load'
+    for work_class in deployment.classes:
+        name = work_class.name
+        share = tally[name].in_time_share
+        yield Figure(case, policy, f'{name} in time', share)
+    aged = tally[deployment.aged_read.name]
+    name = deployment.aged_read.name
+    yield Figure(case, policy, f'{name} refused', aged.refused_share, True)
+    refusal_ms = 1000 * aged.median_refusal_s
+    yield Figure(case, policy, 'refused after ms', refusal_ms, True)
+
+
+def _measure_fairness(
+    deployment: Deployment, policy: str, seed: int
+) -> Iterator[Figure]:
+    load = Load(20, 200, 0.05, 3.0, flood_per_s=3000)
+    tally = PolicyRun(deployment, policy, load, seed).run()
+    case = f'{deployment.name}, one tenant floods'
+    name = deployment.aged_read.name
+    for tenant in ('steady', 'flood'):
+        share = tally[f'{tenant}/{name}'].in_time_share
+        yield Figure(case, policy, f'{tenant} {name} in time', share)
+
+
+def _measure_shares(deployment: Deployment, seed: int) -> Iterator[Figure]:
+    ways: tuple[tuple[str, type[ShareRun]], ...] = (
+        ('pooled', PooledRun),
+        ('fixed shares', FixedShareRun),
+    )
+    for load, is_uneven in ((0.5, False), (0.8, True), (_OVERLOAD, False)):
+        kind = 'uneven' if is_uneven else 'even'
+        case = f'{deployment.name}, 8 hosts, load {load}, {kind}'
+        for way, run in ways:
+            tally = run(deployment, load, is_uneven, seed).run()
+            for work_class in (deployment.write, deployment.aged_read):
+                share = tally[work_class.name].in_time_share
+                yield Figure(case, way, f'{work_class.name} in time', share)
+
+
+def _measure_connections(
+    deployment: Deployment, seed: int
+) -> Iterator[Figure]:
+    limit = deployment.connections
+    for slots in (deployment.slots, limit - 6):
+        for has_budget in (True, False):
+            way = 'budget' if has_budget else 'no budget'
+            case = f'{deployment.name}, {slots} slots, death and two views'
+            run = ConnectionRun(
+                limit, slots, deployment.connect_s, 3, has_budget, seed
+            )
+            run.run()
+            over_ms = 1000 * run.door.longest_over_s
+            yield Figure(case, way, 'peak connections', run.door.peak, True)
+            yield Figure(case, way, 'over the limit ms', over_ms, True)
+            warm_s = max(p.warm_after_s or 60.0 for p in run.poolers[1:])
+            yield Figure(case, way, 'warm after ms', 1000 * warm_s, True)
--- a/packages/standins/src/trefoilpulley_standins/policy_run.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_run.py
@@ -256,4 +256,4 @@
         is_replica = not isinstance(found, Position) and not found.is_primary
         is_in_time = self._loop.now <= deadline
         for name in names:
-            self.tally.answer(name, is_in_time, is_replica)
+            self.tally.answer(name, elapsed_s, is_in_time, is_replica)
--- a/packages/standins/src/trefoilpulley_standins/policy_tally.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_tally.py
@@ -26,6 +26,9 @@
     answered: int = 0
     """Requests answered, late ones included."""
 
+    answer_s: list[float] = field(default_factory=list)
+    """Time to each answer, in seconds."""
+
     refusal_s: list[float] = field(default_factory=list)
     """Time to each refusal, in seconds."""
 
@@ -47,8 +50,18 @@
     @property
     def median_refusal_s(self) -> float:
         """Median time to a refusal, in seconds."""
-        ordered = sorted(self.refusal_s)
-        return ordered[len(ordered) // 2] if ordered else 0.0
+        return _quantile(self.refusal_s, 0.5)
+
+    @property
+    def p99_answer_s(self) -> float:
+        """99th percentile of the time to an answer, in seconds."""
+        return _quantile(self.answer_s, 0.99)
+
+
+def _quantile(times_s: list[float], share: float) -> float:
+    if not times_s:
+        return 0.0
+    return sorted(times_s)[int(share * (len(times_s) - 1))]
 
 
 class Tally:
@@ -60,9 +73,12 @@
     def __getitem__(self, name: str) -> ClassTally:
         return self._by_name[name]
 
-    def answer(self, name: str, is_in_time: bool, is_replica: bool) -> None:
+    def answer(
+        self, name: str, elapsed_s: float, is_in_time: bool, is_replica: bool
+    ) -> None:
         """Count an answer."""
         tally = self._by_name[name]
+        tally.answer_s.append(elapsed_s)
         tally.total += 1
         tally.answered += 1
         tally.in_time += is_in_time
