--- /dev/null
+++ b/features/fakes/membership_schedule.py
@@ -0,0 +1,181 @@
+"""Generated schedules of faults against a small fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from hypothesis import strategies
+
+from trefoilpulley_core.membership.membership import Membership
+from trefoilpulley_core.membership.record import HostState
+from trefoilpulley_standins.membership_fleet import Fleet
+from trefoilpulley_standins.membership_fleet import make_entries
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+ZONES = 3
+"""Zones of the fleet."""
+
+HOSTS = 3
+"""Hosts of each zone."""
+
+SETTLE_S = 20.0
+"""Time given to the fleet after the last fault, in seconds."""
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults."""
+
+    STOP = 'stop'
+    RESTART = 'restart'
+    PAUSE = 'pause'
+    LEAVE = 'leave'
+    CUT_ZONES = 'cut-zones'
+    CUT_HOSTS = 'cut-hosts'
+    LOSE_ZONE = 'lose-zone'
+
+
+@dataclass(frozen=True, slots=True)
+class TimedFault:
+    """One fault of a schedule."""
+
+    wait_s: float
+    """Time since the fault before, in seconds."""
+
+    kind: FaultKind
+    """What happens."""
+
+    zone: int
+    """Zone to which it happens."""
+
+    host: int
+    """Host of the zone to which it happens."""
+
+
+FAULT = strategies.builds(
+    TimedFault,
+    strategies.sampled_from((0.0, 0.15, 0.5, 1.3, 4.0)),
+    strategies.sampled_from(FaultKind),
+    strategies.integers(0, ZONES - 1),
+    strategies.integers(0, HOSTS - 1),
+)
+"""Any fault."""
+
+SCHEDULES = {
+    count: strategies.lists(FAULT, min_size=count, max_size=count)
+    for count in (2, 3)
+}
+"""Pairs and triples of faults."""
+
+
+class MembershipSchedule:
+    """Runs one schedule and checks what must always hold.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the fleet.
+    make_membership : Callable[..., Membership]
+        Makes the decisions of a host.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        make_membership: Callable[..., Membership] = Membership,
+    ) -> None:
+        self._fleet = Fleet(seed, make_membership=make_membership)
+        self._entries = make_entries(ZONES, HOSTS)
+        self._incarnations: dict[str, int] = {}
+
+    def run(self, faults: Sequence[TimedFault]) -> None:
+        """Run the faults, mend the links and check the end."""
+        for entry in self._entries:
+            self._start(entry.name, entry.zone)
+        self._run(5.0)
+        for fault in faults:
+            self._run(fault.wait_s)
+            name = f'z{fault.zone}-h{fault.host}'
+            getattr(self, f'_{fault.kind.replace("-", "_")}')(name)
+        self._run(5.0)
+        self._fleet.heal()
+        self._run(SETTLE_S)
+        self._check_agreement()
+
+    def _start(self, name: str, zone: str) -> None:
+        self._incarnations.pop(name, None)
+        self._fleet.add(name, zone, 'r0', self._entries)
+
+    def _run(self, duration_s: float) -> None:
+        end = self._fleet.now + duration_s
+        while self._fleet.now < end:
+            self._fleet.run(min(0.5, end - self._fleet.now))
+            self._check_always()
+
+    def _check_always(self) -> None:
+        for name, host in self._fleet.hosts.items():
+            own = host.membership.own
+            assert own.state is not HostState.DEAD, name
+            assert own.incarnation >= self._incarnations.get(name, 0), name
+            self._incarnations[name] = own.incarnation
+            held = host.membership.find_host(name)
+            assert held == own, name
+
+    def _check_agreement(self) -> None:
+        expected = {
+            name
+            for name, host in self._fleet.hosts.items()
+            if host.is_up and host.membership.own.state is HostState.ALIVE
+        }
+        for name, host in self._fleet.hosts.items():
+            if host.is_up and host.live != expected:
+                self._check_last_resort(name, host.live, expected)
+
+    def _check_last_resort(
+        self, name: str, live: frozenset[str], expected: set[str]
+    ) -> None:
+        # The leaving hosts of a zone go on where no other host is live.
+        leaving = {
+            other
+            for other, host in self._fleet.hosts.items()
+            if host.is_up
+            and host.membership.own.state is HostState.LEAVING
+            and not any(e.startswith(other[:2]) for e in expected)
+        }
+        assert live == expected | leaving, (name, live ^ expected)
+
+    def _stop(self, name: str) -> None:
+        self._fleet.stop(name)
+
+    def _restart(self, name: str) -> None:
+        self._fleet.stop(name)
+        self._run(0.5)
+        self._start(name, name.split('-')[0])
+
+    def _pause(self, name: str) -> None:
+        self._fleet.pause(name, 3.0)
+
+    def _leave(self, name: str) -> None:
+        host = self._fleet.hosts[name]
+        if host.is_up:
+            self._fleet.act(host, host.membership.on_leave)
+
+    def _cut_zones(self, name: str) -> None:
+        zone = name.split('-')[0]
+        for number in range(ZONES):
+            if zone != f'z{number}':
+                self._fleet.cut(zone, f'z{number}')
+
+    def _cut_hosts(self, name: str) -> None:
+        for entry in self._entries:
+            if entry.name != name:
+                self._fleet.cut(name, entry.name)
+
+    def _lose_zone(self, name: str) -> None:
+        zone = name.split('-')[0]
+        for number in range(HOSTS):
+            self._fleet.stop(f'{zone}-h{number}')
--- /dev/null
+++ b/features/fakes/membership_trace.py
@@ -0,0 +1,194 @@
+"""Recorded traces of membership, replayed on the virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+import json
+from pathlib import Path
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cattrs import structure
+
+from trefoilpulley_core.catalog import Presence
+from trefoilpulley_core.membership.membership import Membership
+from trefoilpulley_standins.membership_fleet import Fleet
+from trefoilpulley_standins.membership_fleet import make_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from trefoilpulley_standins.membership_fleet import FleetHost
+
+TRACES = Path(__file__).parents[1] / 'traces' / 'membership'
+"""Folder of the traces."""
+
+
+@dataclass(frozen=True, slots=True)
+class TraceEvent:
+    """One line of a trace."""
+
+    time: float
+    """Virtual time in seconds."""
+
+    event: str
+    """What happens."""
+
+    parties: tuple[str, ...]
+    """Hosts or zones to which it happens."""
+
+    seconds: float = 0.0
+    """How long a pause lasts."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """One line of the outcomes stated beside a trace."""
+
+    time: float
+    """Virtual time in seconds."""
+
+    at: str
+    """Zone or host that must see it; ``*`` for every running host."""
+
+    outcome: str
+    """``live``, ``not-live``, ``lost``, ``kept`` or ``never-accused``."""
+
+    parties: tuple[str, ...]
+    """Hosts or zones."""
+
+
+class MembershipReplay:
+    """Replays one trace and checks the outcomes in passing."""
+
+    def __init__(
+        self, make_membership: Callable[..., Membership] = Membership
+    ) -> None:
+        self.fleet = Fleet(seed=5, make_membership=make_membership)
+        """Hosts on the virtual clock."""
+
+        self.wrong: list[Outcome] = []
+        """Outcomes that did not hold."""
+
+        self.checked = 0
+        """Outcomes that were looked at."""
+
+        self._started: dict[str, int] = {}
+        self._listed: tuple[Any, ...] = ()
+        self._seeds: tuple[str, ...] = ()
+
+    def replay(self, name: str) -> None:
+        """Replay a trace by its name."""
+        trace = _load(f'{name}.jsonl', TraceEvent)
+        outcomes = _load(f'{name}.outcomes.jsonl', Outcome)
+        for step in sorted((*trace, *outcomes), key=lambda s: s.time):
+            self.fleet.run(step.time - self.fleet.now)
+            if isinstance(step, Outcome):
+                self._check(step)
+            else:
+                getattr(self, f'_on_{step.event.replace("-", "_")}')(step)
+
+    def _check(self, outcome: Outcome) -> None:
+        self.checked += 1
+        for host in self._observers(outcome.at):
+            if outcome.outcome == 'never-accused':
+                holds = not any(
+                    self._was_accused(host, p) for p in outcome.parties
+                )
+            else:
+                holds = _holds(host, outcome)
+            if not holds:
+                self.wrong.append(outcome)
+                return
+
+    def _was_accused(self, host: FleetHost, party: str) -> bool:
+        # A refutation raises what a host or a zone began with.
+        record = host.membership.find_host(party)
+        if record is not None:
+            return record.incarnation != self._started[party]
+        zones = host.membership.records().zones
+        return any(z.zone == party for z in zones)
+
+    def _observers(self, at: str) -> Iterable[FleetHost]:
+        for host in self.fleet.hosts.values():
+            if not host.is_up or host.paused_until > self.fleet.now:
+                continue
+            if at in ('*', host.entry.zone, host.entry.name):
+                yield host
+
+    def _on_list(self, step: TraceEvent) -> None:
+        self._listed = tuple(
+            make_entry(name, _zone_of(name), _region_of(name))
+            for name in step.parties
+        )
+
+    def _on_seeds(self, step: TraceEvent) -> None:
+        self._seeds = step.parties
+
+    def _on_list_leaving(self, step: TraceEvent) -> None:
+        entries = tuple(
+            replace(e, presence=Presence.LEAVING)
+            if e.name in step.parties
+            else e
+            for e in self._listed
+        )
+        for host in self._observers('*'):
+            self.fleet.act(
+                host, lambda h=host: h.membership.on_host_list(entries)
+            )
+
+    def _on_start(self, step: TraceEvent) -> None:
+        for name in step.parties:
+            host = self.fleet.add(
+                name,
+                _zone_of(name),
+                _region_of(name),
+                self._listed,
+                self._seeds,
+            )
+            self._started[name] = host.membership.own.incarnation
+
+    def _on_stop(self, step: TraceEvent) -> None:
+        for name in step.parties:
+            self.fleet.stop(name)
+
+    def _on_pause(self, step: TraceEvent) -> None:
+        for name in step.parties:
+            self.fleet.pause(name, step.seconds)
+
+    def _on_leave(self, step: TraceEvent) -> None:
+        for name in step.parties:
+            host = self.fleet.hosts[name]
+            self.fleet.act(host, host.membership.on_leave)
+
+    def _on_cut(self, step: TraceEvent) -> None:
+        one, *others = step.parties
+        for other in others:
+            self.fleet.cut(one, other)
+
+    def _on_heal(self, step: TraceEvent) -> None:
+        self.fleet.heal()
+
+
+def _holds(host: FleetHost, outcome: Outcome) -> bool:
+    if outcome.outcome in ('live', 'not-live'):
+        wanted = outcome.outcome == 'live'
+        return all((p in host.live) is wanted for p in outcome.parties)
+    wanted = outcome.outcome == 'lost'
+    zones = {z.zone: z for z in host.membership.live_hosts.zones}
+    return all(zones[p].is_lost is wanted for p in outcome.parties)
+
+
+def _zone_of(host: str) -> str:
+    return host.rsplit('-', 1)[0]
+
+
+def _region_of(host: str) -> str:
+    return host.split('-', maxsplit=1)[0]
+
+
+def _load(name: str, kind: type) -> tuple[Any, ...]:
+    lines = (TRACES / name).read_text(encoding='utf-8').splitlines()
+    return tuple(structure(json.loads(line), kind) for line in lines)
