--- a/packages/core/src/trefoilpulley_core/freshness.py
+++ b/packages/core/src/trefoilpulley_core/freshness.py
@@ -17,6 +17,7 @@
 
 _LAG_SMOOTHING = 0.2
 _DENSE_RECORDS = 5
+_DECIMALS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +113,8 @@
         """
         if self._passed is None:
             return None
-        return max(0, math.ceil((now - self._passed.sent_at) * 1000))
+        age_ms = round((now - self._passed.sent_at) * 1000, _DECIMALS)
+        return max(0, math.ceil(age_ms))
 
     def lag_ms(self) -> int:
         """Return the time that the replica takes to follow its primary.
--- a/packages/core/src/trefoilpulley_core/routing_targets.py
+++ b/packages/core/src/trefoilpulley_core/routing_targets.py
@@ -79,7 +79,9 @@
             if not _may_serve(member, primary, req, now):
                 continue
             wait_ms = _floor_wait_ms(member, primary, req.floor, now)
-            if wait_ms > LEAST_WAIT_MS and _is_likeliest(member, view, req):
+            if wait_ms > LEAST_WAIT_MS and _is_likeliest(
+                member, view, primary, req
+            ):
                 wait_ms = LEAST_WAIT_MS
             cost_ms = wait_ms + _answer_ms(member, req, now)
             if cost_ms < best_ms:
@@ -144,7 +146,7 @@
     digest = member.digest
     if floor.index == 0 or digest.last >= floor:
         return 0.0
-    if primary is None or digest.term < floor.term:
+    if primary is None or digest.term < primary.digest.term:
         return _NEVER
     if _copied_to(member, primary) >= floor:
         return 0.0
@@ -163,18 +165,25 @@
 
 
 def _is_likeliest(
-    member: MemberView, view: DatabaseView, req: RouteRequest
+    member: MemberView,
+    view: DatabaseView,
+    primary: MemberView | None,
+    req: RouteRequest,
 ) -> bool:
     """Return whether a replica is the likeliest to hold the floor.
 
     A floor stands for an acknowledged write, which a majority holds: in
-    a group of three, one of the replicas that have not refused has it.
+    a group of three, the primary of its term and one of the replicas.
     """
+    if primary is not None and primary.digest.term != req.floor.term:
+        return False
     others = [
         m
         for m in view.members
         if m.member not in req.excluded and not _leads(m)
     ]
+    if primary is not None and any(m.digest is None for m in others):
+        return False
     return max(others, key=_progress) is member
 
 
--- a/packages/standins/src/trefoilpulley_standins/policy_group.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_group.py
@@ -83,6 +83,10 @@
             for i in range(1, REPLICAS + 1)
         )
 
+    def true_lag_s(self, member: int) -> float:
+        """Return the time that the last record took to a member."""
+        return self._arrivals[member][-1] - self._arrivals[0][-1]
+
     def true_age_s(self, member: int) -> float:
         """Return the time since the primary passed a member's position."""
         index = self.position(member).index
