Add the demonstration of a deployment under load and faults

A new user had nothing to run that shows the promises at work. The demonstration starts a deployment, replays a recorded workload of roaming sessions, cuts off a primary, kills an entry host in the middle of a transaction, takes the service down, awaits the return and plans a stop.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: a deployment under load and faults, judged from outside."""
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/__main__.py
@@ -0,0 +1,51 @@
+"""Command that shows a deployment under load and faults."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+# The patch must come before every other import.
+from pathlib import Path  # noqa: E402
+import sys  # noqa: E402
+
+import click  # noqa: E402
+
+from trefoilpulley_standins.demo.report import dump_report  # noqa: E402
+from trefoilpulley_standins.demo.report import summarize  # noqa: E402
+from trefoilpulley_standins.demo.run import run_demo  # noqa: E402
+from trefoilpulley_standins.deployment import DEPLOYMENTS  # noqa: E402
+from trefoilpulley_standins.deployment import find_deployment  # noqa: E402
+
+
+@click.command()
+@click.option(
+    '--deployment',
+    'name',
+    type=click.Choice([d.name for d in DEPLOYMENTS]),
+    default='karamanlis',
+    show_default=True,
+)
+@click.option(
+    '--dir',
+    'directory',
+    type=click.Path(path_type=Path),
+    default=Path('build/demo'),
+    show_default=True,
+)
+@click.option('--seed', default=1, show_default=True, help='Seed of links.')
+def main(name: str, directory: Path, seed: int) -> None:
+    """Run the demonstration; fails where something went wrong."""
+    report = run_demo(find_deployment(name), directory, seed, click.echo)
+    path = directory / 'report.json'
+    path.write_text(dump_report(report), encoding='utf-8')
+    lines = summarize(report)
+    text = '\n'.join(lines) + '\n'
+    (directory / 'summary.txt').write_text(text, encoding='utf-8')
+    click.echo(text, nl=False)
+    sys.exit(0 if report.is_sound else 1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/caller.py
@@ -0,0 +1,240 @@
+"""Callers of the demonstration."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+import random
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_client import connect
+from trefoilpulley_client.errors import Error
+from trefoilpulley_client.errors import OutcomeUnknownError
+from trefoilpulley_client.retry import RetryPolicy
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_standins.demo.journal import Entry
+from trefoilpulley_standins.demo.journal import Verdict
+from trefoilpulley_standins.demo.workload import StepKind
+
+if TYPE_CHECKING:
+    from trefoilpulley_client import Connection
+    from trefoilpulley_standins.demo.workload import Step
+    from trefoilpulley_standins.layout import Layout
+
+RETRY = RetryPolicy(deadline_s=8.0, attempt_timeout_s=1.5)
+"""Bounds of the callers' retries."""
+
+TRANSACTION_PARTS = 2
+"""Rows that a transaction writes."""
+
+
+class Journal:
+    """Entries of all callers, with the time since the start."""
+
+    def __init__(self) -> None:
+        self._started = time.monotonic()
+        self.entries: list[Entry] = []
+        """Entries in the order of their ends."""
+
+    @property
+    def now_s(self) -> float:
+        """Seconds since the start."""
+        return time.monotonic() - self._started
+
+    def sleep_until(self, at_s: float) -> None:
+        """Wait for a time since the start."""
+        gevent.sleep(max(at_s - self.now_s, 0))
+
+
+class Caller:
+    """One session that roams between entry hosts.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    journal : Journal
+        Takes an entry for each request.
+    session : str
+        Name of the session.
+    steps : list[Step]
+        Steps of the session.
+    seed : int
+        Seed of request ids and of the choice of hosts.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        journal: Journal,
+        session: str,
+        steps: list[Step],
+        seed: int,
+    ) -> None:
+        self._layout = layout
+        self._journal = journal
+        self._session = session
+        self._steps = steps
+        self._rng = random.Random(seed)
+        self._secrets = {t.tenant: t.secret for t in layout.hosts[0].tenants}
+        self._hosts = [
+            f'{r.endpoint.address}:{r.endpoint.port}' for r in layout.routes
+        ]
+        self._conn: Connection | None = None
+        self._token = b''
+        self._acknowledged: Counter[str] = Counter()
+        self._count = 0
+        self._sql = _Sql(layout)
+
+    def run(self) -> None:
+        """Take the steps at their times."""
+        for step in self._steps:
+            self._journal.sleep_until(step.at_ms / 1000)
+            self._take(step)
+        self._leave()
+
+    def _take(self, step: Step) -> None:
+        if step.kind is StepKind.ROAM:
+            self._leave()
+            return
+        self._count += 1
+        database = self._layout.databases[step.database].name
+        entry = Entry(
+            f'{self._session}-{self._count}',
+            self._session,
+            step.work_class,
+            database,
+            step.kind,
+            self._journal.now_s,
+            0.0,
+            Verdict.ANSWERED,
+            own_floor=self._acknowledged[database],
+        )
+        try:
+            done = self._send(step, entry)
+        except gevent.GreenletExit:
+            now_s = self._journal.now_s
+            done = replace(entry, ended_s=now_s, verdict=Verdict.UNKNOWN)
+            self._journal.entries.append(done)
+            raise
+        if done.verdict is Verdict.ANSWERED:
+            self._acknowledged[database] += done.parts
+        self._journal.entries.append(done)
+
+    def _send(self, step: Step, entry: Entry) -> Entry:
+        try:
+            entry = self._work(step, entry)
+        except OutcomeUnknownError as exc:
+            entry = self._settle(entry, exc)
+        except Error as exc:
+            entry = _refuse(entry, exc)
+        host = self._conn.host if self._conn else ''
+        return replace(entry, ended_s=self._journal.now_s, host=host)
+
+    def _work(self, step: Step, entry: Entry) -> Entry:
+        conn = self._connect(step)
+        if step.kind is StepKind.READ:
+            return self._read(conn, entry)
+        if step.kind is StepKind.WRITE:
+            return self._write(conn, entry)
+        return self._run_transaction(conn, entry)
+
+    def _read(self, conn: Connection, entry: Entry) -> Entry:
+        conn.autocommit = True
+        cursor = conn.cursor(entry.work_class, entry.database)
+        cursor.execute(self._sql.read, (entry.request, entry.session))
+        request, last_id, own_rows = cursor.fetchone()
+        return replace(
+            entry,
+            member=cursor.member,
+            own_rows=own_rows,
+            last_id=last_id,
+            is_own_answer=request == entry.request,
+        )
+
+    def _write(self, conn: Connection, entry: Entry) -> Entry:
+        conn.autocommit = True
+        cursor = conn.cursor(entry.work_class, entry.database)
+        cursor.execute(
+            self._sql.write,
+            (entry.request, entry.session, 1),
+            request_id=entry.request,
+        )
+        return replace(
+            entry,
+            member=cursor.member,
+            last_id=cursor.fetchone()[0],
+            parts=1,
+        )
+
+    def _run_transaction(self, conn: Connection, entry: Entry) -> Entry:
+        conn.autocommit = False
+        cursor = conn.cursor(entry.work_class, entry.database)
+        try:
+            for part in range(1, TRANSACTION_PARTS + 1):
+                cursor.execute(
+                    self._sql.write, (entry.request, entry.session, part)
+                )
+            last_id = cursor.fetchone()[0]
+            conn.commit(entry.request)
+        finally:
+            conn.rollback()
+        return replace(
+            entry,
+            member=cursor.member,
+            last_id=last_id,
+            parts=TRANSACTION_PARTS,
+        )
+
+    def _settle(self, entry: Entry, exc: OutcomeUnknownError) -> Entry:
+        if entry.kind is StepKind.READ:
+            return _refuse(entry, exc)
+        try:
+            self._conn.look_up(entry.request, entry.work_class, entry.database)
+        except Error as last:
+            return _refuse(entry, last)
+        is_single = entry.kind is StepKind.WRITE
+        return replace(entry, parts=1 if is_single else TRANSACTION_PARTS)
+
+    def _connect(self, step: Step) -> Connection:
+        if self._conn is None:
+            self._conn = connect(
+                self._hosts,
+                step.tenant,
+                self._secrets[step.tenant],
+                self._layout.databases[step.database].name,
+                step.work_class,
+                token=self._token,
+                retry=RETRY,
+                rng=self._rng,
+            )
+        return self._conn
+
+    def _leave(self) -> None:
+        if self._conn is None:
+            return
+        self._token = self._conn.token
+        self._conn.close()
+        self._conn = None
+
+
+class _Sql:
+    def __init__(self, layout: Layout) -> None:
+        table = layout.deployment.table
+        self.read = (
+            f'select ?, coalesce(max(id), 0), '
+            f'(select count(*) from {table} where session = ?) from {table}'
+        )
+        self.write = (
+            f'insert into {table} (request, session, part) '
+            'values (?, ?, ?) returning id'
+        )
+
+
+def _refuse(entry: Entry, exc: Error) -> Entry:
+    is_unknown = exc.run_state is RunState.UNKNOWN
+    verdict = Verdict.UNKNOWN if is_unknown else Verdict.REFUSED
+    return replace(entry, verdict=verdict, code=exc.code)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/checker.py
@@ -0,0 +1,288 @@
+"""Judges a run by the journal of the callers and the members' rows."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_standins.demo.journal import Verdict
+from trefoilpulley_standins.demo.report import ClassReport
+from trefoilpulley_standins.demo.report import ClassTarget
+from trefoilpulley_standins.demo.workload import StepKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from trefoilpulley_core.declarations import Declarations
+    from trefoilpulley_core.declarations import WorkClass
+    from trefoilpulley_standins.demo.journal import Entry
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """Row as a member holds it at the end."""
+
+    row_id: int
+    """Number, ascending in the order of the log."""
+
+    request: str
+    """Request that wrote it."""
+
+    session: str
+    """Session that sent the request."""
+
+    part: int
+    """Number of the row in its request."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRows:
+    """All rows of one member."""
+
+    database: str
+    """Database of the member."""
+
+    member: str
+    """Name of the member."""
+
+    rows: tuple[StoredRow, ...]
+    """Rows."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopWindow:
+    """Time of a planned stop."""
+
+    database: str
+    """Database whose primary was moved."""
+
+    began_s: float
+    """Time at which the stop was declared."""
+
+    ended_s: float
+    """Time at which its primary had moved, and a while after."""
+
+
+class Checker:
+    """Counts what must not happen.
+
+    Parameters
+    ----------
+    entries : Iterable[Entry]
+        Journal of the callers.
+    members : tuple[MemberRows, ...]
+        Rows of every member at the end.
+    declarations : Declarations
+        Targets of the classes.
+    """
+
+    def __init__(
+        self,
+        entries: Iterable[Entry],
+        members: tuple[MemberRows, ...],
+        declarations: Declarations,
+    ) -> None:
+        self._entries = sorted(entries, key=lambda e: e.ended_s)
+        self._members = members
+        self._declarations = declarations
+        self._writes = [
+            e for e in self._entries if e.kind is not StepKind.READ
+        ]
+        self._reads = [e for e in self._entries if e.kind is StepKind.READ]
+        self._parts = {
+            (m.database, m.member): _parts_of(m.rows) for m in members
+        }
+        self._acknowledged = _AcknowledgedIds(self._answered_writes())
+
+    def count(self, verdict: Verdict) -> int:
+        """Return the requests with a verdict."""
+        return sum(e.verdict is verdict for e in self._entries)
+
+    def count_lost(self) -> int:
+        """Count acknowledged writes that some member lacks at the end."""
+        return sum(
+            any(len(parts) < e.parts for parts in self._found(e))
+            for e in self._answered_writes()
+        )
+
+    def count_doubled(self) -> int:
+        """Count requests that ran more than once."""
+        return sum(
+            any(_has_repeats(parts) for parts in self._found(e))
+            for e in self._writes
+        )
+
+    def count_mixed(self) -> int:
+        """Count rows that stand with another's, or without their own.
+
+        A transaction is there whole or not at all, and every row stands
+        under the session that sent its request.
+        """
+        owners = {e.request: e.session for e in self._writes}
+        foreign = sum(
+            owners.get(row.request) != row.session
+            for m in self._members
+            for row in m.rows
+        )
+        partial = sum(
+            any(0 < len(set(p)) < _expected(e) for p in self._found(e))
+            for e in self._writes
+        )
+        return foreign + partial
+
+    def count_wrong_answers(self) -> int:
+        """Count answers to another request than the caller's own."""
+        return sum(not e.is_own_answer for e in self._answered_reads())
+
+    def count_ryw_violations(self) -> int:
+        """Count reads that miss a write of their own session."""
+        return sum(e.own_rows < e.own_floor for e in self._answered_reads())
+
+    def count_stale(self) -> int:
+        """Count reads that miss a write older than their class allows."""
+        return sum(
+            e.last_id < self._acknowledged.before(e.database, limit)
+            for e in self._answered_reads()
+            if (limit := self._age_limit_s(e)) is not None
+        )
+
+    def count_false_not_run(self) -> int:
+        """Count requests that were called not run, and have run."""
+        return sum(
+            any(self._found(e))
+            for e in self._writes
+            if e.verdict is Verdict.REFUSED
+        )
+
+    def count_cut(self, windows: Iterable[StopWindow]) -> int:
+        """Count requests without an answer during planned stops."""
+        return sum(
+            e.verdict is not Verdict.ANSWERED
+            and e.database == w.database
+            and w.began_s <= e.began_s <= w.ended_s
+            for w in windows
+            for e in self._entries
+        )
+
+    def replica_read_share(self) -> float:
+        """Return the share of reads that a replica served.
+
+        Reads of classes that want the primary's present are left out.
+        The primary at a time is the member that acknowledged the latest
+        write before.
+        """
+        allowed = [e for e in self._answered_reads() if self._may_lag(e)]
+        replicas = sum(
+            e.member != self._primary_at(e.database, e.began_s)
+            for e in allowed
+        )
+        return round(replicas / len(allowed), 4) if allowed else 0.0
+
+    def write_gap_s(self, database: str, since_s: float) -> float | None:
+        """Return the gap at the first change of primary after a time."""
+        last: Entry | None = None
+        for e in self._answered_writes():
+            if e.database != database or not e.member:
+                continue
+            if last and e.member != last.member and e.ended_s > since_s:
+                return round(e.ended_s - last.ended_s, 3)
+            last = e
+        return None
+
+    def describe_classes(self) -> dict[str, ClassReport]:
+        """Return how each class did against its target."""
+        return {
+            c.name: self._describe_class(c) for c in self._declarations.classes
+        }
+
+    def _describe_class(self, work_class: WorkClass) -> ClassReport:
+        sent = [e for e in self._entries if e.work_class == work_class.name]
+        times = sorted(
+            (e.ended_s - e.began_s) * 1000
+            for e in sent
+            if e.verdict is Verdict.ANSWERED
+        )
+        target = work_class.promptness
+        in_time = sum(t <= target.within_ms for t in times)
+        return ClassReport(
+            len(sent),
+            round(in_time / len(sent), 4) if sent else 0.0,
+            _percentile(times, 0.5),
+            _percentile(times, 0.99),
+            ClassTarget(target.within_ms, target.share),
+        )
+
+    def _answered_writes(self) -> list[Entry]:
+        return [e for e in self._writes if e.verdict is Verdict.ANSWERED]
+
+    def _answered_reads(self) -> list[Entry]:
+        return [e for e in self._reads if e.verdict is Verdict.ANSWERED]
+
+    def _found(self, entry: Entry) -> list[list[int]]:
+        return [
+            parts.get(entry.request, [])
+            for (database, _), parts in self._parts.items()
+            if database == entry.database
+        ]
+
+    def _age_limit_s(self, entry: Entry) -> float | None:
+        freshness = self._declarations.find_class(entry.work_class).freshness
+        if freshness.kind is FreshnessKind.SESSION:
+            return None
+        return entry.began_s - (freshness.max_age_ms or 0) / 1000
+
+    def _may_lag(self, entry: Entry) -> bool:
+        freshness = self._declarations.find_class(entry.work_class).freshness
+        return freshness.kind is not FreshnessKind.PRESENT
+
+    def _primary_at(self, database: str, at_s: float) -> str:
+        primary = next(
+            m.member for m in self._members if m.database == database
+        )
+        for e in self._answered_writes():
+            if e.ended_s > at_s:
+                break
+            if e.database == database and e.member:
+                primary = e.member
+        return primary
+
+
+class _AcknowledgedIds:
+    def __init__(self, writes: list[Entry]) -> None:
+        self._times: dict[str, list[float]] = defaultdict(list)
+        self._greatest: dict[str, list[int]] = defaultdict(list)
+        for e in writes:
+            known = self._greatest[e.database]
+            known.append(max(e.last_id, known[-1] if known else 0))
+            self._times[e.database].append(e.ended_s)
+
+    def before(self, database: str, at_s: float) -> int:
+        """Return the greatest row number acknowledged before a time."""
+        count = bisect_left(self._times[database], at_s)
+        return self._greatest[database][count - 1] if count else 0
+
+
+def _parts_of(rows: tuple[StoredRow, ...]) -> dict[str, list[int]]:
+    parts: dict[str, list[int]] = defaultdict(list)
+    for row in rows:
+        parts[row.request].append(row.part)
+    return parts
+
+
+def _has_repeats(parts: list[int]) -> bool:
+    return any(count > 1 for count in Counter(parts).values())
+
+
+def _expected(entry: Entry) -> int:
+    return 1 if entry.kind is StepKind.WRITE else 2
+
+
+def _percentile(ordered: list[float], share: float) -> float | None:
+    if not ordered:
+        return None
+    index = min(int(share * len(ordered)), len(ordered) - 1)
+    return round(ordered[index], 1)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/orders.py
@@ -0,0 +1,121 @@
+"""Orders of the demonstration to the service, the links and the hosts."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from base64 import b64encode
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+import requests
+
+from trefoilpulley_client.websocket_transport import WebSocketDialer
+from trefoilpulley_core.caller import GetState
+from trefoilpulley_core.configuration.document import decode_configuration
+from trefoilpulley_core.configuration.document import encode_configuration
+from trefoilpulley_core.configuration.document import encode_hosts
+from trefoilpulley_core.declarations import Configuration
+from trefoilpulley_core.keys import CATALOG_HOSTS_KEY
+from trefoilpulley_core.keys import CONFIGURATION_KEY
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.catalog import HostEntry
+    from trefoilpulley_core.declarations import PlannedStop
+    from trefoilpulley_standins.layout import Layout
+
+TIMEOUT_S = 2.0
+"""Longest wait for an answer, in seconds."""
+
+
+class Orders:
+    """Gives orders to the stand-ins of a layout.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    """
+
+    def __init__(self, layout: Layout) -> None:
+        self._layout = layout
+        self._platform = _url_of(layout.platform_control)
+        self._links = _url_of(layout.links.control)
+        self._dialer = WebSocketDialer()
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others and from the service."""
+        others = [z for z in self._layout.deployment.zones if z != zone]
+        cuts = [{'source': zone, 'target': z} for z in others]
+        cuts.extend({'source': z, 'target': zone} for z in others)
+        _post(f'{self._links}/control', {'cuts': cuts})
+        _post(f'{self._platform}/control', {'cut_zones': [zone]})
+
+    def heal(self) -> None:
+        """End every cut."""
+        _post(f'{self._links}/control', {'cuts': []})
+        _post(f'{self._platform}/control', {'cut_zones': []})
+
+    def set_down(self, is_down: bool) -> None:
+        """Take the service down, or bring it back."""
+        _post(f'{self._platform}/control', {'is_down': is_down})
+
+    def list_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        """Write the platform's list of hosts."""
+        self._put(CATALOG_HOSTS_KEY, encode_hosts(hosts))
+
+    def declare_stops(self, stops: tuple[PlannedStop, ...]) -> int:
+        """Write declarations with planned stops; return the revision."""
+        found = decode_configuration(self._get(CONFIGURATION_KEY)).unwrap()
+        revision = found.revision + 1
+        changed = Configuration(
+            revision,
+            f'demo-{revision}',
+            replace(found.declarations, stops=stops),
+        )
+        self._put(CONFIGURATION_KEY, encode_configuration(changed))
+        return revision
+
+    def count_calls(self) -> dict[str, int]:
+        """Return the calls to the service by kind and zone."""
+        return _post(f'{self._platform}/control', {})['calls']
+
+    def revision_of(self, endpoint: Endpoint) -> int:
+        """Return the revision that a host has in force; 0 without answer."""
+        state = self.state_of(endpoint)
+        held = state.get('configuration', {})
+        return held.get('configuration_revision', 0)
+
+    def state_of(self, endpoint: Endpoint) -> dict[str, Any]:
+        """Return the state of a host; empty without an answer."""
+        dialled = self._dialer.dial(endpoint, TIMEOUT_S).value_or(None)
+        if dialled is None:
+            return {}
+        secret = self._layout.hosts[0].operator_secret
+        reply = dialled.call(GetState(secret), TIMEOUT_S).value_or(None)
+        dialled.close()
+        return getattr(reply, 'state', {})
+
+    def _get(self, key: str) -> bytes:
+        body = {'key': _encode(key.encode())}
+        answer = _post(f'{self._platform}/v3/kv/range', body)
+        return b64decode(answer['kvs'][0]['value'])
+
+    def _put(self, key: str, value: bytes) -> None:
+        body = {'key': _encode(key.encode()), 'value': _encode(value)}
+        _post(f'{self._platform}/v3/kv/put', body)
+
+
+def _url_of(endpoint: Endpoint) -> str:
+    return f'http://{endpoint.address}:{endpoint.port}'
+
+
+def _encode(data: bytes) -> str:
+    return b64encode(data).decode()
+
+
+def _post(url: str, document: Any) -> Any:
+    resp = requests.post(url, json=document, timeout=TIMEOUT_S)
+    resp.raise_for_status()
+    return resp.json()
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/script.py
@@ -0,0 +1,253 @@
+"""Faults of the demonstration and when they come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_client import connect
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.declarations import PlannedStop
+from trefoilpulley_standins.demo.caller import RETRY
+from trefoilpulley_standins.demo.checker import StopWindow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import DatabaseEntry
+    from trefoilpulley_standins.demo.caller import Journal
+    from trefoilpulley_standins.demo.observer import Observer
+    from trefoilpulley_standins.demo.orders import Orders
+    from trefoilpulley_standins.layout import Layout
+    from trefoilpulley_standins.processes import Processes
+
+CHANGE_AT_S = 4.0
+"""Time of the first change of configuration, in seconds."""
+
+KILL_AT_S = 7.0
+"""Time of an entry host's death, in seconds."""
+
+DELIST_AFTER_S = 2.0
+"""Time after which the platform's list follows a death, in seconds."""
+
+CUT_AT_S = 11.0
+"""Time at which a primary is cut off, in seconds."""
+
+HEAL_AT_S = 19.0
+"""Time at which the cut ends, in seconds."""
+
+OUTAGE_AT_S = 20.0
+"""Time at which the service goes down, in seconds."""
+
+OUTAGE_S = 6.0
+"""Length of the service's outage, in seconds."""
+
+RETURN_LIMIT_S = 18.0
+"""Longest wait for the return after the outage, in seconds."""
+
+STOP_LIMIT_S = 8.0
+"""Longest wait for a planned stop to move its primary, in seconds."""
+
+SETTLED_S = 2.0
+"""Time that counts with a planned stop after its move, in seconds."""
+
+CONFIGURATION_LIMIT_S = 10.0
+"""Longest wait for a configuration to be in force, in seconds."""
+
+_POLL_S = 0.05
+
+
+@dataclass(slots=True)
+class Marks:
+    """What the script saw."""
+
+    config_in_force_s: float | None = None
+    """Time until a configuration was in force on every host."""
+
+    cut_at_s: float = 0.0
+    """Time at which the primary was cut off."""
+
+    healed_at_s: float = 0.0
+    """Time at which the cut ended."""
+
+    has_returned: bool = False
+    """Whether the home primary led again."""
+
+    stops: tuple[StopWindow, ...] = ()
+    """Planned stops."""
+
+
+class Script:
+    """Runs the faults one after the other.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    processes : Processes
+        Its processes.
+    orders : Orders
+        Way to the stand-ins.
+    observer : Observer
+        Way to the members.
+    journal : Journal
+        Clock of the run.
+    say : Callable[[str], None]
+        Tells a person what happens.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        processes: Processes,
+        orders: Orders,
+        observer: Observer,
+        journal: Journal,
+        say: Callable[[str], None],
+    ) -> None:
+        self._layout = layout
+        self._processes = processes
+        self._orders = orders
+        self._observer = observer
+        self._journal = journal
+        self._say = say
+        self._killed = ''
+        self.marks = Marks()
+        """What the script saw."""
+
+    @property
+    def cut_database(self) -> DatabaseEntry:
+        """Database whose primary is cut off."""
+        return self._layout.databases[0]
+
+    @property
+    def stopped_database(self) -> DatabaseEntry:
+        """Database whose primary is in the planned stop."""
+        return self._layout.databases[1]
+
+    def run(self) -> None:
+        """Run every fault."""
+        self._change_configuration()
+        self._kill_host()
+        self._cut_primary()
+        self._take_service_down()
+        self._await_return()
+        self._stop_zone()
+
+    def _change_configuration(self) -> None:
+        self._journal.sleep_until(CHANGE_AT_S)
+        began = self._journal.now_s
+        revision = self._orders.declare_stops(())
+        if self._wait(
+            lambda: self._is_in_force(revision), CONFIGURATION_LIMIT_S
+        ):
+            self.marks.config_in_force_s = round(
+                self._journal.now_s - began, 3
+            )
+        self._tell(f'revision {revision} of the declarations is in force')
+
+    def _kill_host(self) -> None:
+        self._journal.sleep_until(KILL_AT_S)
+        home = self.cut_database.members[0].zone
+        route = next(r for r in self._layout.routes if r.zone != home)
+        self._begin_transaction(route.host)
+        self._processes.kill(route.host)
+        self._killed = route.host
+        self._tell(f'{route.host} killed in the middle of a transaction')
+        gevent.spawn_later(DELIST_AFTER_S, self._list_hosts)
+
+    def _begin_transaction(self, host: str) -> None:
+        cfg = next(h for h in self._layout.hosts if h.host == host)
+        route = next(r for r in self._layout.routes if r.host == host)
+        work = self._layout.deployment
+        conn = connect(
+            [f'{route.endpoint.address}:{route.endpoint.port}'],
+            cfg.tenants[0].tenant,
+            cfg.tenants[0].secret,
+            self.stopped_database.name,
+            work.write_class,
+            retry=RETRY,
+        )
+        conn.cursor().execute(
+            f'insert into {work.table} (request, session, part) '
+            "values ('killed', 'killed', 1)"
+        )
+
+    def _cut_primary(self) -> None:
+        self._journal.sleep_until(CUT_AT_S)
+        home = self.cut_database.members[0]
+        self.marks.cut_at_s = self._journal.now_s
+        self._orders.cut_zone(home.zone)
+        self._tell(f'{home.name} cut off with its zone {home.zone}')
+        self._journal.sleep_until(HEAL_AT_S)
+        self._orders.heal()
+        self.marks.healed_at_s = self._journal.now_s
+        self._tell('cut healed')
+
+    def _take_service_down(self) -> None:
+        self._journal.sleep_until(OUTAGE_AT_S)
+        self._orders.set_down(True)
+        self._tell("the platform's service is down")
+        gevent.sleep(OUTAGE_S)
+        self._orders.set_down(False)
+        self._tell("the platform's service is back")
+
+    def _await_return(self) -> None:
+        home = self.cut_database.members[0].name
+        self.marks.has_returned = self._wait(
+            lambda: self._leads(self.cut_database, home), RETURN_LIMIT_S
+        )
+        done = 'leads again' if self.marks.has_returned else 'does not lead'
+        self._tell(f'{home} {done}')
+
+    def _stop_zone(self) -> None:
+        database = self.stopped_database
+        primary = self._observer.find_primary(database)
+        if primary is None:
+            return
+        zone = database.find_member(primary.member).zone
+        began = self._journal.now_s
+        stop = PlannedStop('demo', database.ledger, zone)
+        self._orders.declare_stops((stop,))
+        has_moved = self._wait(
+            lambda: not self._leads(database, primary.member), STOP_LIMIT_S
+        )
+        done = 'has left' if has_moved else 'still leads'
+        self._tell(f'planned stop of {zone}: {primary.member} {done}')
+        gevent.sleep(SETTLED_S)
+        self.marks.stops = (
+            StopWindow(database.name, began, self._journal.now_s),
+        )
+
+    def _leads(self, database: DatabaseEntry, member: str) -> bool:
+        primary = self._observer.find_primary(database)
+        return primary is not None and primary.member == member
+
+    def _is_in_force(self, revision: int) -> bool:
+        return all(
+            self._orders.revision_of(r.endpoint) >= revision
+            for r in self._layout.routes
+            if r.host != self._killed
+        )
+
+    def _list_hosts(self) -> None:
+        self._orders.list_hosts(
+            tuple(
+                HostEntry(h.host, h.region, h.zone, h.listen, h.peer_listen)
+                for h in self._layout.hosts
+                if h.host != self._killed
+            )
+        )
+
+    def _wait(self, check: Callable[[], bool], limit_s: float) -> bool:
+        deadline = self._journal.now_s + limit_s
+        while not check():
+            if self._journal.now_s > deadline:
+                return False
+            gevent.sleep(_POLL_S)
+        return True
+
+    def _tell(self, text: str) -> None:
+        self._say(f'{self._journal.now_s:6.2f} s  {text}')
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/demo/workload.py
@@ -0,0 +1,156 @@
+"""Recorded workload of the demonstration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+import json
+from pathlib import Path
+import random
+from typing import TYPE_CHECKING
+
+from cattrs.preconf.json import make_converter
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+DURATION_MS = 60_000
+"""Length of a recording in milliseconds."""
+
+SESSIONS = 24
+"""Sessions of a recording."""
+
+PAUSE_MS = 900.0
+"""Mean time between two steps of a session, in milliseconds."""
+
+
+class StepKind(StrEnum):
+    """What a session does."""
+
+    WRITE = 'write'
+    TRANSACTION = 'transaction'
+    READ = 'read'
+    ROAM = 'roam'
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step of a session."""
+
+    at_ms: int
+    """Time since the start, in milliseconds."""
+
+    session: int
+    """Number of the session."""
+
+    kind: StepKind
+    """What the session does."""
+
+    tenant: str = ''
+    """Tenant of the session."""
+
+    work_class: str = ''
+    """Class of work; empty for a change of the entry host."""
+
+    database: int = 0
+    """Number of the database."""
+
+
+@dataclass(frozen=True, slots=True)
+class TenantWork:
+    """Classes of work that a tenant uses."""
+
+    tenant: str
+    """Tenant."""
+
+    writes: tuple[str, ...]
+    """Classes that write."""
+
+    reads: tuple[str, ...]
+    """Classes that read."""
+
+
+_CONVERTER = make_converter(omit_if_default=True)
+
+
+def load_workload(path: Path) -> tuple[Step, ...]:
+    """Read a recording."""
+    with path.open(encoding='utf-8') as lines:
+        return tuple(
+            _CONVERTER.structure(json.loads(line), Step) for line in lines
+        )
+
+
+def dump_workload(path: Path, steps: Iterable[Step]) -> None:
+    """Write a recording."""
+    with path.open('w', encoding='utf-8') as file:
+        for step in steps:
+            document = _CONVERTER.unstructure(step)
+            file.write(json.dumps(document, separators=(',', ':')) + '\n')
+
+
+def record_workload(
+    tenants: tuple[TenantWork, ...], databases: int, seed: int
+) -> tuple[Step, ...]:
+    """Draw a recording.
+
+    Parameters
+    ----------
+    tenants : tuple[TenantWork, ...]
+        What the sessions may do; sessions go round them.
+    databases : int
+        Number of databases.
+    seed : int
+        Seed of the recording.
+
+    Returns
+    -------
+    tuple[Step, ...]
+        Steps of all sessions in the order of their times.
+    """
+    rng = random.Random(seed)
+    steps: list[Step] = []
+    for session in range(SESSIONS):
+        work = tenants[session % len(tenants)]
+        steps.extend(_draw_session(session, work, databases, rng))
+    return tuple(sorted(steps, key=lambda s: (s.at_ms, s.session)))
+
+
+def _draw_session(
+    session: int, work: TenantWork, databases: int, rng: random.Random
+) -> Iterator[Step]:
+    at_ms = rng.random() * PAUSE_MS
+    database = rng.randrange(databases)
+    while at_ms < DURATION_MS:
+        kind = _draw_kind(work, rng)
+        if rng.random() < 0.1:
+            database = rng.randrange(databases)
+        yield Step(
+            int(at_ms),
+            session,
+            kind,
+            work.tenant,
+            _draw_class(kind, work, rng),
+            database,
+        )
+        at_ms += rng.expovariate(1 / PAUSE_MS)
+
+
+def _draw_kind(work: TenantWork, rng: random.Random) -> StepKind:
+    drawn = rng.random()
+    if drawn < 0.08:
+        return StepKind.ROAM
+    if not work.writes or drawn > 0.5:
+        return StepKind.READ
+    return StepKind.TRANSACTION if drawn < 0.2 else StepKind.WRITE
+
+
+def _draw_class(kind: StepKind, work: TenantWork, rng: random.Random) -> str:
+    if kind is StepKind.ROAM:
+        return ''
+    if kind is StepKind.READ:
+        return rng.choice(work.reads)
+    if kind is StepKind.TRANSACTION:
+        return work.writes[0]
+    return rng.choice(work.writes)
