Replay the spread and the change of the declarations

Seven traces of the spread, generated orders of offers, changes under conflicts, lost answers, late copies and rivals, and the calls to the platform's service counted by zone.

--- /dev/null
+++ b/features/configuration_spread.feature
@@ -0,0 +1,39 @@
+Feature: Documents in force on every host
+
+  Scenario Outline: The outcomes stated beside a trace hold
+    When the configuration trace "<trace>" is replayed
+    Then every outcome stated beside the configuration trace holds
+
+    Examples:
+      | trace                 |
+      | change                |
+      | watchers-die          |
+      | service-out           |
+      | start-in-outage       |
+      | zone-cut-from-service |
+      | old-offers            |
+      | one-host-offered      |
+
+  Scenario: A holder that takes any revision is noticed
+    Given a configuration holder that takes any revision
+    When the configuration trace "old-offers" is replayed
+    Then an outcome stated beside the configuration trace fails
+
+  Scenario: No order of offers lowers the revision
+    Then configuration offers in any order and number never lower the revision
+
+  Scenario Outline: The calls to the service do not grow with the zone
+    Given a configuration fleet of 3 zones with <hosts> hosts each
+    When the configuration fleet rests for 60 s
+    Then each zone calls the platform's service at most 0.5 times a second
+
+    Examples:
+      | hosts |
+      | 3     |
+      | 8     |
+      | 32    |
+
+  Scenario: A change costs the service a few calls a zone
+    Given a configuration fleet of 3 zones with 8 hosts each
+    When the configuration changes 5 times
+    Then each change costs each zone at most 4 calls to the platform's service
--- /dev/null
+++ b/features/fakes/configuration_trace.py
@@ -0,0 +1,203 @@
+"""Recorded traces of the documents' spread, on the virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+from pathlib import Path
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cattrs import structure
+
+from trefoilpulley_core.configuration.document import encode_configuration
+from trefoilpulley_core.configuration.document import encode_databases
+from trefoilpulley_core.configuration.holder import ConfigurationHolder
+from trefoilpulley_core.configuration.messages import Document
+from trefoilpulley_core.configuration.messages import DocumentKind
+from trefoilpulley_core.configuration.messages import make_document
+from trefoilpulley_core.declarations import Configuration
+from trefoilpulley_core.declarations import Declarations
+from trefoilpulley_standins.document_fleet import DocumentFleet
+from trefoilpulley_standins.membership_fleet import make_entries
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+TRACES = Path(__file__).parents[1] / 'traces' / 'configuration'
+"""Folder of the traces."""
+
+ZONES = 3
+"""Zones of the fleet."""
+
+HOSTS = 4
+"""Hosts of each zone."""
+
+
+@dataclass(frozen=True, slots=True)
+class TraceEvent:
+    """One line of a trace."""
+
+    time: float
+    """Virtual time in seconds."""
+
+    event: str
+    """What happens."""
+
+    parties: tuple[str, ...] = ()
+    """Hosts or zones to which it happens."""
+
+    revision: int = 0
+    """Revision of a document that is written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """One line of the outcomes stated beside a trace."""
+
+    time: float
+    """Virtual time in seconds."""
+
+    at: str
+    """Zone or host; ``*`` for every running host."""
+
+    outcome: str
+    """``configuration``, ``databases`` or ``watchers``."""
+
+    value: int
+    """Revision in force, or number of watchers of each zone."""
+
+
+class ConfigurationReplay:
+    """Replays one trace and checks the outcomes in passing."""
+
+    def __init__(
+        self,
+        make_holder: Callable[[], ConfigurationHolder] = ConfigurationHolder,
+    ) -> None:
+        self.fleet = DocumentFleet(seed=7, make_holder=make_holder)
+        """Hosts on the virtual clock."""
+
+        self.wrong: list[Outcome] = []
+        """Outcomes that did not hold."""
+
+        self.checked = 0
+        """Outcomes that were looked at."""
+
+        self._entries = make_entries(ZONES, HOSTS)
+
+    def replay(self, name: str) -> None:
+        """Replay a trace by its name."""
+        trace = _load(f'{name}.jsonl', TraceEvent)
+        outcomes = _load(f'{name}.outcomes.jsonl', Outcome)
+        for step in sorted((*trace, *outcomes), key=lambda s: s.time):
+            self.fleet.run(step.time - self.fleet.now)
+            if isinstance(step, Outcome):
+                self._check(step)
+            else:
+                getattr(self, f'_on_{step.event.replace("-", "_")}')(step)
+
+    def _check(self, outcome: Outcome) -> None:
+        self.checked += 1
+        if outcome.outcome == 'watchers':
+            found = {self._count_watchers(f'z{z}') for z in range(ZONES)}
+        else:
+            revisions = self.fleet.revisions(DocumentKind(outcome.outcome))
+            found = {
+                revisions[name]
+                for name in self._observers(outcome.at)
+                if name in revisions
+            }
+        if found != {outcome.value}:
+            self.wrong.append(outcome)
+
+    def _observers(self, at: str) -> Iterable[str]:
+        for name, host in self.fleet.hosts.items():
+            if at in ('*', host.entry.zone, name):
+                yield name
+
+    def _count_watchers(self, zone: str) -> int:
+        return sum(
+            self.fleet.documents[name].spread.is_watcher
+            for name, host in self.fleet.hosts.items()
+            if host.entry.zone == zone and host.is_up
+        )
+
+    def _on_start(self, step: TraceEvent) -> None:
+        for entry in self._entries:
+            self.fleet.add(entry.name, entry.zone, 'r0', self._entries)
+
+    def _on_start_late(self, step: TraceEvent) -> None:
+        name, seed = step.parties
+        zone = name.split('-')[0]
+        self.fleet.add(name, zone, 'r0', (), (seed,))
+
+    def _on_stop(self, step: TraceEvent) -> None:
+        for name in step.parties:
+            self.fleet.stop(name)
+
+    def _on_stop_watchers(self, step: TraceEvent) -> None:
+        for name, state in self.fleet.documents.items():
+            if state.spread.is_watcher:
+                self.fleet.stop(name)
+
+    def _on_service_down(self, step: TraceEvent) -> None:
+        self.fleet.take_service_down()
+
+    def _on_service_up(self, step: TraceEvent) -> None:
+        self.fleet.bring_service_up()
+
+    def _on_cut_from_service(self, step: TraceEvent) -> None:
+        self.fleet.service.cut_zones.update(step.parties)
+
+    def _on_write(self, step: TraceEvent) -> None:
+        self.fleet.publish(make_configuration(step.revision))
+
+    def _on_write_databases(self, step: TraceEvent) -> None:
+        self.fleet.publish(
+            make_document(
+                DocumentKind.DATABASES, step.revision, encode_databases(())
+            )
+        )
+
+    def _on_offer(self, step: TraceEvent) -> None:
+        document = make_configuration(step.revision)
+        for name in step.parties:
+            spread = self.fleet.documents[name].spread
+            self.fleet.act(
+                self.fleet.hosts[name], lambda s=spread: s.on_push(document)
+            )
+
+    def _on_offer_malformed(self, step: TraceEvent) -> None:
+        text = b'{"revision": 1}'
+        document = make_document(
+            DocumentKind.CONFIGURATION, step.revision, text
+        )
+        for name in step.parties:
+            spread = self.fleet.documents[name].spread
+            self.fleet.act(
+                self.fleet.hosts[name], lambda s=spread: s.on_push(document)
+            )
+
+
+class TakesAnyRevision(ConfigurationHolder):
+    """A holder that takes whatever comes last."""
+
+    def take(self, document: Document) -> Any:
+        """Forget the revision held before."""
+        self._documents.pop(document.kind, None)
+        return super().take(document)
+
+
+def make_configuration(revision: int) -> Document:
+    """Return an empty configuration of a revision."""
+    value = Configuration(revision, f'c{revision}', Declarations())
+    return make_document(
+        DocumentKind.CONFIGURATION, revision, encode_configuration(value)
+    )
+
+
+def _load(name: str, kind: type) -> tuple[Any, ...]:
+    lines = (TRACES / name).read_text(encoding='utf-8').splitlines()
+    return tuple(structure(json.loads(line), kind) for line in lines)
