Bound the questions of an entry host and count its traffic

Cause: every database in use was asked four times a second, which grows with the databases that callers use; replicas probed ten times a second whatever age their reads allow; control could not be told from work. Change: answers carry the digests, a fixed budget of 20 a second asks for the oldest, overdue requests ask at once; probes at a quarter of the smallest stated age; frames and bytes by type in the state dump. Conclusion: the cost of digests no longer depends on the deployment's size.

--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -53,8 +53,10 @@
 from trefoilpulley_node.tls import make_caller_context
 from trefoilpulley_node.tls import make_peer_client_context
 from trefoilpulley_node.tls import make_peer_server_context
+from trefoilpulley_node.traffic_state import TrafficState
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.listener import Listener
+from trefoilpulley_wire.member_codec import MEMBER_CODEC
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
 if TYPE_CHECKING:
@@ -301,8 +303,17 @@
         self._state.register('pooler', lambda: dump_pooler(self._pooler))
         self._state.register('membership', self._membership.dump)
         self._state.register('configuration', self._documents.dump)
+        self._state.register('traffic', self._dump_traffic)
         self._state.register('coordination', self._coordination.dump)
 
+    def _dump_traffic(self) -> TrafficState:
+        return TrafficState(
+            CALLER_CODEC.traffic.snapshot(),
+            PEER_CODEC.traffic.snapshot(),
+            MEMBER_CODEC.traffic.snapshot(),
+            self._platform.counts,
+        )
+
     def _dump_entry(self) -> EntryState:
         return EntryState(
             self._cfg.host,
--- a/packages/node/src/trefoilpulley_node/entry/views.py
+++ b/packages/node/src/trefoilpulley_node/entry/views.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import heapq
+import itertools
 from typing import TYPE_CHECKING
 
 import gevent
@@ -13,7 +15,6 @@
 from trefoilpulley_core.peer import Digests
 from trefoilpulley_core.peer import GetDigest
 from trefoilpulley_core.routing import DatabaseView
-from trefoilpulley_core.routing import find_primary
 from trefoilpulley_core.routing import MemberView
 
 if TYPE_CHECKING:
@@ -26,11 +27,17 @@
     from trefoilpulley_core.peer import MemberDigest
     from trefoilpulley_node.peers import Peers
 
+TICK_S = 0.05
+"""Time between two looks at what must be asked."""
+
+OVERDUE_S = 0.2
+"""Time in work after which a request's database is asked anew."""
+
 REFRESH_S = 0.25
-"""Age of a digest at which it is asked for anew."""
+"""Age of a digest at which it may be asked for anew."""
 
-SEARCH_S = 0.05
-"""Time between questions while a database has no known primary."""
+REFRESHES_PER_S = 20.0
+"""Digests that a host asks for a second, whatever its callers use."""
 
 USE_MEMORY_S = 30.0
 """Time after its last request for which a database counts as in use."""
@@ -38,9 +45,6 @@
 DIGEST_TIMEOUT_S = 0.5
 """Longest wait for digests."""
 
-UNREACHABLE_S = 1.0
-"""Age of a digest after which its member counts as unreachable."""
-
 INITIAL_ROUND_TRIP_MS = 10.0
 """Round trip assumed before the first is seen, in milliseconds."""
 
@@ -63,7 +67,13 @@
 
 
 class Views:
-    """Digests of the members in use, kept fresh by asking and answers.
+    """Digests of the members in use, kept fresh by answers and asking.
+
+    Answers carry the digest of the member that gave them. What no
+    answer refreshes is asked for within a fixed budget, the oldest
+    first, so that the cost of a host does not grow with the databases
+    that its callers use. A database whose requests are overdue, or that
+    has no known primary while requests wait, is asked at once.
 
     Parameters
     ----------
@@ -89,6 +99,10 @@
         self._database_of: dict[str, str] = {}
         self._changed: dict[str, Event] = {}
         self._asking: set[str] = set()
+        self._in_work: dict[int, tuple[str, float]] = {}
+        self._ids = itertools.count(1)
+        self._allowance = 0.0
+        self._ticked_at = clock.now()
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -115,6 +129,16 @@
             tuple(self._member_view(m, stopping) for m in entry.members),
         )
 
+    def begin_work(self, database: str) -> int:
+        """Note that a request waits for a member of a database."""
+        number = next(self._ids)
+        self._in_work[number] = (database, self._clock.now())
+        return number
+
+    def end_work(self, number: int) -> None:
+        """Note that a request has its answer."""
+        del self._in_work[number]
+
     def changed_event(self, database: str) -> Event:
         """Return the event that the next change of primary sets."""
         return self._changed.setdefault(database, Event())
@@ -138,6 +162,7 @@
         """Take note that a member's pooler did not answer."""
         known = self._known.get(member)
         if known is not None:
+            known.digest = None
             known.observed_at = float('-inf')
 
     def _use(self, entry: DatabaseEntry) -> None:
@@ -156,11 +181,10 @@
         self, member: MemberEntry, stopping: set[str]
     ) -> MemberView:
         known = self._known.get(member.name) or _Known()
-        is_old = self._clock.now() - known.observed_at > UNREACHABLE_S
         return MemberView(
             member.name,
             member.zone,
-            None if is_old else known.digest,
+            known.digest,
             known.observed_at,
             known.round_trip_ms,
             member.presence is Presence.LEAVING or member.zone in stopping,
@@ -183,34 +207,46 @@
 
     def _run(self) -> None:
         while True:
-            is_searching = self._refresh()
-            gevent.sleep(SEARCH_S if is_searching else REFRESH_S)
+            gevent.sleep(TICK_S)
+            self._tick()
 
-    def _refresh(self) -> bool:
+    def _tick(self) -> None:
         now = self._clock.now()
-        stale: list[str] = []
-        is_searching = False
+        earned = (now - self._ticked_at) * REFRESHES_PER_S
+        self._allowance = min(REFRESHES_PER_S, self._allowance + earned)
+        self._ticked_at = now
+        self._ask_overdue(now)
+        self._ask_oldest(now)
+
+    def _ask_overdue(self, now: float) -> None:
+        overdue = {
+            database
+            for database, began_at in self._in_work.values()
+            if now - began_at > OVERDUE_S
+        }
+        for database in overdue:
+            used = self._in_use.get(database)
+            if used is not None:
+                self._ask([m.name for m in used.entry.members])
+
+    def _ask_oldest(self, now: float) -> None:
+        stale = []
         for name, used in list(self._in_use.items()):
             if now - used.used_at > USE_MEMORY_S:
                 self._forget(name, used)
                 continue
-            if find_primary(self._peek(used.entry)) is None:
-                is_searching = True
-            stale += [m.name for m in used.entry.members if self._is_old(m)]
-        self._ask(stale)
-        return is_searching
-
-    def _peek(self, entry: DatabaseEntry) -> DatabaseView:
-        return DatabaseView(
-            entry.name,
-            tuple(self._member_view(m, set()) for m in entry.members),
-        )
-
-    def _is_old(self, member: MemberEntry) -> bool:
-        known = self._known.get(member.name)
-        if known is None:
-            return True
-        return self._clock.now() - known.observed_at >= REFRESH_S
+            for member in used.entry.members:
+                observed_at = self._observed_at(member.name)
+                if now - observed_at >= REFRESH_S:
+                    stale.append((observed_at, member.name))
+        allowed = int(self._allowance)
+        chosen = [m for _, m in heapq.nsmallest(allowed, stale)]
+        self._allowance -= len(chosen)
+        self._ask(chosen)
+
+    def _observed_at(self, member: str) -> float:
+        known = self._known.get(member)
+        return float('-inf') if known is None else known.observed_at
 
     def _forget(self, name: str, used: _InUse) -> None:
         del self._in_use[name]
--- a/packages/node/src/trefoilpulley_node/pipeline/execute.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -67,8 +67,11 @@
         if req.work_class.work is WorkKind.WRITE:
             message = _make_write(req, scope)
             abort = self._views.changed_event(req.database.name)
-            return self._ask(route.member, message, scope, abort)
-        return self._ask(route.member, _make_read(req, route, scope), scope)
+            return self._ask(
+                route.member, message, scope, req.database.name, abort
+            )
+        message = _make_read(req, route, scope)
+        return self._ask(route.member, message, scope, req.database.name)
 
     def resolve(
         self, req: PipelineRequest, route: Route, remaining_s: float
@@ -81,7 +84,7 @@
             max(1, round(1000 * remaining_s)),
         )
         message = PooledResolve(scope, req.key, req.work_class.safety.copies)
-        return self._ask(route.member, message, scope)
+        return self._ask(route.member, message, scope, req.database.name)
 
     def _scope(self, req: PipelineRequest, member: str) -> WorkScope:
         left_s = req.deadline - self._clock.now()
@@ -97,6 +100,7 @@
         member: str,
         message: Any,
         scope: WorkScope,
+        database: str,
         abort: Event | None = None,
     ) -> Result[Delivered, Failure]:
         host = self._peers.find_pooler(member)
@@ -104,7 +108,11 @@
             return Failed(NoUpstream('no host pools the member'))
         sent_at = self._clock.now()
         timeout_s = scope.remaining_ms / 1000 + ANSWER_MARGIN_S
-        reply = self._peers.ask_host(host, message, timeout_s, abort)
+        work = self._views.begin_work(database)
+        try:
+            reply = self._peers.ask_host(host, message, timeout_s, abort)
+        finally:
+            self._views.end_work(work)
         if not isinstance(reply, Success):
             self._views.on_unreachable(member)
             return reply
--- a/packages/node/src/trefoilpulley_node/pooler/age_prober.py
+++ b/packages/node/src/trefoilpulley_node/pooler/age_prober.py
@@ -19,14 +19,17 @@
     from trefoilpulley_node.peers import Peers
     from trefoilpulley_node.pooler.pooled_member import PooledMember
 
-PROBE_INTERVAL_S = 0.1
-"""Time between probes of a primary while reads state an age."""
+AGE_SHARE = 0.25
+"""Time between probes as a share of the smallest age that reads state."""
+
+LEAST_INTERVAL_S = 0.05
+"""Shortest time between probes."""
 
 IDLE_INTERVAL_S = 1.0
-"""Time between probes of a primary while no read states an age."""
+"""Time between probes while no read states an age; the longest."""
 
 USE_MEMORY_S = 10.0
-"""Time after its last aged read for which a replica counts as in use."""
+"""Time for which a stated age sets the pace."""
 
 PROBE_TIMEOUT_S = 0.5
 """Longest wait for a probe."""
@@ -78,8 +81,11 @@
                 self._ask_replica()
 
     def _interval_s(self) -> float:
-        idle_s = self._clock.now() - self._member.last_aged_read
-        return PROBE_INTERVAL_S if idle_s < USE_MEMORY_S else IDLE_INTERVAL_S
+        wanted = self._member.wanted_age
+        if self._clock.now() - wanted.stated_at > USE_MEMORY_S:
+            return IDLE_INTERVAL_S
+        interval_s = AGE_SHARE * wanted.max_age_ms / 1000
+        return min(IDLE_INTERVAL_S, max(LEAST_INTERVAL_S, interval_s))
 
     def _probe(self) -> None:
         if self._primary and self._probe_member(self._primary):
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.connection_budget import ConnectionBudget
@@ -23,6 +24,27 @@
     from trefoilpulley_core.slots import SlotQueue
     from trefoilpulley_node.peers import Peers
 
+WANTED_AGE_MEMORY_S = 10.0
+"""Time after which a larger stated age replaces a smaller one."""
+
+
+@dataclass(frozen=True, slots=True)
+class WantedAge:
+    """Smallest age that reads have stated of late."""
+
+    max_age_ms: int = 0
+    """Age in milliseconds."""
+
+    stated_at: float = float('-inf')
+    """Monotonic time of the last read that stated it, in seconds."""
+
+    def after(self, max_age_ms: int, now: float) -> WantedAge:
+        """Return what is wanted after one more read."""
+        is_old = now - self.stated_at > WANTED_AGE_MEMORY_S
+        if is_old or max_age_ms <= self.max_age_ms:
+            return WantedAge(max_age_ms, now)
+        return self
+
 
 class PooledMember:
     """Monitor, slots and age of one member.
@@ -74,8 +96,8 @@
         self.age = AgeTracker()
         """Age of the member's data."""
 
-        self.last_aged_read = float('-inf')
-        """Monotonic time of the last read that stated an age, seconds."""
+        self.wanted_age = WantedAge()
+        """Smallest age that reads have stated of late."""
 
         self.prover = LeadershipProver(
             database, entry.name, self.monitor, peers, clock
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
@@ -105,7 +105,9 @@
     def _is_fresh(self, member: PooledMember, max_age_ms: int | None) -> bool:
         if max_age_ms is None:
             return True
-        member.last_aged_read = self._clock.now()
+        member.wanted_age = member.wanted_age.after(
+            max_age_ms, self._clock.now()
+        )
         age_ms = member.age_ms()
         return age_ms is not None and age_ms <= max_age_ms
 
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -186,6 +186,7 @@
 
     def _send(self, sequence: int, message: Any) -> None:
         data = self._codec.encode(sequence, message)
+        self._codec.traffic.count(type(message).__name__, len(data))
         with self._send_lock:
             if self._protocol.state is not State.OPEN:
                 raise ConnectionError()
@@ -226,6 +227,7 @@
             self._on_undecodable(sequence, decoded.failure())
             return
         message = decoded.unwrap().message
+        self._codec.traffic.count(type(message).__name__, len(data))
         if sequence < 0:
             self._on_reply(-sequence, Success(message))
         elif sequence > 0:
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -21,6 +21,7 @@
 
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import MalformedMessage
+from trefoilpulley_wire.traffic import Traffic
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -54,6 +55,8 @@
             omit_if_default=True, detailed_validation=False
         )
         self._types = {kind.__name__: kind for kind in types}
+        self.traffic = Traffic()
+        """Frames of every channel that uses this codec."""
 
     def encode(self, sequence: int, message: Any) -> bytes:
         """Return the frame of a message."""
