--- /dev/null
+++ b/features/fakes/fake_entry_parts.py
@@ -0,0 +1,112 @@
+"""Fakes at the interfaces of the request pipeline."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.clock import Clock
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.peer import PooledFailure
+from trefoilpulley_core.peer import PooledResult
+from trefoilpulley_core.routing import Route
+from trefoilpulley_core.upstream import StatementResult
+
+STEP_S = 0.05
+"""Virtual time that each exchange or wait takes, in seconds."""
+
+
+class FakeClock(Clock):
+    """Clock that moves when it is told to."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        """Return virtual time in seconds."""
+        return self.at
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One message that the pipeline has sent."""
+
+    host: str
+    """Host that it went to."""
+
+    message: Any
+    """Message."""
+
+
+class FakePeers:
+    """Answers from a script; the last answer repeats."""
+
+    def __init__(self, clock: FakeClock, script: list[str]) -> None:
+        self._clock = clock
+        self._script = deque(script)
+        self.sent: list[Sent] = []
+
+    def find_pooler(self, member: str) -> str:
+        """Return one host for each member."""
+        return f'pooler-of-{member}'
+
+    def ask_host(
+        self, host: str, message: Any, timeout_s: float, abort: Any = None
+    ) -> Result[Any, Failure]:
+        """Take the next answer of the script."""
+        self._clock.at += STEP_S
+        self.sent.append(Sent(host, message))
+        answer = self._script[0]
+        if len(self._script) > 1:
+            self._script.popleft()
+        if answer == 'lost':
+            return Failed(PeerUnreachable('no answer'))
+        if answer == 'ran':
+            return Success(PooledResult(StatementResult(row_count=1)))
+        if answer == 'kept':
+            kept = StatementResult(row_count=1, is_recalled=True)
+            return Success(PooledResult(kept))
+        return Success(PooledFailure(answer))
+
+
+class FakeViews:
+    """Digests that nobody reads; waits move the clock."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+
+    def begin_work(self, database: str) -> int:
+        """Ignore the request."""
+        return 0
+
+    def end_work(self, number: int) -> None:
+        """Ignore the request."""
+
+    def changed_event(self, database: str) -> None:
+        """Return no event."""
+
+    def on_digest(self, digest: Any, sent_at: float) -> None:
+        """Ignore the digest."""
+
+    def on_unreachable(self, member: str) -> None:
+        """Ignore the member."""
+
+    def wait_for_change(self, entry: Any, timeout_s: float) -> None:
+        """Let the time pass."""
+        self._clock.at += timeout_s
+
+
+class FakeRouter:
+    """Sends everything to one primary."""
+
+    def choose(
+        self, req: Any, excluded: frozenset[str]
+    ) -> Result[Route, Failure]:
+        """Return the primary."""
+        return Success(Route('a', is_primary=True))
