Check the order of the slots by scenarios and generated work

Cause: order, early refusal, fairness, holds and the fading of service times had no scenario. Change: scenarios, and rules checked on generated work, each shown to fail on a deliberate fault; histograms are made with the first answer.

--- /dev/null
+++ b/features/steps/limits_slots_steps.py
@@ -0,0 +1,344 @@
+"""Steps on the order of the slots."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+from returns.pipeline import is_successful
+
+from features.fakes.routing_trace import CLASSES
+from features.fakes.routing_trace import make_targets
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.slot_lane import SlotLane
+from trefoilpulley_core.slots import Ticket
+from trefoilpulley_core.slots_deadline import DeadlineSlots
+from trefoilpulley_core.targets import ClassTargets
+
+EXAMPLES = 150
+"""Generated sequences of work."""
+
+_PIECES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from([c.name for c in CLASSES]),
+        strategies.sampled_from(
+            ['offer', 'offer', 'offer', 'take', 'held', 'expire']
+        ),
+        strategies.floats(0.0, 0.05),
+        strategies.one_of(
+            strategies.floats(0.001, 0.1), strategies.floats(0.1, 2.0)
+        ),
+    ),
+    min_size=10,
+    max_size=40,
+)
+
+
+class _LastFirstSlots(DeadlineSlots):
+    """Deliberate fault: the latest deadline goes first."""
+
+    def _next_lane(self, now: float, is_writable: bool) -> SlotLane | None:
+        lanes = [
+            lane
+            for lane in self._lanes
+            if len(lane) and (is_writable or not lane.is_write)
+        ]
+        return max(lanes, key=lambda x: x.peek().deadline, default=None)
+
+
+class _HoldlessSlots(DeadlineSlots):
+    """Deliberate fault: a hold of writes is forgotten."""
+
+    def take(self, now: float, is_writable: bool) -> Ticket | None:
+        """Return the work to run next, whatever is held."""
+        return super().take(now, True)
+
+
+class _LateSlots(DeadlineSlots):
+    """Deliberate fault: work that is late already still runs."""
+
+    def take(self, now: float, is_writable: bool) -> Ticket | None:
+        """Return the work to run next, late or not."""
+        lane = self._next_lane(now, is_writable)
+        ticket = lane.pop() if lane else None
+        if ticket is not None:
+            del self._lane_of[ticket.ticket_id]
+        return ticket
+
+
+KINDS = {
+    'a deadline queue': DeadlineSlots,
+    'a queue that serves the last': _LastFirstSlots,
+    'a queue that forgets a hold': _HoldlessSlots,
+    'a queue that runs late work': _LateSlots,
+}
+"""Queues by the names that the scenarios give them."""
+
+
+class LimitsSlotsSteps:
+    """Steps that queue work and take it."""
+
+    @staticmethod
+    @given('a slot queue for {slots:d} slots')
+    def make_queue(context: Any, slots: int) -> None:
+        """Make an empty queue."""
+        context.targets = make_targets()
+        context.queue = DeadlineSlots(slots, context.targets)
+        context.now = 100.0
+        context.ids = itertools.count(1)
+        context.names = {}
+
+    @staticmethod
+    @given('service times of {service_ms:d} ms')
+    def learn_service(context: Any, service_ms: int) -> None:
+        """Let every class be served with one service time."""
+        for work_class in CLASSES:
+            _offer(context, work_class.name, 5000, 'steady')
+            context.queue.take(context.now, True)
+            for _ in range(60):
+                context.queue.record_service(
+                    work_class.name, service_ms / 1000, True
+                )
+
+    @staticmethod
+    @when('"{work_class}" is queued with {left_ms:d} ms left as "{name}"')
+    def offer(context: Any, work_class: str, left_ms: int, name: str) -> None:
+        """Queue one piece of work."""
+        _offer(context, work_class, left_ms, 'steady', name)
+
+    @staticmethod
+    @when(
+        'tenant "{tenant}" queues "{work_class}" with {left_ms:d} ms left '
+        'as "{name}"'
+    )
+    def offer_of(
+        context: Any, work_class: str, tenant: str, left_ms: int, name: str
+    ) -> None:
+        """Queue one piece of a tenant's work."""
+        assert is_successful(
+            _offer(context, work_class, left_ms, tenant, name)
+        )
+
+    @staticmethod
+    @when('{count:d} pieces of "{work_class}" are queued with {ms:d} ms left')
+    def offer_many(context: Any, count: int, work_class: str, ms: int) -> None:
+        """Queue many pieces of work."""
+        for _ in range(count):
+            _offer(context, work_class, ms, 'steady')
+
+    @staticmethod
+    @when(
+        'tenant "{tenant}" queues {count:d} pieces of "{work_class}" with '
+        '{ms:d} ms left'
+    )
+    def offer_many_of(
+        context: Any, count: int, work_class: str, tenant: str, ms: int
+    ) -> None:
+        """Queue many pieces of a tenant's work."""
+        for _ in range(count):
+            _offer(context, work_class, ms, tenant)
+
+    @staticmethod
+    @when('the class "{work_class}" has missed its target')
+    def miss_target(context: Any, work_class: str) -> None:
+        """Record late answers."""
+        for _ in range(100):
+            context.targets.record_outcome(work_class, False, context.now)
+
+    @staticmethod
+    @when('{elapsed_ms:d} ms pass')
+    def wait(context: Any, elapsed_ms: int) -> None:
+        """Move the clock."""
+        context.now += elapsed_ms / 1000
+        context.expired = context.queue.expire(context.now)
+
+    @staticmethod
+    @when('the caller of "{name}" has gone')
+    def cancel(context: Any, name: str) -> None:
+        """Cancel one piece of work."""
+        found = [i for i, n in context.names.items() if n == name]
+        context.queue.cancel(found[0])
+
+    @staticmethod
+    @when(
+        '{count:d} pieces of "{work_class}" are queued and cancelled in turn'
+    )
+    def churn(context: Any, count: int, work_class: str) -> None:
+        """Queue and cancel without a take."""
+        for _ in range(count):
+            _offer(context, work_class, 2000, 'steady')
+            context.queue.cancel(next(context.ids) - 1)
+            context.now += 0.001
+
+    @staticmethod
+    @then('the queue keeps no trace of them')
+    def check_memory(context: Any) -> None:
+        """Look at every structure that grows with the work."""
+        queue = context.queue
+        assert len(queue) == 0
+        assert len(queue._expiries) < 500, len(queue._expiries)
+        for lane in queue._lanes:
+            assert len(lane._heap) < 500, len(lane._heap)
+
+    @staticmethod
+    @then('the slots go to "{names}"')
+    def check_order(context: Any, names: str) -> None:
+        """Take everything and compare the order."""
+        assert _take_names(context, True) == names.split(', ')
+
+    @staticmethod
+    @then('the slots go to ""')
+    def check_empty(context: Any) -> None:
+        """Expect nothing to run."""
+        assert _take_names(context, True) == []
+
+    @staticmethod
+    @then('the slots go to "{names}" while writes are held')
+    def check_held(context: Any, names: str) -> None:
+        """Take everything that a hold lets run."""
+        assert _take_names(context, False) == names.split(', ')
+
+    @staticmethod
+    @then('the slots go to "{name}" within the first {count:d}')
+    def check_early(context: Any, name: str, count: int) -> None:
+        """Take everything and look at the front."""
+        assert name in _take_names(context, True)[:count]
+
+    @staticmethod
+    @then('"{work_class}" with {ms:d} ms left is refused as overloaded')
+    def check_refused(context: Any, work_class: str, ms: int) -> None:
+        """Expect an early refusal that says "not run"."""
+        result = _offer(context, work_class, ms, 'steady')
+        assert isinstance(result.failure(), Overloaded)
+        assert result.failure().run_state is RunState.NOT_RUN
+
+    @staticmethod
+    @then('"{work_class}" with {ms:d} ms left is taken')
+    def check_taken(context: Any, work_class: str, ms: int) -> None:
+        """Expect work to be queued."""
+        assert is_successful(_offer(context, work_class, ms, 'steady'))
+
+    @staticmethod
+    @then('"{name}" is given back')
+    def check_expired(context: Any, name: str) -> None:
+        """Expect expired work."""
+        found = [context.names[t.ticket_id] for t in context.expired]
+        assert found == [name]
+
+    @staticmethod
+    @when('generated work is queued in {kind}')
+    def generate(context: Any, kind: str) -> None:
+        """Check the rules on generated sequences."""
+
+        @hypothesis.settings(
+            derandomize=True,
+            max_examples=EXAMPLES,
+            deadline=None,
+            database=None,
+            phases=(hypothesis.Phase.generate,),
+        )
+        @hypothesis.given(_PIECES)
+        def check(pieces: list[tuple[str, str, float, float]]) -> None:
+            _check_rules(KINDS[kind], pieces)
+
+        context.broken = None
+        try:
+            check()
+        except AssertionError as exc:
+            context.broken = exc
+
+    @staticmethod
+    @then('each rule of the slots holds')
+    def check_holds(context: Any) -> None:
+        """Expect no broken rule."""
+        assert context.broken is None, context.broken
+
+    @staticmethod
+    @then('a rule of the slots is broken')
+    def check_broken(context: Any) -> None:
+        """Expect the deliberate fault to show."""
+        assert context.broken is not None
+
+
+def _offer(
+    context: Any, work_class: str, left_ms: int, tenant: str, name: str = ''
+) -> Any:
+    ticket_id = next(context.ids)
+    context.names[ticket_id] = name or f'{tenant}-{ticket_id}'
+    ticket = Ticket(
+        ticket_id,
+        tenant,
+        work_class,
+        context.now + left_ms / 1000,
+        work_class == 'filing',
+    )
+    return context.queue.offer(ticket, context.now)
+
+
+def _take_names(context: Any, is_writable: bool) -> list[str]:
+    found = []
+    while ticket := context.queue.take(context.now, is_writable):
+        found.append(context.names[ticket.ticket_id])
+    return found
+
+
+def _check_rules(
+    kind: type[DeadlineSlots], pieces: list[tuple[str, str, float, float]]
+) -> None:
+    """Check order, hold, lateness and that each piece ends once."""
+    targets = make_targets()
+    queue = kind(2, targets)
+    now = 100.0
+    waiting: dict[int, Ticket] = {}
+    for number, (work_class, action, pause_s, left_s) in enumerate(pieces):
+        now += pause_s
+        if action == 'expire':
+            for ticket in queue.expire(now):
+                del waiting[ticket.ticket_id]
+        elif action == 'offer':
+            is_write = work_class == 'filing'
+            ticket = Ticket(number, 't', work_class, now + left_s, is_write)
+            if is_successful(queue.offer(ticket, now)):
+                waiting[number] = ticket
+        else:
+            taken = queue.take(now, action == 'take')
+            if taken is not None:
+                del waiting[taken.ticket_id]
+                _check_taken(taken, waiting, targets, now, action)
+                queue.record_service(taken.work_class, 0.005, True)
+    assert len(queue) + len(queue._hopeless) == len(waiting)
+
+
+def _check_taken(
+    taken: Ticket,
+    waiting: dict[int, Ticket],
+    targets: ClassTargets,
+    now: float,
+    action: str,
+) -> None:
+    """Check one piece against what it left waiting."""
+    assert taken.deadline >= now
+    assert action == 'take' or not taken.is_write
+    if any(targets.danger(c.name, now) for c in CLASSES):
+        return
+    strictness = targets.strictness(taken.work_class)
+    for other in waiting.values():
+        is_able = other.deadline >= now + _ABLE_S
+        is_held = action == 'held' and other.is_write
+        if is_held or not is_able:
+            continue
+        if targets.strictness(other.work_class) >= strictness:
+            assert taken.deadline <= other.deadline + _LEAD_S
+
+
+_ABLE_S = 0.01
+"""Time left with which work can still be in time, in seconds."""
+
+_LEAD_S = 0.2
+"""Largest time by which a lone tenant's own work may be put back."""
--- a/packages/core/src/trefoilpulley_core/targets.py
+++ b/packages/core/src/trefoilpulley_core/targets.py
@@ -162,9 +162,9 @@
         self._total = 0
         self._in_time = 0
         self._refused = 0
-        self._times = _new_histogram()
-        self._earlier_times = _new_histogram()
-        self._times_since: float | None = None
+        self._times: HdrHistogram | None = None
+        self._earlier_times: HdrHistogram | None = None
+        self._times_since = 0.0
 
     @property
     def within_ms(self) -> int:
@@ -192,6 +192,8 @@
 
     def record_time(self, elapsed_s: float, now: float) -> None:
         self._rotate_times(now)
+        if self._times is None:
+            self._times = _new_histogram()
         elapsed_us = max(1, min(_LONGEST_US, int(elapsed_s * 1e6)))
         self._times.record_value(elapsed_us)
 
@@ -221,8 +223,9 @@
 
     def _quantile_ms(self, percentile: float) -> float:
         both = _new_histogram()
-        both.add(self._earlier_times)
-        both.add(self._times)
+        for times in (self._earlier_times, self._times):
+            if times is not None:
+                both.add(times)
         return both.get_value_at_percentile(percentile) / 1000
 
     def _bucket_at(self, now: float) -> _Bucket:
@@ -243,13 +246,11 @@
             self._refused -= oldest.refused
 
     def _rotate_times(self, now: float) -> None:
-        if self._times_since is None:
-            self._times_since = now
         if now - self._times_since < WINDOW_S:
             return
         is_gap = now - self._times_since >= 2 * WINDOW_S
-        self._earlier_times = _new_histogram() if is_gap else self._times
-        self._times = _new_histogram()
+        self._earlier_times = None if is_gap else self._times
+        self._times = None
         self._times_since = now
 
 
