--- /dev/null
+++ b/features/standins_demo.feature
@@ -0,0 +1,37 @@
+Feature: Checker of the demonstration
+  The checker must see each fault that the report counts.
+
+  Background:
+    Given a standins journal without faults
+
+  Scenario: a run without faults has no violation
+    Then the standins checker counts nothing
+
+  Scenario Outline: a fault is counted
+    Given the standins fault "<fault>"
+    Then the standins checker counts only <key>
+
+    Examples:
+      | fault                                          | key                 |
+      | an acknowledged row is missing at one replica  | lost                |
+      | one row of a transaction is missing everywhere | lost and mixed      |
+      | a row stands twice                             | doubled             |
+      | a row stands under another session             | mixed               |
+      | a refused transaction is there in part         | mixed and false_not_run |
+      | an answer has another request's parameter      | wrong_answer        |
+      | a read misses the session's own write          | ryw_violations      |
+      | a read is older than its class allows          | stale_beyond_target |
+      | a refused write is in the rows                 | false_not_run       |
+      | a request is refused in a planned stop         | cut_by_planned_stop |
+
+  Scenario: a write that is refused and absent is no violation
+    Given the standins fault "a write is refused truly"
+    Then the standins checker counts nothing
+
+  Scenario: the gap is between the last write of one primary and the first of the next
+    Given standins writes at a until 10.0 s and at b from 10.8 s
+    Then the standins write gap after 9.0 s is 0.8 s
+    And the standins write gap after 11.0 s is not seen
+
+  Scenario: the recording is drawn from its seed
+    Then the standins recordings of one seed are equal and of another are not
