--- a/packages/standins/src/trefoilpulley_standins/policy_cases.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_cases.py
@@ -68,6 +68,14 @@
     return tuple(found)
 
 
+def overload_of(deployment: Deployment, seconds: float) -> Load:
+    """Return a load of twice the work that a group's slots carry."""
+    session_s = WRITE_SERVICE_S + (SESSION_READS + 1) * READ_SERVICE_S
+    capacity = MEMBERS * deployment.slots * _OVERLOAD
+    lookups = (capacity - _SESSIONS_PER_S * session_s) / READ_SERVICE_S
+    return Load(_SESSIONS_PER_S, lookups, 0.05, seconds)
+
+
 def _measure_reads(
     deployment: Deployment, policy: str, seed: int
 ) -> Iterator[Figure]:
@@ -91,10 +99,7 @@
 def _measure_overload(
     deployment: Deployment, policy: str, seed: int
 ) -> Iterator[Figure]:
-    session_s = WRITE_SERVICE_S + (SESSION_READS + 1) * READ_SERVICE_S
-    capacity = MEMBERS * deployment.slots * _OVERLOAD
-    lookups = (capacity - _SESSIONS_PER_S * session_s) / READ_SERVICE_S
-    load = Load(_SESSIONS_PER_S, lookups, 0.05, 3.0)
+    load = overload_of(deployment, 3.0)
     tally = PolicyRun(deployment, policy, load, seed).run()
     case = f'{deployment.name}, twice the load'
     for work_class in deployment.classes:
--- a/packages/standins/src/trefoilpulley_standins/policy_pooler.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_pooler.py
@@ -82,6 +82,9 @@
         self.false_ages = 0
         """Reads whose stated age was below the true one."""
 
+        self.served = 0
+        """Pieces of work that the member has run."""
+
     @property
     def is_primary(self) -> bool:
         """Whether the member leads."""
@@ -179,6 +182,7 @@
         held_s = least_s + self._rng.expovariate(1 / (mean_s - least_s))
         yield held_s
         self._free += 1
+        self.served += 1
         is_in_time = self._loop.now <= ticket.deadline
         self._queue.record_service(ticket.work_class, held_s, is_in_time)
         self._dispatch()
--- a/packages/standins/src/trefoilpulley_standins/policy_run.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_run.py
@@ -103,6 +103,11 @@
         """Reads whose stated age was below the true one."""
         return sum(p.false_ages for p in self._poolers)
 
+    @property
+    def served(self) -> int:
+        """Pieces of work that the members have run."""
+        return sum(p.served for p in self._poolers)
+
     def run(self) -> Tally:
         """Replay the traffic and let it drain."""
         load = self._load
