--- a/features/environment.py
+++ b/features/environment.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+from gevent import monkey
+
+monkey.patch_all()
+
+# The patch must come before every other import.
+from typing import Any  # noqa: E402
 
 
 def before_scenario(context: Any, scenario: Any) -> None:
