--- a/packages/standins/src/trefoilpulley_standins/policy_cases.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_cases.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.connection_budget import ConnectionBudget
 from trefoilpulley_standins.policy_connections import ConnectionRun
 from trefoilpulley_standins.policy_deployment import DEPLOYMENTS
 from trefoilpulley_standins.policy_deployment import READ_SERVICE_S
@@ -145,11 +146,11 @@
 ) -> Iterator[Figure]:
     limit = deployment.connections
     for slots in (deployment.slots, limit - 6):
-        for has_budget in (True, False):
-            way = 'budget' if has_budget else 'no budget'
+        for budget in (ConnectionBudget, None):
+            way = 'budget' if budget else 'no budget'
             case = f'{deployment.name}, {slots} slots, death and two views'
             run = ConnectionRun(
-                limit, slots, deployment.connect_s, 3, has_budget, seed
+                limit, slots, deployment.connect_s, 3, budget, seed
             )
             run.run()
             over_ms = 1000 * run.door.longest_over_s
--- a/packages/standins/src/trefoilpulley_standins/policy_connections.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_connections.py
@@ -6,7 +6,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from trefoilpulley_core.connection_budget import ConnectionBudget
 from trefoilpulley_core.connection_budget import CONTROL_CONNECTIONS
 from trefoilpulley_core.connection_pacer import ConnectionPacer
 from trefoilpulley_standins.policy_loop import VirtualLoop
@@ -14,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from trefoilpulley_core.connection_budget import ConnectionBudget
+
 STATUS_INTERVAL_S = 0.1
 """Time between two reports of the member, in seconds."""
 
@@ -176,8 +177,8 @@
         Time that a connection takes, in seconds.
     poolers : int
         Hosts that take themselves for the member's pooler.
-    has_budget : bool
-        Whether the budget is used.
+    budget : type[ConnectionBudget] | None
+        Budget of each pooler; ``None`` opens all that is wanted.
     seed : int
         Seed of all randomness.
     """
@@ -188,7 +189,7 @@
         slots: int,
         connect_s: float,
         poolers: int,
-        has_budget: bool,
+        budget: type[ConnectionBudget] | None,
         seed: int,
     ) -> None:
         self._rng = random.Random(seed)
@@ -200,7 +201,7 @@
             FakePoolerConnections(
                 self._loop,
                 self.door,
-                ConnectionBudget(limit, slots) if has_budget else None,
+                budget(limit, slots) if budget else None,
                 self._rng,
                 slots,
                 connect_s,
