Check tokens, retries, admission and the counts of the targets

Cause: none of them had a scenario. Found by one: a tenant that was alone could fill the host, so that the next tenant was refused.

--- /dev/null
+++ b/features/steps/limits_requests_steps.py
@@ -0,0 +1,237 @@
+"""Steps on retries, admission, targets and proofs of leadership."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from returns.pipeline import is_successful
+
+from features.fakes.routing_trace import CLASSES
+from features.fakes.routing_trace import make_targets
+from trefoilpulley_core.admission import Admission
+from trefoilpulley_core.failure import catalogue
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.leadership import LeadershipProof
+from trefoilpulley_core.retry_budget import RetryBudget
+
+
+class LimitsRequestsSteps:
+    """Steps that ask for retries and admission."""
+
+    @staticmethod
+    @given('a retry budget')
+    def make_retries(context: Any) -> None:
+        """Make a budget with its first burst."""
+        context.retries = RetryBudget()
+
+    @staticmethod
+    @when('{count:d} fresh requests and as many refusals come in')
+    def refuse(context: Any, count: int) -> None:
+        """Ask for a retry of every request."""
+        context.allowed = 0
+        for _ in range(count):
+            context.retries.record_fresh('m/a')
+            context.allowed += context.retries.try_retry(
+                'm/a', Overloaded(), False
+            )
+
+    @staticmethod
+    @when('{count:d} retries of "{member}" are asked for')
+    def ask(context: Any, count: int, member: str) -> None:
+        """Ask for retries without fresh traffic."""
+        context.allowed = sum(
+            context.retries.try_retry(member, Overloaded(), False)
+            for _ in range(count)
+        )
+
+    @staticmethod
+    @then('between {least:d} and {most:d} retries are allowed')
+    def check_share(context: Any, least: int, most: int) -> None:
+        """Compare with the share and the burst."""
+        assert least <= context.allowed <= most, context.allowed
+
+    @staticmethod
+    @then('{count:d} of them are allowed')
+    def check_allowed(context: Any, count: int) -> None:
+        """Compare the count."""
+        assert context.allowed == count, context.allowed
+
+    @staticmethod
+    @then('"{member}" has {count:d} retries saved')
+    def check_saved(context: Any, member: str, count: int) -> None:
+        """Compare what another upstream has."""
+        assert context.retries.saved(member) == count
+
+    @staticmethod
+    @then('a {kind} request is {answer} after "{code}"')
+    def check_retry(context: Any, kind: str, answer: str, code: str) -> None:
+        """Ask for one retry."""
+        failure = catalogue()[code]()
+        is_allowed = context.retries.try_retry(
+            'm/a', failure, kind == 'repeatable'
+        )
+        assert is_allowed == (answer == 'sent again')
+
+    @staticmethod
+    @given('an entry host for {limit:d} requests')
+    def make_admission(context: Any, limit: int) -> None:
+        """Make an idle host."""
+        context.admission = Admission(make_targets(), limit)
+
+    @staticmethod
+    @when('{tenants:d} tenants ask for {count:d} "{work_class}" each in turn')
+    def ask_in_turn(
+        context: Any, tenants: int, count: int, work_class: str
+    ) -> None:
+        """Ask for admission, tenant by tenant."""
+        for _ in range(count):
+            for number in range(tenants):
+                _admit(context, f't{number}', work_class)
+
+    @staticmethod
+    @when('tenant "{tenant}" asks for {count:d} "{work_class}"')
+    def ask_many(
+        context: Any, tenant: str, count: int, work_class: str
+    ) -> None:
+        """Ask for admission of one tenant's requests."""
+        admitted = [_admit(context, tenant, work_class) for _ in range(count)]
+        context.admitted = {tenant: sum(admitted)}
+
+    @staticmethod
+    @then('{count:d} requests are in work')
+    def check_total(context: Any, count: int) -> None:
+        """Compare the requests in work."""
+        assert context.admission.total == count, context.admission.total
+
+    @staticmethod
+    @then('tenant "{tenant}" has {count:d} requests in work')
+    def check_tenant(context: Any, tenant: str, count: int) -> None:
+        """Compare one tenant's requests, and that they end."""
+        assert context.admitted[tenant] == count, context.admitted
+        before = context.admission.total
+        for _ in range(count):
+            context.admission.finish(tenant)
+        assert context.admission.total == before - count
+
+    @staticmethod
+    @then('"{work_class}" of tenant "{tenant}" is admitted')
+    def check_admitted(context: Any, work_class: str, tenant: str) -> None:
+        """Expect admission."""
+        assert _admit(context, tenant, work_class)
+
+    @staticmethod
+    @then('"{work_class}" with no time left is refused')
+    def check_late(context: Any, work_class: str) -> None:
+        """Expect the typed failure."""
+        result = context.admission.admit('t', work_class, 5.0, 5.0)
+        assert isinstance(result.failure(), Overloaded)
+
+    @staticmethod
+    @given(
+        'targets that count {good:d} answers in time and {late:d} late ones '
+        'of "{work_class}"'
+    )
+    def count_answers(
+        context: Any, good: int, late: int, work_class: str
+    ) -> None:
+        """Record answers of a class with 250 ms."""
+        context.targets = make_targets()
+        context.work_class = work_class
+        context.now = 100.0
+        for elapsed_s in (0.2,) * good + (0.3,) * late:
+            context.targets.record(work_class, elapsed_s, context.now)
+
+    @staticmethod
+    @given('targets that count answers of "{name}" from 1 to {most:d} ms')
+    def count_times(context: Any, name: str, most: int) -> None:
+        """Record one answer for each millisecond."""
+        context.targets = make_targets()
+        context.now = 100.0
+        for elapsed_ms in range(1, most + 1):
+            context.targets.record(name, elapsed_ms / 1000, context.now)
+
+    @staticmethod
+    @when('{elapsed:d} s pass without an answer')
+    def wait(context: Any, elapsed: int) -> None:
+        """Move the clock."""
+        context.now += elapsed
+
+    @staticmethod
+    @then('the share of "{name}" is {share:f} and its target is met')
+    def check_share_of(context: Any, name: str, share: float) -> None:
+        """Compare the report."""
+        report = _report(context, name)
+        assert abs(report.share - share) < 1e-9, report
+        assert report.is_met
+
+    @staticmethod
+    @then('its danger is {danger:f}')
+    def check_danger(context: Any, danger: float) -> None:
+        """Compare the danger."""
+        found = context.targets.danger(context.work_class, context.now)
+        assert abs(found - danger) < 1e-9, found
+
+    @staticmethod
+    @then(
+        'the median of "{name}" is about {p50:d} ms and its 99th percentile '
+        '{p99:d} ms'
+    )
+    def check_quantiles(context: Any, name: str, p50: int, p99: int) -> None:
+        """Compare the quantiles to within the digits kept."""
+        report = _report(context, name)
+        assert abs(report.p50_ms - p50) <= 1, report
+        assert abs(report.p99_ms - p99) <= 1, report
+
+    @staticmethod
+    @then('the classes from strict to loose are "{names}"')
+    def check_strictness(context: Any, names: str) -> None:
+        """Sort the classes by their strictness."""
+        targets = make_targets()
+        ordered = sorted(
+            (c.name for c in CLASSES), key=targets.strictness, reverse=True
+        )
+        assert ordered == names.split(', '), ordered
+
+    @staticmethod
+    @given(
+        'the primary of term {term:d} in a group of {n:d}, asked at {t:d} s'
+    )
+    def make_proof(context: Any, term: int, n: int, t: int) -> None:
+        """Take the primary's own answer."""
+        context.proof = LeadershipProof(n)
+        context.proof.on_primary(term, term, float(t))
+
+    @staticmethod
+    @when(
+        'replica "{name}" answers at {t:d} s that it is fenced at term {f:d}'
+    )
+    def answer(context: Any, name: str, t: int, f: int) -> None:
+        """Take a replica's answer."""
+        context.proof.on_replica(name, f, float(t))
+
+    @staticmethod
+    @then('it is not proven to lead')
+    def check_unproven(context: Any) -> None:
+        """Expect no proof."""
+        assert context.proof.proven_at() is None
+        assert not context.proof.is_proven_since(0.0)
+
+    @staticmethod
+    @then('it is proven to lead as of {t:d} s')
+    def check_proven(context: Any, t: int) -> None:
+        """Compare the time of the proof."""
+        assert context.proof.proven_at() == t
+        assert not context.proof.is_proven_since(t + 0.1)
+
+
+def _admit(context: Any, tenant: str, work_class: str) -> bool:
+    result = context.admission.admit(tenant, work_class, 5.0, 1.0)
+    return is_successful(result)
+
+
+def _report(context: Any, name: str) -> Any:
+    reports = context.targets.snapshot(context.now)
+    return next(r for r in reports if r.work_class == name)
--- a/packages/core/src/trefoilpulley_core/admission.py
+++ b/packages/core/src/trefoilpulley_core/admission.py
@@ -27,8 +27,8 @@
     """Bounds the requests in work, fair between tenants.
 
     A tenant may use what is free up to half of the limit; beyond that
-    each active tenant has an equal share. The last part is kept for
-    writes that may not be repeated.
+    each active tenant has an equal share, and so has a tenant that may
+    come. The last part is kept for writes that may not be repeated.
 
     Parameters
     ----------
@@ -60,9 +60,10 @@
         """
         if deadline <= now:
             return Failed(Overloaded('the deadline has passed'))
-        if self._total >= self._limit_of(work_class):
+        limit = self._limit_of(work_class)
+        if self._total >= limit:
             return Failed(Overloaded('the host is full'))
-        if self._is_beyond_share(tenant):
+        if self._is_beyond_share(tenant, limit):
             return Failed(Overloaded('the tenant is beyond its share'))
         self._total += 1
         self._by_tenant[tenant] += 1
@@ -80,9 +81,9 @@
             return self._limit
         return self._limit * (1 - _SINGLE_RESERVE)
 
-    def _is_beyond_share(self, tenant: str) -> bool:
+    def _is_beyond_share(self, tenant: str, limit: float) -> bool:
         if self._total < self._limit * _FREE_SHARE:
             return False
         held = self._by_tenant.get(tenant, 0)
-        active = len(self._by_tenant) + (held == 0)
-        return held >= self._limit / active
+        others = len(self._by_tenant) - (held > 0)
+        return held >= limit / (others + 2)
