Roll back a transaction whose owner is lost while it begins

Cause: a transaction is entered into the open ones only once the member has begun it. Where the connection that asked for it ended before, at the pooler or at the entry host, nobody ended it: it held its slot and the member's writes for good. Found in a run of four hosts with two of them killed under six writers; the state dump showed one open transaction and one slot in use with no caller left, and writes were refused as 'no slot became free in time'. Ruled out: the client, which had closed; the rollback of open transactions, which works. Change: whoever asks is noted for as long as the transaction begins; one whose connection has ended meanwhile is rolled back. The same at both roles. Left: a transaction whose Begin is answered after the entry host has given up on it, and an idle limit.

--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/beginnings.py
@@ -0,0 +1,64 @@
+"""Transactions that are being begun, and those who ask for them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import TransactionLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass(eq=False, slots=True)
+class _Beginning:
+    connection: int
+    is_orphaned: bool = False
+
+
+class Beginnings:
+    """Rolls back a transaction whose connection ended while it began."""
+
+    def __init__(self) -> None:
+        self._running: set[_Beginning] = set()
+
+    def run(
+        self,
+        connection: int,
+        begin: Callable[[], Result[str, Failure]],
+        roll_back: Callable[[str], Any],
+    ) -> Result[str, Failure]:
+        """Begin a transaction for a connection.
+
+        Parameters
+        ----------
+        connection : int
+            Number of the connection that asks for the transaction.
+        begin : Callable[[], Result[str, Failure]]
+            Begins the transaction and returns its identifier.
+        roll_back : Callable[[str], Any]
+            Rolls it back where the connection has ended meanwhile.
+        """
+        beginning = _Beginning(connection)
+        self._running.add(beginning)
+        try:
+            begun = begin()
+        finally:
+            self._running.discard(beginning)
+        if not beginning.is_orphaned or not isinstance(begun, Success):
+            return begun
+        roll_back(begun.unwrap())
+        return Failed(TransactionLost('connection ended'))
+
+    def on_lost(self, connection: int) -> None:
+        """Take note that a connection has ended."""
+        for beginning in self._running:
+            if beginning.connection == connection:
+                beginning.is_orphaned = True
--- a/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
+++ b/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
@@ -29,6 +29,7 @@
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.upstream import OutcomeKey
 from trefoilpulley_core.upstream import Statement
+from trefoilpulley_node.beginnings import Beginnings
 from trefoilpulley_node.peers import read_failure
 from trefoilpulley_node.pipeline.request import Delivered
 
@@ -87,6 +88,7 @@
         self._views = views
         self._clock = clock
         self._open: dict[str, _Bound] = {}
+        self._beginnings = Beginnings()
         self._ids = itertools.count(1)
 
     def __len__(self) -> int:
@@ -96,14 +98,11 @@
         self, req: PipelineRequest, connection: int
     ) -> Result[str, Failure]:
         """Begin a transaction at the primary and return its identifier."""
-        failure: Failure = NoUpstream('no primary could be reached in time')
-        while self._clock.now() < req.deadline:
-            begun = self._begin_once(req, connection)
-            if isinstance(begun, Success):
-                return begun
-            failure = begun.failure()
-            self._views.wait_for_change(req.database, 0.05)
-        return Failed(_as_not_begun(failure))
+        return self._beginnings.run(
+            connection,
+            lambda: self._begin(req, connection),
+            lambda begun: self.rollback(begun, req.tenant, connection),
+        )
 
     def run(
         self, message: Execute, tenant: str, connection: int
@@ -159,10 +158,23 @@
 
     def on_caller_lost(self, connection: int) -> None:
         """Roll back what a caller's connection had open."""
+        self._beginnings.on_lost(connection)
         for transaction, bound in list(self._open.items()):
             if bound.connection == connection:
                 self._abort(transaction, bound)
 
+    def _begin(
+        self, req: PipelineRequest, connection: int
+    ) -> Result[str, Failure]:
+        failure: Failure = NoUpstream('no primary could be reached in time')
+        while self._clock.now() < req.deadline:
+            begun = self._begin_once(req, connection)
+            if isinstance(begun, Success):
+                return begun
+            failure = begun.failure()
+            self._views.wait_for_change(req.database, 0.05)
+        return Failed(_as_not_begun(failure))
+
     def _begin_once(
         self, req: PipelineRequest, connection: int
     ) -> Result[str, Failure]:
--- a/packages/node/src/trefoilpulley_node/pooler/transactions.py
+++ b/packages/node/src/trefoilpulley_node/pooler/transactions.py
@@ -16,6 +16,7 @@
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.failure import ReplicaBehind
 from trefoilpulley_core.failure import TransactionLost
+from trefoilpulley_node.beginnings import Beginnings
 
 if TYPE_CHECKING:
     from trefoilpulley_core.peer import PooledBegin
@@ -52,6 +53,7 @@
     def __init__(self, work: PooledWork) -> None:
         self._work = work
         self._open: dict[str, _Transaction] = {}
+        self._beginnings = Beginnings()
         self._ids = itertools.count(1)
 
     def __len__(self) -> int:
@@ -61,22 +63,11 @@
         self, member: PooledMember, req: PooledBegin, peer: PeerIdentity
     ) -> Result[str, Failure]:
         """Begin a transaction and return its identifier."""
-        status = member.monitor.status
-        if not member.is_primary or status is None:
-            return Failed(NotPrimary('member does not lead'))
-        if not status.history.contains(req.floor):
-            return Failed(ReplicaBehind('floor is not reached'))
-        acquired = member.pool.acquire(req.scope, is_write=True)
-        if not isinstance(acquired, Success):
-            return acquired
-        lease = acquired.unwrap()
-        begun = lease.link.begin(status.term)
-        if not isinstance(begun, Success):
-            member.pool.release(lease)
-            return Failed(NotPrimary('transaction could not begin'))
-        transaction = f't{next(self._ids)}'
-        self._open[transaction] = _Transaction(member, lease, peer.connection)
-        return Success(transaction)
+        return self._beginnings.run(
+            peer.connection,
+            lambda: self._begin(member, req, peer),
+            lambda transaction: self.rollback(transaction, peer),
+        )
 
     def run(
         self, req: PooledRun, peer: PeerIdentity
@@ -120,10 +111,31 @@
 
     def on_peer_lost(self, peer: PeerIdentity) -> None:
         """Roll back what the connection of a peer had open."""
+        self._beginnings.on_lost(peer.connection)
         for transaction, found in list(self._open.items()):
             if found.connection == peer.connection:
                 self._abort(transaction, found)
 
+    def _begin(
+        self, member: PooledMember, req: PooledBegin, peer: PeerIdentity
+    ) -> Result[str, Failure]:
+        status = member.monitor.status
+        if not member.is_primary or status is None:
+            return Failed(NotPrimary('member does not lead'))
+        if not status.history.contains(req.floor):
+            return Failed(ReplicaBehind('floor is not reached'))
+        acquired = member.pool.acquire(req.scope, is_write=True)
+        if not isinstance(acquired, Success):
+            return acquired
+        lease = acquired.unwrap()
+        begun = lease.link.begin(status.term)
+        if not isinstance(begun, Success):
+            member.pool.release(lease)
+            return Failed(NotPrimary('transaction could not begin'))
+        transaction = f't{next(self._ids)}'
+        self._open[transaction] = _Transaction(member, lease, peer.connection)
+        return Success(transaction)
+
     def _find(
         self, transaction: str, peer: PeerIdentity
     ) -> _Transaction | None:
