--- a/features/standins_member.feature
+++ b/features/standins_member.feature
@@ -26,6 +26,20 @@
       | term 4 is promoted              | stale-term  |
       | a is followed under term 2      | stale-term  |
 
+  Scenario: a primary takes no statement of a term to come
+    When "x" is written at standins member a under term 2
+    Then the standins call fails as "not-primary"
+    And standins member a holds ""
+
+  Scenario: a confirmation under an older term counts no copy
+    When "x" is written at standins member a under term 1
+    And standins records flow from a to b
+    And standins records flow from a to c
+    And standins members b and c are fenced at term 2
+    And standins member b is promoted to term 2
+    And standins member c confirms to b under term 1
+    Then standins member b counts no copy at c
+
   Scenario: a replica takes no records of a term below its fence
     Given standins members b and c are fenced at term 2
     When "x" is written at standins member a under term 1
--- a/features/steps/standins_member_steps.py
+++ b/features/steps/standins_member_steps.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.upstream import OutcomeKey
 from trefoilpulley_core.upstream import Statement
 from trefoilpulley_standins.member.engine import MemberEngine
+from trefoilpulley_standins.member.replication import Confirm
 from trefoilpulley_standins.member.replication import Refused
 from trefoilpulley_standins.member.replication import Snapshot
 
@@ -120,6 +121,12 @@
         _replicate(context, source, target)
 
     @staticmethod
+    @when('standins member {name:w} confirms to b under term {term:d}')
+    def confirm(context: Any, name: str, term: int) -> None:
+        """Send a confirmation under a term."""
+        position = context.members[name].log.last
+        context.members['b'].on_confirm(Confirm(name, term, position))
+
     @when('the standins transaction runs a statement with a fault')
     def run_fault(context: Any) -> None:
         """Run a statement that breaks a rule of the table."""
@@ -221,11 +228,11 @@
         assert all(a.position < written for a in status.acknowledgements)
 
     @staticmethod
-    @then('standins member b counts no copy at a')
-    def check_not_counted(context: Any) -> None:
-        """Expect no acknowledgement of the old primary."""
+    @then('standins member b counts no copy at {name}')
+    def check_not_counted(context: Any, name: str) -> None:
+        """Expect no acknowledgement of a member."""
         status = context.members['b'].status(_NOW)
-        assert 'a' not in {a.member for a in status.acknowledgements}
+        assert name not in {a.member for a in status.acknowledgements}
 
     @staticmethod
     @then('the standins log of {name} ends at term {term:d} index {index:d}')
