Leave floors unknown in the token of a session that sent none

Cause: a request without a token got a token that listed one floor and claimed that no other database had been written, so that the session's next read of one could miss its own write. Ruled out: the token of a new session, which has written nothing. Change: the token made for such a request says that its floors are partial. Conclusion: a scenario through the filter shows it.

--- a/features/steps/token_steps.py
+++ b/features/steps/token_steps.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 from returns.result import Result
 
+from trefoilpulley_core.caller import Execute
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import InvalidToken
 from trefoilpulley_core.position import BEGINNING
@@ -20,6 +21,8 @@
 from trefoilpulley_core.token import Floor
 from trefoilpulley_core.token import SessionToken
 from trefoilpulley_core.token import TokenCodec
+from trefoilpulley_node.pipeline.request import PipelineRequest
+from trefoilpulley_node.pipeline.session_floor import SessionFloor
 
 EXAMPLES = 300
 """Generated tokens."""
@@ -157,6 +160,17 @@
 
         read()
 
+    @staticmethod
+    @when('a request of "{tenant}" comes without a token')
+    def pass_filter(context: Any, tenant: str) -> None:
+        """Send a request through the filter that reads tokens."""
+        message = Execute('r-1', 'lookup', 'db/0', 'select 1')
+        req = PipelineRequest(tenant, message, 0.0)
+        session_floor = SessionFloor(TokenCodec('d', ['k1']))
+        found = session_floor.apply(req).unwrap()
+        assert found.floor is None
+        context.session = found.token
+
     @staticmethod
     @then('the same session comes back')
     def check_same(context: Any) -> None:
--- a/features/token.feature
+++ b/features/token.feature
@@ -72,3 +72,10 @@
   Scenario: a codec without a check of the shape is caught
     When a codec that trusts every signed body reads null
     Then it fails
+
+  Scenario: a request without a token leaves its other floors unknown
+    When a request of "karamanlis" comes without a token
+    Then its floor of "db/0" is unknown
+    When it has seen "db/0" at term 1 and index 4
+    Then its floor of "db/0" is term 1 and index 4
+    And its floor of "db/1" is unknown
--- a/packages/node/src/trefoilpulley_node/pipeline/session_floor.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/session_floor.py
@@ -36,7 +36,8 @@
     def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
         """Add the session and its floor; a missing token has none."""
         if not req.message.token:
-            return Success(replace(req, token=SessionToken(req.tenant)))
+            unknown = SessionToken(req.tenant, is_partial=True)
+            return Success(replace(req, token=unknown))
         decoded = self._decode(req.message.token, req.tenant)
         return decoded.map(lambda token: _with_token(req, token))
 
