Let each member's queue keep its own counts of its classes

Cause: the queues wrote into the counts that an entry host reports, so that a request counted twice, as in time at the pooler whatever became of it; and work that took a slot but never ran counted as running. Change: the queue counts its own member's refusals and lateness and reads the host's counts only; taken work is forgotten after 20 s.

--- a/features/limits_slots.feature
+++ b/features/limits_slots.feature
@@ -63,6 +63,16 @@
     When 30000 ms pass
     Then "filing" with 2000 ms left is taken
 
+  Scenario: work that was taken and never ended is forgotten
+    Given a slot queue for 2 slots
+    And service times of 40 ms
+    When "lookup" is queued with 250 ms left as "a"
+    And "lookup" is queued with 250 ms left as "b"
+    Then the slots go to "a, b"
+    And new work is expected to wait
+    When 30000 ms pass
+    Then new work is not expected to wait
+
   Scenario: the queue stays within its bound
     Given a slot queue for 2 slots
     When 12000 pieces of "filing" are queued and cancelled in turn
--- a/features/steps/limits_slots_steps.py
+++ b/features/steps/limits_slots_steps.py
@@ -19,7 +19,6 @@
 from trefoilpulley_core.slot_lane import SlotLane
 from trefoilpulley_core.slots import Ticket
 from trefoilpulley_core.slots_deadline import DeadlineSlots
-from trefoilpulley_core.targets import ClassTargets
 
 EXAMPLES = 150
 """Generated sequences of work."""
@@ -224,6 +223,18 @@
         """Expect work to be queued."""
         assert is_successful(_offer(context, work_class, ms, 'steady'))
 
+    @staticmethod
+    @then('new work is expected to wait')
+    def check_wait(context: Any) -> None:
+        """Expect a wait while every slot is taken."""
+        assert context.queue.expected_wait_ms(context.now) > 0
+
+    @staticmethod
+    @then('new work is not expected to wait')
+    def check_no_wait(context: Any) -> None:
+        """Expect no wait."""
+        assert context.queue.expected_wait_ms(context.now) == 0
+
     @staticmethod
     @then('"{name}" is given back')
     def check_expired(context: Any, name: str) -> None:
@@ -292,8 +303,7 @@
     kind: type[DeadlineSlots], pieces: list[tuple[str, str, float, float]]
 ) -> None:
     """Check order, hold, lateness and that each piece ends once."""
-    targets = make_targets()
-    queue = kind(2, targets)
+    queue = kind(2, make_targets())
     now = 100.0
     waiting: dict[int, Ticket] = {}
     for number, (work_class, action, pause_s, left_s) in enumerate(pieces):
@@ -310,7 +320,7 @@
             taken = queue.take(now, action == 'take')
             if taken is not None:
                 del waiting[taken.ticket_id]
-                _check_taken(taken, waiting, targets, now, action)
+                _check_taken(taken, waiting, queue, now, action)
                 queue.record_service(taken.work_class, 0.005, True)
     assert len(queue) + len(queue._hopeless) == len(waiting)
 
@@ -318,15 +328,16 @@
 def _check_taken(
     taken: Ticket,
     waiting: dict[int, Ticket],
-    targets: ClassTargets,
+    queue: DeadlineSlots,
     now: float,
     action: str,
 ) -> None:
     """Check one piece against what it left waiting."""
     assert taken.deadline >= now
     assert action == 'take' or not taken.is_write
-    if any(targets.danger(c.name, now) for c in CLASSES):
+    if any(lane.danger for lane in queue._lanes):
         return
+    targets = queue._targets
     strictness = targets.strictness(taken.work_class)
     for other in waiting.values():
         is_able = other.deadline >= now + _ABLE_S
--- a/packages/core/src/trefoilpulley_core/slots_deadline.py
+++ b/packages/core/src/trefoilpulley_core/slots_deadline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 import heapq
 from typing import TYPE_CHECKING
 
@@ -11,13 +12,13 @@
 from trefoilpulley_core.failure import Overloaded
 from trefoilpulley_core.slot_lane import SlotLane
 from trefoilpulley_core.slots import SlotQueue
+from trefoilpulley_core.targets import ClassTargets
 
 if TYPE_CHECKING:
     from returns.result import Result
 
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.slots import Ticket
-    from trefoilpulley_core.targets import ClassTargets
 
 QUEUE_LIMIT = 10_000
 """Pieces of work that may wait at once."""
@@ -25,6 +26,9 @@
 REFRESH_INTERVAL_S = 0.1
 """Time between two looks at the targets of the classes, in seconds."""
 
+RUNNING_LIMIT_S = 20.0
+"""Time after which work that never ended counts as gone, in seconds."""
+
 _HIGHEST_LOAD = 0.9
 _SPARE_ENTRIES = 64
 
@@ -40,18 +44,20 @@
     slots : int
         Pieces of work that the member runs at once.
     targets : ClassTargets
-        Declared classes, and the counts of the work of this pooler.
+        Declared classes, and how they do at this host. The queue keeps
+        counts of its own member beside them.
     """
 
     def __init__(self, slots: int, targets: ClassTargets) -> None:
         self._slots = slots
         self._targets = targets
+        self._own = ClassTargets()
         self._lanes: list[SlotLane] = []
         self._by_class: dict[tuple[str, bool], SlotLane] = {}
         self._lane_of: dict[int, SlotLane] = {}
         self._expiries: list[tuple[float, int, Ticket]] = []
         self._hopeless: list[Ticket] = []
-        self._running = 0
+        self._taken_at: deque[float] = deque(maxlen=slots)
         self._guard_s = 0.0
         self._refreshed_at = float('-inf')
         self._now = float('-inf')
@@ -85,7 +91,7 @@
             ticket = lane.pop()
             del self._lane_of[ticket.ticket_id]
             if now + lane.service.least_s <= ticket.deadline:
-                self._running = min(self._slots, self._running + 1)
+                self._taken_at.append(now)
                 return ticket
             self._hopeless.append(ticket)
 
@@ -98,7 +104,7 @@
             if self._remove(ticket.ticket_id):
                 late.append(ticket)
         for ticket in late:
-            self._targets.record_refusal(ticket.work_class, now)
+            self._own.record_refusal(ticket.work_class, now)
         return tuple(late)
 
     def cancel(self, ticket_id: int) -> None:
@@ -109,20 +115,22 @@
         self, work_class: str, service_s: float, is_in_time: bool
     ) -> None:
         """Learn how long a piece of work held its slot."""
-        self._running = max(0, self._running - 1)
-        self._targets.record_outcome(work_class, is_in_time, self._now)
+        if self._taken_at:
+            self._taken_at.popleft()
+        self._own.record_outcome(work_class, is_in_time, self._now)
         for lane in self._lanes:
             if lane.work_class == work_class:
                 lane.service.record(service_s, self._now)
 
     def expected_wait_ms(self, now: float) -> int:
         """Return the expected wait of new work, in milliseconds."""
+        self._refresh(now)
         backlog_s = sum(lane.backlog_s for lane in self._lanes)
         wait_s = backlog_s / self._slots + self._residual_s()
         return round(1000 * wait_s)
 
     def _refuse(self, ticket: Ticket, why: str) -> Result[None, Failure]:
-        self._targets.record_refusal(ticket.work_class, self._now)
+        self._own.record_refusal(ticket.work_class, self._now)
         return Failed(Overloaded(why))
 
     def _refresh(self, now: float) -> None:
@@ -130,6 +138,11 @@
         if now - self._refreshed_at < REFRESH_INTERVAL_S:
             return
         self._refreshed_at = now
+        if self._own.declared is not self._targets.declared:
+            self._own.declare(self._targets.declared)
+        taken_at = self._taken_at
+        while taken_at and now - taken_at[0] > RUNNING_LIMIT_S:
+            taken_at.popleft()
         for lane in self._lanes:
             self._refresh_lane(lane)
         self._sort_lanes()
@@ -139,7 +152,10 @@
     def _refresh_lane(self, lane: SlotLane) -> None:
         targets = self._targets
         lane.strictness = targets.strictness(lane.work_class)
-        lane.danger = targets.danger(lane.work_class, self._now)
+        lane.danger = max(
+            targets.danger(lane.work_class, self._now),
+            self._own.danger(lane.work_class, self._now),
+        )
         lane.within_s = targets.within_s(lane.work_class)
         lane.load = lane.service.load(self._now)
         lane.service.fade(self._now)
@@ -204,7 +220,7 @@
 
     def _residual_s(self) -> float:
         """Return the time until a busy member frees a slot."""
-        if self._running < self._slots:
+        if len(self._taken_at) < self._slots:
             return 0.0
         return self._guard_s / (2 * self._slots)
 
--- a/packages/core/src/trefoilpulley_core/targets.py
+++ b/packages/core/src/trefoilpulley_core/targets.py
@@ -81,10 +81,13 @@
 
     def __init__(self) -> None:
         self._classes: dict[str, _ClassWindow] = {}
+        self.declared: tuple[WorkClass, ...] = ()
+        """Classes as last declared."""
 
     def declare(self, classes: Sequence[WorkClass]) -> None:
         """Take over the declared classes; keep the counts of known ones."""
         known = self._classes
+        self.declared = tuple(classes)
         self._classes = {}
         for work_class in classes:
             window = known.get(work_class.name) or _ClassWindow()
