Take no answer from before the first loss for a present majority

Cause: in a cut of the coordinator's zone its probes fail one after the other; the answers still counted made it see a majority without contact, so it fenced its own zone's member at a new term and failed 2 s later. The member then refused the rightful primary after the cut. Also: a probe interval that becomes urgent did not shorten a wait begun. Change: such answers give 'suspect'; urgency counts from the last probe.

--- a/packages/core/src/trefoilpulley_core/coordination/detection.py
+++ b/packages/core/src/trefoilpulley_core/coordination/detection.py
@@ -200,6 +200,11 @@
             return Verdict.LEADERLESS
         if any(w.failed_at is None for w in away):
             return Verdict.SUSPECT
+        # An observer that is cut off itself misses its answers one by
+        # one: those from before the first loss prove no majority.
+        first_failed_at = min(w.failed_at for w in away)
+        if any(w.answered_at < first_failed_at for w in self.answering):
+            return Verdict.SUSPECT
         if all(w.contact_age_s(now) >= SILENCE_S for w in self.answering):
             return Verdict.SILENT
         if any(_is_long_away(w, now) for w in away):
--- a/packages/core/src/trefoilpulley_core/coordination/polling.py
+++ b/packages/core/src/trefoilpulley_core/coordination/polling.py
@@ -50,6 +50,7 @@
         self._database = entry.name
         self._members = [m.name for m in entry.members]
         self._due_at: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
         self._pending: set[str] = set()
         self.is_urgent = True
         """Whether evidence is needed at once."""
@@ -70,10 +71,15 @@
         if member in self._pending:
             return False
         due_at = self._due_at.get(member)
-        return due_at is None or now >= min(due_at, now + interval_s)
+        if due_at is None or now >= due_at:
+            return True
+        # An interval that has become shorter applies at once.
+        probed_at = self._probed_at.get(member)
+        return probed_at is not None and now >= probed_at + interval_s
 
     def _probe(self, member: str, interval_s: float, now: float) -> CallMember:
         self._spread(member, interval_s, now)
+        self._probed_at[member] = now
         self._pending.add(member)
         return CallMember(
             self._database,
