Let crowded news go together and keep each zone's view

When many hosts start at once, each record was carried in a message of its own and the view of all zones was built for each. The first change still goes out at once, those behind it wait for the next tick, and only the zones that changed are built anew.

--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -134,6 +134,7 @@
     def on_tick(self, now: float) -> None:
         """Do what is due."""
         self._note_time(now)
+        self._news.on_tick()
         self._reconciler.on_tick(now)
         self._join(now)
         self._detector.on_tick(now)
--- a/packages/core/src/trefoilpulley_core/membership/news.py
+++ b/packages/core/src/trefoilpulley_core/membership/news.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.membership.messages import News
+from trefoilpulley_core.membership.news_batch import NewsBatch
 from trefoilpulley_core.membership.record import HostRecord
 from trefoilpulley_core.membership.record import HostState
 from trefoilpulley_core.membership.record import ZoneRecord
@@ -19,6 +21,12 @@
 """Hosts of a zone that carry news to and from other zones."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Relays:
+    candidates: tuple[str, ...]
+    relays: tuple[str, ...]
+
+
 class NewsSpread:
     """Merges records and passes on those that are new.
 
@@ -49,10 +57,10 @@
         """Zones whose hosts have answered this relay's last probe."""
 
         self._outbox = outbox
-        self._relays: dict[str, tuple[str, ...]] = {}
-        self._relays_version = -1
-        self._to_zone = News()
-        self._to_zones = News()
+        self._relays: dict[str, _Relays] = {}
+        self._found = NewsBatch()
+        self._learned = NewsBatch()
+        self._may_flush = True
 
     @property
     def zone(self) -> str:
@@ -68,26 +76,23 @@
 
     def relays_of(self, zone: str) -> tuple[str, ...]:
         """Return the hosts that carry a zone's news."""
-        if self._relays_version != self.table.version:
-            self._relays_version = self.table.version
-            self._relays.clear()
-        if zone not in self._relays:
-            live = self.table.live_hosts.hosts_of(zone)
+        live = self.table.live_hosts.hosts_of(zone)
+        known = self._relays.get(zone)
+        if known is None or known.candidates != live:
             ranked = rank_hosts(f'relay/{zone}', live)
-            self._relays[zone] = ranked[:RELAYS_PER_ZONE]
-        return self._relays[zone]
+            known = _Relays(live, ranked[:RELAYS_PER_ZONE])
+            self._relays[zone] = known
+        return known.relays
 
     def announce(self, record: HostRecord) -> None:
         """Merge a record that this host has found out itself."""
         if self.table.merge(record):
-            self._to_zone = _with_host(self._to_zone, record)
-            self._carry(News((record,)))
+            self._found.add_host(record)
 
     def announce_zone(self, record: ZoneRecord) -> None:
         """Merge a zone's record that this host has found out itself."""
         if self.table.merge_zone(record):
-            self._to_zone = _with_zone(self._to_zone, record)
-            self._carry(News((), (record,)))
+            self._found.add_zone(record)
 
     def learn(self, news: News) -> None:
         """Merge the records of another host."""
@@ -101,7 +106,7 @@
         if record.entry.name == self.own.entry.name:
             self._refute(record)
         elif self.table.merge(record):
-            self._carry(News((record,)))
+            self._learned.add_host(record)
 
     def learn_zone(self, record: ZoneRecord) -> None:
         """Merge a zone's record, or refute a loss that is none."""
@@ -111,7 +116,7 @@
             self.refute_loss(record)
             return
         self.table.merge_zone(record)
-        self._carry(News((), (record,)))
+        self._learned.add_zone(record)
 
     def refute_loss(self, record: ZoneRecord) -> None:
         """Say that a zone answers, whatever a record says."""
@@ -125,17 +130,39 @@
 
     def introduce(self) -> None:
         """Tell the zone of this host, whoever has heard of it."""
-        self._to_zone = _with_host(self._to_zone, self.own)
-        self._carry(News((self.own,)))
+        self._found.add_host(self.own)
+
+    def on_tick(self) -> None:
+        """Let news go out again."""
+        self._may_flush = True
 
     def flush(self) -> None:
-        """Send what has changed since the last time."""
-        zone_news, self._to_zone = self._to_zone, News()
-        zones_news, self._to_zones = self._to_zones, News()
-        if zone_news != News():
-            self._tell_zone(zone_news)
-        if zones_news != News():
-            self._tell_zones(zones_news)
+        """Send what has changed, at most once between two ticks.
+
+        The first change goes out at once; those that crowd behind it
+        go together.
+        """
+        if self.relay_index is None:
+            self._learned.take()
+        is_empty = self._found.is_empty and self._learned.is_empty
+        if is_empty or not self._may_flush:
+            return
+        self._may_flush = False
+        self._send(self._found.take(), self._learned.take())
+
+    def _send(self, found: News, learned: News) -> None:
+        to_zone, to_zones = NewsBatch(), NewsBatch()
+        to_zone.add(found)
+        to_zones.add(found)
+        for record in learned.hosts:
+            is_own_zone = record.entry.zone == self.zone
+            (to_zones if is_own_zone else to_zone).add_host(record)
+        for zone_record in learned.zones:
+            to_zone.add_zone(zone_record)
+            to_zones.add_zone(zone_record)
+        self._tell_zone(to_zone.take())
+        if self.relay_index is not None:
+            self._tell_zones(to_zones.take())
 
     def _is_reached(self, zone: str) -> bool:
         return zone == self.zone or zone in self.zones_in_contact
@@ -146,19 +173,9 @@
         self.own = replace(self.own, incarnation=record.incarnation + 1)
         self.announce(self.own)
 
-    def _carry(self, news: News) -> None:
-        if self.relay_index is None:
-            return
-        for record in news.hosts:
-            if record.entry.zone == self.zone:
-                self._to_zones = _with_host(self._to_zones, record)
-            else:
-                self._to_zone = _with_host(self._to_zone, record)
-        for zone_record in news.zones:
-            self._to_zones = _with_zone(self._to_zones, zone_record)
-            self._to_zone = _with_zone(self._to_zone, zone_record)
-
     def _tell_zone(self, news: News) -> None:
+        if news == News():
+            return
         for host in self.table.names_in(self.zone):
             record = self.table.find(host)
             if host == self.own.entry.name or record is None:
@@ -167,19 +184,11 @@
                 self._outbox.tell(host, news)
 
     def _tell_zones(self, news: News) -> None:
+        if news == News():
+            return
         index = self.relay_index or 0
         for zone in self.table.live_hosts.zones:
             relays = self.relays_of(zone.zone)
             if zone.zone == self.zone or not relays:
                 continue
             self._outbox.tell(relays[min(index, len(relays) - 1)], news)
-
-
-def _with_host(news: News, record: HostRecord) -> News:
-    others = tuple(r for r in news.hosts if r.entry.name != record.entry.name)
-    return replace(news, hosts=(*others, record))
-
-
-def _with_zone(news: News, record: ZoneRecord) -> News:
-    others = tuple(z for z in news.zones if z.zone != record.zone)
-    return replace(news, zones=(*others, record))
--- a/packages/core/src/trefoilpulley_core/membership/table.py
+++ b/packages/core/src/trefoilpulley_core/membership/table.py
@@ -43,6 +43,8 @@
         self._digests: dict[str, int] = defaultdict(int)
         self._listed: dict[str, HostEntry] = {}
         self._listed_leaving: frozenset[str] = frozenset()
+        self._zone_views: dict[str, ZoneHosts] = {}
+        self._stale_zones: set[str] = set()
         self._view = LiveHosts(region)
         self.version = 0
         """Raised at each change."""
@@ -82,22 +84,17 @@
 
     def names_in(self, zone: str) -> tuple[str, ...]:
         """Return every known host of a zone, the dead ones too."""
-        return tuple(sorted(self._by_zone[zone]))
+        return tuple(sorted(self._by_zone.get(zone, ())))
 
     def zones_of(self, region: str) -> tuple[str, ...]:
         """Return the zones of a region that have known hosts."""
-        return tuple(
-            sorted(
-                zone
-                for zone, records in self._by_zone.items()
-                if any(r.entry.region == region for r in records.values())
-            )
-        )
+        views = self.live_hosts.zones
+        return tuple(v.zone for v in views if v.region == region)
 
     def zones_outside(self, region: str) -> tuple[str, ...]:
         """Return the zones of the other regions."""
-        inside = self.zones_of(region)
-        return tuple(sorted(z for z in self._by_zone if z not in inside))
+        views = self.live_hosts.zones
+        return tuple(v.zone for v in views if v.region != region)
 
     def merge(self, record: HostRecord) -> bool:
         """Take a host's record in where it is newer."""
@@ -108,7 +105,7 @@
         self._hosts[name] = record
         self._by_zone[record.entry.zone][name] = record
         self._toggle(record)
-        self.version += 1
+        self._mark_changed(record.entry.zone)
         return True
 
     def merge_zone(self, record: ZoneRecord) -> bool:
@@ -120,7 +117,7 @@
             if kept is not None:
                 self._digests[kept.zone] ^= _zone_fingerprint(kept)
         self._zones[record.zone] = record
-        self.version += 1
+        self._mark_changed(record.zone)
         return True
 
     def apply_list(self, entries: Iterable[HostEntry]) -> None:
@@ -136,7 +133,7 @@
         )
         if leaving != self._listed_leaving:
             self._listed_leaving = leaving
-            self.version += 1
+            self._mark_changed(*self._by_zone)
         self._listed = {e.name: e for e in entries}
         for entry in entries:
             self.merge(HostRecord(entry, 0, HostState.ALIVE))
@@ -146,6 +143,7 @@
         for name, record in list(self._hosts.items()):
             if record.state is HostState.DEAD and name not in self._listed:
                 self._remove(name)
+                self._mark_changed(record.entry.zone)
 
     def zone_digests(self) -> tuple[ZoneDigest, ...]:
         """Return the digest of each zone."""
@@ -187,6 +185,10 @@
             tuple(z for z in mine.zones if z.supersedes(lost.get(z.zone))),
         )
 
+    def _mark_changed(self, *zones: str) -> None:
+        self._stale_zones.update(zones)
+        self.version += 1
+
     def _remove(self, name: str) -> None:
         record = self._hosts.pop(name, None)
         if record is not None:
@@ -198,11 +200,13 @@
             self._digests[record.entry.zone] ^= _fingerprint(record)
 
     def _build_view(self) -> LiveHosts:
-        zones = tuple(
-            self._build_zone(zone)
-            for zone in sorted(self._by_zone)
-            if self._by_zone[zone]
-        )
+        for zone in self._stale_zones:
+            self._zone_views.pop(zone, None)
+            if self._by_zone.get(zone):
+                self._zone_views[zone] = self._build_zone(zone)
+        self._stale_zones.clear()
+        views = self._zone_views
+        zones = tuple(views[zone] for zone in sorted(views))
         return LiveHosts(self._region, self.version, zones)
 
     def _build_zone(self, zone: str) -> ZoneHosts:
--- a/packages/standins/src/trefoilpulley_standins/membership_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -105,7 +105,9 @@
         """Pairs of zones, or of hosts, without a link."""
 
         self._rng = random.Random(seed)
-        self._is_counting = is_counting
+        self.is_counting = is_counting
+        """Whether messages are encoded to count bytes and time."""
+
         self._make_membership = make_membership
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
@@ -167,12 +169,12 @@
 
     def act(self, host: FleetHost, action: Callable[[], Any]) -> Any:
         """Run an action of a host and carry out its commands."""
-        started = time.process_time() if self._is_counting else 0.0
+        started = time.process_time() if self.is_counting else 0.0
         result = action()
         commands = host.membership.take_commands()
         for command in commands:
             self.carry_out(host, command)
-        if self._is_counting:
+        if self.is_counting:
             host.traffic.cpu_s += time.process_time() - started
         return result
 
@@ -296,7 +298,7 @@
         )
 
     def _count(self, sender: FleetHost, message: Any) -> None:
-        if not self._is_counting:
+        if not self.is_counting:
             return
         data = PEER_CODEC.encode(1, message)
         PEER_CODEC.decode(data)
