Take the fake slots and the generated checks out of their copies

Cause: two replays had the same dispatch of slots, and two subjects the same settings of generated checks. Change: one module each; the runs of shared connections take one typed message.

--- a/features/steps/limits_slots_steps.py
+++ b/features/steps/limits_slots_steps.py
@@ -8,10 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
-import hypothesis
 from hypothesis import strategies
 from returns.pipeline import is_successful
 
+from features.fakes.generated import find_violation
 from features.fakes.routing_trace import CLASSES
 from features.fakes.routing_trace import make_targets
 from trefoilpulley_core.failure import Overloaded
@@ -247,22 +247,10 @@
     def generate(context: Any, kind: str) -> None:
         """Check the rules on generated sequences."""
 
-        @hypothesis.settings(
-            derandomize=True,
-            max_examples=EXAMPLES,
-            deadline=None,
-            database=None,
-            phases=(hypothesis.Phase.generate,),
-        )
-        @hypothesis.given(_PIECES)
         def check(pieces: list[tuple[str, str, float, float]]) -> None:
             _check_rules(KINDS[kind], pieces)
 
-        context.broken = None
-        try:
-            check()
-        except AssertionError as exc:
-            context.broken = exc
+        context.broken = find_violation(check, EXAMPLES, _PIECES)
 
     @staticmethod
     @then('each rule of the slots holds')
--- a/features/steps/routing_share_steps.py
+++ b/features/steps/routing_share_steps.py
@@ -7,11 +7,11 @@
 
 from behave import then
 from behave import when
-import hypothesis
 from hypothesis import strategies
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from features.fakes.generated import find_violation
 from features.fakes.routing_trace import find_class
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.peer import MemberDigest
@@ -163,22 +163,12 @@
     def generate(context: Any, way: str) -> None:
         """Route generated requests with digests that are right."""
 
-        @hypothesis.settings(
-            derandomize=True,
-            max_examples=EXAMPLES,
-            deadline=None,
-            database=None,
-            phases=(hypothesis.Phase.generate,),
-        )
-        @hypothesis.given(_groups(), strategies.integers(0, 2))
         def check(group: list[LogHistory], asked: int) -> None:
             _check_floor(WAYS[way](), group, asked)
 
-        context.broken = None
-        try:
-            check()
-        except AssertionError as exc:
-            context.broken = exc
+        context.broken = find_violation(
+            check, EXAMPLES, _groups(), strategies.integers(0, 2)
+        )
 
     @staticmethod
     @then('no route is below its floor')
--- a/packages/standins/src/trefoilpulley_standins/policy_pooler.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_pooler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -15,9 +14,8 @@
 from trefoilpulley_core.failure import ReplicaBehind
 from trefoilpulley_core.freshness import AgeTracker
 from trefoilpulley_core.peer import MemberDigest
-from trefoilpulley_core.slots import Ticket
 from trefoilpulley_standins.policy_group import TERM
-from trefoilpulley_standins.policy_loop import Signal
+from trefoilpulley_standins.policy_slots import FakeSlots
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -72,18 +70,17 @@
         self._group = group
         self._names = names
         self._number = number
-        self._queue = queue
-        self._free = slots
-        self._ids = itertools.count(1)
-        self._granted: dict[int, Signal] = {}
+        self._slots = FakeSlots(loop, queue, slots)
         self.age = AgeTracker()
         """Age of the member's data."""
 
         self.false_ages = 0
         """Reads whose stated age was below the true one."""
 
-        self.served = 0
+    @property
+    def served(self) -> int:
         """Pieces of work that the member has run."""
+        return self._slots.served
 
     @property
     def is_primary(self) -> bool:
@@ -104,7 +101,7 @@
             1,
             0 if self.is_primary else self.age.age_ms(now),
             0 if self.is_primary else self.age.lag_ms(),
-            self._queue.expected_wait_ms(now),
+            self._slots.expected_wait_ms,
             True,
             copies=copies,
         )
@@ -162,39 +159,8 @@
     def _run(
         self, req: RouteRequest, tenant: str, is_write: bool, mean_s: float
     ) -> Generator[Any, Any, bool]:
-        """Wait for a slot and hold it for a service time."""
-        ticket = Ticket(
-            next(self._ids),
-            tenant,
-            req.work_class.name,
-            req.deadline,
-            is_write,
-        )
-        if not isinstance(self._queue.offer(ticket, self._loop.now), Success):
-            return False
-        granted = Signal(self._loop)
-        self._granted[ticket.ticket_id] = granted
-        self._loop.call_at(ticket.deadline, self._dispatch)
-        self._dispatch()
-        if not (yield granted):
-            return False
+        """Hold a slot for a random service time."""
         least_s = LEAST_SERVICE_SHARE * mean_s
         held_s = least_s + self._rng.expovariate(1 / (mean_s - least_s))
-        yield held_s
-        self._free += 1
-        self.served += 1
-        is_in_time = self._loop.now <= ticket.deadline
-        self._queue.record_service(ticket.work_class, held_s, is_in_time)
-        self._dispatch()
-        return True
-
-    def _dispatch(self) -> None:
-        now = self._loop.now
-        for ticket in self._queue.expire(now):
-            self._granted.pop(ticket.ticket_id).set(False)
-        while self._free:
-            ticket = self._queue.take(now, True)
-            if ticket is None:
-                return
-            self._free -= 1
-            self._granted.pop(ticket.ticket_id).set(True)
+        name = req.work_class.name
+        return self._slots.run(tenant, name, req.deadline, is_write, held_s)
--- a/packages/standins/src/trefoilpulley_standins/policy_shares.py
+++ b/packages/standins/src/trefoilpulley_standins/policy_shares.py
@@ -4,14 +4,11 @@
 
 import abc
 from collections import deque
-import itertools
+from dataclasses import dataclass
 import random
 from typing import Any
 from typing import TYPE_CHECKING
 
-from returns.result import Success
-
-from trefoilpulley_core.slots import Ticket
 from trefoilpulley_core.slots_deadline import DeadlineSlots
 from trefoilpulley_core.slots_fifo import FifoSlots
 from trefoilpulley_core.targets import ClassTargets
@@ -20,13 +17,13 @@
 from trefoilpulley_standins.policy_entry import IN_ZONE_S
 from trefoilpulley_standins.policy_loop import Signal
 from trefoilpulley_standins.policy_loop import VirtualLoop
+from trefoilpulley_standins.policy_slots import FakeSlots
 from trefoilpulley_standins.policy_tally import Tally
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
     from trefoilpulley_core.declarations import WorkClass
-    from trefoilpulley_core.slots import SlotQueue
     from trefoilpulley_standins.policy_deployment import Deployment
 
 HOSTS = 8
@@ -42,49 +39,21 @@
 """Virtual time of the traffic, in seconds."""
 
 
-class FakeSlots:
-    """Runs work in the order of a queue, a number at once."""
+@dataclass(frozen=True, slots=True)
+class DueWork:
+    """One request and the time that it will hold a slot."""
 
-    def __init__(
-        self, loop: VirtualLoop, queue: SlotQueue, count: int
-    ) -> None:
-        self._loop = loop
-        self._queue = queue
-        self._free = count
-        self._ids = itertools.count(1)
-        self._granted: dict[int, Signal] = {}
-
-    def acquire(
-        self, work_class: WorkClass, deadline: float, is_write: bool
-    ) -> Generator[Any, Any, bool]:
-        """Wait for a slot; return whether there is one in time."""
-        ticket = Ticket(
-            next(self._ids), 'caller', work_class.name, deadline, is_write
-        )
-        if not isinstance(self._queue.offer(ticket, self._loop.now), Success):
-            return False
-        granted = Signal(self._loop)
-        self._granted[ticket.ticket_id] = granted
-        self._loop.call_at(deadline, self._dispatch)
-        self._dispatch()
-        return (yield granted)
-
-    def release(self, work_class: WorkClass, held_s: float) -> None:
-        """Free a slot."""
-        self._free += 1
-        self._queue.record_service(work_class.name, held_s, True)
-        self._dispatch()
-
-    def _dispatch(self) -> None:
-        now = self._loop.now
-        for ticket in self._queue.expire(now):
-            self._granted.pop(ticket.ticket_id).set(False)
-        while self._free:
-            ticket = self._queue.take(now, True)
-            if ticket is None:
-                return
-            self._free -= 1
-            self._granted.pop(ticket.ticket_id).set(True)
+    work_class: WorkClass
+    """Class of work."""
+
+    is_write: bool
+    """Whether the request writes."""
+
+    deadline: float
+    """Virtual time at which the answer is due, in seconds."""
+
+    service_s: float
+    """Time that it holds a slot, in seconds."""
 
 
 class ShareRun(abc.ABC):
@@ -123,6 +92,11 @@
         mean_s = WRITE_SHARE * WRITE_SERVICE_S
         mean_s += (1 - WRITE_SHARE) * READ_SERVICE_S
         self._rate = load * deployment.slots / mean_s
+        self.prepare()
+
+    @abc.abstractmethod
+    def prepare(self) -> None:
+        """Make the slots and connections, all idle."""
 
     def run(self) -> Tally:
         """Replay the traffic and let it drain."""
@@ -131,13 +105,7 @@
         return self.tally
 
     @abc.abstractmethod
-    def serve(
-        self,
-        host: int,
-        work_class: WorkClass,
-        deadline: float,
-        service_s: float,
-    ) -> Generator[Any, Any, bool]:
+    def serve(self, host: int, due: DueWork) -> Generator[Any, Any, bool]:
         """Run one request; return whether it was answered."""
 
     def one_way_s(self, host: int) -> float:
@@ -163,9 +131,8 @@
         service_s = mean_s / 2 + self._rng.expovariate(2 / mean_s)
         started_at = self.loop.now
         deadline = started_at + work_class.promptness.within_ms / 1000
-        is_answered = yield from self.serve(
-            self._pick_host(), work_class, deadline, service_s
-        )
+        due = DueWork(work_class, is_write, deadline, service_s)
+        is_answered = yield from self.serve(self._pick_host(), due)
         if not is_answered:
             self.tally.refuse(work_class.name, self.loop.now - started_at)
             return
@@ -177,82 +144,56 @@
 class PooledRun(ShareRun):
     """One pooler in the member's zone holds the connections."""
 
-    def __init__(
-        self,
-        deployment: Deployment,
-        load: float,
-        is_uneven: bool,
-        seed: int,
-    ) -> None:
-        super().__init__(deployment, load, is_uneven, seed)
+    def prepare(self) -> None:
+        """Make the slots of the one pooler."""
         targets = ClassTargets()
-        targets.declare(deployment.classes)
-        queue = DeadlineSlots(deployment.slots, targets)
-        self._slots = FakeSlots(self.loop, queue, deployment.slots)
+        targets.declare(self.deployment.classes)
+        count = self.deployment.slots
+        queue = DeadlineSlots(count, targets)
+        self._slots = FakeSlots(self.loop, queue, count)
 
-    def serve(
-        self,
-        host: int,
-        work_class: WorkClass,
-        deadline: float,
-        service_s: float,
-    ) -> Generator[Any, Any, bool]:
+    def serve(self, host: int, due: DueWork) -> Generator[Any, Any, bool]:
         """Run one request through the pooler."""
         way_s = self.one_way_s(host)
         yield way_s
-        is_write = work_class is self.deployment.write
-        is_granted = yield from self._slots.acquire(
-            work_class, deadline - way_s, is_write
+        held_s = due.service_s + 2 * IN_ZONE_S
+        is_answered = yield from self._slots.run(
+            'caller',
+            due.work_class.name,
+            due.deadline - way_s,
+            due.is_write,
+            held_s,
         )
-        if not is_granted:
-            yield way_s
-            return False
-        held_s = service_s + 2 * IN_ZONE_S
-        yield held_s
-        self._slots.release(work_class, held_s)
         yield way_s
-        return True
+        return is_answered
 
 
 class FixedShareRun(ShareRun):
     """Each host holds its own share of the connections."""
 
-    def __init__(
-        self,
-        deployment: Deployment,
-        load: float,
-        is_uneven: bool,
-        seed: int,
-    ) -> None:
-        super().__init__(deployment, load, is_uneven, seed)
-        share = deployment.connections // HOSTS
+    def prepare(self) -> None:
+        """Make each host's connections and the member's own slots."""
+        share = self.deployment.connections // HOSTS
         self._connections = [
             FakeSlots(self.loop, FifoSlots(share), share) for _ in range(HOSTS)
         ]
-        self._free = deployment.slots
+        self._free = self.deployment.slots
         self._waiting: deque[Signal] = deque()
 
-    def serve(
-        self,
-        host: int,
-        work_class: WorkClass,
-        deadline: float,
-        service_s: float,
-    ) -> Generator[Any, Any, bool]:
+    def serve(self, host: int, due: DueWork) -> Generator[Any, Any, bool]:
         """Run one request over a connection of the host's own."""
         way_s = self.one_way_s(host)
-        is_write = work_class is self.deployment.write
         connections = self._connections[host]
-        is_granted = yield from connections.acquire(
-            work_class, deadline, is_write
+        ticket = yield from connections.acquire(
+            due.work_class.name, due.deadline, due.is_write
         )
-        if not is_granted:
+        if ticket is None:
             return False
         taken_at = self.loop.now
         yield way_s
-        yield from self._run_at_member(service_s)
+        yield from self._run_at_member(due.service_s)
         yield way_s
-        connections.release(work_class, self.loop.now - taken_at)
+        connections.release(ticket, self.loop.now - taken_at)
         return True
 
     def _run_at_member(self, service_s: float) -> Generator[Any, Any, None]:
