Date a primary's own data and tell the round trip of a route

Cause: a primary cut off from its group states age 0 for reads that allow an age, and an entry host can't leave the answer its way back. Change: LeadershipProof.age_ms; Route.round_trip_ms. Conclusion: a scenario covers the age; the pooler is yet to use both.

--- a/features/limits_requests.feature
+++ b/features/limits_requests.feature
@@ -62,6 +62,7 @@
     Then it is not proven to lead
     When replica "b" answers at 9 s that it is fenced at term 3
     Then it is proven to lead as of 9 s
+    And its data is 3000 ms old at 12 s
     When replica "c" answers at 11 s that it is fenced at term 4
     Then it is proven to lead as of 9 s
     When replica "b" answers at 12 s that it is fenced at term 4
--- a/features/steps/limits_requests_steps.py
+++ b/features/steps/limits_requests_steps.py
@@ -219,6 +219,12 @@
         assert context.proof.proven_at() is None
         assert not context.proof.is_proven_since(0.0)
 
+    @staticmethod
+    @then('its data is {age_ms:d} ms old at {t:d} s')
+    def check_age(context: Any, age_ms: int, t: int) -> None:
+        """Compare the age of the primary's own data."""
+        assert context.proof.age_ms(float(t)) == age_ms
+
     @staticmethod
     @then('it is proven to lead as of {t:d} s')
     def check_proven(context: Any, t: int) -> None:
--- a/packages/core/src/trefoilpulley_core/_routing_rules.py
+++ b/packages/core/src/trefoilpulley_core/_routing_rules.py
@@ -84,7 +84,9 @@
     if primary is None or primary.member in req.excluded:
         return Failed(NoUpstream(f'no primary of {view.database}'))
     floor = settle_floor(req.floor, primary.digest) if req.floor else None
-    return Success(Route(primary.member, is_primary=True, floor=floor))
+    return Success(
+        Route(primary.member, True, 0, floor, primary.round_trip_ms)
+    )
 
 
 def route_to_replica(
@@ -92,4 +94,6 @@
 ) -> Result[Route, Failure]:
     """Return a route to a replica with the floor in its terms."""
     floor = settle_floor(req.floor, member.digest)
-    return Success(Route(member.member, False, wait_ms, floor))
+    return Success(
+        Route(member.member, False, wait_ms, floor, member.round_trip_ms)
+    )
--- a/packages/core/src/trefoilpulley_core/leadership.py
+++ b/packages/core/src/trefoilpulley_core/leadership.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
+_DECIMALS = 3
+
 
 class LeadershipProof:
     """Dates the last time at which a primary surely led its term.
@@ -72,6 +76,23 @@
             return self._primary_at
         return min(self._primary_at, newest[self._replicas_needed - 1])
 
+    def age_ms(self, now: float) -> int | None:
+        """Return the greatest age of the primary's own data.
+
+        A primary that was replaced behind a network partition holds old
+        data; what it held when it surely led was all there was.
+
+        Returns
+        -------
+        int | None
+            Age in milliseconds, or ``None`` without proof.
+        """
+        proven_at = self.proven_at()
+        if proven_at is None:
+            return None
+        age_ms = round((now - proven_at) * 1000, _DECIMALS)
+        return max(0, math.ceil(age_ms))
+
     def is_proven_since(self, asked_at: float) -> bool:
         """Return whether the primary surely led at a time."""
         proven_at = self.proven_at()
--- a/packages/core/src/trefoilpulley_core/routing.py
+++ b/packages/core/src/trefoilpulley_core/routing.py
@@ -90,6 +90,9 @@
     then takes its place.
     """
 
+    round_trip_ms: float = 0.0
+    """Recent time to the member's pooler and back."""
+
 
 class RoutingPolicy(abc.ABC):
     """Way to choose a member."""
