Date the reads of a primary and let callers leave a zone that is cut off

A primary cut off with its zone served reads within a stated age as if its data were of the present, and a host in that zone kept its callers until every deadline had passed. Ruled out: replicas (their age is proven by probes and terms). Change: a stated age holds at a primary only with a proof of leadership within that age; a read's attempt takes half of the time left; a host whose zone reaches no other refuses what needs a primary at once, and says unknown of a write at once, so that the caller asks at another host.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -59,3 +59,18 @@
     Given a pooler that answers a read: lost
     When the pipeline delivers the read
     Then its outcome is "refused not-run"
+
+  Scenario Outline: a host that is cut off lets its callers go elsewhere
+    Given a pooler that answers a <kind>: <answers>
+    And its zone is cut off
+    When the pipeline delivers the <kind>
+    Then its outcome is "<outcome>"
+    And the caller waited less than 0.5 s
+
+    Examples:
+      | kind  | answers      | outcome         |
+      | write | lost         | refused unknown |
+      | write | not-primary  | refused not-run |
+      | write | ran          | answered        |
+      | read  | lost         | refused not-run |
+      | read  | ran          | answered        |
--- a/features/steps/pipeline_steps.py
+++ b/features/steps/pipeline_steps.py
@@ -151,6 +151,7 @@
         context.clock = FakeClock()
         context.peers = FakePeers(context.clock, answers.split(', '))
         context.confirm_type = Confirm
+        context.is_cut_off = False
 
     @staticmethod
     @given('a pipeline that takes the last refusal for the outcome')
@@ -158,6 +159,19 @@
         """Put a deliberate fault in."""
         context.confirm_type = _LastRefusal
 
+    @staticmethod
+    @given('its zone is cut off')
+    def cut_zone(context: Any) -> None:
+        """Let no other zone answer."""
+        context.is_cut_off = True
+
+    @staticmethod
+    @then('the caller waited less than {limit:g} s')
+    def check_waited(context: Any, limit: float) -> None:
+        """Compare the virtual time that has passed."""
+        waited_s = context.clock.now() - 100.0
+        assert waited_s < limit, waited_s
+
     @staticmethod
     @when('the pipeline delivers the {kind:w}')
     def deliver(context: Any, kind: str) -> None:
@@ -166,9 +180,17 @@
         views = FakeViews(clock)
         router = FakeRouter()
         executor = Executor(context.peers, views, clock)
-        confirm = context.confirm_type(router, executor, views, clock)
+        confirm = context.confirm_type(
+            router, executor, views, lambda: context.is_cut_off, clock
+        )
         deliver = Deliver(
-            router, executor, confirm, views, RetryBudget(), clock
+            router,
+            executor,
+            confirm,
+            views,
+            RetryBudget(),
+            lambda: context.is_cut_off,
+            clock,
         )
         work_class = FILING if kind == 'write' else LOOKUP
         message = Execute('r-1', work_class.name, 'ledger/0', 'insert')
--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -134,6 +134,7 @@
         return Directory(
             lambda: self._documents.catalog,
             lambda: self._membership.live_hosts,
+            self._cfg.zone,
         )
 
     @cached_property
@@ -195,7 +196,13 @@
 
     @cached_property
     def _confirm(self) -> Confirm:
-        return Confirm(self._router, self._executor, self._views, self._clock)
+        return Confirm(
+            self._router,
+            self._executor,
+            self._views,
+            self._directory.is_cut_off,
+            self._clock,
+        )
 
     @cached_property
     def _admit(self) -> Admit:
@@ -236,6 +243,7 @@
             self._confirm,
             self._views,
             RetryBudget(),
+            self._directory.is_cut_off,
             self._clock,
         )
         return Pipeline((deliver,))
--- a/packages/node/src/trefoilpulley_node/directory.py
+++ b/packages/node/src/trefoilpulley_node/directory.py
@@ -22,13 +22,17 @@
         Newest catalogue.
     get_live : Callable[[], LiveHosts]
         Newest view of the live hosts.
+    zone : str
+        Availability zone of this host.
     """
 
     def __init__(
         self,
         get_catalog: Callable[[], Catalog],
         get_live: Callable[[], LiveHosts],
+        zone: str,
     ) -> None:
+        self._zone = zone
         self._get_catalog = get_catalog
         self._get_live = get_live
         self._indexed: Catalog | None = None
@@ -47,6 +51,16 @@
         self._index()
         return self._members.get(name)
 
+    def is_cut_off(self) -> bool:
+        """Return whether no host of another zone of the region answers."""
+        live = self._get_live()
+        others = [
+            z
+            for z in live.zones
+            if z.region == live.region and z.zone != self._zone
+        ]
+        return bool(others) and all(z.is_lost for z in others)
+
     def find_pooler(self, member: str) -> str | None:
         """Return the live host that pools a member, or ``None``."""
         found = self.find_member(member)
--- a/packages/node/src/trefoilpulley_node/pipeline/confirm.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/confirm.py
@@ -16,6 +16,8 @@
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.entry.views import Views
     from trefoilpulley_node.pipeline.execute import Executor
@@ -41,6 +43,9 @@
         Sends the look-ups.
     views : Views
         Tells of a change of primary.
+    is_cut_off : Callable[[], bool]
+        Whether this host's zone reaches no other; another host of the
+        caller's choice can then look the outcome up sooner.
     clock : Clock
         Monotonic time.
     """
@@ -50,11 +55,13 @@
         router: Router,
         executor: Executor,
         views: Views,
+        is_cut_off: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._router = router
         self._executor = executor
         self._views = views
+        self._is_cut_off = is_cut_off
         self._clock = clock
 
     def settle(
@@ -85,6 +92,8 @@
                 return Failed(_as_not_run(refusal))
             if isinstance(failure, RequestIdReused):
                 return result
+            if self._is_cut_off():
+                break
             self._views.wait_for_change(req.database, RETRY_S)
         events.OUTCOME_UNKNOWN.log(
             tenant=req.tenant, request=req.key.request_id
--- a/packages/node/src/trefoilpulley_node/pipeline/deliver.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/deliver.py
@@ -25,6 +25,8 @@
 from trefoilpulley_node.pipeline.request import PipelineRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.retry_budget import RetryBudget
     from trefoilpulley_core.routing import Route
@@ -60,6 +62,10 @@
         Tells of a change of primary.
     retries : RetryBudget
         Bounds the attempts after the first.
+    is_cut_off : Callable[[], bool]
+        Whether this host's zone reaches no other; a request without a
+        member is then refused at once, so that its caller goes to
+        another host.
     clock : Clock
         Monotonic time.
     """
@@ -71,6 +77,7 @@
         confirm: Confirm,
         views: Views,
         retries: RetryBudget,
+        is_cut_off: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._router = router
@@ -78,6 +85,7 @@
         self._confirm = confirm
         self._views = views
         self._retries = retries
+        self._is_cut_off = is_cut_off
         self._clock = clock
 
     def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
@@ -96,6 +104,8 @@
         while self._clock.now() < req.deadline:
             route = self._router.choose(req, excluded)
             if not isinstance(route, Success):
+                if self._is_cut_off():
+                    break
                 excluded = frozenset()
                 self._wait(req)
                 continue
@@ -112,6 +122,8 @@
                 is_uncertain = True
             elif not isinstance(failure, _ELSEWHERE):
                 break
+            if route.unwrap().is_primary and self._is_cut_off():
+                break
             excluded = self._exclude(req, excluded, route.unwrap())
         return self._give_up(req, failure, is_uncertain)
 
--- a/packages/node/src/trefoilpulley_node/pipeline/execute.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -35,7 +35,13 @@
     from trefoilpulley_node.pipeline.request import PipelineRequest
 
 ANSWER_MARGIN_S = 1.5
-"""Wait for a pooler beyond the time left to the request."""
+"""Wait for the outcome of a write beyond the time left to it."""
+
+READ_SHARE = 0.5
+"""Share of the time left that one attempt of a read may take."""
+
+LEAST_READ_S = 0.02
+"""Shortest time for one attempt of a read."""
 
 READ_CONFIRM_COPIES = 2
 """Members that must hold what a floorless read has seen."""
@@ -107,7 +113,7 @@
         if host is None:
             return Failed(NoUpstream('no host pools the member'))
         sent_at = self._clock.now()
-        timeout_s = scope.remaining_ms / 1000 + ANSWER_MARGIN_S
+        timeout_s = _timeout_s(message, scope)
         work = self._views.begin_work(database)
         try:
             reply = self._peers.ask_host(host, message, timeout_s, abort)
@@ -131,6 +137,13 @@
         return Success(Delivered(reply.result, member, age_ms or 0))
 
 
+def _timeout_s(message: Any, scope: WorkScope) -> float:
+    left_s = scope.remaining_ms / 1000
+    if isinstance(message, PooledRead):
+        return max(LEAST_READ_S, READ_SHARE * left_s)
+    return left_s + ANSWER_MARGIN_S
+
+
 def _make_write(req: PipelineRequest, scope: WorkScope) -> PooledWrite:
     statement = Statement(req.message.sql, req.message.parameters)
     return PooledWrite(scope, statement, req.key, req.work_class.safety.copies)
--- a/packages/node/src/trefoilpulley_node/pooler/leadership_prover.py
+++ b/packages/node/src/trefoilpulley_node/pooler/leadership_prover.py
@@ -55,6 +55,13 @@
         self._proof = LeadershipProof(len(entry.members))
         self._round: AsyncResult | None = None
 
+    def age_ms(self) -> int | None:
+        """Return the time since the last proof, in milliseconds."""
+        proven_at = self._proof.proven_at()
+        if proven_at is None:
+            return None
+        return max(0, round(1000 * (self._clock.now() - proven_at)))
+
     def prove(self, since: float) -> bool:
         """Return whether the member surely led at a time or later."""
         for _ in range(2):
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -127,9 +127,12 @@
         self.pool.close()
 
     def age_ms(self) -> int | None:
-        """Return the greatest age of the data, or ``None``."""
+        """Return the greatest age of the data, or ``None``.
+
+        A primary's data are as old as the last proof that it leads.
+        """
         if self.is_primary:
-            return 0
+            return self.prover.age_ms()
         return self.age.age_ms(self._clock.now())
 
     def make_digest(self) -> MemberDigest:
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_work.py
@@ -108,6 +108,9 @@
         member.wanted_age = member.wanted_age.after(
             max_age_ms, self._clock.now()
         )
+        if member.is_primary:
+            since = self._clock.now() - max_age_ms / 1000
+            return member.prover.prove(since)
         age_ms = member.age_ms()
         return age_ms is not None and age_ms <= max_age_ms
 
--- a/packages/node/src/trefoilpulley_node/pooler/transactions.py
+++ b/packages/node/src/trefoilpulley_node/pooler/transactions.py
@@ -4,8 +4,10 @@
 
 from dataclasses import dataclass
 import itertools
+from typing import Any
 from typing import TYPE_CHECKING
 
+import gevent
 from returns.result import Failure as Failed
 from returns.result import Result
 from returns.result import Success
@@ -19,6 +21,8 @@
 from trefoilpulley_node.beginnings import Beginnings
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.peer import PooledBegin
     from trefoilpulley_core.peer import PooledCommit
     from trefoilpulley_core.peer import PooledRun
@@ -29,11 +33,17 @@
     from trefoilpulley_node.pooler.pooled_work import PooledWork
 
 
+IDLE_LEAST_S = 1.0
+"""Idle time that every transaction is given, in seconds."""
+
+
 @dataclass(eq=False, slots=True)
 class _Transaction:
     member: PooledMember
     lease: SlotLease
     connection: int
+    idle_limit_s: float
+    uses: int = 0
     is_busy: bool = False
     is_ended: bool = False
 
@@ -42,16 +52,24 @@
     """Open transactions, each pinned to a slot and a connection.
 
     A transaction belongs to the peer's connection that began it and is
-    rolled back when that connection ends.
+    rolled back when that connection ends, or when it is idle for longer
+    than its class's promptness: it keeps others from the slot.
 
     Parameters
     ----------
     work : PooledWork
         Confirms commits.
+    call_later : Callable[..., Any]
+        Calls a function with its arguments after some seconds.
     """
 
-    def __init__(self, work: PooledWork) -> None:
+    def __init__(
+        self,
+        work: PooledWork,
+        call_later: Callable[..., Any] = gevent.spawn_later,
+    ) -> None:
         self._work = work
+        self._call_later = call_later
         self._open: dict[str, _Transaction] = {}
         self._beginnings = Beginnings()
         self._ids = itertools.count(1)
@@ -82,6 +100,7 @@
         if found.is_ended or not found.lease.link.is_open:
             self._end(req.transaction)
             return Failed(TransactionLost('connection broke'))
+        self._watch_idle(req.transaction, found)
         return result
 
     def commit(
@@ -133,9 +152,27 @@
             member.pool.release(lease)
             return Failed(NotPrimary('transaction could not begin'))
         transaction = f't{next(self._ids)}'
-        self._open[transaction] = _Transaction(member, lease, peer.connection)
+        opened = self._open[transaction] = _Transaction(
+            member,
+            lease,
+            peer.connection,
+            max(IDLE_LEAST_S, req.scope.remaining_ms / 1000),
+        )
+        self._watch_idle(transaction, opened)
         return Success(transaction)
 
+    def _watch_idle(self, transaction: str, found: _Transaction) -> None:
+        found.uses += 1
+        self._call_later(
+            found.idle_limit_s, self._on_idle, transaction, found.uses
+        )
+
+    def _on_idle(self, transaction: str, uses: int) -> None:
+        found = self._open.get(transaction)
+        if found is None or found.is_busy or found.uses != uses:
+            return
+        self._abort(transaction, found)
+
     def _find(
         self, transaction: str, peer: PeerIdentity
     ) -> _Transaction | None:
