Roll back a transaction that is idle beyond its class's promptness

Cause: a transaction holds a slot of the primary, and at the stand-in member all writes, for as long as its owner is silent: an entry host that is paused, a caller that thinks, or a Begin whose answer came too late. One tenant could stop the writes of all others. Change: a transaction that runs no statement for its class's promptness, at least a second, is rolled back; its next statement is told so.

--- a/features/steps/client_orphans_steps.py
+++ b/features/steps/client_orphans_steps.py
@@ -11,9 +11,13 @@
 from behave import when
 from returns.result import Success
 
+from trefoilpulley_core.failure import TransactionLost
 from trefoilpulley_core.peer import PooledBegin
+from trefoilpulley_core.peer import PooledRun
 from trefoilpulley_core.peer import WorkScope
 from trefoilpulley_core.position import LogHistory
+from trefoilpulley_core.upstream import Statement
+from trefoilpulley_core.upstream import StatementResult
 from trefoilpulley_node.peer_server import PeerIdentity
 from trefoilpulley_node.pooler.transactions import Transactions
 
@@ -22,7 +26,32 @@
 
 OWNER = PeerIdentity('host-1', 'zone-a', 1, 1)
 OTHER = PeerIdentity('host-2', 'zone-a', 1, 2)
-REQUEST = PooledBegin(WorkScope('ledger/0/a', 'tenant', 'filing', 1000))
+PROMPTNESS_S = 2.0
+REQUEST = PooledBegin(
+    WorkScope('ledger/0/a', 'tenant', 'filing', round(1000 * PROMPTNESS_S))
+)
+
+
+class VirtualCalls:
+    """Calls functions when virtual time has come."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._calls: list[tuple[float, Callable[..., Any], Any]] = []
+
+    def call_later(
+        self, seconds: float, call: Callable[..., Any], *args: Any
+    ) -> None:
+        """Keep a call."""
+        self._calls.append((self.now + seconds, call, args))
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass and make the calls that are due."""
+        self.now += seconds
+        due = [c for c in self._calls if c[0] <= self.now]
+        self._calls = [c for c in self._calls if c[0] > self.now]
+        for _, call, args in due:
+            call(*args)
 
 
 class FakeLink:
@@ -36,6 +65,10 @@
         """Begin a transaction."""
         return Success(None)
 
+    def run(self, statement: Statement) -> Success:
+        """Run a statement."""
+        return Success(StatementResult())
+
     def rollback(self) -> Success:
         """Roll the transaction back."""
         self.is_rolled_back = True
@@ -75,7 +108,10 @@
             monitor=SimpleNamespace(status=status),
             pool=context.pool,
         )
-        context.transactions = Transactions(work=None)
+        context.calls = VirtualCalls()
+        context.transactions = Transactions(
+            work=None, call_later=context.calls.call_later
+        )
 
     @staticmethod
     @when("a peer's connection ends while its transaction waits for the slot")
@@ -102,6 +138,35 @@
         context.transactions.begin(context.member, REQUEST, OWNER).unwrap()
         context.transactions.on_peer_lost(OWNER)
 
+    @staticmethod
+    @when(
+        'a transaction is idle for {seconds:g} seconds longer '
+        "than its class's promptness"
+    )
+    def leave_idle(context: Any, seconds: float) -> None:
+        """Begin, then do nothing."""
+        begun = context.transactions.begin(context.member, REQUEST, OWNER)
+        context.transaction = begun.unwrap()
+        context.calls.pass_time(PROMPTNESS_S + seconds)
+
+    @staticmethod
+    @when('a transaction runs a statement shortly before each idle limit')
+    def keep_using(context: Any) -> None:
+        """Run statements in time."""
+        begun = context.transactions.begin(context.member, REQUEST, OWNER)
+        statement = PooledRun(begun.unwrap(), Statement('select 1'), 1000)
+        for _ in range(3):
+            context.calls.pass_time(0.9 * PROMPTNESS_S)
+            context.transactions.run(statement, OWNER).unwrap()
+
+    @staticmethod
+    @then('its next statement is told that the transaction is lost')
+    def expect_lost(context: Any) -> None:
+        """Expect the typed failure."""
+        statement = PooledRun(context.transaction, Statement('select 1'), 1000)
+        ran = context.transactions.run(statement, OWNER)
+        assert isinstance(ran.failure(), TransactionLost), ran
+
     @staticmethod
     @then('no transaction is open at the pooler')
     def expect_none(context: Any) -> None:
