Split the member's engine and lose a transaction that a clause ends

- A statement with a conflict clause such as 'insert or rollback' ended the transaction in sqlite while the member held it for open; later statements then ran outside of it.
Listeners' ports now lie below those of outgoing connections.

--- a/features/standins_member.feature
+++ b/features/standins_member.feature
@@ -70,6 +70,14 @@
     When the standins transaction is committed as "r-1"
     Then standins member a holds "x"
 
+  Scenario: a conflict clause that ends the transaction loses it whole
+    Given an open standins transaction at a that wrote "x"
+    When the standins transaction runs a statement that rolls back
+    Then the standins transaction fails as "transaction-lost"
+    And standins member a holds ""
+    When "y" is written at standins member a under term 1
+    Then standins member a holds "y"
+
   Scenario: a second use of a request id returns the kept outcome
     When request "r-1" writes "x" at standins member a
     And request "r-1" writes "x" at standins member a
--- a/features/steps/standins_member_steps.py
+++ b/features/steps/standins_member_steps.py
@@ -134,6 +134,12 @@
         context.done = context.owner.run(context.transaction, statement)
 
     @staticmethod
+    @when('the standins transaction runs a statement that rolls back')
+    def run_rollback(context: Any) -> None:
+        """Break a rule of the table with a conflict clause."""
+        sql = 'insert or rollback into notes (text) values (null)'
+        context.done = context.owner.run(context.transaction, Statement(sql))
+
     @when('the standins transaction is committed as "{request_id}"')
     def commit(context: Any, request_id: str) -> None:
         """Commit with a key."""
--- a/packages/standins/src/trefoilpulley_standins/_ports.py
+++ b/packages/standins/src/trefoilpulley_standins/_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 from trefoilpulley_core.catalog import Endpoint
@@ -9,6 +10,9 @@
 LOOPBACK = '127.0.0.1'
 """Address of every process of a deployment on one machine."""
 
+PORTS = range(12_000, 32_000)
+"""Ports to choose from; connections get their own ports above them."""
+
 
 class PortAllocator:
     """Hands out free ports, none of them twice.
@@ -18,18 +22,28 @@
     """
 
     def __init__(self) -> None:
+        self._rng = random.SystemRandom()
         self._held: list[socket.socket] = []
 
     def next(self) -> Endpoint:
         """Return an endpoint with a free port."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((LOOPBACK, 0))
-        self._held.append(sock)
-        return Endpoint(LOOPBACK, sock.getsockname()[1])
+        while True:
+            endpoint = Endpoint(LOOPBACK, self._rng.choice(PORTS))
+            if self._hold(endpoint):
+                return endpoint
 
     def release(self) -> None:
         """Free the ports for the processes that will listen on them."""
         for sock in self._held:
             sock.close()
         self._held.clear()
+
+    def _hold(self, endpoint: Endpoint) -> bool:
+        sock = socket.socket()
+        try:
+            sock.bind((endpoint.address, endpoint.port))
+        except OSError:
+            sock.close()
+            return False
+        self._held.append(sock)
+        return True
--- a/packages/standins/src/trefoilpulley_standins/member/engine.py
+++ b/packages/standins/src/trefoilpulley_standins/member/engine.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from returns.pipeline import is_successful
 from returns.result import Failure as Failed
 from returns.result import Result
@@ -19,46 +17,23 @@
 from trefoilpulley_core.failure import StatementFailed
 from trefoilpulley_core.failure import TransactionLost
 from trefoilpulley_core.position import Position
-from trefoilpulley_core.upstream import Acknowledgement
 from trefoilpulley_core.upstream import ANY_CONTENT
-from trefoilpulley_core.upstream import MemberStatus
 from trefoilpulley_core.upstream import OutcomeKey
 from trefoilpulley_core.upstream import Statement
 from trefoilpulley_core.upstream import StatementResult
-from trefoilpulley_standins.member.log import RecordLog
+from trefoilpulley_standins.member._replicated import ReplicatedMember
+from trefoilpulley_standins.member._state import Transaction
 from trefoilpulley_standins.member.record import KeptOutcome
 from trefoilpulley_standins.member.record import Outcome
 from trefoilpulley_standins.member.record import Record
-from trefoilpulley_standins.member.replication import Append
-from trefoilpulley_standins.member.replication import Confirm
-from trefoilpulley_standins.member.replication import Refused
-from trefoilpulley_standins.member.replication import Snapshot
-from trefoilpulley_standins.member.replication import Subscribe
-from trefoilpulley_standins.member.replication import Subscribed
-from trefoilpulley_standins.member.store import SqlStore
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
 
 FIRST_TERM = 1
 """Term of the home primary at the start."""
 
-APPEND_RECORDS = 256
-"""Records sent to a replica at once."""
-
-_MS = 1000
-
-
-class Transaction:
-    """Open transaction of one connection."""
-
-    def __init__(self) -> None:
-        self.statements: list[Statement] = []
-        """Statements that have run, in order."""
-
 
-class MemberEngine:
-    """State of one member of a database group.
+class MemberEngine(ReplicatedMember):
+    """Terms and transactions of one member of a database group.
 
     Parameters
     ----------
@@ -80,56 +55,13 @@
         primary: str,
         is_rejoining: bool = False,
     ) -> None:
-        self.name = name
-        """Name of the member."""
-
-        self.log = RecordLog()
-        """Replicated log."""
-
-        self.term = 0 if is_rejoining else FIRST_TERM
-        """Term last led or followed."""
-
-        self.fenced_term = self.term
-        """Lowest term accepted."""
-
-        self.is_primary = False
-        """Whether the member leads ``term``."""
-
-        self.is_rebuilding = is_rejoining
-        """Whether the member waits for a copy of the primary's state."""
-
-        self.is_compared = not is_rejoining
-        """Whether the log is known to be a beginning of the primary's."""
-
-        self.primary = '' if is_rejoining else primary
-        """Member that this one follows; empty where none."""
-
-        self.observers: list[Callable[[], None]] = []
-        """Called after each change of the status."""
-
-        self._committed = SqlStore(schema)
-        self._workspace: SqlStore | None = None
-        self._open: Transaction | None = None
-        self._acknowledged: dict[str, Position] = {}
-        self._contact_at: float | None = None
-        if primary == name and not is_rejoining:
+        if is_rejoining:
+            super().__init__(name, schema, 0, '')
+            return
+        super().__init__(name, schema, FIRST_TERM, primary)
+        if primary == name:
             self._lead(FIRST_TERM)
 
-    def status(self, now: float) -> MemberStatus:
-        """Return what the member says of itself."""
-        acknowledgements = tuple(
-            Acknowledgement(m, p) for m, p in self._acknowledged.items()
-        )
-        return MemberStatus(
-            self.name,
-            self.is_primary,
-            self.term,
-            self.fenced_term,
-            self.log.history,
-            acknowledgements,
-            self._contact_age_ms(now),
-        )
-
     def read(
         self, statement: Statement, floor: Position
     ) -> Result[StatementResult, Failure]:
@@ -177,6 +109,7 @@
             return Failed(TransactionLost())
         ran = self._workspace.run(statement)
         if not is_successful(ran):
+            self._forget_ended()
             return ran.lash(_as_statement_failure)
         transaction.statements.append(statement)
         return ran.map(self._stamp)
@@ -264,87 +197,10 @@
         self._changed()
         return Success(None)
 
-    def on_subscribe(
-        self, message: Subscribe
-    ) -> Subscribed | Snapshot | Refused:
-        """Compare a replica's log with the primary's."""
-        if not self.is_primary or message.term != self.term:
-            return Refused(NotPrimary.code)
-        if self._is_continued_by_log(message):
-            return Subscribed()
-        return Snapshot(self.log.history, self._committed.snapshot())
-
-    def on_snapshot(self, term: int, message: Snapshot) -> bool:
-        """Replace the state by a copy; false where the term has passed."""
-        if not self._is_followed(term):
-            return False
-        self._committed.close()
-        self._committed = SqlStore.from_snapshot(message.data)
-        self.log = RecordLog(message.history)
-        self.is_rebuilding = False
-        self.is_compared = True
-        self._changed()
-        return True
-
-    def on_subscribed(self, term: int) -> bool:
-        """Take note that the log is a beginning of the primary's."""
-        if not self._is_followed(term):
-            return False
-        self.is_compared = True
-        return True
-
-    def on_append(self, message: Append) -> bool:
-        """Apply records of the primary; false where they do not fit."""
-        if not self._is_followed(message.term) or self.is_rebuilding:
-            return False
-        if message.previous != self.log.last:
-            return False
-        for record in message.records:
-            if not is_successful(self._committed.apply(record)):
-                self.is_rebuilding = True
-                return False
-            self.log.append(record)
-        if message.records:
-            self._changed()
-        return True
-
-    def on_contact(self, term: int, now: float) -> None:
-        """Take note that the primary of a term was heard."""
-        if self._is_followed(term):
-            self._contact_at = now
-
-    def on_confirm(self, message: Confirm) -> None:
-        """Take note of a replica's progress."""
-        if not self.is_primary or message.term != self.term:
-            return
-        self._acknowledged[message.member] = message.position
-        self._changed()
-
-    def subscription(self) -> Subscribe:
-        """Return the request for the records that the member lacks."""
-        return Subscribe(
-            self.name, self.term, self.log.history, self.is_rebuilding
-        )
-
-    def confirmation(self) -> Confirm:
-        """Return what the member confirms to its primary."""
-        return Confirm(self.name, self.term, self.log.last)
-
-    def next_append(self, after: int) -> Append:
-        """Return the records that follow an index, or a heartbeat."""
-        previous = Position(self.log.history.term_at(after), after)
-        records = self.log.read_after(after, APPEND_RECORDS)
-        return Append(self.term, previous, tuple(records))
-
-    def _is_continued_by_log(self, message: Subscribe) -> bool:
-        if message.is_rebuilding:
-            return False
-        if not message.history.is_prefix_of(self.log.history):
-            return False
-        return self.log.is_retained(message.history.last.index)
-
-    def _is_followed(self, term: int) -> bool:
-        return bool(self.primary) and not self.is_primary and term == self.term
+    def _forget_ended(self) -> None:
+        # A conflict clause of the statement can end the transaction.
+        if not self._workspace.is_in_transaction:
+            self._open = None
 
     def _check_primary(self, term: int) -> Failure | None:
         if self.is_primary and term == self.term:
@@ -408,37 +264,6 @@
         self._append(record)
         return Success(None)
 
-    def _append(self, record: Record) -> None:
-        self._committed.apply(record)
-        self.log.append(record)
-        self._changed()
-
-    def _lead(self, term: int) -> None:
-        self.term = term
-        self.is_primary = True
-        self.is_compared = True
-        self.primary = ''
-        self._acknowledged = {}
-        self._workspace = SqlStore.from_snapshot(self._committed.snapshot())
-        self._append(Record(Position(term, self.log.last.index + 1)))
-
-    def _step_down(self, now: float) -> None:
-        if self.is_primary:
-            self._contact_at = now
-        self._open = None
-        self.is_primary = False
-        self._acknowledged = {}
-        if self._workspace is not None:
-            self._workspace.close()
-            self._workspace = None
-
-    def _contact_age_ms(self, now: float) -> int | None:
-        if self.is_primary:
-            return 0
-        if self._contact_at is None:
-            return None
-        return int((now - self._contact_at) * _MS)
-
     def _stamp(self, result: StatementResult) -> StatementResult:
         return StatementResult(
             result.columns,
@@ -448,10 +273,6 @@
             self.term,
         )
 
-    def _changed(self) -> None:
-        for observer in self.observers:
-            observer()
-
 
 def _fits(kept_digest: str, digest: str) -> bool:
     return kept_digest == digest or ANY_CONTENT in (kept_digest, digest)
--- a/packages/standins/src/trefoilpulley_standins/member/store.py
+++ b/packages/standins/src/trefoilpulley_standins/member/store.py
@@ -103,6 +103,11 @@
         store._conn.set_authorizer(store._authorize)
         return store
 
+    @property
+    def is_in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._conn.in_transaction
+
     def snapshot(self) -> bytes:
         """Return the whole content."""
         return self._conn.serialize()
--- a/packages/standins/src/trefoilpulley_standins/starting.py
+++ b/packages/standins/src/trefoilpulley_standins/starting.py
@@ -28,6 +28,9 @@
 def make_layout(deployment: Deployment, directory: Path, seed: int) -> Layout:
     """Return the layout of a deployment on free ports."""
     directory.mkdir(parents=True, exist_ok=True)
+    for pattern in ('*.log', '*.out'):
+        for old in directory.glob(pattern):
+            old.unlink()
     ports = PortAllocator()
     builder = LayoutBuilder(
         deployment, ports, load_declarations(deployment), directory, seed
