Act on a broken connection at three hosts and renew watches

Every host of a zone sees the connection to a dead one break, and each began an inquiry: at 62 hosts some 180 questions for one death. Only the three that stand before it on the ring ask now. A watch that a partition left half open stayed silent for good; it is begun anew every 60 s.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -37,3 +37,15 @@
     Given a configuration fleet of 3 zones with 8 hosts each
     When the configuration changes 5 times
     Then each change costs each zone at most 4 calls to the platform's service
+
+  Scenario: Hosts that die amid a change hold nobody up
+    Given a configuration fleet of 3 zones with 32 hosts each
+    When the configuration changes while 5 hosts of each zone die
+    Then the configuration is in force on every live host within 2 s
+
+  Scenario: A watch that has fallen silent holds nobody up
+    Given a configuration fleet of 1 zones with 8 hosts each
+    And the configuration watches have fallen silent
+    When the configuration is written
+    Then the configuration is in force on every live host within 16 s
+    And a configuration watch is in force again within 60 s
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -294,6 +294,54 @@
             revisions = context.fleet.revisions(DocumentKind.CONFIGURATION)
             assert set(revisions.values()) == {revision}
 
+    @staticmethod
+    @given('the configuration watches have fallen silent')
+    def silence_watches(context: Any) -> None:
+        """Lose the watches without a word to their holders."""
+        context.fleet.service.watchers.clear()
+
+    @staticmethod
+    @when('the configuration is written')
+    def write(context: Any) -> None:
+        """Write one change."""
+        context.fleet.publish(make_configuration(1))
+
+    @staticmethod
+    @when('the configuration changes while {count:d} hosts of each zone die')
+    def change_amid_deaths(context: Any, count: int) -> None:
+        """Write a change and kill hosts that pass it on."""
+        fleet = context.fleet
+        fleet.publish(make_configuration(1))
+        for zone in range(context.zones):
+            names = [
+                name
+                for name, state in fleet.documents.items()
+                if name.startswith(f'z{zone}-') and not state.spread.is_watcher
+            ]
+            for name in names[:count]:
+                fleet.stop(name)
+
+    @staticmethod
+    @then(
+        'the configuration is in force on every live host within {limit:d} s'
+    )
+    def check_in_force(context: Any, limit: int) -> None:
+        """Run the virtual clock until the change is in force."""
+        fleet = context.fleet
+        kind = DocumentKind.CONFIGURATION
+        found = fleet.run_until(
+            lambda: set(fleet.revisions(kind).values()) == {1}, limit
+        )
+        assert found is not None, fleet.revisions(kind)
+
+    @staticmethod
+    @then('a configuration watch is in force again within {limit:d} s')
+    def check_watch(context: Any, limit: int) -> None:
+        """Run the virtual clock until a watch has begun."""
+        fleet = context.fleet
+        found = fleet.run_until(lambda: fleet.service.watchers, limit)
+        assert found is not None
+
     @staticmethod
     @then(
         "each zone calls the platform's service at most {rate:g} "
--- a/packages/core/src/trefoilpulley_core/configuration/spread.py
+++ b/packages/core/src/trefoilpulley_core/configuration/spread.py
@@ -29,6 +29,12 @@
 WATCH_RETRY_S = 0.5
 """Time after which a broken watch is begun again, in seconds."""
 
+WATCH_RENEWAL_S = 60.0
+"""Life of a watch, in seconds.
+
+A watch whose connection a partition has left half open says nothing.
+"""
+
 FETCH_RETRY_S = 1.0
 """Time after which a document is asked for again, in seconds."""
 
@@ -172,10 +178,10 @@
     def _keep_watch(self, now: float) -> None:
         if self._is_watching and not self.is_watcher:
             self._is_watching = False
+            self._next_watch_at = now
             self._commands.append(SetWatch(is_wanted=False))
-        if not self.is_watcher or self._is_watching:
-            return
-        if now >= self._next_watch_at:
+        if self.is_watcher and now >= self._next_watch_at:
+            self._next_watch_at = now + WATCH_RENEWAL_S
             self._is_watching = True
             self._commands.append(SetWatch(is_wanted=True))
             self._commands.append(ReadService())
--- a/packages/core/src/trefoilpulley_core/membership/failure_detector.py
+++ b/packages/core/src/trefoilpulley_core/membership/failure_detector.py
@@ -22,6 +22,9 @@
 RANDOM_INTERVAL_S = 2.0
 """Time between two probes of any host of the zone, in seconds."""
 
+PREDECESSORS = 3
+"""Hosts before another on the ring that act on a broken connection."""
+
 HELPERS = 2
 """Hosts that are asked to probe a silent one."""
 
@@ -78,6 +81,15 @@
         """Draw no conclusion from what a pause has let time out."""
         self._inquiries.clear()
 
+    def on_contact_lost(self, host: str, now: float) -> None:
+        """Inquire after a host whose connection broke.
+
+        Every host with a connection sees it break; a few that stand
+        before it on the ring are enough to ask.
+        """
+        if host in self._list_successors()[:PREDECESSORS]:
+            self.suspect(host, now)
+
     def suspect(self, host: str, now: float) -> None:
         """Inquire after a host that did not answer."""
         record = self._table.find(host)
@@ -113,14 +125,17 @@
         )
 
     def _find_successor(self) -> str | None:
-        ring = self._live_ring()
-        own = self._news.own.entry.name
-        start = ring.index(own) if own in ring else 0
-        for host in ring[start + 1 :] + ring[:start]:
+        for host in self._list_successors():
             if host not in self._inquiries:
                 return host
         return None
 
+    def _list_successors(self) -> tuple[str, ...]:
+        ring = self._live_ring()
+        own = self._news.own.entry.name
+        start = ring.index(own) if own in ring else 0
+        return ring[start + 1 :] + ring[:start]
+
     def _live_ring(self) -> tuple[str, ...]:
         if self._ring_version != self._table.version:
             self._ring_version = self._table.version
--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -180,7 +180,7 @@
     def on_contact_lost(self, host: str, now: float) -> None:
         """Inquire after a host whose connection broke."""
         self._note_time(now)
-        self._detector.suspect(host, now)
+        self._detector.on_contact_lost(host, now)
 
     def on_probe_for_me(
         self, req: ProbeForMe, reply: Callable[[ProbeReport], None]
