Grant a tenant single databases of a ledger

Cause: rights were given by ledger alone. Members of a consortium that share a ledger could read each other's rows, since no SQL is parsed. Change: a right names a ledger or one of its databases.

--- a/features/declarations.feature
+++ b/features/declarations.feature
@@ -85,6 +85,9 @@
       | tenants | {"a": {}} | missing-key | $.tenants.a.ledgers |
       | tenants | {"A b": {"ledgers": {}}} | invalid-name | $.tenants["A b"] |
       | tenants | [] | wrong-type | $.tenants |
+      | tenants | {"a": {"ledgers": {"l/0/a": ["filing"]}}} | invalid-name | $.tenants.a.ledgers["l/0/a"] |
+      | tenants | {"a": {"ledgers": {"L": ["filing"]}}} | invalid-name | $.tenants.a.ledgers.L |
+      | stops | {"s": {"ledger": "l/0", "zone": "z"}} | invalid-name | $.stops.s.ledger |
       | stops | {"s": {"ledger": "l"}} | missing-key | $.stops.s.zone |
       | stops | {"s": {"ledger": "l", "zone": "z", "member": "l/0/a"}} | derived-key | $.stops.s.member |
       | stops | {"s": {"ledger": "l", "zone": ""}} | invalid-name | $.stops.s.zone |
@@ -112,3 +115,16 @@
     Given the platform lists the ledger "shared-ledger" for declarations
     When the declarations file "examples/karamanlis.json" is checked
     Then the declarations' fault codes are "unknown-ledger"
+
+  Scenario Outline: a right on one database is no right on another
+    Given declarations with the "tenants" replaced by
+      """
+      {"stalls": {"ledgers": {"l/0": ["filing"]}}}
+      """
+    When the declarations are checked
+    Then the tenant "stalls" <outcome> on the database "<database>" of the ledger "l"
+
+    Examples:
+      | database | outcome              |
+      | l/0      | is granted "filing"  |
+      | l/1      | is refused "filing"  |
--- a/features/steps/declarations_steps.py
+++ b/features/steps/declarations_steps.py
@@ -10,8 +10,13 @@
 from behave import then
 from behave import when
 
+from trefoilpulley_core.caller import Begin
+from trefoilpulley_core.catalog import DatabaseEntry
 from trefoilpulley_core.declarations_check import check_declarations
 from trefoilpulley_core.declarations_form import format_declarations
+from trefoilpulley_core.failure import NotAuthorized
+from trefoilpulley_node.pipeline.classify import Classify
+from trefoilpulley_node.pipeline.request import PipelineRequest
 
 _FILING = '{"work": "write", "promptness": {"within_ms": 2000, "share": 0.99}}'
 
@@ -116,3 +121,27 @@
         """Expect faults of one kind only."""
         found = {f.code.value for f in context.checked.failure()}
         assert found == {code}, found
+
+    @staticmethod
+    @then(
+        'the tenant "{tenant}" is {outcome} "{name}" on the database '
+        '"{database}" of the ledger "{ledger}"'
+    )
+    def expect_right(
+        context: Any,
+        tenant: str,
+        outcome: str,
+        name: str,
+        database: str,
+        ledger: str,
+    ) -> None:
+        """Pass a request through the filter that checks rights."""
+        declarations = context.checked.unwrap()
+        entry = DatabaseEntry(database, ledger, ())
+        step = Classify(lambda: declarations, lambda name: entry)
+        message = Begin(name, database)
+        found = step.apply(PipelineRequest(tenant, message, 0.0))
+        if outcome == 'granted':
+            assert found.unwrap().work_class.name == name
+        else:
+            assert isinstance(found.failure(), NotAuthorized), found
--- a/packages/cli/src/trefoilpulley_cli/change.py
+++ b/packages/cli/src/trefoilpulley_cli/change.py
@@ -134,11 +134,12 @@
 
 
 def read_ledgers(platform: Platform) -> frozenset[str] | None:
-    """Return the ledgers that the platform lists, or ``None``."""
+    """Return the ledgers and databases of the platform, or ``None``."""
     found = platform.get(CATALOG_DATABASES_KEY).value_or(None)
     if found is None:
         return None
     databases = decode_databases(found.value).value_or(None)
     if databases is None:
         return None
-    return frozenset(d.ledger for d in databases)
+    names = {d.ledger for d in databases}
+    return frozenset(names.union(d.name for d in databases))
--- a/packages/core/src/trefoilpulley_core/_json_reader.py
+++ b/packages/core/src/trefoilpulley_core/_json_reader.py
@@ -12,6 +12,7 @@
 from trefoilpulley_core.declarations_fault import FaultCode
 
 _NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
+_LEDGER = re.compile(rf'{_NAME.pattern}(/{_NAME.pattern})?')
 _PLAIN_KEY = re.compile(r'[A-Za-z0-9_-]+')
 
 DERIVED_KEYS = frozenset(
@@ -92,6 +93,15 @@
             return None
         return ObjectReader(value, path, self)
 
+    def check_ledger_name(self, name: str, path: str) -> None:
+        """Check the form of a ledger's name, or of a database's."""
+        if not _LEDGER.fullmatch(name):
+            self.add(
+                path,
+                FaultCode.INVALID_NAME,
+                'the name of a ledger, or LEDGER/DATABASE, is expected',
+            )
+
     def check_name(self, name: str, path: str) -> None:
         """Check the form of a name."""
         if not _NAME.fullmatch(name):
@@ -134,9 +144,7 @@
         return join_path(self.path, key)
 
     def items(self) -> tuple[tuple[str, Any], ...]:
-        """Return names and values of an object that maps names."""
-        for name in self._values:
-            self._faults.check_name(name, self.path_of(name))
+        """Return keys and values."""
         return tuple(self._values.items())
 
     def has(self, key: str) -> bool:
--- a/packages/core/src/trefoilpulley_core/declarations.py
+++ b/packages/core/src/trefoilpulley_core/declarations.py
@@ -85,10 +85,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Right of a tenant to use a class of work on a ledger."""
+    """Right of a tenant to use classes of work on a ledger."""
 
     ledger: str
-    """Name of the ledger."""
+    """Name of the ledger, or of one of its databases."""
 
     classes: tuple[str, ...]
     """Names of the classes of work."""
--- a/packages/core/src/trefoilpulley_core/declarations_check.py
+++ b/packages/core/src/trefoilpulley_core/declarations_check.py
@@ -61,8 +61,8 @@
     text : str
         JSON text as operators write it.
     ledgers : Collection[str], optional
-        Names of the ledgers that the platform lists; without it, names
-        of ledgers are not checked.
+        Names of the ledgers and databases that the platform lists;
+        without it, these names are not looked up.
 
     Returns
     -------
@@ -135,11 +135,14 @@
         outer = self._faults.read_object(top.get(key), top.path_of(key))
         if outer is None:
             return ()
-        readers = (
-            (name, self._faults.read_object(value, outer.path_of(name)))
-            for name, value in outer.items()
-        )
-        return tuple((n, r) for n, r in readers if r is not None)
+        found = []
+        for name, value in outer.items():
+            path = outer.path_of(name)
+            self._faults.check_name(name, path)
+            reader = self._faults.read_object(value, path)
+            if reader is not None:
+                found.append((name, reader))
+        return tuple(found)
 
     def _read_class(self, name: str, reader: ObjectReader) -> WorkClass | None:
         reader.expect_keys(('work', 'promptness'), ('freshness', 'safety'))
@@ -241,6 +244,7 @@
         grants = []
         for ledger, value in ledgers.items():
             path = ledgers.path_of(ledger)
+            self._faults.check_ledger_name(ledger, path)
             self._check_ledger(ledger, path)
             grants.append(Grant(ledger, self._read_class_names(value, path)))
         return Tenant(name, tuple(grants))
--- a/packages/node/src/trefoilpulley_node/pipeline/classify.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/classify.py
@@ -54,7 +54,7 @@
         tenant = declarations.find_tenant(req.tenant)
         if database is None:
             return Failed(UnknownDatabase(req.message.database))
-        if tenant is None or not _is_granted(tenant, database.ledger, name):
+        if tenant is None or not _is_granted(tenant, database, name):
             return Failed(NotAuthorized(f'{name} on {database.ledger}'))
         within_s = work_class.promptness.within_ms / 1000
         return Success(
@@ -67,8 +67,11 @@
         )
 
 
-def _is_granted(tenant: Tenant, ledger: str, work_class: str) -> bool:
+def _is_granted(
+    tenant: Tenant, database: DatabaseEntry, work_class: str
+) -> bool:
     return any(
-        grant.ledger == ledger and work_class in grant.classes
+        grant.ledger in (database.ledger, database.name)
+        and work_class in grant.classes
         for grant in tenant.grants
     )
