Let many sessions write steadily in the demonstration

The recorded sessions write to one database about once a second, and a session whose write hangs at a host that is cut off sees no new primary until it tries elsewhere.

--- a/packages/standins/src/trefoilpulley_standins/demo/run.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/run.py
@@ -18,28 +18,38 @@
 from trefoilpulley_standins.demo.record import recording_of
 from trefoilpulley_standins.demo.report import Report
 from trefoilpulley_standins.demo.script import Script
+from trefoilpulley_standins.demo.workload import DURATION_MS
 from trefoilpulley_standins.demo.workload import load_workload
+from trefoilpulley_standins.demo.workload import SESSIONS
+from trefoilpulley_standins.demo.workload import Step
+from trefoilpulley_standins.demo.workload import StepKind
 from trefoilpulley_standins.starting import load_declarations
 from trefoilpulley_standins.starting import make_layout
 from trefoilpulley_standins.starting import start_deployment
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
     from pathlib import Path
 
-    from trefoilpulley_standins.demo.workload import Step
     from trefoilpulley_standins.deployment import Deployment
     from trefoilpulley_standins.layout import Layout
 
 READY_LIMIT_S = 10.0
 """Longest wait for every host to hold the declarations, in seconds."""
 
-CALLERS_LIMIT_S = 20.0
-"""Longest wait for the callers after the last fault, in seconds."""
+CALLERS_LIMIT_S = 12.0
+"""Longest wait for the callers after their last step, in seconds."""
 
 SETTLE_LIMIT_S = 5.0
 """Longest wait for the replicas at the end, in seconds."""
 
+STEADY_SESSIONS = 16
+"""Sessions for each database that only write, to see the gaps."""
+
+STEADY_INTERVAL_MS = 1600
+"""Time between two writes of such a session, in milliseconds."""
+
 _POLL_S = 0.1
 
 
@@ -60,7 +70,8 @@
         script = Script(layout, processes, orders, observer, journal, say)
         callers = _spawn_callers(layout, journal, seed)
         script.run()
-        gevent.joinall(callers, timeout=CALLERS_LIMIT_S)
+        left_s = DURATION_MS / 1000 + CALLERS_LIMIT_S - journal.now_s
+        gevent.joinall(callers, timeout=left_s)
         gevent.killall(callers)
         dump_journal(directory / 'journal.jsonl', journal.entries)
         members = _read_members(layout, observer)
@@ -81,7 +92,8 @@
     layout: Layout, journal: Journal, seed: int
 ) -> list[gevent.Greenlet]:
     steps: dict[int, list[Step]] = defaultdict(list)
-    for step in load_workload(recording_of(layout.deployment.name)):
+    recorded = load_workload(recording_of(layout.deployment.name))
+    for step in (*recorded, *_make_steady_writes(layout)):
         steps[step.session].append(step)
     callers = [
         Caller(layout, journal, f's{n}', own, seed * 1000 + n)
@@ -90,6 +102,22 @@
     return [gevent.spawn(caller.run) for caller in callers]
 
 
+def _make_steady_writes(layout: Layout) -> Iterator[Step]:
+    deployment = layout.deployment
+    sessions = deployment.databases * STEADY_SESSIONS
+    for number in range(sessions):
+        first_ms = number * STEADY_INTERVAL_MS // sessions
+        for at_ms in range(first_ms, DURATION_MS, STEADY_INTERVAL_MS):
+            yield Step(
+                at_ms,
+                SESSIONS + number,
+                StepKind.WRITE,
+                deployment.tenants[0],
+                deployment.write_class,
+                number % deployment.databases,
+            )
+
+
 def _read_members(
     layout: Layout, observer: Observer
 ) -> tuple[MemberRows, ...]:
