Refuse settings of the command line that can't be used

Cause: certificates that can't be read ended the command with a trace, found in a run over TLS on loopback; a session file in a missing directory would have done so after the statement had run. Change: both are wrong usage, exit code 2, found before anything is sent.

--- a/features/cli_hosts.feature
+++ b/features/cli_hosts.feature
@@ -51,6 +51,7 @@
       | state ghost                                      |
       | exec insert                                      |
       | exec --class filing --parameters {} insert       |
+      | exec --class filing --session /no/such/file insert |
       | check no-such-file.json                          |
       | show                                             |
 
@@ -66,3 +67,5 @@
       | {"hosts": [{}]}     | $.hosts |
       | []                  | settings |
       | {                   | settings |
+      | {}                  | $.hosts is required |
+      | {"hosts": [{"name": "h", "endpoint": {"address": "::1", "port": 1}}], "tls": {"authorities": "no-such.pem"}} | $.tls |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -23,6 +23,7 @@
 from features.fakes.fake_platform import Fault
 from trefoilpulley_cli.main import main
 from trefoilpulley_cli.outside import Outside
+from trefoilpulley_cli.settings import make_tls_context
 from trefoilpulley_client.timer import Timer
 from trefoilpulley_client.transport import Dialer
 from trefoilpulley_core.catalog import DatabaseEntry
@@ -50,7 +51,8 @@
         return self.platform
 
     def make_dialer(self, cfg: Any) -> Dialer:
-        """Return a dialer of the fake hosts."""
+        """Return a dialer of the fake hosts; the certificates are read."""
+        make_tls_context(cfg.tls)
         return FakeDialer(self.hosts)
 
     def make_timer(self) -> Timer:
--- a/packages/cli/src/trefoilpulley_cli/execute.py
+++ b/packages/cli/src/trefoilpulley_cli/execute.py
@@ -87,7 +87,7 @@
         work_class,
         token=token,
         autocommit=True,
-        dialer=outside.make_dialer(cfg),
+        dialer=invocation.make_dialer(cfg),
         timer=outside.make_timer(),
         rng=outside.make_rng(),
     )
@@ -104,7 +104,11 @@
 
 
 def _read_token(path: Path | None) -> bytes:
-    if path is None or not path.exists():
+    if path is None:
+        return b''
+    if not path.parent.is_dir():
+        raise click.UsageError(f'--session: {path.parent} is no directory')
+    if not path.exists():
         return b''
     return path.read_bytes()
 
--- a/packages/cli/src/trefoilpulley_cli/invocation.py
+++ b/packages/cli/src/trefoilpulley_cli/invocation.py
@@ -14,6 +14,7 @@
 from trefoilpulley_cli.settings import OperatorSettings
 
 if TYPE_CHECKING:
+    from trefoilpulley_client.transport import Dialer
     from trefoilpulley_core.platform import Platform
 
 
@@ -48,6 +49,15 @@
             raise click.UsageError('settings: $.platform is required')
         return self.outside.open_platform(cfg.platform)
 
+    def make_dialer(self, cfg: OperatorSettings) -> Dialer:
+        """Return a dialer of entry hosts."""
+        if not cfg.hosts:
+            raise click.UsageError('settings: $.hosts is required')
+        try:
+            return self.outside.make_dialer(cfg)
+        except OSError as exc:
+            raise click.UsageError(f'settings: $.tls: {exc}') from exc
+
 
 pass_invocation = click.make_pass_decorator(Invocation)
 """Gives a command its `Invocation`."""
--- a/packages/cli/src/trefoilpulley_cli/state.py
+++ b/packages/cli/src/trefoilpulley_cli/state.py
@@ -37,8 +37,8 @@
 def state(invocation: Invocation, host: str | None, is_json: bool) -> None:
     """Show the state of HOST, or of every host of the settings."""
     cfg = invocation.load_settings()
+    dialer = invocation.make_dialer(cfg)
     chosen = _choose_hosts(cfg, host)
-    dialer = invocation.outside.make_dialer(cfg)
     found = {h.name: _ask(h, cfg.operator_secret, dialer) for h in chosen}
     document = {name: _describe(reply) for name, reply in found.items()}
     lines = [_format(name, reply) for name, reply in found.items()]
