--- a/packages/standins/src/trefoilpulley_standins/membership_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/membership_fleet.py
@@ -167,6 +167,15 @@
         """Bring every link back."""
         self.cuts.clear()
 
+    def reset_traffic(self) -> None:
+        """Count anew."""
+        for host in self.hosts.values():
+            host.traffic = Traffic()
+
+    def traffic_of_running(self) -> dict[str, Traffic]:
+        """Return what each running host has sent and spent."""
+        return {n: h.traffic for n, h in self.hosts.items() if h.is_up}
+
     def act(self, host: FleetHost, action: Callable[[], Any]) -> Any:
         """Run an action of a host and carry out its commands."""
         started = time.process_time() if self.is_counting else 0.0
