Read every settings file by one reader

Cause: the host's process and the command line read settings by the same lines, and a file that holds a JSON list crashed the host's. Change: one reader in the node package for both; a list is a fault.

--- a/features/cli_hosts.feature
+++ b/features/cli_hosts.feature
@@ -69,3 +69,13 @@
       | {                   | settings |
       | {}                  | $.hosts is required |
       | {"hosts": [{"name": "h", "endpoint": {"address": "::1", "port": 1}}], "tls": {"authorities": "no-such.pem"}} | $.tls |
+
+  Scenario Outline: settings of a host's process with faults are refused
+    When the settings of a host's process are <text>
+    Then they are refused with "<fault>"
+
+    Examples:
+      | text             | fault             |
+      | []               | not a JSON object |
+      | {                | Expecting         |
+      | {"hosst": 1}     | $.host            |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -32,6 +32,7 @@
 from trefoilpulley_core.configuration.document import encode_databases
 from trefoilpulley_core.declarations_check import check_declarations
 from trefoilpulley_core.keys import CATALOG_DATABASES_KEY
+from trefoilpulley_node.settings import load_settings as load_host_settings
 
 SEED = 11
 """Seed of change ids and request ids."""
@@ -268,6 +269,26 @@
         context.cli.run(['apply', str(path)])
 
 
+class HostSettingsSteps:
+    """Steps on the settings of a host's process."""
+
+    @staticmethod
+    @when("the settings of a host's process are {text}")
+    def load(context: Any, text: str) -> None:
+        """Read a settings file with the text."""
+        path = context.cli.folder / 'host.json'
+        path.write_text(text)
+        context.loaded = load_host_settings(path)
+
+    @staticmethod
+    @then('they are refused with "{fault}"')
+    def expect_fault(context: Any, fault: str) -> None:
+        """Look for a fault."""
+        failure = context.loaded.failure()
+        told = (failure.detail, *failure.faults)
+        assert any(fault in line for line in told), told
+
+
 class CliOutcomes:
     """Steps that judge."""
 
--- a/packages/cli/src/trefoilpulley_cli/settings.py
+++ b/packages/cli/src/trefoilpulley_cli/settings.py
@@ -3,34 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
 import ssl
 from typing import TYPE_CHECKING
 
-from cattrs import ClassValidationError
-from cattrs.preconf.json import make_converter
-from cattrs import transform_error
-from returns.result import Failure as Failed
-from returns.result import Result
-from returns.result import Success
-
 from trefoilpulley_core.catalog import Endpoint
-from trefoilpulley_core.failure import Failure
-from trefoilpulley_core.failure import RunState
+from trefoilpulley_node.settings_file import read_settings
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from returns.result import Result
 
-@dataclass(frozen=True, slots=True)
-class InvalidOperatorSettings(Failure):
-    """The command line's settings can't be read or have faults."""
-
-    code = 'invalid-operator-settings'
-    run_state = RunState.NOT_RUN
-
-    faults: tuple[str, ...] = ()
-    """Each fault with its path."""
+    from trefoilpulley_core.failure import Failure
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,21 +68,9 @@
     """Certificates; plain TCP without them."""
 
 
-_CONVERTER = make_converter(forbid_extra_keys=True)
-
-
 def load_settings(path: Path) -> Result[OperatorSettings, Failure]:
     """Read and check a settings file."""
-    try:
-        document = json.loads(path.read_text(encoding='utf-8'))
-        if not isinstance(document, dict):
-            return Failed(InvalidOperatorSettings('not a JSON object'))
-        return Success(_CONVERTER.structure(document, OperatorSettings))
-    except (OSError, ValueError) as exc:
-        return Failed(InvalidOperatorSettings(str(exc)))
-    except ClassValidationError as exc:
-        faults = tuple(transform_error(exc, path='$'))
-        return Failed(InvalidOperatorSettings('settings have faults', faults))
+    return read_settings(path, OperatorSettings)
 
 
 def make_tls_context(tls: TlsFiles | None) -> ssl.SSLContext | None:
--- a/packages/node/src/trefoilpulley_node/settings.py
+++ b/packages/node/src/trefoilpulley_node/settings.py
@@ -3,33 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
 from typing import TYPE_CHECKING
 
-from cattrs import ClassValidationError
-from cattrs.preconf.json import make_converter
-from cattrs import transform_error
-from returns.result import Failure as Failed
-from returns.result import Result
-from returns.result import Success
-
 from trefoilpulley_core.catalog import Endpoint
-from trefoilpulley_core.failure import Failure
-from trefoilpulley_core.failure import RunState
+from trefoilpulley_node.settings_file import format_settings
+from trefoilpulley_node.settings_file import read_settings
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from returns.result import Result
 
-@dataclass(frozen=True, slots=True)
-class InvalidSettings(Failure):
-    """The settings file can't be read or has faults."""
-
-    code = 'invalid-settings'
-    run_state = RunState.NOT_RUN
-
-    faults: tuple[str, ...] = ()
-    """Each fault with its path."""
+    from trefoilpulley_core.failure import Failure
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,21 +137,11 @@
     """Longest time that a planned stop waits for running work."""
 
 
-_CONVERTER = make_converter(forbid_extra_keys=True)
-
-
 def load_settings(path: Path) -> Result[NodeSettings, Failure]:
     """Read and check a settings file."""
-    try:
-        document = json.loads(path.read_text(encoding='utf-8'))
-        return Success(_CONVERTER.structure(document, NodeSettings))
-    except (OSError, ValueError) as exc:
-        return Failed(InvalidSettings(str(exc)))
-    except ClassValidationError as exc:
-        faults = tuple(transform_error(exc, path='$'))
-        return Failed(InvalidSettings('settings have faults', faults))
+    return read_settings(path, NodeSettings)
 
 
 def dump_settings(cfg: NodeSettings) -> str:
     """Return the JSON text of settings."""
-    return json.dumps(_CONVERTER.unstructure(cfg), indent=2)
+    return format_settings(cfg)
