--- a/packages/node/src/trefoilpulley_node/pooler/member_link.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_link.py
@@ -134,8 +134,9 @@
     def _call(self, message: Any, timeout_s: float) -> Result[Any, Failure]:
         reply = self._channel.call(message, timeout_s)
         if not isinstance(reply, Success):
-            # A late answer must not meet the next request.
-            self._channel.close()
+            if isinstance(reply.failure(), PeerUnreachable):
+                # A late answer must not meet the next request.
+                self._channel.close()
             return reply
         answer = reply.unwrap()
         if isinstance(answer, member_codec.MemberFailure):
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -19,6 +19,7 @@
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import MessageTooLarge
 from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import ResultTooLarge
 
 if TYPE_CHECKING:
     from gevent.event import Event
@@ -31,7 +32,7 @@
 """Bytes read from a socket at once."""
 
 MESSAGE_LIMIT_BYTES = 1 << 20
-"""Greatest message that is taken in."""
+"""Greatest message that is decoded, request or reply."""
 
 HARD_LIMIT_BYTES = 16 << 20
 """Greatest message that is read; a greater one closes the connection."""
@@ -222,6 +223,11 @@
             failure = MessageTooLarge(f'limit is {MESSAGE_LIMIT_BYTES}')
             self._refuse(sequence, failure)
             return
+        if sequence < 0 and len(data) > MESSAGE_LIMIT_BYTES:
+            # Decoding it would hold up everybody else on this process.
+            failure = ResultTooLarge(f'limit is {MESSAGE_LIMIT_BYTES}')
+            self._on_reply(-sequence, Failed(failure))
+            return
         decoded = self._codec.decode(data)
         if not isinstance(decoded, Success):
             self._on_undecodable(sequence, decoded.failure())
