--- a/packages/node/src/trefoilpulley_node/tls.py
+++ b/packages/node/src/trefoilpulley_node/tls.py
@@ -1,10 +1,11 @@
-"""TLS contexts of the process, from the standard library."""
+"""TLS contexts of the process, from the standard library on gevent."""
 
 from __future__ import annotations
 
-import ssl
 from typing import TYPE_CHECKING
 
+from gevent import ssl
+
 if TYPE_CHECKING:
     from trefoilpulley_node.settings import TlsSettings
 
