--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -218,30 +218,33 @@
         self._on_data(data)
 
     def _on_data(self, data: bytes) -> None:
-        sequence = self._codec.decode_sequence(data)
-        if sequence > 0 and len(data) > MESSAGE_LIMIT_BYTES:
-            failure = MessageTooLarge(f'limit is {MESSAGE_LIMIT_BYTES}')
-            self._refuse(sequence, failure)
-            return
-        if sequence < 0 and len(data) > MESSAGE_LIMIT_BYTES:
-            # Decoding it would hold up everybody else on this process.
-            failure = ResultTooLarge(f'limit is {MESSAGE_LIMIT_BYTES}')
-            self._on_reply(-sequence, Failed(failure))
+        if len(data) > MESSAGE_LIMIT_BYTES:
+            self._on_too_large(self._codec.decode_sequence(data))
             return
         decoded = self._codec.decode(data)
         if not isinstance(decoded, Success):
+            sequence = self._codec.decode_sequence(data)
             self._on_undecodable(sequence, decoded.failure())
             return
-        message = decoded.unwrap().message
+        frame = decoded.unwrap()
+        message = frame.message
         self._codec.traffic.count(type(message).__name__, len(data))
-        if sequence < 0:
-            self._on_reply(-sequence, Success(message))
-        elif sequence > 0:
+        if frame.sequence < 0:
+            self._on_reply(-frame.sequence, Success(message))
+        elif frame.sequence > 0:
             self._running += 1
-            gevent.spawn(self._serve, sequence, message)
+            gevent.spawn(self._serve, frame.sequence, message)
         elif self._handler:
             self._handler.on_notice(self, message)
 
+    def _on_too_large(self, sequence: int) -> None:
+        # Decoding it would hold up everybody else on this process.
+        detail = f'limit is {MESSAGE_LIMIT_BYTES}'
+        if sequence < 0:
+            self._on_reply(-sequence, Failed(ResultTooLarge(detail)))
+        else:
+            self._refuse(sequence, MessageTooLarge(detail))
+
     def _on_undecodable(self, sequence: int, failure: Failure) -> None:
         if sequence < 0:
             self._on_reply(-sequence, Failed(failure))
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -24,6 +24,7 @@
 from trefoilpulley_wire.traffic import Traffic
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 HEADER_BYTES = 64
@@ -41,6 +42,18 @@
     """Typed message."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Encoder:
+    tag: bytes
+    unstructure: Callable[[Any], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class _Structure:
+    kind: type
+    structure: Callable[[Any, type], Any]
+
+
 class Codec:
     """Encodes and decodes one set of message types.
 
@@ -51,23 +64,27 @@
     """
 
     def __init__(self, types: Iterable[type]) -> None:
-        self._converter = make_converter(
+        converter = make_converter(
             omit_if_default=True, detailed_validation=False
         )
-        self._types = {kind.__name__: kind for kind in types}
+        self._encoders: dict[type, _Encoder] = {}
+        self._structure: dict[str, _Structure] = {}
+        for kind in types:
+            self._encoders[kind] = _Encoder(
+                cbor2.dumps(kind.__name__),
+                converter.get_unstructure_hook(kind),
+            )
+            self._structure[kind.__name__] = _Structure(
+                kind, converter.get_structure_hook(kind)
+            )
         self.traffic = Traffic()
         """Frames of every channel that uses this codec."""
 
     def encode(self, sequence: int, message: Any) -> bytes:
         """Return the frame of a message."""
-        kind = type(message)
-        return b''.join(
-            (
-                cbor2.dumps(sequence),
-                cbor2.dumps(kind.__name__),
-                cbor2.dumps(self._converter.unstructure(message, kind)),
-            )
-        )
+        encoder = self._encoders[type(message)]
+        fields = cbor2.dumps(encoder.unstructure(message))
+        return cbor2.dumps(sequence) + encoder.tag + fields
 
     def decode(self, data: bytes) -> Result[Frame, Failure]:
         """Decode a frame, or say why it is malformed."""
@@ -92,9 +109,7 @@
         fields = decoder.decode()
         if not isinstance(sequence, int):
             return Failed(MalformedMessage('sequence is not a number'))
-        kind = self._types.get(tag) if isinstance(tag, str) else None
-        if kind is None:
+        known = self._structure.get(tag) if isinstance(tag, str) else None
+        if known is None:
             return Failed(MalformedMessage('unknown type of message'))
-        return Success(
-            Frame(sequence, self._converter.structure(fields, kind))
-        )
+        return Success(Frame(sequence, known.structure(fields, known.kind)))
