--- a/features/fakes/configuration_trace.py
+++ b/features/fakes/configuration_trace.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
-from pathlib import Path
 from typing import Any
 from typing import TYPE_CHECKING
 
-from cattrs import structure
-
+from features.fakes.trace_replay import TraceReplay
 from trefoilpulley_core.configuration.document import encode_configuration
 from trefoilpulley_core.configuration.document import encode_databases
 from trefoilpulley_core.configuration.holder import ConfigurationHolder
@@ -25,9 +22,6 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-TRACES = Path(__file__).parents[1] / 'traces' / 'configuration'
-"""Folder of the traces."""
-
 ZONES = 3
 """Zones of the fleet."""
 
@@ -69,37 +63,27 @@
     """Revision in force, or number of watchers of each zone."""
 
 
-class ConfigurationReplay:
-    """Replays one trace and checks the outcomes in passing."""
+class ConfigurationReplay(TraceReplay):
+    """Replays a trace of the documents' spread.
+
+    Parameters
+    ----------
+    make_holder : Callable[[], ConfigurationHolder]
+        Makes the holder of a host.
+    """
+
+    fleet: DocumentFleet
 
     def __init__(
         self,
         make_holder: Callable[[], ConfigurationHolder] = ConfigurationHolder,
     ) -> None:
-        self.fleet = DocumentFleet(seed=7, make_holder=make_holder)
-        """Hosts on the virtual clock."""
-
-        self.wrong: list[Outcome] = []
-        """Outcomes that did not hold."""
-
-        self.checked = 0
-        """Outcomes that were looked at."""
-
+        fleet = DocumentFleet(seed=7, make_holder=make_holder)
+        super().__init__('configuration', TraceEvent, Outcome, fleet)
         self._entries = make_entries(ZONES, HOSTS)
 
-    def replay(self, name: str) -> None:
-        """Replay a trace by its name."""
-        trace = _load(f'{name}.jsonl', TraceEvent)
-        outcomes = _load(f'{name}.outcomes.jsonl', Outcome)
-        for step in sorted((*trace, *outcomes), key=lambda s: s.time):
-            self.fleet.run(step.time - self.fleet.now)
-            if isinstance(step, Outcome):
-                self._check(step)
-            else:
-                getattr(self, f'_on_{step.event.replace("-", "_")}')(step)
-
-    def _check(self, outcome: Outcome) -> None:
-        self.checked += 1
+    def holds(self, outcome: Outcome) -> bool:
+        """Return whether the hosts hold what is stated."""
         if outcome.outcome == 'watchers':
             found = {self._count_watchers(f'z{z}') for z in range(ZONES)}
         else:
@@ -109,8 +93,7 @@
                 for name in self._observers(outcome.at)
                 if name in revisions
             }
-        if found != {outcome.value}:
-            self.wrong.append(outcome)
+        return found == {outcome.value}
 
     def _observers(self, at: str) -> Iterable[str]:
         for name, host in self.fleet.hosts.items():
@@ -196,8 +179,3 @@
     return make_document(
         DocumentKind.CONFIGURATION, revision, encode_configuration(value)
     )
-
-
-def _load(name: str, kind: type) -> tuple[Any, ...]:
-    lines = (TRACES / name).read_text(encoding='utf-8').splitlines()
-    return tuple(structure(json.loads(line), kind) for line in lines)
--- a/features/fakes/membership_trace.py
+++ b/features/fakes/membership_trace.py
@@ -4,13 +4,10 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
-import json
-from pathlib import Path
 from typing import Any
 from typing import TYPE_CHECKING
 
-from cattrs import structure
-
+from features.fakes.trace_replay import TraceReplay
 from trefoilpulley_core.catalog import Presence
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_standins.membership_fleet import Fleet
@@ -22,9 +19,6 @@
 
     from trefoilpulley_standins.membership_fleet import FleetHost
 
-TRACES = Path(__file__).parents[1] / 'traces' / 'membership'
-"""Folder of the traces."""
-
 
 @dataclass(frozen=True, slots=True)
 class TraceEvent:
@@ -60,48 +54,33 @@
     """Hosts or zones."""
 
 
-class MembershipReplay:
-    """Replays one trace and checks the outcomes in passing."""
+class MembershipReplay(TraceReplay):
+    """Replays a trace of membership.
+
+    Parameters
+    ----------
+    make_membership : Callable[..., Membership]
+        Makes the decisions of a host.
+    """
 
     def __init__(
         self, make_membership: Callable[..., Membership] = Membership
     ) -> None:
-        self.fleet = Fleet(seed=5, make_membership=make_membership)
-        """Hosts on the virtual clock."""
-
-        self.wrong: list[Outcome] = []
-        """Outcomes that did not hold."""
-
-        self.checked = 0
-        """Outcomes that were looked at."""
-
+        fleet = Fleet(seed=5, make_membership=make_membership)
+        super().__init__('membership', TraceEvent, Outcome, fleet)
         self._started: dict[str, int] = {}
         self._listed: tuple[Any, ...] = ()
         self._seeds: tuple[str, ...] = ()
 
-    def replay(self, name: str) -> None:
-        """Replay a trace by its name."""
-        trace = _load(f'{name}.jsonl', TraceEvent)
-        outcomes = _load(f'{name}.outcomes.jsonl', Outcome)
-        for step in sorted((*trace, *outcomes), key=lambda s: s.time):
-            self.fleet.run(step.time - self.fleet.now)
-            if isinstance(step, Outcome):
-                self._check(step)
-            else:
-                getattr(self, f'_on_{step.event.replace("-", "_")}')(step)
-
-    def _check(self, outcome: Outcome) -> None:
-        self.checked += 1
-        for host in self._observers(outcome.at):
-            if outcome.outcome == 'never-accused':
-                holds = not any(
-                    self._was_accused(host, p) for p in outcome.parties
-                )
-            else:
-                holds = _holds(host, outcome)
-            if not holds:
-                self.wrong.append(outcome)
-                return
+    def holds(self, outcome: Outcome) -> bool:
+        """Return whether every observer sees what is stated."""
+        check = self._was_spared
+        if outcome.outcome != 'never-accused':
+            check = _sees
+        return all(check(h, outcome) for h in self._observers(outcome.at))
+
+    def _was_spared(self, host: FleetHost, outcome: Outcome) -> bool:
+        return not any(self._was_accused(host, p) for p in outcome.parties)
 
     def _was_accused(self, host: FleetHost, party: str) -> bool:
         # A refutation raises what a host or a zone began with.
@@ -172,7 +151,7 @@
         self.fleet.heal()
 
 
-def _holds(host: FleetHost, outcome: Outcome) -> bool:
+def _sees(host: FleetHost, outcome: Outcome) -> bool:
     if outcome.outcome in ('live', 'not-live'):
         wanted = outcome.outcome == 'live'
         return all((p in host.live) is wanted for p in outcome.parties)
@@ -187,8 +166,3 @@
 
 def _region_of(host: str) -> str:
     return host.split('-', maxsplit=1)[0]
-
-
-def _load(name: str, kind: type) -> tuple[Any, ...]:
-    lines = (TRACES / name).read_text(encoding='utf-8').splitlines()
-    return tuple(structure(json.loads(line), kind) for line in lines)
--- /dev/null
+++ b/features/fakes/trace_replay.py
@@ -0,0 +1,78 @@
+"""Replay of recorded traces with the outcomes stated beside them."""
+
+from __future__ import annotations
+
+import abc
+import json
+from pathlib import Path
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cattrs import structure
+
+if TYPE_CHECKING:
+    from trefoilpulley_standins.membership_fleet import Fleet
+
+TRACES = Path(__file__).parents[1] / 'traces'
+"""Folder of the traces."""
+
+
+class TraceReplay(abc.ABC):
+    """Replays one trace and checks its outcomes in passing.
+
+    Parameters
+    ----------
+    folder : str
+        Folder of the traces.
+    event_type : type
+        Data class of the events; each runs the method ``_on_`` and its
+        name.
+    outcome_type : type
+        Data class of the outcomes.
+    fleet : Fleet
+        Hosts on the virtual clock.
+    """
+
+    def __init__(
+        self, folder: str, event_type: type, outcome_type: type, fleet: Fleet
+    ) -> None:
+        self._folder = TRACES / folder
+        self._event_type = event_type
+        self._outcome_type = outcome_type
+        self.fleet = fleet
+        """Hosts on the virtual clock."""
+
+        self.wrong: list[Any] = []
+        """Outcomes that did not hold."""
+
+        self.checked = 0
+        """Outcomes that were looked at."""
+
+    @abc.abstractmethod
+    def holds(self, outcome: Any) -> bool:
+        """Return whether an outcome holds now."""
+
+    def replay(self, name: str) -> None:
+        """Replay a trace by its name."""
+        trace = self._load(f'{name}.jsonl', self._event_type)
+        outcomes = self._load(f'{name}.outcomes.jsonl', self._outcome_type)
+        for step in sorted((*trace, *outcomes), key=lambda s: s.time):
+            self.fleet.run(step.time - self.fleet.now)
+            if isinstance(step, self._outcome_type):
+                self._check(step)
+            else:
+                getattr(self, f'_on_{step.event.replace("-", "_")}')(step)
+
+    def check_outcomes(self) -> None:
+        """Expect no wrong outcome, and some outcome."""
+        assert self.checked
+        assert not self.wrong, self.wrong
+
+    def _check(self, outcome: Any) -> None:
+        self.checked += 1
+        if not self.holds(outcome):
+            self.wrong.append(outcome)
+
+    def _load(self, name: str, kind: type) -> tuple[Any, ...]:
+        lines = (self._folder / name).read_text(encoding='utf-8').splitlines()
+        return tuple(structure(json.loads(line), kind) for line in lines)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -10,9 +10,6 @@
 from behave import given
 from behave import then
 from behave import when
-from hypothesis import given as generated
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies
 from returns.result import Failure as Failed
 from returns.result import Success
@@ -22,6 +19,7 @@
 from features.fakes.configuration_trace import TakesAnyRevision
 from features.fakes.fake_platform import FakePlatform
 from features.fakes.fake_platform import Fault
+from features.fakes.generated import find_violation
 from trefoilpulley_core.configuration.change import Applied
 from trefoilpulley_core.configuration.change import ChangeConflict
 from trefoilpulley_core.configuration.change import ChangeNotApplied
@@ -203,17 +201,14 @@
     @then('any faults and rivals leave true answers to configuration changes')
     def check_truth(context: Any) -> None:
         """Submit under generated faults and compare with the service."""
-        _check_truth(submit_change)
+        violation = _find_untruth(submit_change)
+        assert violation is None, violation
 
     @staticmethod
     @then('a writer that takes a lost answer for a failure is noticed')
     def check_truth_bites(context: Any) -> None:
         """Expect the careless writer to say what is not true."""
-        try:
-            _check_truth(_submit_carelessly)
-        except AssertionError:
-            return
-        raise AssertionError('the careless writer was not noticed')
+        assert _find_untruth(_submit_carelessly) is not None
 
     @staticmethod
     @given('a configuration holder that takes any revision')
@@ -233,8 +228,7 @@
     @then('every outcome stated beside the configuration trace holds')
     def check_outcomes(context: Any) -> None:
         """Expect no wrong outcome, and some outcome."""
-        assert context.replay.checked
-        assert not context.replay.wrong, context.replay.wrong
+        context.replay.check_outcomes()
 
     @staticmethod
     @then('an outcome stated beside the configuration trace fails')
@@ -249,8 +243,6 @@
     def check_never_back(context: Any) -> None:
         """Offer generated revisions."""
 
-        @settings(max_examples=EXAMPLES, derandomize=True)
-        @generated(strategies.lists(strategies.integers(0, 9)))
         def offer(revisions: list[int]) -> None:
             holder = ConfigurationHolder()
             greatest = 0
@@ -260,7 +252,9 @@
                 assert holder.configuration.revision == greatest
                 assert holder.versions.configuration == greatest
 
-        offer()
+        orders = strategies.lists(strategies.integers(0, 9))
+        violation = find_violation(offer, EXAMPLES, orders)
+        assert violation is None, violation
 
     @staticmethod
     @given(
@@ -364,14 +358,10 @@
         assert calls <= count * context.zones * context.changes, calls
 
 
-def _check_truth(submit: Callable[..., Any]) -> None:
+def _find_untruth(submit: Callable[..., Any]) -> AssertionError | None:
     faults = strategies.lists(strategies.sampled_from(Fault), max_size=8)
     rivals = strategies.integers(0, 3)
 
-    @settings(
-        max_examples=EXAMPLES, derandomize=True, phases=(Phase.generate,)
-    )
-    @generated(faults, rivals, rivals, strategies.booleans())
     def run(
         ordered: list[Fault], before: int, after: int, is_late: bool
     ) -> None:
@@ -385,7 +375,9 @@
         platform.release()
         _check_true(outcome, _applied(platform))
 
-    run()
+    return find_violation(
+        run, EXAMPLES, faults, rivals, rivals, strategies.booleans()
+    )
 
 
 def _submit_carelessly(
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -9,11 +9,9 @@
 from behave import given
 from behave import then
 from behave import when
-from hypothesis import given as generated
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies
 
+from features.fakes.generated import find_violation
 from features.fakes.membership_faults import FAULTS
 from features.fakes.membership_schedule import MembershipSchedule
 from features.fakes.membership_schedule import SCHEDULES
@@ -39,6 +37,9 @@
 KEYS = 4000
 """Members whose poolers are picked."""
 
+SEEDS = strategies.integers(0, 1000)
+"""Seeds of fleets and orders."""
+
 RECORDS = strategies.builds(
     lambda name, incarnation, state: HostRecord(
         make_entry(name, 'a'), incarnation, state
@@ -71,8 +72,7 @@
     @then('every outcome stated beside the membership trace holds')
     def check_outcomes(context: Any) -> None:
         """Expect no wrong outcome, and some outcome."""
-        assert context.replay.checked
-        assert not context.replay.wrong, context.replay.wrong
+        context.replay.check_outcomes()
 
     @staticmethod
     @then('an outcome stated beside the membership trace fails')
@@ -85,30 +85,27 @@
     def check_merge(context: Any) -> None:
         """Merge generated records in two orders."""
 
-        @settings(max_examples=MERGE_EXAMPLES, derandomize=True)
-        @generated(strategies.lists(RECORDS), strategies.randoms())
-        def merge(records: list[HostRecord], rng: random.Random) -> None:
+        def merge(records: list[HostRecord], seed: int) -> None:
             shuffled = records * 2
-            rng.shuffle(shuffled)
+            random.Random(seed).shuffle(shuffled)
             assert _merge(records) == _merge(shuffled)
 
-        merge()
+        lists = strategies.lists(RECORDS)
+        violation = find_violation(merge, MERGE_EXAMPLES, lists, SEEDS)
+        assert violation is None, violation
 
     @staticmethod
     @then('after any {count:d} membership faults the hosts agree again')
     def check_schedules(context: Any, count: int) -> None:
         """Run generated schedules of faults."""
-        _run_schedules(count, Membership)
+        violation = _run_schedules(count, Membership)
+        assert violation is None, violation
 
     @staticmethod
     @then('some {count:d} membership faults leave the hosts divided')
     def check_schedules_bite(context: Any, count: int) -> None:
         """Expect the broken rule to be noticed."""
-        try:
-            _run_schedules(count, context.make_membership)
-        except AssertionError:
-            return
-        raise AssertionError('the broken rule was not noticed')
+        assert _run_schedules(count, context.make_membership) is not None
 
     @staticmethod
     @given('{count:d} live hosts in each of the zones {zones}')
@@ -171,18 +168,13 @@
             assert ranked[0] == pick_host(f'm{number}', hosts[::-1])
 
 
-def _run_schedules(count: int, make: type[Membership]) -> None:
-    @settings(
-        max_examples=SCHEDULE_EXAMPLES,
-        derandomize=True,
-        deadline=None,
-        phases=(Phase.generate,),
-    )
-    @generated(SCHEDULES[count], strategies.integers(0, 1000))
+def _run_schedules(
+    count: int, make: type[Membership]
+) -> AssertionError | None:
     def run(faults: list[Any], seed: int) -> None:
         MembershipSchedule(seed, make).run(faults)
 
-    run()
+    return find_violation(run, SCHEDULE_EXAMPLES, SCHEDULES[count], SEEDS)
 
 
 def _merge(records: list[HostRecord]) -> tuple[Any, ...]:
--- a/packages/core/src/trefoilpulley_core/membership/failure_detector.py
+++ b/packages/core/src/trefoilpulley_core/membership/failure_detector.py
@@ -92,10 +92,7 @@
 
     def suspect(self, host: str, now: float) -> None:
         """Inquire after a host that did not answer."""
-        record = self._table.find(host)
-        if record is None or record.state is HostState.DEAD:
-            return
-        if host in self._inquiries or record.entry.zone != self._news.zone:
+        if host in self._inquiries or host not in self._live_names():
             return
         inquiry = self._inquiries[host] = Inquiry(
             self._probes,
@@ -144,30 +141,16 @@
 
     def _live_names(self) -> list[str]:
         names = self._table.names_in(self._news.zone)
-        return [n for n in names if self._is_live(n)]
-
-    def _is_live(self, host: str) -> bool:
-        record = self._table.find(host)
-        return record is not None and record.state is not HostState.DEAD
+        return [n for n in names if self._table.is_live(n)]
 
     def _choose_helpers(self, subject: str) -> list[str]:
         own = self._news.own.entry.name
         excluded = {own, subject, *self._inquiries}
         peers = [h for h in self._live_names() if h not in excluded]
         if len(peers) < HELPERS:
-            peers += self._relays_nearby()
+            peers += self._news.list_helpers(self._news.zone)
         return self._rng.sample(peers, min(HELPERS, len(peers)))
 
-    def _relays_nearby(self) -> list[str]:
-        region = self._news.own.entry.region
-        zones = self._table.zones_of(region)
-        return [
-            relays[0]
-            for zone in zones
-            if zone != self._news.zone
-            and (relays := self._news.relays_of(zone))
-        ]
-
     def _clear(self, host: str) -> None:
         self._inquiries.pop(host, None)
 
--- a/packages/core/src/trefoilpulley_core/membership/news.py
+++ b/packages/core/src/trefoilpulley_core/membership/news.py
@@ -84,6 +84,16 @@
             self._relays[zone] = known
         return known.relays
 
+    def list_helpers(self, subject_zone: str) -> list[str]:
+        """Return a relay of each zone of the region but two.
+
+        Neither the own zone nor the one in question can testify.
+        """
+        excluded = subject_zone, self.zone
+        zones = self.table.zones_of(self.own.entry.region)
+        relays = [self.relays_of(z) for z in zones if z not in excluded]
+        return [ranked[0] for ranked in relays if ranked]
+
     def announce(self, record: HostRecord) -> None:
         """Merge a record that this host has found out itself."""
         if self.table.merge(record):
@@ -177,10 +187,7 @@
         if news == News():
             return
         for host in self.table.names_in(self.zone):
-            record = self.table.find(host)
-            if host == self.own.entry.name or record is None:
-                continue
-            if record.state is not HostState.DEAD:
+            if host != self.own.entry.name and self.table.is_live(host):
                 self._outbox.tell(host, news)
 
     def _tell_zones(self, news: News) -> None:
--- a/packages/core/src/trefoilpulley_core/membership/table.py
+++ b/packages/core/src/trefoilpulley_core/membership/table.py
@@ -68,6 +68,11 @@
         """Return the record of a host, or ``None``."""
         return self._hosts.get(host)
 
+    def is_live(self, host: str) -> bool:
+        """Return whether a host is known and not dead."""
+        record = self._hosts.get(host)
+        return record is not None and record.state is not HostState.DEAD
+
     def find_entry(self, host: str) -> HostEntry | None:
         """Return a host's entry: the platform's, else the host's own.
 
--- a/packages/core/src/trefoilpulley_core/membership/zone_watch.py
+++ b/packages/core/src/trefoilpulley_core/membership/zone_watch.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.membership.inquiry import Inquiry
-from trefoilpulley_core.membership.record import HostState
 from trefoilpulley_core.membership.record import ZoneRecord
 
 if TYPE_CHECKING:
@@ -143,22 +142,12 @@
 
     def _shuffled_hosts(self, zone: str) -> list[str]:
         names = self._table.names_in(zone)
-        live = [n for n in names if self._is_live(n)] or list(names)
+        live = [n for n in names if self._table.is_live(n)] or list(names)
         self._rng.shuffle(live)
         return live
 
-    def _is_live(self, host: str) -> bool:
-        record = self._table.find(host)
-        return record is not None and record.state is not HostState.DEAD
-
     def _choose_helpers(self, subject: str) -> list[str]:
-        zones = self._table.zones_of(self._news.own.entry.region)
-        helpers = [
-            relays[0]
-            for zone in zones
-            if zone not in (subject, self._news.zone)
-            and (relays := self._news.relays_of(zone))
-        ]
+        helpers = self._news.list_helpers(subject)
         return self._rng.sample(helpers, min(HELPER_ZONES, len(helpers)))
 
     def _clear(self, zone: str) -> None:
