--- a/packages/core/src/trefoilpulley_core/routing_targets.py
+++ b/packages/core/src/trefoilpulley_core/routing_targets.py
@@ -75,23 +75,25 @@
         patience_ms = self._patience_ms(req, now)
         best = None
         best_ms = _NEVER
-        best_wait_ms = 0.0
+        grant_ms = 0.0
         for member in view.members:
             if not _may_serve(member, primary, req, now):
                 continue
             wait_ms = _floor_wait_ms(member, primary, req.floor, now)
-            is_open = wait_ms > LEAST_WAIT_MS
-            if is_open and _is_likeliest(member, view, primary, req):
+            margin_ms = WAIT_MARGIN_MS if wait_ms else 0.0
+            is_long = wait_ms > WAIT_MARGIN_MS
+            if is_long and _is_likeliest(member, view, primary, req):
                 wait_ms = LEAST_WAIT_MS
+                margin_ms = 0.0
             cost_ms = wait_ms + _answer_ms(member, req, now)
             if cost_ms < best_ms:
-                best, best_ms, best_wait_ms = member, cost_ms, wait_ms
+                best, best_ms = member, cost_ms
+                grant_ms = wait_ms + margin_ms
         if best is None:
             return route_to_primary(view, req)
         if best_ms > patience_ms and _is_faster(primary, req, now, best_ms):
             return route_to_primary(view, req)
-        spare_ms = patience_ms - best_ms
-        return route_to_replica(best, req, _grant_ms(best_wait_ms, spare_ms))
+        return route_to_replica(best, req, round(grant_ms))
 
     def _patience_ms(self, req: RouteRequest, now: float) -> float:
         """Return the time that a replica may take to answer."""
@@ -216,10 +218,3 @@
     if primary is None or primary.member in req.excluded:
         return False
     return _answer_ms(primary, req, now) < cost_ms
-
-
-def _grant_ms(wait_ms: float, spare_ms: float) -> int:
-    """Return the longest wait for a floor that is allowed."""
-    if wait_ms == 0:
-        return 0
-    return round(wait_ms + max(0.0, min(wait_ms + WAIT_MARGIN_MS, spare_ms)))
