Keep the view of the live hosts until they change

A new incarnation alone gave a new view, a log event and an empty cache of poolers at every host. The view now stays the same one until a zone's live hosts differ.

--- a/features/membership_pooling.feature
+++ b/features/membership_pooling.feature
@@ -22,3 +22,8 @@
       | 2     |
       | 8     |
       | 62    |
+
+  Scenario: A refutation alone changes no pooler
+    Given 8 live hosts in each of the zones a, b, c
+    When a live host of zone a refutes a verdict that nobody has seen
+    Then the view of the live hosts is the same one as before
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -134,6 +134,27 @@
         context.live = _without(context.live, context.gone)
         context.after = _poolers(context.live, zone)
 
+    @staticmethod
+    @when('a live host of zone a refutes a verdict that nobody has seen')
+    def refute(context: Any) -> None:
+        """Raise an incarnation in a table of these hosts."""
+        table = MembershipTable('r')
+        entries = [
+            make_entry(host, zone.zone)
+            for zone in context.live.zones
+            for host in zone.hosts
+        ]
+        table.apply_list(entries)
+        context.seen = table.live_hosts
+        assert table.merge(HostRecord(entries[0], 9, HostState.ALIVE))
+        context.live = table.live_hosts
+
+    @staticmethod
+    @then('the view of the live hosts is the same one as before')
+    def check_same_view(context: Any) -> None:
+        """Compare the views."""
+        assert context.live is context.seen
+
     @staticmethod
     @then('only the members of the hosts that went have moved')
     def check_moved(context: Any) -> None:
--- a/packages/core/src/trefoilpulley_core/membership/table.py
+++ b/packages/core/src/trefoilpulley_core/membership/table.py
@@ -59,9 +59,11 @@
 
     @property
     def live_hosts(self) -> LiveHosts:
-        """View of the live hosts."""
-        if self._view.version != self.version:
-            self._view = self._build_view()
+        """View of the live hosts; the same one until they change."""
+        if self._stale_zones:
+            zones = self._build_zones()
+            if zones != self._view.zones:
+                self._view = LiveHosts(self._region, self.version, zones)
         return self._view
 
     def find(self, host: str) -> HostRecord | None:
@@ -204,15 +206,14 @@
         if record.state is not HostState.DEAD:
             self._digests[record.entry.zone] ^= _fingerprint(record)
 
-    def _build_view(self) -> LiveHosts:
+    def _build_zones(self) -> tuple[ZoneHosts, ...]:
         for zone in self._stale_zones:
             self._zone_views.pop(zone, None)
             if self._by_zone.get(zone):
                 self._zone_views[zone] = self._build_zone(zone)
         self._stale_zones.clear()
         views = self._zone_views
-        zones = tuple(views[zone] for zone in sorted(views))
-        return LiveHosts(self._region, self.version, zones)
+        return tuple(views[zone] for zone in sorted(views))
 
     def _build_zone(self, zone: str) -> ZoneHosts:
         records = self._by_zone[zone].values()
