--- a/packages/standins/src/trefoilpulley_standins/links/settings.py
+++ b/packages/standins/src/trefoilpulley_standins/links/settings.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
-from pathlib import Path
-
-from cattrs.preconf.json import make_converter
 
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_standins.links.quality import Quality
@@ -53,17 +49,3 @@
 
     qualities: tuple[Quality, ...] = ()
     """Directions that behave differently from now on."""
-
-
-_CONVERTER = make_converter(forbid_extra_keys=True)
-
-
-def load_settings(path: Path) -> LinksSettings:
-    """Read a settings file."""
-    document = json.loads(path.read_text(encoding='utf-8'))
-    return _CONVERTER.structure(document, LinksSettings)
-
-
-def dump_settings(cfg: LinksSettings) -> str:
-    """Return the JSON text of settings."""
-    return json.dumps(_CONVERTER.unstructure(cfg), indent=2)
--- a/packages/standins/src/trefoilpulley_standins/member/settings.py
+++ b/packages/standins/src/trefoilpulley_standins/member/settings.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
-from pathlib import Path
-
-from cattrs.preconf.json import make_converter
+from typing import TYPE_CHECKING
 
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_node.settings_file import format_settings
+from trefoilpulley_node.settings_file import read_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,15 +73,11 @@
     """Members."""
 
 
-_CONVERTER = make_converter(forbid_extra_keys=True)
-
-
 def load_group(path: Path) -> GroupSettings:
     """Read a settings file."""
-    document = json.loads(path.read_text(encoding='utf-8'))
-    return _CONVERTER.structure(document, GroupSettings)
+    return read_settings(path, GroupSettings).unwrap()
 
 
 def dump_group(cfg: GroupSettings) -> str:
     """Return the JSON text of settings."""
-    return json.dumps(_CONVERTER.unstructure(cfg), indent=2)
+    return format_settings(cfg)
--- a/packages/standins/src/trefoilpulley_standins/platform/__main__.py
+++ b/packages/standins/src/trefoilpulley_standins/platform/__main__.py
@@ -7,10 +7,10 @@
 import click
 
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_node.settings_file import read_settings
 from trefoilpulley_standins._process import announce
 from trefoilpulley_standins._process import wait_until_ended
 from trefoilpulley_standins.platform.server import PlatformService
-from trefoilpulley_standins.platform.settings import load_settings
 from trefoilpulley_standins.platform.settings import PlatformSettings
 
 
@@ -23,7 +23,9 @@
 )
 def main(port: int, seed_file: Path | None) -> None:
     """Run the service until SIGTERM or SIGINT."""
-    cfg = load_settings(seed_file) if seed_file else PlatformSettings()
+    cfg = PlatformSettings()
+    if seed_file:
+        cfg = read_settings(seed_file, PlatformSettings).unwrap()
     service = PlatformService(Endpoint('127.0.0.1', port), cfg)
     service.start()
     announce('platform', port=service.port)
--- a/packages/standins/src/trefoilpulley_standins/platform/settings.py
+++ b/packages/standins/src/trefoilpulley_standins/platform/settings.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import json
-from pathlib import Path
-
-from cattrs.preconf.json import make_converter
 
 from trefoilpulley_core.catalog import Endpoint
 
@@ -56,17 +52,3 @@
 
     zones: tuple[ZoneView, ...] = ()
     """Ports for the availability zones."""
-
-
-_CONVERTER = make_converter(forbid_extra_keys=True)
-
-
-def load_settings(path: Path) -> PlatformSettings:
-    """Read a settings file."""
-    document = json.loads(path.read_text(encoding='utf-8'))
-    return _CONVERTER.structure(document, PlatformSettings)
-
-
-def dump_settings(cfg: PlatformSettings) -> str:
-    """Return the JSON text of settings."""
-    return json.dumps(_CONVERTER.unstructure(cfg), indent=2)
--- a/packages/standins/src/trefoilpulley_standins/processes.py
+++ b/packages/standins/src/trefoilpulley_standins/processes.py
@@ -5,16 +5,12 @@
 import json
 import os
 from pathlib import Path
-import signal
 import subprocess
 import sys
 import time
 from typing import TYPE_CHECKING
 
-from trefoilpulley_node.settings import dump_settings as dump_node
-from trefoilpulley_standins.links import settings as links_settings
-from trefoilpulley_standins.member.settings import dump_group
-from trefoilpulley_standins.platform import settings as platform_settings
+from trefoilpulley_node.settings_file import format_settings
 
 if TYPE_CHECKING:
     from trefoilpulley_standins.layout import Layout
@@ -81,24 +77,9 @@
         process.kill()
         process.wait()
 
-    def pause(self, name: str) -> None:
-        """Stop a process without its knowledge."""
-        self._running[name].send_signal(signal.SIGSTOP)
-
-    def resume(self, name: str) -> None:
-        """Let a paused process go on."""
-        self._running[name].send_signal(signal.SIGCONT)
-
-    def terminate(self, name: str) -> None:
-        """Ask a process to end and wait for it."""
-        process = self._running.pop(name)
-        process.terminate()
-        _wait_ended(process)
-
     def stop(self) -> None:
         """End every process."""
         for process in self._running.values():
-            process.send_signal(signal.SIGCONT)
             process.terminate()
         for process in self._running.values():
             _wait_ended(process)
@@ -125,11 +106,11 @@
     def _write_settings(self) -> None:
         layout = self._layout
         files = {
-            'members': dump_group(layout.members),
-            'platform': platform_settings.dump_settings(layout.platform),
-            'links': links_settings.dump_settings(layout.links),
+            'members': format_settings(layout.members),
+            'platform': format_settings(layout.platform),
+            'links': format_settings(layout.links),
         }
-        files.update({cfg.host: dump_node(cfg) for cfg in layout.hosts})
+        files.update({cfg.host: format_settings(cfg) for cfg in layout.hosts})
         for name, text in files.items():
             self._write_private(self._directory / f'{name}.json', text)
 
