Test membership and documents over real connections

The runners were tried by hand alone. Small hosts in one process now run them against the stand-in service: agreement, a kill, a leave, and a start in an outage.

--- /dev/null
+++ b/features/membership_hosts.feature
@@ -0,0 +1,28 @@
+Feature: Membership and documents over real connections
+
+  Background:
+    Given small hosts in 3 zones with 2 hosts each
+
+  Scenario: Hosts agree on who is live and on the documents
+    Then all small hosts see each other live
+    When a small change is applied
+    Then all small hosts hold the change
+
+  Scenario: A host that is killed is left out
+    Given all small hosts see each other live
+    When the small host "z1-h0" is killed
+    Then all small hosts see each other live
+
+  Scenario: A host that leaves is left out while it still runs
+    Given all small hosts see each other live
+    When the small host "z1-h0" leaves
+    Then the other small hosts see "z1-h0" no more
+
+  Scenario: A host starts while the service is out
+    Given all small hosts see each other live
+    And a small change is applied
+    And all small hosts hold the change
+    When the service of the small hosts goes out
+    And the small host "z2-h9" starts with the seed "z0-h1"
+    Then all small hosts see each other live
+    And all small hosts hold the change
