--- a/features/standins_demo.feature
+++ b/features/standins_demo.feature
@@ -35,3 +35,30 @@
 
   Scenario: the recording is drawn from its seed
     Then the standins recordings of one seed are equal and of another are not
+
+  Scenario Outline: the command fails by what must not happen alone
+    Given a standins report with 1 in "<key>"
+    Then the standins command ends with <status>
+
+    Examples:
+      | key                 | status |
+      | lost                | 1      |
+      | doubled             | 1      |
+      | mixed               | 1      |
+      | wrong_answer        | 1      |
+      | ryw_violations      | 1      |
+      | false_not_run       | 1      |
+      | cut_by_planned_stop | 1      |
+      | stale_beyond_target | 0      |
+      | refused             | 0      |
+      | unknown             | 0      |
+
+  Scenario: the report has the keys of its page and no other
+    Given a standins report with 1 in "answered"
+    Then the standins report's keys are these
+      """
+      answered refused unknown lost doubled mixed wrong_answer
+      ryw_violations stale_beyond_target false_not_run cut_by_planned_stop
+      replica_read_share failover_gap_s return_gap_s config_in_force_s
+      classes
+      """
--- a/features/steps/standins_demo_steps.py
+++ b/features/steps/standins_demo_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+import json
 from typing import Any
 
 from behave import given
@@ -21,6 +22,8 @@
 from trefoilpulley_standins.demo.checker import StoredRow
 from trefoilpulley_standins.demo.journal import Entry
 from trefoilpulley_standins.demo.journal import Verdict
+from trefoilpulley_standins.demo.report import dump_report
+from trefoilpulley_standins.demo.report import Report
 from trefoilpulley_standins.demo.workload import record_workload
 from trefoilpulley_standins.demo.workload import StepKind
 from trefoilpulley_standins.demo.workload import TenantWork
@@ -120,6 +123,26 @@
         assert first == again
         assert first != other
 
+    @staticmethod
+    @given('a standins report with 1 in "{key}"')
+    def make_report(context: Any, key: str) -> None:
+        """Make a report whose other counts are 0."""
+        report = Report(*[0] * 11, 0.0, None, None, None, {})
+        context.report = replace(report, **{key: 1})
+
+    @staticmethod
+    @then('the standins command ends with {status:d}')
+    def check_status(context: Any, status: int) -> None:
+        """Compare the exit status."""
+        assert context.report.exit_status == status
+
+    @staticmethod
+    @then("the standins report's keys are these")
+    def check_keys(context: Any) -> None:
+        """Compare the keys of the JSON text."""
+        document = json.loads(dump_report(context.report))
+        assert list(document) == context.text.split()
+
 
 def _write(request: str, session: str, began_s: float, last_id: int) -> Entry:
     return Entry(
--- a/packages/standins/src/trefoilpulley_standins/demo/__main__.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/__main__.py
@@ -44,7 +44,7 @@
     text = '\n'.join(lines) + '\n'
     (directory / 'summary.txt').write_text(text, encoding='utf-8')
     click.echo(text, nl=False)
-    sys.exit(0 if report.is_sound else 1)
+    sys.exit(report.exit_status)
 
 
 if __name__ == '__main__':
--- a/packages/standins/src/trefoilpulley_standins/demo/report.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/report.py
@@ -105,9 +105,9 @@
         }
 
     @property
-    def is_sound(self) -> bool:
-        """Whether nothing happened that must not happen."""
-        return not any(self.violations.values())
+    def exit_status(self) -> int:
+        """Status of the command: 1 where a violation was counted."""
+        return int(any(self.violations.values()))
 
 
 def dump_report(report: Report) -> str:
