--- a/features/client_session.feature
+++ b/features/client_session.feature
@@ -59,6 +59,7 @@
     And the client has moved to another host
     When the client commits
     Then the client gets the error "TransactionLostError" with "transaction-lost" and "not-run"
+    And the client has sent "Commit" 0 times
     And the database has run nothing
 
   Scenario: a program goes on after it has rolled a lost transaction back
--- a/features/fakes/fake_entry.py
+++ b/features/fakes/fake_entry.py
@@ -87,19 +87,26 @@
     database: FakeDatabase
     is_up: bool = True
     orders: list[tuple[str, Any]] = field(default_factory=list)
-    """Type of a message, and the break or reply that it meets."""
+    """Type of a message, or ``*``, and what it meets.
+
+    That is a break, a reply, or a function of host and message.
+    """
 
     received: list[Any] = field(default_factory=list)
     transactions: dict[str, list[str]] = field(default_factory=dict)
 
     def take_order(self, message: Any) -> Any:
         """Return the order for a message, or ``None``."""
-        if self.orders and self.orders[0][0] == type(message).__name__:
+        expected = ('*', type(message).__name__)
+        if self.orders and self.orders[0][0] in expected:
             return self.orders.pop(0)[1]
         return None
 
     def serve(self, message: Any) -> Any:
         """Return the reply to a message."""
+        transaction = getattr(message, 'transaction', '')
+        if transaction and transaction not in self.transactions:
+            return make_refusal('transaction-lost')
         match message:
             case caller.Hello():
                 return caller.Welcome(self.name, b'new-session')
@@ -144,6 +151,8 @@
         if order is Break.AFTER:
             self._host.serve(message)
             return self._break()
+        if callable(order):
+            return Success(order(self._host, message))
         return Success(order or self._host.serve(message))
 
     def close(self) -> None:
