Keep failed handshakes out of the log and bound their time

Cause: a peer without the right certificate left a traceback in the log, and a caller that never finished its handshake kept its connection. Change: both handshakes run in the listener, within 5 s.

--- a/packages/wire/src/trefoilpulley_wire/listener.py
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 from gevent.server import StreamServer
 from gevent import socket
 from websockets.http11 import Request
@@ -21,6 +22,9 @@
     from trefoilpulley_wire.channel import Handler
     from trefoilpulley_wire.codec import Codec
 
+HANDSHAKE_TIMEOUT_S = 5.0
+"""Longest time for the handshakes of a new connection."""
+
 _BACKLOG = 1024
 
 
@@ -48,12 +52,11 @@
     ) -> None:
         self._codec = codec
         self._handler = handler
-        options = {} if tls is None else {'ssl_context': tls}
+        self._tls = tls
         self._server = StreamServer(
             (endpoint.address, endpoint.port),
             self._accept,
             backlog=_BACKLOG,
-            **options,
         )
         self.channels: set[Channel] = set()
         """Open channels."""
@@ -92,10 +95,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         protocol = ServerProtocol(max_size=HARD_LIMIT_BYTES)
         try:
-            if not self._shake_hands(sock, protocol):
-                sock.close()
-                return
+            with gevent.Timeout(HANDSHAKE_TIMEOUT_S, TimeoutError):
+                sock = self._wrap(sock)
+                is_ready = self._shake_hands(sock, protocol)
         except OSError:
+            is_ready = False
+        if not is_ready:
             sock.close()
             return
         channel = Channel(sock, protocol, self._codec, self._handler)
@@ -105,6 +110,11 @@
         finally:
             self.channels.discard(channel)
 
+    def _wrap(self, sock: socket.socket) -> socket.socket:
+        if self._tls is None:
+            return sock
+        return self._tls.wrap_socket(sock, server_side=True)
+
     def _shake_hands(
         self, sock: socket.socket, protocol: ServerProtocol
     ) -> bool:
