--- a/packages/client/src/trefoilpulley_client/connection.py
+++ b/packages/client/src/trefoilpulley_client/connection.py
@@ -33,6 +33,7 @@
     from trefoilpulley_client.timer import Timer
     from trefoilpulley_client.transport import Dialer
     from trefoilpulley_core.caller import Answer
+    from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.upstream import Parameter
 
 
@@ -327,7 +328,7 @@
     return Connection(link, requester, target, token, autocommit)
 
 
-def _shuffle_hosts(hosts: Sequence[str], rng: random.Random) -> list[Any]:
+def _shuffle_hosts(hosts: Sequence[str], rng: random.Random) -> list[Endpoint]:
     try:
         endpoints = [parse_endpoint(host) for host in hosts]
     except ValueError as exc:
