--- a/features/steps/client_generated_steps.py
+++ b/features/steps/client_generated_steps.py
@@ -12,10 +12,10 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from features.fakes.client_rig import Client
 from features.fakes.fake_entry import Break
 from features.fakes.fake_entry import FakeHost
 from features.fakes.fake_entry import make_refusal
-from features.steps.client_steps import Client
 from trefoilpulley_client import Error
 from trefoilpulley_core import caller
 from trefoilpulley_core.failure import RunState
