Link the operators' pages and compare the errors of four packages only

Change: it compares the failures of the core, client, node and command line packages, all of them, as its list of packages says. The first page for operators links the others, and scenarios check the links both ways.

--- a/features/steps/errors_steps.py
+++ b/features/steps/errors_steps.py
@@ -41,6 +41,12 @@
                 importlib.import_module(info.name)
 
 
+def is_told(kind: type[Failure]) -> bool:
+    """Return whether a failure is of one of the packages."""
+    package = kind.__module__.partition('.')[0]
+    return any(package == p.__name__ for p in PACKAGES)
+
+
 def format_row(kind: type[Failure]) -> str:
     """Return the row of a failure."""
     exc = to_error(to_refusal(kind()))
@@ -66,11 +72,10 @@
         import_modules()
         lines = Path(path).read_text().splitlines()
         context.written = {x for x in lines if ROW.fullmatch(x)}
-        kinds = catalogue()
         context.expected = {
             format_row(kind)
-            for code, kind in kinds.items()
-            if kind is not Failure and kind.__module__.startswith('trefoil')
+            for kind in catalogue().values()
+            if kind is not Failure and is_told(kind)
         }
 
     @staticmethod
--- a/features/steps/operations_page_steps.py
+++ b/features/steps/operations_page_steps.py
@@ -65,3 +65,26 @@
         }
         assert context.numbers, 'the page names no event'
         assert context.numbers <= known, context.numbers - known
+
+    @staticmethod
+    @when('the links of the page "{path}" are read')
+    def read_links(context: Any, path: str) -> None:
+        """Collect the targets of the links."""
+        context.folder = Path(path).parent
+        found = re.findall(r'\]\(([^)#:]+)', Path(path).read_text())
+        context.links = {context.folder / target for target in found}
+
+    @staticmethod
+    @then('each link leads to a file')
+    def expect_files(context: Any) -> None:
+        """Look for the targets."""
+        assert context.links, 'the page has no link'
+        missing = {str(p) for p in context.links if not p.is_file()}
+        assert not missing, missing
+
+    @staticmethod
+    @then('each page of "{folder}" is linked')
+    def expect_linked(context: Any, folder: str) -> None:
+        """Compare with the files of the folder."""
+        missing = set(Path(folder).glob('*.md')) - context.links
+        assert not missing, f'add to {context.folder}: {missing}'
