Send reads to replicas whose digests are old

Cause: a host that uses hundreds of databases hears of each member seldom, and an age in an old digest grew until no replica seemed young enough. Change: an old digest no longer speaks against a replica; its pooler dates the data and a refusal brings a new digest.

--- a/packages/core/src/trefoilpulley_core/routing_targets.py
+++ b/packages/core/src/trefoilpulley_core/routing_targets.py
@@ -131,11 +131,11 @@
         return True
     if freshness.max_age_ms is None:
         return True
+    if now - member.observed_at > DIGEST_LIFETIME_S:
+        # Its pooler dates the data anew, and a refusal brings a digest.
+        return True
     age_ms = member.digest.age_ms
-    if age_ms is None:
-        return False
-    unseen_s = max(0.0, now - member.observed_at - DIGEST_LIFETIME_S)
-    return age_ms + unseen_s * 1000 <= freshness.max_age_ms
+    return age_ms is not None and age_ms <= freshness.max_age_ms
 
 
 def _floor_wait_ms(
--- a/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
@@ -28,7 +28,7 @@
 RECONNECT_S = 0.1
 """Pause between attempts to connect."""
 
-SILENCE_S = 0.4
+SILENCE_S = 0.6
 """Time without a report after which a member counts as unreachable."""
 
 
