Rank only a shard's near hosts and look anew only at a change

Cause: at 1,600 hosts each change of the live hosts cost every host 0.78 s of processor time, since all hosts were ranked for all shards; and each of up to 20 ticks a second built sets of all live hosts.

Change: hosts outside the zones of a shard's members are ranked only where those zones are fewer than the successors; the order is the same. The coordinator's view of the deployment is kept until a document or the live hosts change.

--- a/packages/core/src/trefoilpulley_core/coordination/duty.py
+++ b/packages/core/src/trefoilpulley_core/coordination/duty.py
@@ -136,6 +136,7 @@
         self._is_leasing = False
         self._answered_at = float('-inf')
         self._failed_at = float('-inf')
+        self._hosts: Sequence[HostEntry] = ()
         self._live: frozenset[str] = frozenset()
         self.succession = Succession()
         """Order in which hosts take each duty."""
@@ -171,7 +172,9 @@
         now: float,
     ) -> tuple[DutyCommand, ...]:
         """Return the calls that are due."""
-        self._live = frozenset(h.name for h in hosts)
+        if hosts is not self._hosts:
+            self._hosts = hosts
+            self._live = frozenset(h.name for h in hosts)
         self.succession.update(hosts, databases)
         self._take_interest()
         if self.is_service_up:
--- a/packages/core/src/trefoilpulley_core/coordination/succession.py
+++ b/packages/core/src/trefoilpulley_core/coordination/succession.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._hosts: tuple[HostEntry, ...] = ()
+        self._by_zone: dict[str, list[HostEntry]] = {}
         self._databases: tuple[DatabaseEntry, ...] = ()
         self._stale: list[int] = []
         self._rankings: dict[int, tuple[str, ...]] = {}
@@ -50,6 +51,7 @@
             self._stale = list(self.members)
         if tuple(hosts) != self._hosts:
             self._hosts = tuple(hosts)
+            self._by_zone = _group_by_zone(self._hosts)
             self._stale = list(self.members)
         for shard in self._stale[:SHARDS_RANKED_AT_ONCE]:
             self._rankings[shard] = self._rank_hosts(shard)
@@ -87,12 +89,28 @@
                 _score(shard, h.name),
                 h,
             )
-            for h in self._hosts
+            for h in self._candidates(near)
         ]
         scored.sort(key=lambda s: s[:3])
         ranked = [s[-1] for s in scored]
         return tuple(h.name for h in _spread_zones(ranked)[:SUCCESSORS])
 
+    def _candidates(self, near: set[str]) -> list[HostEntry]:
+        # Far hosts come last, so that enough near zones decide alone.
+        zones = self._by_zone.keys() & near
+        if len(zones) < SUCCESSORS:
+            zones = self._by_zone.keys()
+        return [h for zone in zones for h in self._by_zone[zone]]
+
+
+def _group_by_zone(
+    hosts: Sequence[HostEntry],
+) -> dict[str, list[HostEntry]]:
+    zones: dict[str, list[HostEntry]] = {}
+    for host in hosts:
+        zones.setdefault(host.zone, []).append(host)
+    return zones
+
 
 def _score(shard: int, host: str) -> int:
     return xxhash.xxh3_64_intdigest(f'{shard}/{host}'.encode())
--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -19,7 +19,7 @@
 from trefoilpulley_node.clock import MonotonicClock
 from trefoilpulley_node.configuration_runner import ConfigurationRunner
 from trefoilpulley_node.coordination.driver import CoordinationDriver
-from trefoilpulley_node.coordination.situation import Situation
+from trefoilpulley_node.coordination.observer import SituationObserver
 from trefoilpulley_node.directory import Directory
 from trefoilpulley_node.entry.caller_server import CallerServer
 from trefoilpulley_node.entry.caller_server import EntryParts
@@ -169,6 +169,14 @@
     def _pool_owner(self) -> PoolOwner:
         return PoolOwner(self._cfg.host, self._directory, self._pooler)
 
+    @cached_property
+    def _observer(self) -> SituationObserver:
+        return SituationObserver(
+            lambda: self._documents.catalog,
+            self._get_declarations,
+            lambda: self._membership.live_hosts,
+        )
+
     @cached_property
     def _coordination(self) -> CoordinationDriver:
         return CoordinationDriver(
@@ -176,7 +184,7 @@
             self._incarnation,
             self._platform,
             self._peers,
-            self._observe,
+            self._observer.observe,
             self._clock,
             NoticeLog(),
         )
@@ -283,16 +291,6 @@
     def _get_declarations(self) -> Declarations:
         return self._documents.configuration.declarations
 
-    def _observe(self) -> Situation:
-        live = self._membership.live_hosts
-        names = {host for zone in live.zones for host in zone.hosts}
-        catalog = self._documents.catalog
-        return Situation(
-            catalog,
-            self._get_declarations(),
-            tuple(h for h in catalog.hosts if h.name in names),
-        )
-
     def _connect_services(self) -> None:
         self._documents.serve_on(self._peer_server, self._peers)
         self._membership.serve_on(self._peer_server, self._peers)
