Add the experiments on deployments of stand-ins

Change: an experiment is a JSON file with a deployment, a load, faults, a seed and one swept field. Each point runs on its own processes, its members grouped; figures go to JSON lines, answers' times to HdrHistogram logs. Hosts, members, callers and time are bounded; nothing starts above half of the memory.

Conclusion: control and work are counted apart by the type of message.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on deployments of stand-ins on one machine."""
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/callers.py
@@ -0,0 +1,177 @@
+"""Callers of an experiment."""
+
+from __future__ import annotations
+
+from collections import Counter
+import random
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.pool import Pool
+from hdrh.histogram import HdrHistogram
+from returns.result import Success
+
+from trefoilpulley_core.caller import Answer
+from trefoilpulley_core.caller import Execute
+from trefoilpulley_core.caller import Hello
+from trefoilpulley_wire.caller_codec import CALLER_CODEC
+from trefoilpulley_wire.dial import dial
+
+if TYPE_CHECKING:
+    from trefoilpulley_standins.experiment.spec import Load
+    from trefoilpulley_standins.layout import Layout
+    from trefoilpulley_wire.channel import Channel
+
+READ_CLASS = 'order-status'
+"""Class of the reads."""
+
+WRITE_CLASS = 'filing'
+"""Class of the writes."""
+
+READ_SQL = 'select coalesce(max(id), 0) from filings'
+"""Statement of the reads."""
+
+WRITE_SQL = "insert into filings (request, session, part) values ('r', 's', 1)"
+"""Statement of the writes."""
+
+LONGEST_MS = 60_000
+"""Greatest time that the histograms hold, in milliseconds."""
+
+ANSWER_LIMIT_S = 5.0
+"""Longest wait for an answer, in seconds."""
+
+DIALS_AT_ONCE = 16
+"""Connections that are opened at once."""
+
+_US = 1000
+
+
+def open_caller(layout: Layout, number: int) -> Channel | None:
+    """Open a caller's connection to one of the hosts; no link between."""
+    host = layout.hosts[number % len(layout.hosts)]
+    opened = dial(host.listen, CALLER_CODEC, timeout_s=ANSWER_LIMIT_S)
+    if not isinstance(opened, Success):
+        return None
+    channel = opened.unwrap()
+    tenant = host.tenants[0]
+    greeted = channel.call(Hello(tenant.tenant, tenant.secret), ANSWER_LIMIT_S)
+    return channel if isinstance(greeted, Success) else None
+
+
+class Callers:
+    """Connections that are idle, and sessions that send statements.
+
+    Statements are sent at their times whether or not the earlier ones
+    have been answered, and their time counts from when they were due.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    load : Load
+        Load.
+    seed : int
+        Seed of the statements' times and kinds.
+    """
+
+    def __init__(self, layout: Layout, load: Load, seed: int) -> None:
+        self._layout = layout
+        self._load = load
+        self._rng = random.Random(seed)
+        self._prefix = f'e{seed}-{time.time_ns()}'
+        self._idle: list[Channel] = []
+        self._pool = Pool()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._is_measuring = False
+        self.histogram = HdrHistogram(1, LONGEST_MS * _US, 3)
+        """Times to the answers of the window, in microseconds."""
+
+        self.outcomes: Counter[str] = Counter()
+        """Answers of the window, and refusals by code."""
+
+    def start(self) -> None:
+        """Open the connections and begin to send."""
+        dialling = Pool(DIALS_AT_ONCE)
+        numbers = range(self._load.idle_callers)
+        opened = dialling.map(self._open, numbers)
+        self._idle = [c for c in opened if c is not None]
+        if not self._load.statements_per_s:
+            return
+        for number in range(self._load.callers):
+            rng = random.Random(self._rng.random())
+            self._greenlets.append(gevent.spawn(self._run, number, rng))
+
+    def begin_window(self) -> None:
+        """Count from now on."""
+        self._is_measuring = True
+
+    def stop(self) -> None:
+        """Stop to send and close the connections."""
+        self._is_measuring = False
+        gevent.killall(self._greenlets)
+        self._pool.kill()
+        for channel in self._idle:
+            channel.close()
+
+    def _open(self, number: int) -> Channel | None:
+        return open_caller(self._layout, number)
+
+    def _run(self, number: int, rng: random.Random) -> None:
+        rate = self._load.statements_per_s / self._load.callers
+        session = _Session(self._layout, number)
+        due = time.monotonic()
+        count = 0
+        while True:
+            due += rng.expovariate(rate)
+            gevent.sleep(max(due - time.monotonic(), 0))
+            count += 1
+            name = f'{self._prefix}-{number}-{count}'
+            request = self._make_request(name, rng)
+            self._pool.spawn(self._send, session, request, due)
+
+    def _make_request(self, name: str, rng: random.Random) -> Execute:
+        databases = self._layout.databases
+        used = self._load.databases_in_use or len(databases)
+        database = databases[rng.randrange(used)].name
+        if rng.random() < self._load.write_share:
+            return Execute(name, WRITE_CLASS, database, WRITE_SQL)
+        return Execute(name, READ_CLASS, database, READ_SQL)
+
+    def _send(self, session: _Session, request: Execute, due: float) -> None:
+        reply = session.call(request)
+        if not self._is_measuring:
+            return
+        if isinstance(reply, Answer):
+            taken_us = max(1, int((time.monotonic() - due) * _US * _US))
+            self.histogram.record_value(taken_us)
+            self.outcomes['answered'] += 1
+        else:
+            self.outcomes[getattr(reply, 'code', 'unreachable')] += 1
+
+
+class _Session:
+    def __init__(self, layout: Layout, number: int) -> None:
+        self._layout = layout
+        self._number = number
+        self._channel: Channel | None = None
+        self._token = b''
+
+    def call(self, request: Execute) -> Any:
+        if self._channel is None or not self._channel.is_open:
+            self._channel = open_caller(self._layout, self._number)
+        if self._channel is None:
+            self._number += 1
+            return None
+        message = Execute(
+            request.request_id,
+            request.work_class,
+            request.database,
+            request.sql,
+            token=self._token,
+        )
+        reply = self._channel.call(message, ANSWER_LIMIT_S).value_or(None)
+        if isinstance(reply, Answer):
+            self._token = reply.token
+        return reply
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/causes.py
@@ -0,0 +1,82 @@
+"""Causes the faults and changes of an experiment at their times."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_standins.demo.orders import Orders
+from trefoilpulley_standins.experiment.spec import Fault
+from trefoilpulley_standins.experiment.spec import FaultKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_standins.experiment.spec import Experiment
+    from trefoilpulley_standins.layout import Layout
+    from trefoilpulley_standins.processes import Processes
+
+_MINUTE_S = 60.0
+
+
+class Causes:
+    """Faults and changes of one point.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    processes : Processes
+        Its processes.
+    say : Callable[[str], None]
+        Tells a person what happens.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        processes: Processes,
+        say: Callable[[str], None],
+    ) -> None:
+        self._processes = processes
+        self._orders = Orders(layout)
+        self._say = say
+        self._greenlets: list[gevent.Greenlet] = []
+        self.changes = 0
+        """Changes of the declarations so far."""
+
+    def start(self, experiment: Experiment) -> None:
+        """Begin the window's faults and changes."""
+        self._greenlets = [
+            gevent.spawn_later(fault.at_s, self._cause, fault)
+            for fault in experiment.faults
+        ]
+        rate = experiment.load.changes_per_min
+        if rate:
+            self._greenlets.append(gevent.spawn(self._change, rate))
+
+    def stop(self) -> None:
+        """Cause nothing more."""
+        gevent.killall(self._greenlets)
+
+    def _cause(self, fault: Fault) -> None:
+        self._say(f'    {fault.kind} {fault.target}')
+        match fault.kind:
+            case FaultKind.KILL_HOST:
+                self._processes.kill(fault.target)
+            case FaultKind.START_HOST:
+                self._processes.start_host(fault.target)
+            case FaultKind.CUT_ZONE:
+                self._orders.cut_zone(fault.target)
+            case FaultKind.HEAL:
+                self._orders.heal()
+            case FaultKind.SERVICE_DOWN | FaultKind.SERVICE_UP:
+                is_down = fault.kind is FaultKind.SERVICE_DOWN
+                self._orders.set_down(is_down)
+
+    def _change(self, rate: float) -> None:
+        while True:
+            gevent.sleep(_MINUTE_S / rate)
+            self._orders.declare_stops(())
+            self.changes += 1
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/plot.py
@@ -0,0 +1,66 @@
+"""Plots the figures of a result against the swept field."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import matplotlib
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from trefoilpulley_standins.experiment.result import PointResult
+
+PLOTTED = (
+    'control messages/s mean',
+    'control bytes/s mean',
+    'cpu share mean',
+    'rss KB mean',
+    'service calls/s',
+    'answer p50 ms',
+    'answer p99 ms',
+)
+"""Figures that are plotted unless others are asked for."""
+
+COLUMNS = 2
+"""Plots beside each other."""
+
+
+def plot_results(
+    results: Sequence[PointResult],
+    path: Path,
+    names: Sequence[str] = PLOTTED,
+) -> None:
+    """Write one plot for each figure that the result holds.
+
+    Parameters
+    ----------
+    results : Sequence[PointResult]
+        Points of one experiment.
+    path : Path
+        File to write; its suffix is the format, such as ``.svg``.
+    names : Sequence[str]
+        Figures.
+    """
+    matplotlib.use('agg')
+    from matplotlib import pyplot
+
+    held = [n for n in names if any(r.find(n) is not None for r in results)]
+    rows = -(-len(held) // COLUMNS)
+    figure, grid = pyplot.subplots(
+        rows, COLUMNS, figsize=(10, 3 * rows), squeeze=False
+    )
+    for axes, name in zip(grid.flat, held, strict=False):
+        points = [(r.value, r.find(name)) for r in results]
+        points = [(x, y) for x, y in points if y is not None]
+        axes.plot(*zip(*points, strict=True), marker='o')
+        axes.set_xlabel(results[0].path)
+        axes.set_ylabel(name)
+        axes.set_ylim(bottom=0)
+    for axes in grid.flat[len(held) :]:
+        axes.remove()
+    figure.suptitle(results[0].experiment)
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/probe.py
@@ -0,0 +1,164 @@
+"""Samples of the processes of a running deployment."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import gevent
+import psutil
+from returns.result import Success
+
+from trefoilpulley_core.caller import GetState
+from trefoilpulley_standins.demo.orders import Orders
+from trefoilpulley_wire.caller_codec import CALLER_CODEC
+from trefoilpulley_wire.dial import dial
+
+if TYPE_CHECKING:
+    from trefoilpulley_node.settings import NodeSettings
+    from trefoilpulley_standins.layout import Layout
+    from trefoilpulley_standins.processes import Processes
+    from trefoilpulley_wire.channel import Channel
+
+READY_LIMIT_S = 20.0
+"""Longest wait for every host to hold the declarations, in seconds."""
+
+ANSWER_LIMIT_S = 3.0
+"""Longest wait for a state dump, in seconds."""
+
+_POLL_S = 0.2
+_KIB = 1024.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostSample:
+    """One host at one time."""
+
+    host: str
+    """Name of the host."""
+
+    pid: int
+    """Number of its process."""
+
+    at_s: float
+    """Monotonic time in seconds."""
+
+    cpu_s: float
+    """Processor time of the process, in seconds."""
+
+    rss_kb: float
+    """Resident memory in KiB."""
+
+    state: dict[str, Any]
+    """State dump; empty where the host gave none."""
+
+    @property
+    def pooled(self) -> frozenset[str]:
+        """Names of the members that the host pools."""
+        found = self.state.get('pooler', {}).get('members', ())
+        return frozenset(m['member'] for m in found)
+
+    @property
+    def acting_shards(self) -> int:
+        """Shards that the host coordinates."""
+        shards = self.state.get('coordination', {}).get('shards', ())
+        return sum(s['is_acting'] for s in shards)
+
+    @property
+    def callers(self) -> int:
+        """Connections of callers."""
+        return self.state.get('entry', {}).get('callers', 0)
+
+    def messages(self, side: str) -> Counter[str]:
+        """Return the messages by type of one side."""
+        return self._counts(side, 'messages')
+
+    def sizes(self, side: str) -> Counter[str]:
+        """Return the bytes by type of one side."""
+        return self._counts(side, 'size_bytes')
+
+    def _counts(self, side: str, field: str) -> Counter[str]:
+        found = self.state.get('traffic', {}).get(side, ())
+        return Counter({t['message']: t[field] for t in found})
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """The deployment at one time."""
+
+    hosts: tuple[HostSample, ...]
+    """Each running host."""
+
+    calls: Counter[str]
+    """Calls to the platform's service by kind and zone."""
+
+    at_s: float
+    """Monotonic time in seconds."""
+
+
+class Probe:
+    """Takes samples of the hosts and of the platform's service.
+
+    Parameters
+    ----------
+    layout : Layout
+        Deployment.
+    processes : Processes
+        Its processes.
+    """
+
+    def __init__(self, layout: Layout, processes: Processes) -> None:
+        self._layout = layout
+        self._processes = processes
+        self._orders = Orders(layout)
+        self._channels: dict[str, Channel] = {}
+
+    def wait_ready(self) -> None:
+        """Wait until every host holds the declarations."""
+        with gevent.Timeout(READY_LIMIT_S):
+            while not all(self._is_ready(h) for h in self._layout.hosts):
+                gevent.sleep(_POLL_S)
+
+    def sample(self) -> Sample:
+        """Return the present state of everything that runs."""
+        hosts = (self._sample_host(h) for h in self._layout.hosts)
+        return Sample(
+            tuple(h for h in hosts if h is not None),
+            Counter(self._orders.count_calls()),
+            time.monotonic(),
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        for channel in self._channels.values():
+            channel.close()
+
+    def _is_ready(self, host: NodeSettings) -> bool:
+        held = self._ask(host).get('configuration', {})
+        return held.get('configuration_revision', 0) > 0
+
+    def _sample_host(self, host: NodeSettings) -> HostSample | None:
+        try:
+            pid = self._processes.pid_of(host.host)
+            process = psutil.Process(pid)
+            spent = process.cpu_times()
+            rss_kb = process.memory_info().rss / _KIB
+        except (KeyError, psutil.NoSuchProcess):
+            return None
+        at_s = time.monotonic()
+        cpu_s = spent.user + spent.system
+        state = self._ask(host)
+        return HostSample(host.host, pid, at_s, cpu_s, rss_kb, state)
+
+    def _ask(self, host: NodeSettings) -> dict[str, Any]:
+        channel = self._channels.get(host.host)
+        if channel is None or not channel.is_open:
+            opened = dial(host.listen, CALLER_CODEC, timeout_s=ANSWER_LIMIT_S)
+            if not isinstance(opened, Success):
+                return {}
+            channel = self._channels[host.host] = opened.unwrap()
+        reply = channel.call(GetState(host.operator_secret), ANSWER_LIMIT_S)
+        return getattr(reply.value_or(None), 'state', {})
--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/experiment/run.py
@@ -0,0 +1,154 @@
+"""Runs an experiment point by point."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import gevent
+from hdrh.log import HistogramLogWriter
+import psutil
+
+from trefoilpulley_standins.experiment.callers import Callers
+from trefoilpulley_standins.experiment.causes import Causes
+from trefoilpulley_standins.experiment.figures import make_figures
+from trefoilpulley_standins.experiment.figures import Window
+from trefoilpulley_standins.experiment.groups import GroupedProcesses
+from trefoilpulley_standins.experiment.probe import Probe
+from trefoilpulley_standins.experiment.result import dump_results
+from trefoilpulley_standins.experiment.result import PointResult
+from trefoilpulley_standins.experiment.result import RESULTS_FILE
+from trefoilpulley_standins.processes import ProcessFailed
+from trefoilpulley_standins.starting import make_layout
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_standins.experiment.spec import Experiment
+    from trefoilpulley_standins.layout import Layout
+
+OUTPUT = Path('build/experiments')
+"""Directory of the results."""
+
+MEMORY_SHARE = 0.5
+"""Share of the machine's memory above which no point starts."""
+
+START_ATTEMPTS = 3
+"""Attempts to start a deployment."""
+
+
+class MemoryShort(RuntimeError):
+    """Half of the machine's memory is in use."""
+
+
+def run_experiment(
+    experiment: Experiment,
+    directory: Path,
+    say: Callable[[str], None],
+) -> tuple[PointResult, ...]:
+    """Run every point and write the results after each.
+
+    Parameters
+    ----------
+    experiment : Experiment
+        Checked experiment.
+    directory : Path
+        Directory of the results.
+    say : Callable[[str], None]
+        Tells a person how far the run is.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    results: list[PointResult] = []
+    values = experiment.sweep.values
+    for number, value in enumerate(values, 1):
+        say(
+            f'{experiment.name} {number}/{len(values)}: '
+            f'{experiment.sweep.path} = {value:g}'
+        )
+        _check_memory()
+        results.append(_run_point(experiment.at(value), value, directory, say))
+        dump_results(directory / RESULTS_FILE, results)
+    return tuple(results)
+
+
+def _check_memory() -> None:
+    if psutil.virtual_memory().percent > MEMORY_SHARE * 100:
+        raise MemoryShort()
+
+
+def _run_point(
+    experiment: Experiment,
+    value: float,
+    directory: Path,
+    say: Callable[[str], None],
+) -> PointResult:
+    point_dir = directory / f'run-{value:g}'
+    layout, processes = _start(experiment, point_dir)
+    point = _Point(experiment, layout, processes, say)
+    try:
+        point.run()
+    finally:
+        processes.stop()
+    _write_histogram(point.callers, directory / f'answers-{value:g}.hlog')
+    return PointResult(
+        experiment.name,
+        experiment.sweep.path,
+        value,
+        experiment.seed,
+        make_figures(point.window, point.callers, point.causes.changes),
+    )
+
+
+def _start(
+    experiment: Experiment, directory: Path
+) -> tuple[Layout, GroupedProcesses]:
+    size = experiment.deployment.to_deployment()
+    for attempts_left in reversed(range(START_ATTEMPTS)):
+        layout = make_layout(size, directory, experiment.seed)
+        processes = GroupedProcesses(layout, directory)
+        try:
+            processes.start()
+            return layout, processes
+        except ProcessFailed:
+            # Another process may have taken a port that was free.
+            processes.stop()
+            if not attempts_left:
+                raise
+
+
+class _Point:
+    def __init__(
+        self,
+        experiment: Experiment,
+        layout: Layout,
+        processes: GroupedProcesses,
+        say: Callable[[str], None],
+    ) -> None:
+        self._experiment = experiment
+        self._probe = Probe(layout, processes)
+        self.callers = Callers(layout, experiment.load, experiment.seed)
+        self.causes = Causes(layout, processes, say)
+        self.window: Window
+
+    def run(self) -> None:
+        try:
+            self._probe.wait_ready()
+            self.callers.start()
+            gevent.sleep(self._experiment.settle_s)
+            before = self._probe.sample()
+            self.callers.begin_window()
+            self.causes.start(self._experiment)
+            gevent.sleep(self._experiment.window_s)
+            self.window = Window(before, self._probe.sample())
+        finally:
+            self.causes.stop()
+            self.callers.stop()
+            self._probe.close()
+
+
+def _write_histogram(callers: Callers, path: Path) -> None:
+    with path.open('w', encoding='ascii') as file:
+        log = HistogramLogWriter(file)
+        log.output_log_format_version()
+        log.output_legend()
+        log.output_interval_histogram(callers.histogram)
