Give poolers the time that is really left and digests the copies

Cause: the pooler counted the answer's way back as its own time; routing could not tell which replica holds a floor; a slot whose connection could not be opened was never counted as free by the queue.

--- a/packages/node/src/trefoilpulley_node/pipeline/execute.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -69,7 +69,7 @@
         self, req: PipelineRequest, route: Route
     ) -> Result[Delivered, Failure]:
         """Run one attempt at the chosen member."""
-        scope = self._scope(req, route.member)
+        scope = self._scope(req, route)
         if req.work_class.work is WorkKind.WRITE:
             message = _make_write(req, scope)
             abort = self._views.changed_event(req.database.name)
@@ -92,10 +92,12 @@
         message = PooledResolve(scope, req.key, req.work_class.safety.copies)
         return self._ask(route.member, message, scope, req.database.name)
 
-    def _scope(self, req: PipelineRequest, member: str) -> WorkScope:
-        left_s = req.deadline - self._clock.now()
+    def _scope(self, req: PipelineRequest, route: Route) -> WorkScope:
+        # The pooler's answer still has its way back before it.
+        way_back_s = route.round_trip_ms / 2000
+        left_s = req.deadline - way_back_s - self._clock.now()
         return WorkScope(
-            member,
+            route.member,
             req.tenant,
             req.work_class.name,
             max(1, round(1000 * left_s)),
--- a/packages/node/src/trefoilpulley_node/pooler/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_pool.py
@@ -198,6 +198,7 @@
     def _connect(self, ticket: Ticket) -> Result[SlotLease, Failure]:
         lent = self._connections.lend(ticket.deadline)
         if not isinstance(lent, Success):
+            self._queue.record_service(ticket.work_class, 0.0, False)
             self._free_slot(ticket)
             return Failed(NoUpstream('member can not be connected'))
         return Success(SlotLease(lent.unwrap(), ticket, self._clock.now()))
--- a/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
+++ b/packages/node/src/trefoilpulley_node/pooler/pooled_member.py
@@ -154,4 +154,5 @@
             self.pool.expected_wait_ms,
             self.monitor.is_reachable,
             self.pool.hold.is_active,
+            status.acknowledgements,
         )
