Split what an entry host knows from how it asks

Cause: views.py kept digests, asked for them and paced the questions; a look at all members in use ran 20 times a second, which at 1,071 members in use would cost about 1 % of a core (estimate from the loop's length). Change: store, asker and views apart; the oldest digests are looked for twice a second, overdue requests 20 times as before.

--- a/packages/node/src/trefoilpulley_node/entry/views.py
+++ b/packages/node/src/trefoilpulley_node/entry/views.py
@@ -9,26 +9,26 @@
 
 import gevent
 from gevent.event import Event
-from returns.result import Success
 
-from trefoilpulley_core.catalog import Presence
-from trefoilpulley_core.peer import Digests
-from trefoilpulley_core.peer import GetDigest
 from trefoilpulley_core.routing import DatabaseView
-from trefoilpulley_core.routing import MemberView
+from trefoilpulley_node.entry.digest_asker import DigestAsker
+from trefoilpulley_node.entry.digest_store import DigestStore
+from trefoilpulley_node.node import Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from trefoilpulley_core.catalog import DatabaseEntry
-    from trefoilpulley_core.catalog import MemberEntry
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.declarations import Declarations
     from trefoilpulley_core.peer import MemberDigest
     from trefoilpulley_node.peers import Peers
 
-TICK_S = 0.05
-"""Time between two looks at what must be asked."""
+OVERDUE_TICK_S = 0.05
+"""Time between two looks for overdue requests."""
+
+REFRESH_TICK_S = 0.5
+"""Time between two looks for the oldest digests."""
 
 OVERDUE_S = 0.2
 """Time in work after which a request's database is asked anew."""
@@ -42,21 +42,6 @@
 USE_MEMORY_S = 30.0
 """Time after its last request for which a database counts as in use."""
 
-DIGEST_TIMEOUT_S = 0.5
-"""Longest wait for digests."""
-
-INITIAL_ROUND_TRIP_MS = 10.0
-"""Round trip assumed before the first is seen, in milliseconds."""
-
-_SMOOTHING = 0.2
-
-
-@dataclass(eq=False, slots=True)
-class _Known:
-    digest: MemberDigest | None = None
-    observed_at: float = float('-inf')
-    round_trip_ms: float = INITIAL_ROUND_TRIP_MS
-
 
 @dataclass(eq=False, slots=True)
 class _InUse:
@@ -66,7 +51,13 @@
     term: int = 0
 
 
-class Views:
+@dataclass(frozen=True, slots=True)
+class _InWork:
+    database: str
+    began_at: float
+
+
+class Views(Service):
     """Digests of the members in use, kept fresh by answers and asking.
 
     Answers carry the digest of the member that gave them. What no
@@ -92,18 +83,17 @@
         get_declarations: Callable[[], Declarations],
     ) -> None:
         self._clock = clock
-        self._peers = peers
         self._get_declarations = get_declarations
-        self._known: dict[str, _Known] = {}
+        self._store = DigestStore()
+        self._asker = DigestAsker(
+            peers, clock, self.on_digest, self._store.put_round_trip
+        )
         self._in_use: dict[str, _InUse] = {}
         self._database_of: dict[str, str] = {}
         self._changed: dict[str, Event] = {}
-        self._asking: set[str] = set()
-        self._in_work: dict[int, tuple[str, float]] = {}
+        self._in_work: dict[int, _InWork] = {}
         self._ids = itertools.count(1)
-        self._allowance = 0.0
-        self._ticked_at = clock.now()
-        self._greenlet: gevent.Greenlet | None = None
+        self._greenlets: tuple[gevent.Greenlet, ...] = ()
 
     @property
     def databases_in_use(self) -> int:
@@ -112,12 +102,14 @@
 
     def start(self) -> None:
         """Begin to keep the digests fresh."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlets = (
+            gevent.spawn(self._watch_overdue),
+            gevent.spawn(self._refresh),
+        )
 
     def stop(self) -> None:
         """End the questions."""
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
+        gevent.killall(self._greenlets, block=False)
 
     def view(self, entry: DatabaseEntry) -> DatabaseView:
         """Return what is known of a database; it counts as in use."""
@@ -126,13 +118,13 @@
         stopping = {s.zone for s in stops if s.ledger == entry.ledger}
         return DatabaseView(
             entry.name,
-            tuple(self._member_view(m, stopping) for m in entry.members),
+            tuple(self._store.view(m, stopping) for m in entry.members),
         )
 
     def begin_work(self, database: str) -> int:
         """Note that a request waits for a member of a database."""
         number = next(self._ids)
-        self._in_work[number] = (database, self._clock.now())
+        self._in_work[number] = _InWork(database, self._clock.now())
         return number
 
     def end_work(self, number: int) -> None:
@@ -141,29 +133,25 @@
 
     def changed_event(self, database: str) -> Event:
         """Return the event that the next change of primary sets."""
-        return self._changed.setdefault(database, Event())
+        changed = self._changed.get(database)
+        if changed is None:
+            changed = self._changed[database] = Event()
+        return changed
 
     def wait_for_change(self, entry: DatabaseEntry, timeout_s: float) -> None:
         """Ask anew, then wait for a change of primary."""
         changed = self.changed_event(entry.name)
-        self._ask([m.name for m in entry.members])
+        self._asker.ask(m.name for m in entry.members)
         changed.wait(timeout_s)
 
     def on_digest(self, digest: MemberDigest, sent_at: float) -> None:
         """Take a digest that came with an answer."""
-        known = self._known.setdefault(digest.member, _Known())
-        if sent_at < known.observed_at:
-            return
-        known.digest = digest
-        known.observed_at = sent_at
-        self._note_primary(digest)
+        if self._store.put(digest, sent_at):
+            self._note_primary(digest)
 
     def on_unreachable(self, member: str) -> None:
         """Take note that a member's pooler did not answer."""
-        known = self._known.get(member)
-        if known is not None:
-            known.digest = None
-            known.observed_at = float('-inf')
+        self._store.drop_digest(member)
 
     def _use(self, entry: DatabaseEntry) -> None:
         now = self._clock.now()
@@ -175,20 +163,7 @@
         for member in entry.members:
             self._database_of[member.name] = entry.name
         if used is None:
-            self._ask([m.name for m in entry.members])
-
-    def _member_view(
-        self, member: MemberEntry, stopping: set[str]
-    ) -> MemberView:
-        known = self._known.get(member.name) or _Known()
-        return MemberView(
-            member.name,
-            member.zone,
-            known.digest,
-            known.observed_at,
-            known.round_trip_ms,
-            member.presence is Presence.LEAVING or member.zone in stopping,
-        )
+            self._asker.ask(m.name for m in entry.members)
 
     def _note_primary(self, digest: MemberDigest) -> None:
         if not digest.is_primary or not digest.is_reachable:
@@ -205,82 +180,44 @@
         if changed is not None:
             changed.set()
 
-    def _run(self) -> None:
+    def _watch_overdue(self) -> None:
         while True:
-            gevent.sleep(TICK_S)
-            self._tick()
-
-    def _tick(self) -> None:
-        now = self._clock.now()
-        earned = (now - self._ticked_at) * REFRESHES_PER_S
-        self._allowance = min(REFRESHES_PER_S, self._allowance + earned)
-        self._ticked_at = now
-        self._ask_overdue(now)
-        self._ask_oldest(now)
+            gevent.sleep(OVERDUE_TICK_S)
+            self._ask_overdue(self._clock.now() - OVERDUE_S)
 
-    def _ask_overdue(self, now: float) -> None:
+    def _ask_overdue(self, since: float) -> None:
         overdue = {
-            database
-            for database, began_at in self._in_work.values()
-            if now - began_at > OVERDUE_S
+            work.database
+            for work in self._in_work.values()
+            if work.began_at < since
         }
         for database in overdue:
             used = self._in_use.get(database)
             if used is not None:
-                self._ask([m.name for m in used.entry.members])
-
-    def _ask_oldest(self, now: float) -> None:
-        stale = []
-        for name, used in list(self._in_use.items()):
-            if now - used.used_at > USE_MEMORY_S:
-                self._forget(name, used)
-                continue
+                self._asker.ask(m.name for m in used.entry.members)
+
+    def _refresh(self) -> None:
+        while True:
+            gevent.sleep(REFRESH_TICK_S)
+            now = self._clock.now()
+            self._forget_unused(now - USE_MEMORY_S)
+            allowed = round(REFRESHES_PER_S * REFRESH_TICK_S)
+            self._asker.ask(self._find_oldest(allowed, now - REFRESH_S))
+
+    def _find_oldest(self, count: int, before: float) -> list[str]:
+        seen = (
+            (self._store.observed_at(member.name), member.name)
+            for used in self._in_use.values()
+            for member in used.entry.members
+        )
+        stale = (pair for pair in seen if pair[0] <= before)
+        return [name for _, name in heapq.nsmallest(count, stale)]
+
+    def _forget_unused(self, since: float) -> None:
+        unused = [n for n, u in self._in_use.items() if u.used_at < since]
+        for name in unused:
+            used = self._in_use.pop(name)
+            self._changed.pop(name, None)
             for member in used.entry.members:
-                observed_at = self._observed_at(member.name)
-                if now - observed_at >= REFRESH_S:
-                    stale.append((observed_at, member.name))
-        allowed = int(self._allowance)
-        chosen = [m for _, m in heapq.nsmallest(allowed, stale)]
-        self._allowance -= len(chosen)
-        self._ask(chosen)
-
-    def _observed_at(self, member: str) -> float:
-        known = self._known.get(member)
-        return float('-inf') if known is None else known.observed_at
-
-    def _forget(self, name: str, used: _InUse) -> None:
-        del self._in_use[name]
-        self._changed.pop(name, None)
-        for member in used.entry.members:
-            self._known.pop(member.name, None)
-            self._database_of.pop(member.name, None)
-
-    def _ask(self, members: list[str]) -> None:
-        by_host: dict[str, list[str]] = {}
-        for member in members:
-            host = self._peers.find_pooler(member)
-            if host is not None and host not in self._asking:
-                by_host.setdefault(host, []).append(member)
-        for host, names in by_host.items():
-            self._asking.add(host)
-            gevent.spawn(self._ask_host, host, tuple(names))
-
-    def _ask_host(self, host: str, members: tuple[str, ...]) -> None:
-        sent_at = self._clock.now()
-        try:
-            reply = self._peers.call_host(
-                host, GetDigest(members), DIGEST_TIMEOUT_S
-            )
-        finally:
-            self._asking.discard(host)
-        if not isinstance(reply, Success):
-            return
-        digests = reply.unwrap()
-        if not isinstance(digests, Digests):
-            return
-        round_trip_ms = 1000 * (self._clock.now() - sent_at)
-        for digest in digests.digests:
-            self.on_digest(digest, sent_at)
-            known = self._known[digest.member]
-            delta = round_trip_ms - known.round_trip_ms
-            known.round_trip_ms += _SMOOTHING * delta
+                self._store.forget(member.name)
+                self._database_of.pop(member.name, None)
