Judge a primary by what its replicas said, not by the time since

Cause: a replica's time without its primary was carried forward to now. Change: the time counts as the replica stated it; a replica that lost the leader since it answered asks for evidence at once; patience with an unreachable primary counts only while a majority answers; calm probes keep fixed phases. A duty that was found free is read again after 0.25 s.

--- a/features/coordination_replay.feature
+++ b/features/coordination_replay.feature
@@ -27,6 +27,7 @@
       | coordinator-dies-in-promotion       | karamanlis | b      | 1          | 0         | 6   |
       | coordinator-dies-in-promotion       | sleevecraft | b     | 1          | 0         | 6   |
       | coordinator-paused-beyond-its-lease | karamanlis | b      | 1          | 0         | 6   |
+      | coordinator-paused-in-promotion     | karamanlis | b      | 2          | 0         | 6   |
       | primary-and-coordinator-die         | karamanlis | b      | 1          | 0         | 6   |
       | primary-and-coordinator-die         | sleevecraft | b     | 1          | 0         | 6   |
 
--- a/features/steps/coordination_detection_steps.py
+++ b/features/steps/coordination_detection_steps.py
@@ -69,6 +69,18 @@
         found = context.detector.verdict(now)
         assert found == verdict, found
 
+    @staticmethod
+    @then('more evidence is needed')
+    def check_doubt(context: Any) -> None:
+        """Expect a doubt newer than the leader's answer."""
+        assert context.detector.has_newer_doubt
+
+    @staticmethod
+    @then('no more evidence is needed')
+    def check_no_doubt(context: Any) -> None:
+        """Expect that the leader has answered since."""
+        assert not context.detector.has_newer_doubt
+
 
 class PollingSteps:
     """Probes members at intervals."""
@@ -99,6 +111,24 @@
             context.probed.update(PollingSteps._tick(context, step / 100))
         assert context.probed == {'a', 'b', 'c'}, context.probed
 
+    @staticmethod
+    @when('{seconds:d} seconds pass')
+    def pass_time(context: Any, seconds: int) -> None:
+        """Note the time of each calm probe after the first round."""
+        times = [step / 20 for step in range(8, seconds * 20)]
+        probes = [
+            time for time in times for _ in PollingSteps._tick(context, time)
+        ]
+        context.probes = probes[len(ENTRY.members) :]
+
+    @staticmethod
+    @then('at most one member is probed in any half second')
+    def check_spread(context: Any) -> None:
+        """Compare the distances of successive probes."""
+        pairs = zip(context.probes, context.probes[1:])
+        assert len(context.probes) > 6
+        assert all(b - a >= 0.5 for a, b in pairs), context.probes
+
     @staticmethod
     def _tick(context: Any, now: float) -> list[str]:
         calls = context.polling.on_tick(context.interval_s, now)
--- a/packages/core/src/trefoilpulley_core/coordination/database.py
+++ b/packages/core/src/trefoilpulley_core/coordination/database.py
@@ -125,7 +125,9 @@
         self._take_surroundings(around, now)
         probes = self._polling.on_tick(around.poll_interval_s, now)
         self.verdict = self.detector.verdict(now)
-        self._polling.is_urgent = self.verdict is not Verdict.HEALTHY
+        is_healthy = self.verdict is Verdict.HEALTHY
+        has_doubt = self.detector.has_newer_doubt
+        self._polling.is_urgent = has_doubt or not is_healthy
         return probes + self._move_on(now)
 
     def on_call_done(self, done: CallDone, now: float) -> Commands:
--- a/packages/core/src/trefoilpulley_core/coordination/detection.py
+++ b/packages/core/src/trefoilpulley_core/coordination/detection.py
@@ -20,7 +20,7 @@
 
 WITNESSED_S = 1.0
 """Time for which a pooler reports a primary unreachable that replicas
-still hear, before a promotion."""
+still hear, before a promotion. It counts while a majority answers."""
 
 UNREACHABLE_S = 3.0
 """The same where the primary's pooler cannot be reached either."""
@@ -97,12 +97,14 @@
         """Whether the last probe was answered."""
         return self.status is not None and self.failed_at is None
 
-    def contact_age_s(self, now: float) -> float:
-        """Return how long ago the member heard from its primary."""
+    @property
+    def contact_age_s(self) -> float:
+        """Time without the primary when the member last answered.
+
+        Time that has passed since then says nothing of the primary.
+        """
         age_ms = self.status.primary_contact_age_ms
-        if age_ms is None:
-            return float('inf')
-        return age_ms / 1000 + now - self.answered_at
+        return float('inf') if age_ms is None else age_ms / 1000
 
 
 class Detector:
@@ -166,36 +168,62 @@
         """Member last heard to lead the highest term, answering or not."""
         return _highest(w.status for w in self.watches.values() if w.status)
 
+    @property
+    def has_newer_doubt(self) -> bool:
+        """Whether a replica has lost the leader since it answered."""
+        leader = self.leader
+        if leader is None:
+            return True
+        heard_at = self.watches[leader.member].answered_at
+        return any(
+            w.answered_at > heard_at and w.contact_age_s >= SILENCE_S
+            for w in self.answering
+        )
+
     def verdict(self, now: float) -> Verdict:
         """Return what the evidence says at a time."""
-        raw = self._weigh(now)
-        if raw not in (Verdict.ISOLATED, Verdict.DISPUTED, Verdict.LEADERLESS):
+        raw = self._weigh()
+        if raw not in _PATIENCE_S:
             self._since.clear()
             return raw
         since = self._since.setdefault(raw, now)
-        patience_s = _PATIENCE_S[raw]
-        return raw if now - since >= patience_s else Verdict.SUSPECT
+        is_due = now - since >= _PATIENCE_S[raw]
+        if raw is Verdict.UNREACHABLE and self._is_witnessed(since, now):
+            is_due = True
+        return raw if is_due else Verdict.SUSPECT
+
+    def _is_witnessed(self, since: float, now: float) -> bool:
+        witnessed = [
+            w.witnessed_at is not None
+            and now - max(since, w.witnessed_at) >= WITNESSED_S
+            for w in self._away
+        ]
+        return all(witnessed)
+
+    @property
+    def _away(self) -> list[MemberWatch]:
+        return [w for w in self.watches.values() if not w.is_answering]
 
-    def _weigh(self, now: float) -> Verdict:
+    def _weigh(self) -> Verdict:
         if len(self.answering) < self._majority:
             return Verdict.CUT_OFF
         leader = self.leader
         if leader is None:
-            return self._weigh_absence(now)
+            return self._weigh_absence()
         if self.highest_term > leader.term:
-            return self._weigh_higher_term(now, leader)
-        if self._reach_of(leader, now) < self._majority:
+            return self._weigh_higher_term(leader)
+        if self._reach_of(leader) < self._majority:
             return Verdict.ISOLATED
         return Verdict.HEALTHY
 
-    def _weigh_higher_term(self, now: float, leader: MemberStatus) -> Verdict:
+    def _weigh_higher_term(self, leader: MemberStatus) -> Verdict:
         known = self.last_leader
         if known is not None and known.term > leader.term:
-            return self._weigh_absence(now)
+            return self._weigh_absence()
         return Verdict.DISPUTED
 
-    def _weigh_absence(self, now: float) -> Verdict:
-        away = [w for w in self.watches.values() if not w.is_answering]
+    def _weigh_absence(self) -> Verdict:
+        away = self._away
         if not away:
             return Verdict.LEADERLESS
         if any(w.failed_at is None for w in away):
@@ -205,18 +233,16 @@
         first_failed_at = min(w.failed_at for w in away)
         if any(w.answered_at < first_failed_at for w in self.answering):
             return Verdict.SUSPECT
-        if all(w.contact_age_s(now) >= SILENCE_S for w in self.answering):
+        if all(w.contact_age_s >= SILENCE_S for w in self.answering):
             return Verdict.SILENT
-        if any(_is_long_away(w, now) for w in away):
-            return Verdict.UNREACHABLE
-        return Verdict.SUSPECT
+        return Verdict.UNREACHABLE
 
-    def _reach_of(self, leader: MemberStatus, now: float) -> int:
+    def _reach_of(self, leader: MemberStatus) -> int:
         cut_off = [
             w
             for w in self.answering
             if w.status.member != leader.member
-            and w.contact_age_s(now) >= SILENCE_S
+            and w.contact_age_s >= SILENCE_S
         ]
         return len(self.watches) - len(cut_off)
 
@@ -225,16 +251,10 @@
     Verdict.ISOLATED: ISOLATED_S,
     Verdict.DISPUTED: DISPUTED_S,
     Verdict.LEADERLESS: LEADERLESS_S,
+    Verdict.UNREACHABLE: UNREACHABLE_S,
 }
 
 
 def _highest(statuses: Iterable[MemberStatus]) -> MemberStatus | None:
     leaders = [s for s in statuses if s.is_primary]
     return max(leaders, key=lambda s: s.term, default=None)
-
-
-def _is_long_away(watch: MemberWatch, now: float) -> bool:
-    if watch.witnessed_at is not None:
-        if now - watch.witnessed_at >= WITNESSED_S:
-            return True
-    return now - watch.failed_at >= UNREACHABLE_S
--- a/packages/core/src/trefoilpulley_core/coordination/duty.py
+++ b/packages/core/src/trefoilpulley_core/coordination/duty.py
@@ -29,6 +29,9 @@
 READ_S = 1.0
 """Time between two reads of a duty by its first successors."""
 
+CONFIRM_S = 0.25
+"""Time between two reads of a duty that was found free."""
+
 RETRY_S = 0.5
 """Time between two attempts to get a lease."""
 
@@ -38,6 +41,9 @@
 EVIDENCE_S = 3.0
 """Age above which a failed call says nothing of the present."""
 
+RELEASE_WAIT_S = 5.0
+"""Time for which a host leaves a duty to others that it gave back."""
+
 RELEASE_S = 300.0
 """Time for which another host must be first before it gets the duty."""
 
@@ -297,7 +303,7 @@
         if self._is_claimable(shard, view) and now < self._lease_until:
             view.absences = 0
             return self._call(view, TakeDuty(shard, self._lease_id), now)
-        if now < view.read_at + self._read_interval_s(shard):
+        if now < view.read_at + self._read_interval_s(shard, view):
             return ()
         return self._call(view, ReadDuty(shard), now)
 
@@ -313,7 +319,9 @@
             return ()
         revision, view.revision = view.revision, 0
         view.outranked_since = None
-        return self._call(view, ReleaseDuty(shard, revision), now)
+        out = self._call(view, ReleaseDuty(shard, revision), now)
+        view.read_at = now + RELEASE_WAIT_S
+        return out
 
     def _call(
         self, view: DutyView, command: DutyCommand, now: float
@@ -325,5 +333,7 @@
     def _is_claimable(self, shard: int, view: DutyView) -> bool:
         return view.absences > self.succession.rank(shard, self._host)
 
-    def _read_interval_s(self, shard: int) -> float:
+    def _read_interval_s(self, shard: int, view: DutyView) -> float:
+        if view.absences:
+            return CONFIRM_S
         return READ_S * max(1, self.succession.rank(shard, self._host))
--- a/packages/core/src/trefoilpulley_core/coordination/follower_care.py
+++ b/packages/core/src/trefoilpulley_core/coordination/follower_care.py
@@ -44,7 +44,7 @@
         strays = [
             w.status.member
             for w in detector.answering
-            if w.status.member != leader.member and _is_stray(w, leader, now)
+            if w.status.member != leader.member and _is_stray(w, leader)
         ]
         return tuple(
             self._tell(m, leader, now) for m in strays if self._is_due(m, now)
@@ -67,8 +67,8 @@
         )
 
 
-def _is_stray(watch: MemberWatch, leader: MemberStatus, now: float) -> bool:
+def _is_stray(watch: MemberWatch, leader: MemberStatus) -> bool:
     status = watch.status
     if status.is_primary or status.term < leader.term:
         return True
-    return watch.contact_age_s(now) >= LOST_CONTACT_S
+    return watch.contact_age_s >= LOST_CONTACT_S
--- a/packages/core/src/trefoilpulley_core/coordination/polling.py
+++ b/packages/core/src/trefoilpulley_core/coordination/polling.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from trefoilpulley_core.coordination.commands import CallMember
 from trefoilpulley_core.coordination.commands import Purpose
 from trefoilpulley_core.peer import GetStatus
@@ -52,6 +55,7 @@
         self._due_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
         self._pending: set[str] = set()
+        self._phase = xxhash.xxh3_64_intdigest(entry.name.encode()) / 2**64
         self.is_urgent = True
         """Whether evidence is needed at once."""
 
@@ -90,7 +94,11 @@
         )
 
     def _spread(self, member: str, interval_s: float, now: float) -> None:
-        share = self._members.index(member) / len(self._members)
-        is_first = member not in self._due_at
-        delay_s = interval_s * (share or 1.0) if is_first else interval_s
-        self._due_at[member] = now + delay_s
+        if self.is_urgent:
+            self._due_at[member] = now + interval_s
+            return
+        # Fixed phases keep the members apart, whatever held a probe up.
+        place = self._members.index(member) / len(self._members)
+        phase_s = interval_s * (place + self._phase)
+        rounds = math.floor((now - phase_s) / interval_s) + 1
+        self._due_at[member] = rounds * interval_s + phase_s
