Keep a session's other writes through a transaction

Cause: a commit was answered with the token that its transaction began with, so a write at another database in between was forgotten and a later read there could miss it; a statement that ended after its caller had gone put its transaction back; a transaction of a reading class was sent to a replica until its deadline. Found by: reading, none of the demos writes to two databases that way. Change: the commit's own token counts; only transactions still open take a statement; transactions and look-ups go to the primary whatever the class; two fields that nobody read are gone from the messages between hosts.

--- a/features/fakes/fake_entry_parts.py
+++ b/features/fakes/fake_entry_parts.py
@@ -13,10 +13,13 @@
 from trefoilpulley_core.clock import Clock
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.peer import PooledBegun
 from trefoilpulley_core.peer import PooledFailure
 from trefoilpulley_core.peer import PooledResult
+from trefoilpulley_core.position import Position
 from trefoilpulley_core.routing import Route
 from trefoilpulley_core.upstream import StatementResult
+from trefoilpulley_node.peers import read_failure
 
 STEP_S = 0.05
 """Virtual time that each exchange or wait takes, in seconds."""
@@ -67,13 +70,25 @@
             self._script.popleft()
         if answer == 'lost':
             return Failed(PeerUnreachable('no answer'))
+        if answer == 'begun':
+            return Success(PooledBegun('t1'))
         if answer == 'ran':
-            return Success(PooledResult(StatementResult(row_count=1)))
+            result = StatementResult(row_count=1, position=Position(1, 7))
+            return Success(PooledResult(result))
         if answer == 'kept':
             kept = StatementResult(row_count=1, is_recalled=True)
             return Success(PooledResult(kept))
         return Success(PooledFailure(answer))
 
+    def call_host(
+        self, host: str, message: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Take the next answer, a refusal as the typed failure."""
+        reply = self.ask_host(host, message, timeout_s)
+        if isinstance(reply.value_or(None), PooledFailure):
+            return Failed(read_failure(reply.unwrap()))
+        return reply
+
 
 class FakeViews:
     """Digests that nobody reads; waits move the clock."""
@@ -110,3 +125,7 @@
     ) -> Result[Route, Failure]:
         """Return the primary."""
         return Success(Route('a', is_primary=True))
+
+    def choose_primary(self, req: Any) -> Result[Route, Failure]:
+        """Return the primary."""
+        return Success(Route('a', is_primary=True))
--- a/features/steps/client_orphans_steps.py
+++ b/features/steps/client_orphans_steps.py
@@ -154,7 +154,7 @@
     def keep_using(context: Any) -> None:
         """Run statements in time."""
         begun = context.transactions.begin(context.member, REQUEST, OWNER)
-        statement = PooledRun(begun.unwrap(), Statement('select 1'), 1000)
+        statement = PooledRun(begun.unwrap(), Statement('select 1'))
         for _ in range(3):
             context.calls.pass_time(0.9 * PROMPTNESS_S)
             context.transactions.run(statement, OWNER).unwrap()
@@ -163,7 +163,7 @@
     @then('its next statement is told that the transaction is lost')
     def expect_lost(context: Any) -> None:
         """Expect the typed failure."""
-        statement = PooledRun(context.transaction, Statement('select 1'), 1000)
+        statement = PooledRun(context.transaction, Statement('select 1'))
         ran = context.transactions.run(statement, OWNER)
         assert isinstance(ran.failure(), TransactionLost), ran
 
--- /dev/null
+++ b/features/steps/entry_transactions_steps.py
@@ -0,0 +1,165 @@
+"""Steps on the transactions of an entry host."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.fakes.fake_entry_parts import FakeClock
+from features.fakes.fake_entry_parts import FakePeers
+from features.fakes.fake_entry_parts import FakeRouter
+from features.fakes.fake_entry_parts import FakeViews
+from trefoilpulley_core.caller import Begin
+from trefoilpulley_core.caller import Commit
+from trefoilpulley_core.caller import Execute
+from trefoilpulley_core.catalog import DatabaseEntry
+from trefoilpulley_core.declarations import Freshness
+from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.declarations import Promptness
+from trefoilpulley_core.declarations import Safety
+from trefoilpulley_core.declarations import WorkClass
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.token import SessionToken
+from trefoilpulley_core.token import TokenCodec
+from trefoilpulley_node.entry.entry_transactions import EntryTransactions
+from trefoilpulley_node.pipeline.answer import AnswerMaker
+from trefoilpulley_node.pipeline.confirm import Confirm
+from trefoilpulley_node.pipeline.execute import Executor
+from trefoilpulley_node.pipeline.request import PipelineRequest
+from trefoilpulley_node.pipeline.session_floor import SessionFloor
+
+TENANT = 'north'
+CONNECTION = 1
+FILING = WorkClass(
+    'filing',
+    WorkKind.WRITE,
+    Freshness(FreshnessKind.PRESENT),
+    Promptness(1000, 0.99),
+    Safety(),
+)
+
+
+class LeavingPeers(FakePeers):
+    """Loses the caller while a statement runs."""
+
+    def call_host(self, host: str, message: Any, timeout_s: float) -> Any:
+        """Let the caller go before the answer."""
+        reply = super().call_host(host, message, timeout_s)
+        if len(self.sent) == 2:
+            self.transactions.on_caller_lost(CONNECTION)
+        return reply
+
+
+class EntryTransactionSteps:
+    """Drives the transactions over a scripted pooler."""
+
+    @staticmethod
+    @given('a transaction that a caller has begun at "{database}"')
+    def begin(context: Any, database: str) -> None:
+        """Begin one transaction."""
+        clock = FakeClock()
+        peers = LeavingPeers(clock, ['begun', 'ran'])
+        views = FakeViews(clock)
+        router = FakeRouter()
+        context.codec = TokenCodec('deployment', ('key',))
+        confirm = Confirm(
+            router,
+            Executor(peers, views, clock),
+            views,
+            lambda: False,
+            clock,
+        )
+        context.transactions = EntryTransactions(
+            router, peers, SessionFloor(context.codec), confirm, views, clock
+        )
+        peers.transactions = context.transactions
+        req = PipelineRequest(
+            TENANT,
+            Begin('filing', database),
+            clock.now(),
+            FILING,
+            DatabaseEntry(database, 'ledger', ()),
+            clock.now() + 1,
+            SessionToken(TENANT),
+            BEGINNING,
+        )
+        context.transaction = context.transactions.begin(
+            req, CONNECTION
+        ).unwrap()
+
+    @staticmethod
+    @when('the caller commits it with a token of a write at "{database}"')
+    def commit(context: Any, database: str) -> None:
+        """Commit with the newer token."""
+        token = SessionToken(TENANT).with_floor(database, Position(2, 5))
+        data = context.codec.encode(token)
+        message = Commit(context.transaction, 'c-1', data)
+        context.result = context.transactions.commit(
+            message, TENANT, CONNECTION
+        )
+
+    @staticmethod
+    @when('the caller commits it with a forged token')
+    def commit_forged(context: Any) -> None:
+        """Commit with a token signed by another key."""
+        forged = TokenCodec('deployment', ('guess',))
+        data = forged.encode(SessionToken(TENANT))
+        message = Commit(context.transaction, 'c-1', data)
+        context.result = context.transactions.commit(
+            message, TENANT, CONNECTION
+        )
+
+    @staticmethod
+    @when('another connection of the tenant sends a statement in it')
+    def run_elsewhere(context: Any) -> None:
+        """Use the transaction from another connection."""
+        EntryTransactionSteps._run(context, TENANT, CONNECTION + 1)
+
+    @staticmethod
+    @when('a caller of another tenant sends a statement in it')
+    def run_foreign(context: Any) -> None:
+        """Use the transaction as another tenant."""
+        EntryTransactionSteps._run(context, 'south', CONNECTION)
+
+    @staticmethod
+    @when('its caller goes while a statement runs in it')
+    def run_and_go(context: Any) -> None:
+        """Run a statement that outlives its caller."""
+        EntryTransactionSteps._run(context, TENANT, CONNECTION)
+
+    @staticmethod
+    @then('the answer\'s token has floors for "{databases}"')
+    def check_floors(context: Any, databases: str) -> None:
+        """Read the token of the answer."""
+        answer = AnswerMaker(context.codec).make(context.result.unwrap())
+        token = context.codec.decode(answer.token, TENANT).unwrap()
+        found = sorted(floor.database for floor in token.floors)
+        assert found == databases.split(','), found
+
+    @staticmethod
+    @then('the transaction\'s request is refused as "{code}"')
+    def check_refused(context: Any, code: str) -> None:
+        """Compare the failure."""
+        assert context.result.failure().code == code, context.result
+
+    @staticmethod
+    @then('{count:d} transactions are open at the entry host')
+    def check_open(context: Any, count: int) -> None:
+        """Count them."""
+        assert len(context.transactions) == count
+
+    @staticmethod
+    def _run(context: Any, tenant: str, connection: int) -> None:
+        message = Execute(
+            'r-1',
+            'filing',
+            'ledger/0',
+            'insert',
+            transaction=context.transaction,
+        )
+        context.result = context.transactions.run(message, tenant, connection)
--- a/packages/core/src/trefoilpulley_core/peer.py
+++ b/packages/core/src/trefoilpulley_core/peer.py
@@ -171,9 +171,6 @@
     statement: Statement
     """Statement."""
 
-    remaining_ms: int
-    """Time left until the answer is due at the entry host."""
-
 
 @dataclass(frozen=True, slots=True)
 class PooledCommit:
@@ -188,9 +185,6 @@
     copies: int
     """Members that must hold the commit before the answer."""
 
-    remaining_ms: int
-    """Time left until the answer is due at the entry host."""
-
 
 @dataclass(frozen=True, slots=True)
 class PooledRollback:
--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -220,11 +220,16 @@
     def _authenticate(self) -> Authenticate:
         return Authenticate(self._cfg.tenants, self._get_declarations)
 
+    @cached_property
+    def _session_floor(self) -> SessionFloor:
+        return SessionFloor(self._tokens)
+
     @cached_property
     def _transactions(self) -> EntryTransactions:
         return EntryTransactions(
             self._router,
             self._peers,
+            self._session_floor,
             self._confirm,
             self._views,
             self._clock,
@@ -238,7 +243,7 @@
                 Classify(
                     self._get_declarations, self._directory.find_database
                 ),
-                SessionFloor(self._tokens),
+                self._session_floor,
                 self._admit,
             )
         )
--- a/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
+++ b/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
@@ -42,10 +42,20 @@
     from trefoilpulley_node.pipeline.confirm import Confirm
     from trefoilpulley_node.pipeline.request import PipelineRequest
     from trefoilpulley_node.pipeline.route import Router
+    from trefoilpulley_node.pipeline.session_floor import SessionFloor
 
 STATEMENT_TIMEOUT_S = 30.0
 """Longest wait for a statement inside a transaction."""
 
+RETRY_S = 0.05
+"""Longest wait for a change of primary between two attempts to begin."""
+
+LEAST_WAIT_S = 0.001
+"""Shortest time for one attempt to begin."""
+
+ANSWER_MARGIN_S = 0.5
+"""Wait for the answer to an attempt beyond its time."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Bound:
@@ -66,6 +76,8 @@
         Finds the primary.
     peers : Peers
         Reaches the poolers.
+    session_floor : SessionFloor
+        Reads the token that a commit carries.
     confirm : Confirm
         Settles commits whose answers were lost.
     views : Views
@@ -78,12 +90,14 @@
         self,
         router: Router,
         peers: Peers,
+        session_floor: SessionFloor,
         confirm: Confirm,
         views: Views,
         clock: Clock,
     ) -> None:
         self._router = router
         self._peers = peers
+        self._session_floor = session_floor
         self._confirm = confirm
         self._views = views
         self._clock = clock
@@ -114,14 +128,11 @@
         statement = Statement(message.sql, message.parameters)
         reply = self._peers.call_host(
             bound.host,
-            PooledRun(bound.pooled, statement, round(STATEMENT_TIMEOUT_S)),
+            PooledRun(bound.pooled, statement),
             STATEMENT_TIMEOUT_S,
         )
         if isinstance(reply, Success):
-            digest = xxh3_128_hexdigest(repr(statement).encode())
-            self._open[message.transaction] = replace(
-                bound, statements=(*bound.statements, digest)
-            )
+            self._add_statement(message.transaction, statement)
             return Success(_delivered(bound, reply.unwrap()))
         failure = reply.failure()
         if isinstance(failure, PeerUnreachable | TransactionLost):
@@ -136,12 +147,19 @@
         bound = self._find(message.transaction, tenant, connection)
         if bound is None:
             return Failed(TransactionLost('no such transaction'))
-        del self._open[message.transaction]
         digest = xxh3_128_hexdigest('\n'.join(bound.statements).encode())
         key = OutcomeKey(tenant, message.request_id, digest)
-        req = replace(bound.request, key=key)
+        # The session may have written elsewhere since the transaction
+        # began; the commit's own token says so.
+        prepared = self._session_floor.apply(
+            replace(bound.request, message=message, key=key)
+        )
+        if not isinstance(prepared, Success):
+            return prepared
+        del self._open[message.transaction]
+        req = prepared.unwrap()
         copies = req.work_class.safety.copies
-        pooled = PooledCommit(bound.pooled, key, copies, 0)
+        pooled = PooledCommit(bound.pooled, key, copies)
         reply = self._peers.call_host(bound.host, pooled, STATEMENT_TIMEOUT_S)
         settled = self._settle(req, bound, reply)
         return settled.map(lambda found: replace(req, delivered=found))
@@ -163,6 +181,16 @@
             if bound.connection == connection:
                 self._abort(transaction, bound)
 
+    def _add_statement(self, transaction: str, statement: Statement) -> None:
+        # The caller may have gone while the statement ran.
+        bound = self._open.get(transaction)
+        if bound is None:
+            return
+        digest = xxh3_128_hexdigest(repr(statement).encode())
+        self._open[transaction] = replace(
+            bound, statements=(*bound.statements, digest)
+        )
+
     def _begin(
         self, req: PipelineRequest, connection: int
     ) -> Result[str, Failure]:
@@ -172,26 +200,27 @@
             if isinstance(begun, Success):
                 return begun
             failure = begun.failure()
-            self._views.wait_for_change(req.database, 0.05)
+            self._views.wait_for_change(req.database, RETRY_S)
         return Failed(_as_not_begun(failure))
 
     def _begin_once(
         self, req: PipelineRequest, connection: int
     ) -> Result[str, Failure]:
-        route = self._router.choose(req, frozenset())
+        route = self._router.choose_primary(req)
         if not isinstance(route, Success):
             return route
         member = route.unwrap().member
         host = self._peers.find_pooler(member)
         if host is None:
             return Failed(NoUpstream('no host pools the member'))
-        left_s = max(0.001, req.deadline - self._clock.now())
+        left_s = max(LEAST_WAIT_S, req.deadline - self._clock.now())
         scope = WorkScope(
             member, req.tenant, req.work_class.name, round(1000 * left_s)
         )
         message = PooledBegin(scope, req.floor or BEGINNING)
         sent_at = self._clock.now()
-        reply = self._peers.ask_host(host, message, left_s + 0.5)
+        timeout_s = left_s + ANSWER_MARGIN_S
+        reply = self._peers.ask_host(host, message, timeout_s)
         if not isinstance(reply, Success):
             return reply
         begun = reply.unwrap()
--- a/packages/node/src/trefoilpulley_node/pipeline/confirm.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/confirm.py
@@ -103,7 +103,7 @@
     def _look_up(
         self, req: PipelineRequest, left_s: float
     ) -> Result[Delivered, Failure]:
-        route = self._router.choose(req, frozenset())
+        route = self._router.choose_primary(req)
         if not isinstance(route, Success):
             return route
         return self._executor.resolve(req, route.unwrap(), left_s)
--- a/packages/node/src/trefoilpulley_node/pipeline/route.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/route.py
@@ -4,14 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.routing import find_primary
+from trefoilpulley_core.routing import Route
 from trefoilpulley_core.routing import RouteRequest
 
 if TYPE_CHECKING:
-    from returns.result import Result
-
     from trefoilpulley_core.clock import Clock
-    from trefoilpulley_core.failure import Failure
-    from trefoilpulley_core.routing import Route
     from trefoilpulley_core.routing import RoutingPolicy
     from trefoilpulley_node.entry.views import Views
     from trefoilpulley_node.pipeline.request import PipelineRequest
@@ -53,3 +57,10 @@
         )
         view = self._views.view(req.database)
         return self._policy.choose(view, wanted, self._clock.now())
+
+    def choose_primary(self, req: PipelineRequest) -> Result[Route, Failure]:
+        """Return the primary, which alone keeps outcomes."""
+        primary = find_primary(self._views.view(req.database))
+        if primary is None:
+            return Failed(NoUpstream('database has no known primary'))
+        return Success(Route(primary.member, is_primary=True))
