--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -49,3 +49,13 @@
     When the configuration is written
     Then the configuration is in force on every live host within 16 s
     And a configuration watch is in force again within 60 s
+
+  Scenario: Any two faults amid changes
+    Then amid any 2 faults the configuration never goes back and reaches every host
+
+  Scenario: Any three faults amid changes
+    Then amid any 3 faults the configuration never goes back and reaches every host
+
+  Scenario: A holder that takes any revision is noticed amid faults
+    Given a configuration holder that takes any revision
+    Then some 2 faults let the configuration go back
--- a/features/fakes/generated.py
+++ b/features/fakes/generated.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,9 @@
 
     from hypothesis.strategies import SearchStrategy
 
+FACTOR_VARIABLE = 'EXAMPLES_FACTOR'
+"""Environment variable by which longer runs multiply the examples."""
+
 
 def find_violation(
     check: Callable[..., None],
@@ -25,13 +29,14 @@
     check : Callable[..., None]
         Raises ``AssertionError`` where a rule is broken.
     examples : int
-        Inputs to generate, the same ones in each run.
+        Inputs to generate, the same ones in each run; multiplied by
+        the environment variable ``EXAMPLES_FACTOR``.
     inputs : SearchStrategy
         Strategy of each argument of the check.
     """
     configured = hypothesis.settings(
         derandomize=True,
-        max_examples=examples,
+        max_examples=examples * int(os.environ.get(FACTOR_VARIABLE, '1')),
         deadline=None,
         database=None,
         phases=(hypothesis.Phase.generate,),
--- a/features/fakes/membership_schedule.py
+++ b/features/fakes/membership_schedule.py
@@ -17,6 +17,8 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from hypothesis.strategies import SearchStrategy
+
 ZONES = 3
 """Zones of the fleet."""
 
@@ -46,7 +48,7 @@
     wait_s: float
     """Time since the fault before, in seconds."""
 
-    kind: FaultKind
+    kind: StrEnum
     """What happens."""
 
     zone: int
@@ -56,20 +58,18 @@
     """Host of the zone to which it happens."""
 
 
-FAULT = strategies.builds(
-    TimedFault,
-    strategies.sampled_from((0.0, 0.15, 0.5, 1.3, 4.0)),
-    strategies.sampled_from(FaultKind),
-    strategies.integers(0, ZONES - 1),
-    strategies.integers(0, HOSTS - 1),
-)
-"""Any fault."""
-
-SCHEDULES = {
-    count: strategies.lists(FAULT, min_size=count, max_size=count)
-    for count in (2, 3)
-}
-"""Pairs and triples of faults."""
+def make_schedules(
+    kinds: Sequence[StrEnum], count: int
+) -> SearchStrategy[list[TimedFault]]:
+    """Return the schedules of some faults."""
+    fault = strategies.builds(
+        TimedFault,
+        strategies.sampled_from((0.0, 0.15, 0.5, 1.3, 4.0)),
+        strategies.sampled_from(kinds),
+        strategies.integers(0, ZONES - 1),
+        strategies.integers(0, HOSTS - 1),
+    )
+    return strategies.lists(fault, min_size=count, max_size=count)
 
 
 class MembershipSchedule:
@@ -88,10 +88,15 @@
         seed: int,
         make_membership: Callable[..., Membership] = Membership,
     ) -> None:
-        self._fleet = Fleet(seed, make_membership=make_membership)
+        self._fleet = self._make_fleet(seed, make_membership)
         self._entries = make_entries(ZONES, HOSTS)
         self._incarnations: dict[str, int] = {}
 
+    def _make_fleet(
+        self, seed: int, make_membership: Callable[..., Membership]
+    ) -> Fleet:
+        return Fleet(seed, make_membership=make_membership)
+
     def run(self, faults: Sequence[TimedFault]) -> None:
         """Run the faults, mend the links and check the end."""
         for entry in self._entries:
@@ -102,10 +107,13 @@
             name = f'z{fault.zone}-h{fault.host}'
             getattr(self, f'_{fault.kind.replace("-", "_")}')(name)
         self._run(5.0)
-        self._fleet.heal()
+        self._mend()
         self._run(SETTLE_S)
         self._check_agreement()
 
+    def _mend(self) -> None:
+        self._fleet.heal()
+
     def _start(self, name: str, zone: str) -> None:
         self._incarnations.pop(name, None)
         self._fleet.add(name, zone, 'r0', self._entries)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -14,12 +14,15 @@
 from returns.result import Failure as Failed
 from returns.result import Success
 
+from features.fakes.configuration_schedule import ConfigurationSchedule
+from features.fakes.configuration_schedule import FaultKind
 from features.fakes.configuration_trace import ConfigurationReplay
 from features.fakes.configuration_trace import make_configuration
 from features.fakes.configuration_trace import TakesAnyRevision
 from features.fakes.fake_platform import FakePlatform
 from features.fakes.fake_platform import Fault
 from features.fakes.generated import find_violation
+from features.fakes.membership_schedule import make_schedules
 from trefoilpulley_core.configuration.change import Applied
 from trefoilpulley_core.configuration.change import ChangeConflict
 from trefoilpulley_core.configuration.change import ChangeNotApplied
@@ -42,6 +45,9 @@
 EXAMPLES = 300
 """Generated cases."""
 
+SCHEDULE_EXAMPLES = 15
+"""Generated schedules of faults."""
+
 NOTHING = Declarations()
 """Declarations of every change."""
 
@@ -256,6 +262,22 @@
         violation = find_violation(offer, EXAMPLES, orders)
         assert violation is None, violation
 
+    @staticmethod
+    @then(
+        'amid any {count:d} faults the configuration never goes back '
+        'and reaches every host'
+    )
+    def check_schedules(context: Any, count: int) -> None:
+        """Run generated schedules."""
+        violation = _run_schedules(count, ConfigurationHolder)
+        assert violation is None, violation
+
+    @staticmethod
+    @then('some {count:d} faults let the configuration go back')
+    def check_schedules_bite(context: Any, count: int) -> None:
+        """Expect the broken rule to be noticed."""
+        assert _run_schedules(count, context.make_holder) is not None
+
     @staticmethod
     @given(
         'a configuration fleet of {zones:d} zones with {hosts:d} hosts each'
@@ -358,6 +380,17 @@
         assert calls <= count * context.zones * context.changes, calls
 
 
+def _run_schedules(
+    count: int, make_holder: type[ConfigurationHolder]
+) -> AssertionError | None:
+    def run(faults: list[Any], seed: int) -> None:
+        ConfigurationSchedule(seed, make_holder).run(faults)
+
+    schedules = make_schedules(tuple(FaultKind), count)
+    seeds = strategies.integers(0, 1000)
+    return find_violation(run, SCHEDULE_EXAMPLES, schedules, seeds)
+
+
 def _find_untruth(submit: Callable[..., Any]) -> AssertionError | None:
     faults = strategies.lists(strategies.sampled_from(Fault), max_size=8)
     rivals = strategies.integers(0, 3)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -13,8 +13,9 @@
 
 from features.fakes.generated import find_violation
 from features.fakes.membership_faults import FAULTS
+from features.fakes.membership_schedule import FaultKind
+from features.fakes.membership_schedule import make_schedules
 from features.fakes.membership_schedule import MembershipSchedule
-from features.fakes.membership_schedule import SCHEDULES
 from features.fakes.membership_trace import MembershipReplay
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import MemberEntry
@@ -195,7 +196,8 @@
     def run(faults: list[Any], seed: int) -> None:
         MembershipSchedule(seed, make).run(faults)
 
-    return find_violation(run, SCHEDULE_EXAMPLES, SCHEDULES[count], SEEDS)
+    schedules = make_schedules(tuple(FaultKind), count)
+    return find_violation(run, SCHEDULE_EXAMPLES, schedules, SEEDS)
 
 
 def _merge(records: list[HostRecord]) -> tuple[Any, ...]:
