--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := packages features .ci
 DEPLOYMENT ?= karamanlis
 
-.PHONY: setup format lint test demo measure clean
+.PHONY: setup format lint test demo explore measure clean
 
 setup: $(VENV)/.stamp
 
@@ -33,6 +33,10 @@
 demo: setup
 	$(BIN)/python -m trefoilpulley_standins.demo --deployment $(DEPLOYMENT)
 
+explore: setup
+	$(BIN)/python -m trefoilpulley_standins.explore
+	$(BIN)/python -m trefoilpulley_standins.explore_schedules --count 500
+
 measure: setup
 	$(BIN)/python -m trefoilpulley_standins.measure
 
--- a/features/coordination_replay.feature
+++ b/features/coordination_replay.feature
@@ -88,6 +88,10 @@
     When the coordination trace "service-out-coordinator-dies" is replayed for 40 seconds
     Then no term was used by two processes
 
+  Scenario: coordination: pairs and triples around promotion and handover
+    When the coordination meets 8 sets of faults around its steps
+    Then no set of faults broke a rule and each has settled
+
   Scenario Outline: coordination: <count> faults at a time, seed <seed>
     When the coordination meets <count> generated faults of seed <seed>
     Then the coordination broke no rule
--- a/features/steps/coordination_replay_steps.py
+++ b/features/steps/coordination_replay_steps.py
@@ -10,9 +10,16 @@
 from behave import given
 from behave import then
 from behave import when
+from hypothesis import given as hypothesis_given
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from trefoilpulley_core.coordination.commands import HandoverBegan
 from trefoilpulley_core.coordination.commands import PromotionBegan
+from trefoilpulley_standins.explore_schedules import FAULTS
+from trefoilpulley_standins.explore_schedules import FAULTS_FROM_S
+from trefoilpulley_standins.explore_schedules import FIRST_FAULTS
 from trefoilpulley_standins.explore_schedules import judge
 from trefoilpulley_standins.explore_schedules import make_schedule
 from trefoilpulley_standins.explore_schedules import play_schedule
@@ -59,6 +66,35 @@
         steps = make_schedule(random.Random(seed), count)
         context.stage = play_schedule(steps, seed)
 
+    @staticmethod
+    @when('the coordination meets {count:d} sets of faults around its steps')
+    def generate_sets(context: Any, count: int) -> None:
+        """Let pairs and triples strike close to the first fault."""
+        context.verdicts = []
+
+        @settings(
+            derandomize=True,
+            max_examples=count,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        )
+        @hypothesis_given(_fault_sets())
+        def play(steps: tuple[Step, ...]) -> None:
+            stage = play_schedule(steps, SEED)
+            context.verdicts.append((steps, judge(stage)))
+
+        play()
+
+    @staticmethod
+    @then('no set of faults broke a rule and each has settled')
+    def check_sets(context: Any) -> None:
+        """Judge each set."""
+        assert context.verdicts
+        for steps, verdict in context.verdicts:
+            assert not verdict.faults, (steps, verdict)
+            assert verdict.is_settled, (steps, verdict)
+
     @staticmethod
     @then('the coordination broke no rule')
     def check_rules(context: Any) -> None:
@@ -141,6 +177,20 @@
         assert verdict.is_settled, verdict
 
 
+def _fault_sets() -> st.SearchStrategy[tuple[Step, ...]]:
+    struck = st.tuples(
+        st.floats(0.0, 2.0).map(lambda t: round(FAULTS_FROM_S + t, 3)),
+        st.sampled_from(FAULTS),
+    )
+    first = st.sampled_from(FIRST_FAULTS)
+    return st.tuples(first, st.lists(struck, min_size=1, max_size=2)).map(
+        lambda drawn: (
+            Step(FAULTS_FROM_S, *drawn[0]),
+            *(Step(time, *fault) for time, fault in drawn[1]),
+        )
+    )
+
+
 def _notices(context: Any) -> list[tuple[float, Any]]:
     found = [n for h in context.stage.hosts for n in h.notices]
     return sorted(found, key=lambda one: one[0])
--- a/packages/standins/src/trefoilpulley_standins/explore_schedules.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_schedules.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import combinations
 import random
 
 import click
@@ -30,6 +31,44 @@
 """Availability zones; the first three have members."""
 
 
+_MEMBERS = tuple(f'ledger/0/{zone}' for zone in ZONES[:3])
+
+FIRST_FAULTS = (
+    ('member-down', ('primary',)),
+    ('member-isolated', ('primary',)),
+    ('member-unpooled', ('primary',)),
+    ('zone-cut', ('a',)),
+    ('stop-planned', ('a',)),
+    ('member-leaving', ('primary',)),
+)
+"""Events that begin a promotion or a handover, with their parties."""
+
+FAULTS = (
+    ('member-down', ('primary',)),
+    ('member-isolated', ('primary',)),
+    ('service-down', ()),
+    ('service-slow', ()),
+    ('service-silent', ()),
+    ('host-down', ('acting',)),
+    *(('host-paused', ('acting', t)) for t in ('0.3', '1.5', '5.0')),
+    *(('member-down', (name,)) for name in _MEMBERS),
+    *(('member-unpooled', (name,)) for name in _MEMBERS),
+    *(('member-leaving', (name,)) for name in _MEMBERS),
+    *(('zone-cut', (zone,)) for zone in ZONES),
+    *(('stop-planned', (zone,)) for zone in ZONES),
+    *(('link-cut', pair) for pair in combinations(ZONES, 2)),
+)
+"""Events that strike in the middle, with their parties."""
+
+ENDS = (
+    ('healed', ()),
+    ('service-up', ()),
+    *(('zone-joined', (zone,)) for zone in ZONES),
+    *(('stop-cancelled', (zone,)) for zone in ZONES),
+)
+"""Events that end a fault, with their parties."""
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """Outcome of one schedule."""
@@ -46,12 +85,12 @@
 
 def make_schedule(rng: random.Random, fault_count: int) -> tuple[Step, ...]:
     """Return faults at random times, the first one a lost primary."""
-    steps = [Step(FAULTS_FROM_S, *_lost_primary(rng))]
+    steps = [Step(FAULTS_FROM_S, *rng.choice(FIRST_FAULTS))]
     for _ in range(fault_count):
         time = rng.uniform(FAULTS_FROM_S - 1.0, FAULTS_UNTIL_S)
-        steps.append(Step(round(time, 3), *_any_fault(rng)))
+        steps.append(Step(round(time, 3), *rng.choice(FAULTS)))
         end = time + rng.choice((0.2, 1.0, 4.0, 12.0))
-        steps.append(Step(round(end, 3), *_any_end(rng)))
+        steps.append(Step(round(end, 3), *rng.choice(ENDS)))
     return tuple(sorted(steps, key=lambda s: s.time))
 
 
@@ -84,54 +123,6 @@
     )
 
 
-def _lost_primary(rng: random.Random) -> tuple[str, tuple[str, ...]]:
-    return rng.choice(
-        (
-            ('member-down', ('primary',)),
-            ('member-isolated', ('primary',)),
-            ('member-unpooled', ('primary',)),
-            ('zone-cut', ('a',)),
-            ('stop-planned', ('a',)),
-            ('member-leaving', ('primary',)),
-        )
-    )
-
-
-def _any_fault(rng: random.Random) -> tuple[str, tuple[str, ...]]:
-    zone = rng.choice(ZONES)
-    member = f'ledger/0/{rng.choice(ZONES[:3])}'
-    pause_s = str(rng.choice((0.3, 1.5, 5.0)))
-    return rng.choice(
-        (
-            ('member-down', (member,)),
-            ('member-down', ('primary',)),
-            ('member-isolated', ('primary',)),
-            ('member-unpooled', (member,)),
-            ('zone-cut', (zone,)),
-            ('link-cut', tuple(rng.sample(ZONES, 2))),
-            ('service-down', ()),
-            ('service-slow', ()),
-            ('service-silent', ()),
-            ('host-paused', ('acting', pause_s)),
-            ('host-down', ('acting',)),
-            ('stop-planned', (zone,)),
-            ('member-leaving', (member,)),
-        )
-    )
-
-
-def _any_end(rng: random.Random) -> tuple[str, tuple[str, ...]]:
-    zone = rng.choice(ZONES)
-    return rng.choice(
-        (
-            ('healed', ()),
-            ('service-up', ()),
-            ('zone-joined', (zone,)),
-            ('stop-cancelled', (zone,)),
-        )
-    )
-
-
 @click.command()
 @click.option('--count', default=200, help='Schedules to run.')
 @click.option('--first-seed', default=0, help='Seed of the first one.')
