Ask for a majority of copies whatever the size of the group

Cause: a class that asks for two copies would be acknowledged by two of five members, which an old primary could still reach. Change: the greater of the class's copies and the group's majority.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -74,3 +74,14 @@
       | write | ran          | answered        |
       | read  | lost         | refused not-run |
       | read  | ran          | answered        |
+
+  Scenario Outline: a write asks for a majority of copies at the least
+    Given a pooler that answers a write: ran
+    And its database has <members> members
+    When the pipeline delivers the write
+    Then the pooler was asked for <copies> copies
+
+    Examples:
+      | members | copies |
+      | 3       | 2      |
+      | 5       | 3      |
--- a/features/steps/pipeline_steps.py
+++ b/features/steps/pipeline_steps.py
@@ -18,6 +18,8 @@
 from trefoilpulley_core.admission import Admission
 from trefoilpulley_core.caller import Execute
 from trefoilpulley_core.catalog import DatabaseEntry
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import MemberEntry
 from trefoilpulley_core.declarations import Declarations
 from trefoilpulley_core.declarations import Freshness
 from trefoilpulley_core.declarations import FreshnessKind
@@ -152,6 +154,7 @@
         context.peers = FakePeers(context.clock, answers.split(', '))
         context.confirm_type = Confirm
         context.is_cut_off = False
+        context.database = DATABASES['ledger/0']
 
     @staticmethod
     @given('a pipeline that takes the last refusal for the outcome')
@@ -159,6 +162,22 @@
         """Put a deliberate fault in."""
         context.confirm_type = _LastRefusal
 
+    @staticmethod
+    @given('its database has {count:d} members')
+    def set_members(context: Any, count: int) -> None:
+        """Build a database group."""
+        members = tuple(
+            MemberEntry(f'm{n}', 'zone', Endpoint('127.0.0.1', 1), 2, 16)
+            for n in range(count)
+        )
+        context.database = DatabaseEntry('ledger/0', 'ledger', members)
+
+    @staticmethod
+    @then('the pooler was asked for {count:d} copies')
+    def check_copies(context: Any, count: int) -> None:
+        """Compare the copies in the message."""
+        assert context.peers.sent[0].message.copies == count
+
     @staticmethod
     @given('its zone is cut off')
     def cut_zone(context: Any) -> None:
@@ -199,7 +218,7 @@
             replace(
                 req,
                 work_class=work_class,
-                database=DATABASES['ledger/0'],
+                database=context.database,
                 deadline=clock.now() + 1,
                 floor=BEGINNING,
                 token=SessionToken('north'),
--- a/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
+++ b/packages/node/src/trefoilpulley_node/entry/entry_transactions.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import gevent
 from returns.result import Failure as Failed
 from returns.result import Result
 from returns.result import Success
@@ -56,6 +57,9 @@
 ANSWER_MARGIN_S = 0.5
 """Wait for the answer to an attempt beyond its time."""
 
+LATE_ANSWER_S = 60.0
+"""Time for which a transaction that begins too late is rolled back."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Bound:
@@ -158,8 +162,7 @@
             return prepared
         del self._open[message.transaction]
         req = prepared.unwrap()
-        copies = req.work_class.safety.copies
-        pooled = PooledCommit(bound.pooled, key, copies)
+        pooled = PooledCommit(bound.pooled, key, req.copies)
         reply = self._peers.call_host(bound.host, pooled, STATEMENT_TIMEOUT_S)
         settled = self._settle(req, bound, reply)
         return settled.map(lambda found: replace(req, delivered=found))
@@ -220,7 +223,7 @@
         message = PooledBegin(scope, req.floor or BEGINNING)
         sent_at = self._clock.now()
         timeout_s = left_s + ANSWER_MARGIN_S
-        reply = self._peers.ask_host(host, message, timeout_s)
+        reply = self._ask_to_begin(host, message, timeout_s)
         if not isinstance(reply, Success):
             return reply
         begun = reply.unwrap()
@@ -236,6 +239,28 @@
         )
         return Success(transaction)
 
+    def _ask_to_begin(
+        self, host: str, message: PooledBegin, timeout_s: float
+    ) -> Result[Any, Failure]:
+        # Where the link to the pooler is cut, the request may arrive long
+        # after the caller was refused; it would hold the member's writes.
+        asked = gevent.spawn(
+            self._peers.ask_host, host, message, LATE_ANSWER_S
+        )
+        asked.join(timeout_s)
+        if asked.ready():
+            return asked.get()
+        asked.link_value(
+            lambda done: gevent.spawn(self._drop_late, host, done.value)
+        )
+        return Failed(PeerUnreachable('no answer in time'))
+
+    def _drop_late(self, host: str, reply: Result[Any, Failure]) -> None:
+        begun = reply.value_or(None)
+        if isinstance(begun, PooledBegun):
+            rollback = PooledRollback(begun.transaction)
+            self._peers.call_host(host, rollback, STATEMENT_TIMEOUT_S)
+
     def _find(
         self, transaction: str, tenant: str, connection: int
     ) -> _Bound | None:
--- a/packages/node/src/trefoilpulley_node/pipeline/classify.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/classify.py
@@ -54,8 +54,8 @@
         tenant = declarations.find_tenant(req.tenant)
         if database is None:
             return Failed(UnknownDatabase(req.message.database))
-        if tenant is None or not _is_granted(tenant, database, name):
-            return Failed(NotAuthorized(f'{name} on {database.ledger}'))
+        if tenant is None or not self._is_granted(tenant, database, name):
+            return Failed(NotAuthorized(f'{name} on {database.name}'))
         within_s = work_class.promptness.within_ms / 1000
         return Success(
             replace(
@@ -66,12 +66,11 @@
             )
         )
 
-
-def _is_granted(
-    tenant: Tenant, database: DatabaseEntry, work_class: str
-) -> bool:
-    return any(
-        grant.ledger in (database.ledger, database.name)
-        and work_class in grant.classes
-        for grant in tenant.grants
-    )
+    def _is_granted(
+        self, tenant: Tenant, database: DatabaseEntry, work_class: str
+    ) -> bool:
+        return any(
+            grant.covers(database.ledger, database.name)
+            and work_class in grant.classes
+            for grant in tenant.grants
+        )
--- a/packages/node/src/trefoilpulley_node/pipeline/execute.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/execute.py
@@ -43,9 +43,6 @@
 LEAST_READ_S = 0.02
 """Shortest time for one attempt of a read."""
 
-READ_CONFIRM_COPIES = 2
-"""Members that must hold what a floorless read has seen."""
-
 
 class Executor:
     """Sends requests to the poolers of members.
@@ -89,7 +86,7 @@
             req.work_class.name,
             max(1, round(1000 * remaining_s)),
         )
-        message = PooledResolve(scope, req.key, req.work_class.safety.copies)
+        message = PooledResolve(scope, req.key, req.copies)
         return self._ask(route.member, message, scope, req.database.name)
 
     def _scope(self, req: PipelineRequest, route: Route) -> WorkScope:
@@ -148,7 +145,7 @@
 
 def _make_write(req: PipelineRequest, scope: WorkScope) -> PooledWrite:
     statement = Statement(req.message.sql, req.message.parameters)
-    return PooledWrite(scope, statement, req.key, req.work_class.safety.copies)
+    return PooledWrite(scope, statement, req.key, req.copies)
 
 
 def _make_read(
@@ -163,6 +160,6 @@
         route.floor or req.floor or BEGINNING,
         freshness.max_age_ms,
         route.wait_ms,
-        READ_CONFIRM_COPIES if needs_copies and route.is_primary else 0,
+        req.database.majority if needs_copies and route.is_primary else 0,
         is_present,
     )
--- a/packages/node/src/trefoilpulley_node/pipeline/request.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/request.py
@@ -70,6 +70,15 @@
     delivered: Delivered | None = None
     """Result; set by ``Execute`` or ``Confirm``."""
 
+    @property
+    def copies(self) -> int:
+        """Members that must hold a write before its answer.
+
+        Never less than a majority, whatever the size of the group, so
+        that a primary cut off with a minority acknowledges nothing.
+        """
+        return max(self.work_class.safety.copies, self.database.majority)
+
 
 class Filter(abc.ABC):
     """One step of the request pipeline."""
