Roll back a transaction that begins after its caller was refused

Cause: where a zone is cut off, its hosts' requests to begin a transaction wait in the link and reach the pooler when the cut is healed, long after the entry host has given up. Nobody knew such a transaction, and it held the member's one writer until its idle limit of 2 s.

Change: the entry host goes on listening for the answer and rolls the transaction back as soon as it comes.

--- a/features/entry_transactions.feature
+++ b/features/entry_transactions.feature
@@ -26,3 +26,9 @@
     Given a transaction that a caller has begun at "ledger/0"
     When its caller goes while a statement runs in it
     Then 0 transactions are open at the entry host
+
+  Scenario: a transaction that begins after its caller was refused
+    Given a pooler whose answer comes after the caller's time
+    When the caller begins a transaction there
+    Then the begin is refused as "no-upstream"
+    And the late transaction is rolled back at the pooler
--- a/features/steps/entry_transactions_steps.py
+++ b/features/steps/entry_transactions_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+from gevent.event import Event
 
 from features.fakes.fake_entry_parts import FakeClock
 from features.fakes.fake_entry_parts import FakePeers
@@ -22,6 +23,8 @@
 from trefoilpulley_core.declarations import Safety
 from trefoilpulley_core.declarations import WorkClass
 from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.peer import PooledBegin
+from trefoilpulley_core.peer import PooledRollback
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.token import SessionToken
@@ -55,6 +58,27 @@
         return reply
 
 
+class LatePeers(FakePeers):
+    """Answers a begin when the caller's time has passed."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        super().__init__(clock, ['begun', 'ran'])
+        self.has_refused = Event()
+        self.is_rolled_back = Event()
+
+    def ask_host(
+        self, host: str, message: Any, timeout_s: float, abort: Any = None
+    ) -> Any:
+        """Hold the answer to a begin back."""
+        reply = super().ask_host(host, message, timeout_s)
+        if isinstance(message, PooledBegin):
+            self._clock.at += 1
+            self.has_refused.wait(5)
+        if isinstance(message, PooledRollback):
+            self.is_rolled_back.set()
+        return reply
+
+
 class EntryTransactionSteps:
     """Drives the transactions over a scripted pooler."""
 
@@ -64,6 +88,45 @@
         """Begin one transaction."""
         clock = FakeClock()
         peers = LeavingPeers(clock, ['begun', 'ran'])
+        EntryTransactionSteps._start(context, clock, peers)
+        peers.transactions = context.transactions
+        req = _make_request(database, clock.now() + 1)
+        context.transaction = context.transactions.begin(
+            req, CONNECTION
+        ).unwrap()
+
+    @staticmethod
+    @given("a pooler whose answer comes after the caller's time")
+    def start_late(context: Any) -> None:
+        """Hold the pooler's answer back."""
+        context.clock = FakeClock()
+        context.peers = LatePeers(context.clock)
+        EntryTransactionSteps._start(context, context.clock, context.peers)
+
+    @staticmethod
+    @when('the caller begins a transaction there')
+    def begin_late(context: Any) -> None:
+        """Begin, and let the pooler answer after the refusal."""
+        req = _make_request('ledger/0', context.clock.now() + 0.001)
+        context.result = context.transactions.begin(req, CONNECTION)
+        context.peers.has_refused.set()
+
+    @staticmethod
+    @then('the begin is refused as "{code}"')
+    def check_begin_refused(context: Any, code: str) -> None:
+        """Compare the failure."""
+        assert context.result.failure().code == code, context.result
+
+    @staticmethod
+    @then('the late transaction is rolled back at the pooler')
+    def check_rolled_back(context: Any) -> None:
+        """Await the rollback."""
+        assert context.peers.is_rolled_back.wait(5)
+        rollback = context.peers.sent[-1].message
+        assert rollback == PooledRollback('t1'), rollback
+
+    @staticmethod
+    def _start(context: Any, clock: FakeClock, peers: FakePeers) -> None:
         views = FakeViews(clock)
         router = FakeRouter()
         context.codec = TokenCodec('deployment', ('key',))
@@ -77,20 +140,6 @@
         context.transactions = EntryTransactions(
             router, peers, SessionFloor(context.codec), confirm, views, clock
         )
-        peers.transactions = context.transactions
-        req = PipelineRequest(
-            TENANT,
-            Begin('filing', database),
-            clock.now(),
-            FILING,
-            DatabaseEntry(database, 'ledger', ()),
-            clock.now() + 1,
-            SessionToken(TENANT),
-            BEGINNING,
-        )
-        context.transaction = context.transactions.begin(
-            req, CONNECTION
-        ).unwrap()
 
     @staticmethod
     @when('the caller commits it with a token of a write at "{database}"')
@@ -163,3 +212,16 @@
             transaction=context.transaction,
         )
         context.result = context.transactions.run(message, tenant, connection)
+
+
+def _make_request(database: str, deadline: float) -> PipelineRequest:
+    return PipelineRequest(
+        TENANT,
+        Begin('filing', database),
+        0.0,
+        FILING,
+        DatabaseEntry(database, 'ledger', ()),
+        deadline,
+        SessionToken(TENANT),
+        BEGINNING,
+    )
