Give each member of the consortium a database of its own

No SQL is parsed, so the rivals could read each other's orders. Change: the tenants are three members, each with a right on one database. The workload draws a session's databases from its tenant's rights, and steady writers, the killed transaction and the figures' load use a tenant that may write there. Each tenant also tries a read and a write on another's database; what is not refused as not-authorized counts as wrong_answer.

--- a/features/steps/standins_demo_steps.py
+++ b/features/steps/standins_demo_steps.py
@@ -16,17 +16,27 @@
 from trefoilpulley_core.declarations import Safety
 from trefoilpulley_core.declarations import WorkClass
 from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.failure import NotAuthorized
 from trefoilpulley_standins.demo.checker import Checker
 from trefoilpulley_standins.demo.checker import MemberRows
 from trefoilpulley_standins.demo.checker import StopWindow
 from trefoilpulley_standins.demo.checker import StoredRow
 from trefoilpulley_standins.demo.journal import Entry
 from trefoilpulley_standins.demo.journal import Verdict
+from trefoilpulley_standins.demo.record import recording_of
 from trefoilpulley_standins.demo.report import dump_report
 from trefoilpulley_standins.demo.report import Report
+from trefoilpulley_standins.demo.tenants import find_writer
+from trefoilpulley_standins.demo.tenants import list_works
+from trefoilpulley_standins.demo.tenants import make_foreign_steps
+from trefoilpulley_standins.demo.workload import load_workload
 from trefoilpulley_standins.demo.workload import record_workload
+from trefoilpulley_standins.demo.workload import Step
 from trefoilpulley_standins.demo.workload import StepKind
 from trefoilpulley_standins.demo.workload import TenantWork
+from trefoilpulley_standins.deployment import Deployment
+from trefoilpulley_standins.deployment import find_deployment
+from trefoilpulley_standins.starting import load_declarations
 
 _DATABASE = 'ledger/0'
 _STOP = StopWindow(_DATABASE, 20.0, 24.0)
@@ -116,13 +126,52 @@
     )
     def check_recordings(context: Any) -> None:
         """Draw three recordings."""
-        work = (TenantWork('weavers', ('filing',), ('lookup',)),)
+        work = (TenantWork('weavers', ('filing',), ('lookup',), (0, 1, 2)),)
         first, again, other = (
-            record_workload(work, 3, seed) for seed in (1, 1, 2)
+            record_workload(work, seed) for seed in (1, 1, 2)
         )
         assert first == again
         assert first != other
 
+    @staticmethod
+    @then('the standins checker counts no refusal')
+    def check_no_refusal(context: Any) -> None:
+        """Expect that a try does not count among the refused."""
+        assert _check(context).count(Verdict.REFUSED) == 0
+
+    @staticmethod
+    @then('the standins recording of "{name}" is drawn from the seed {seed:d}')
+    def check_recording(context: Any, name: str, seed: int) -> None:
+        """Draw the recording anew."""
+        works = list_works(find_deployment(name))
+        recorded = load_workload(recording_of(name))
+        assert recorded == record_workload(works, seed)
+
+    @staticmethod
+    @then('every standins step of "{name}" is granted')
+    def check_granted(context: Any, name: str) -> None:
+        """Expect a right for each step and for steady writers."""
+        deployment = find_deployment(name)
+        steps = load_workload(recording_of(name))
+        refused = [s for s in steps if not _is_granted(deployment, s)]
+        assert not refused, refused[0]
+        for number in range(deployment.databases):
+            tenant = find_writer(deployment, number)
+            work = deployment.write_class
+            step = Step(0, 0, StepKind.WRITE, tenant, work, number)
+            assert _is_granted(deployment, step), step
+
+    @staticmethod
+    @then('"{name}" has {tries:d} standins tries, none of them granted')
+    def check_tries(context: Any, name: str, tries: int) -> None:
+        """Count the tries; each tenant reads and writes once."""
+        deployment = find_deployment(name)
+        steps = tuple(make_foreign_steps(deployment, 0))
+        assert len({(s.tenant, s.kind) for s in steps}) == tries, steps
+        assert len(steps) == tries, steps
+        assert not any(_is_granted(deployment, s) for s in steps)
+        assert all(s.is_foreign for s in steps)
+
     @staticmethod
     @given('a standins report with 1 in "{key}"')
     def make_report(context: Any, key: str) -> None:
@@ -144,6 +193,16 @@
         assert list(document) == context.text.split()
 
 
+def _is_granted(deployment: Deployment, step: Step) -> bool:
+    tenant = load_declarations(deployment).find_tenant(step.tenant)
+    database = f'{deployment.ledger}/{step.database}'
+    return any(
+        grant.ledger in (deployment.ledger, database)
+        and (step.work_class in grant.classes or step.kind is StepKind.ROAM)
+        for grant in tenant.grants
+    )
+
+
 def _write(request: str, session: str, began_s: float, last_id: int) -> Entry:
     return Entry(
         request,
@@ -240,6 +299,35 @@
     _refuse(context, 'w9')
 
 
+def _try_read(context: Any) -> None:
+    entry = _read('f1', 's3', 2.0, last_id=3)
+    context.entries['f1'] = replace(entry, is_foreign=True)
+
+
+def _try_write(context: Any) -> None:
+    entry = _write('f1', 's3', 9.5, 4)
+    context.entries['f1'] = replace(entry, is_foreign=True)
+    _store(context, StoredRow(4, 'f1', 's3', 1))
+
+
+def _try_overloaded(context: Any) -> None:
+    _refuse(context, 'f1', is_foreign=True, code='overloaded')
+
+
+def _try_unknown(context: Any) -> None:
+    _refuse(
+        context,
+        'f1',
+        is_foreign=True,
+        verdict=Verdict.UNKNOWN,
+        code='outcome-unknown',
+    )
+
+
+def _try_refused(context: Any) -> None:
+    _refuse(context, 'f1', is_foreign=True, code=NotAuthorized.code)
+
+
 def _cut(context: Any) -> None:
     _refuse(context, 'w9', began_s=21.0, ended_s=22.0)
 
@@ -256,6 +344,11 @@
     'a refused write is in the rows': _refuse_falsely,
     'a write is refused truly': _refuse_truly,
     'a request is refused in a planned stop': _cut,
+    "a read of another tenant's database is answered": _try_read,
+    "a write to another tenant's database is answered": _try_write,
+    "a write to another tenant's database is overloaded": _try_overloaded,
+    "a write to another tenant's database is unknown": _try_unknown,
+    "a write to another tenant's database is not authorized": _try_refused,
 }
 
 
--- a/packages/core/src/trefoilpulley_core/declarations.py
+++ b/packages/core/src/trefoilpulley_core/declarations.py
@@ -93,6 +93,10 @@
     classes: tuple[str, ...]
     """Names of the classes of work."""
 
+    def covers(self, ledger: str, database: str) -> bool:
+        """Return whether the right holds on a database of a ledger."""
+        return self.ledger in (ledger, database)
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
--- a/packages/standins/src/trefoilpulley_standins/demo/caller.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/caller.py
@@ -114,6 +114,7 @@
             0.0,
             Verdict.ANSWERED,
             own_floor=self._acknowledged[database],
+            is_foreign=step.is_foreign,
         )
         try:
             done = self._send(step, entry)
--- a/packages/standins/src/trefoilpulley_standins/demo/checker.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/checker.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.declarations import FreshnessKind
+from trefoilpulley_core.failure import NotAuthorized
 from trefoilpulley_standins.demo.journal import Verdict
 from trefoilpulley_standins.demo.report import ClassReport
 from trefoilpulley_standins.demo.report import ClassTarget
@@ -92,6 +93,7 @@
         self._writes = [
             e for e in self._entries if e.kind is not StepKind.READ
         ]
+        self._granted = [e for e in self._entries if not e.is_foreign]
         self._reads = [e for e in self._entries if e.kind is StepKind.READ]
         self._parts = {
             (m.database, m.member): _parts_of(m.rows) for m in members
@@ -99,8 +101,8 @@
         self._acknowledged = _AcknowledgedIds(self._answered_writes())
 
     def count(self, verdict: Verdict) -> int:
-        """Return the requests with a verdict."""
-        return sum(e.verdict is verdict for e in self._entries)
+        """Return the granted requests with a verdict."""
+        return sum(e.verdict is verdict for e in self._granted)
 
     def count_lost(self) -> int:
         """Count acknowledged writes that some member lacks at the end."""
@@ -135,8 +137,9 @@
         return foreign + partial
 
     def count_wrong_answers(self) -> int:
-        """Count answers to another request than the caller's own."""
-        return sum(not e.is_own_answer for e in self._answered_reads())
+        """Count answers to another's request or on another's database."""
+        crossed = sum(not e.is_own_answer for e in self._answered_reads())
+        return crossed + self._count_let_through()
 
     def count_ryw_violations(self) -> int:
         """Count reads that miss a write of their own session."""
@@ -165,7 +168,7 @@
             and e.database == w.database
             and w.began_s <= e.began_s <= w.ended_s
             for w in windows
-            for e in self._entries
+            for e in self._granted
         )
 
     def replica_read_share(self) -> float:
@@ -199,8 +202,14 @@
             c.name: self._describe_class(c) for c in self._declarations.classes
         }
 
+    def _count_let_through(self) -> int:
+        return sum(
+            e.is_foreign and e.code != NotAuthorized.code
+            for e in self._entries
+        )
+
     def _describe_class(self, work_class: WorkClass) -> ClassReport:
-        sent = [e for e in self._entries if e.work_class == work_class.name]
+        sent = [e for e in self._granted if e.work_class == work_class.name]
         times = sorted(
             (e.ended_s - e.began_s) * 1000
             for e in sent
--- a/packages/standins/src/trefoilpulley_standins/demo/journal.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/journal.py
@@ -76,6 +76,9 @@
     is_own_answer: bool = True
     """Whether a read gave back the parameter that it was sent."""
 
+    is_foreign: bool = False
+    """Whether the tenant may not use the database."""
+
 
 _CONVERTER = make_converter(omit_if_default=True)
 
--- a/packages/standins/src/trefoilpulley_standins/demo/report.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/report.py
@@ -62,7 +62,7 @@
     """Rows in another's transaction, and transactions in part."""
 
     wrong_answer: int
-    """Answers to another request."""
+    """Answers to another request, or on another tenant's database."""
 
     ryw_violations: int
     """Reads that miss a write of their session."""
--- a/packages/standins/src/trefoilpulley_standins/demo/run.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/run.py
@@ -18,6 +18,8 @@
 from trefoilpulley_standins.demo.record import recording_of
 from trefoilpulley_standins.demo.report import Report
 from trefoilpulley_standins.demo.script import Script
+from trefoilpulley_standins.demo.tenants import find_writer
+from trefoilpulley_standins.demo.tenants import make_foreign_steps
 from trefoilpulley_standins.demo.workload import DURATION_MS
 from trefoilpulley_standins.demo.workload import load_workload
 from trefoilpulley_standins.demo.workload import SESSIONS
@@ -92,8 +94,7 @@
     layout: Layout, journal: Journal, seed: int
 ) -> list[gevent.Greenlet]:
     steps: dict[int, list[Step]] = defaultdict(list)
-    recorded = load_workload(recording_of(layout.deployment.name))
-    for step in (*recorded, *_make_steady_writes(layout)):
+    for step in _list_steps(layout.deployment):
         steps[step.session].append(step)
     callers = [
         Caller(layout, journal, f's{n}', own, seed * 1000 + n)
@@ -102,19 +103,27 @@
     return [gevent.spawn(caller.run) for caller in callers]
 
 
-def _make_steady_writes(layout: Layout) -> Iterator[Step]:
-    deployment = layout.deployment
+def _list_steps(deployment: Deployment) -> tuple[Step, ...]:
+    recorded = load_workload(recording_of(deployment.name))
+    steady = tuple(_make_steady_writes(deployment))
+    free = SESSIONS + deployment.databases * STEADY_SESSIONS
+    return (*recorded, *steady, *make_foreign_steps(deployment, free))
+
+
+def _make_steady_writes(deployment: Deployment) -> Iterator[Step]:
+    writers = [find_writer(deployment, n) for n in range(deployment.databases)]
     sessions = deployment.databases * STEADY_SESSIONS
     for number in range(sessions):
+        database = number % deployment.databases
         first_ms = number * STEADY_INTERVAL_MS // sessions
         for at_ms in range(first_ms, DURATION_MS, STEADY_INTERVAL_MS):
             yield Step(
                 at_ms,
                 SESSIONS + number,
                 StepKind.WRITE,
-                deployment.tenants[0],
+                writers[database],
                 deployment.write_class,
-                number % deployment.databases,
+                database,
             )
 
 
--- a/packages/standins/src/trefoilpulley_standins/demo/script.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/script.py
@@ -12,6 +12,7 @@
 from trefoilpulley_core.declarations import PlannedStop
 from trefoilpulley_standins.demo.caller import RETRY
 from trefoilpulley_standins.demo.checker import StopWindow
+from trefoilpulley_standins.demo.tenants import find_writer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -162,11 +163,13 @@
         cfg = next(h for h in self._layout.hosts if h.host == host)
         route = next(r for r in self._layout.routes if r.host == host)
         work = self._layout.deployment
+        database = self.stopped_database
+        tenant = find_writer(work, self._layout.databases.index(database))
         conn = connect(
             [f'{route.endpoint.address}:{route.endpoint.port}'],
-            cfg.tenants[0].tenant,
-            cfg.tenants[0].secret,
-            self.stopped_database.name,
+            tenant,
+            next(t.secret for t in cfg.tenants if t.tenant == tenant),
+            database.name,
             work.write_class,
             retry=RETRY,
         )
--- a/packages/standins/src/trefoilpulley_standins/demo/workload.py
+++ b/packages/standins/src/trefoilpulley_standins/demo/workload.py
@@ -56,10 +56,13 @@
     database: int = 0
     """Number of the database."""
 
+    is_foreign: bool = False
+    """Whether the tenant may not use the database."""
+
 
 @dataclass(frozen=True, slots=True)
 class TenantWork:
-    """Classes of work that a tenant uses."""
+    """Classes of work that a tenant uses on some databases."""
 
     tenant: str
     """Tenant."""
@@ -70,6 +73,9 @@
     reads: tuple[str, ...]
     """Classes that read."""
 
+    databases: tuple[int, ...]
+    """Numbers of the databases."""
+
 
 _CONVERTER = make_converter(omit_if_default=True)
 
@@ -91,16 +97,14 @@
 
 
 def record_workload(
-    tenants: tuple[TenantWork, ...], databases: int, seed: int
+    works: tuple[TenantWork, ...], seed: int
 ) -> tuple[Step, ...]:
     """Draw a recording.
 
     Parameters
     ----------
-    tenants : tuple[TenantWork, ...]
+    works : tuple[TenantWork, ...]
         What the sessions may do; sessions go round them.
-    databases : int
-        Number of databases.
     seed : int
         Seed of the recording.
 
@@ -112,20 +116,20 @@
     rng = random.Random(seed)
     steps: list[Step] = []
     for session in range(SESSIONS):
-        work = tenants[session % len(tenants)]
-        steps.extend(_draw_session(session, work, databases, rng))
+        work = works[session % len(works)]
+        steps.extend(_draw_session(session, work, rng))
     return tuple(sorted(steps, key=lambda s: (s.at_ms, s.session)))
 
 
 def _draw_session(
-    session: int, work: TenantWork, databases: int, rng: random.Random
+    session: int, work: TenantWork, rng: random.Random
 ) -> Iterator[Step]:
     at_ms = rng.random() * PAUSE_MS
-    database = rng.randrange(databases)
+    database = rng.choice(work.databases)
     while at_ms < DURATION_MS:
         kind = _draw_kind(work, rng)
         if rng.random() < 0.1:
-            database = rng.randrange(databases)
+            database = rng.choice(work.databases)
         yield Step(
             int(at_ms),
             session,
--- a/packages/standins/src/trefoilpulley_standins/deployment.py
+++ b/packages/standins/src/trefoilpulley_standins/deployment.py
@@ -66,6 +66,10 @@
     hosts: int = 8
     """Entry hosts."""
 
+    def name_of_database(self, number: int) -> str:
+        """Return the name of a database."""
+        return f'{self.ledger}/{number}'
+
     def zone_of_host(self, number: int) -> str:
         """Return the zone of an entry host."""
         return self.zones[number % len(self.zones)]
@@ -99,7 +103,7 @@
         'luzon',
         ('manila-north', 'manila-south', 'laguna', 'pampanga'),
         'shared-ledger',
-        ('stall-owners', 'kiosk-chains', 'print-houses'),
+        ('bulacan-sleeves', 'cavite-sleeves', 'quezon-sleeves'),
         _BOOKINGS,
         'bookings',
         'booking',
--- a/packages/standins/src/trefoilpulley_standins/layout.py
+++ b/packages/standins/src/trefoilpulley_standins/layout.py
@@ -176,7 +176,7 @@
 
     def _make_database(self, number: int) -> DatabaseEntry:
         dep = self._deployment
-        name = f'{dep.ledger}/{number}'
+        name = dep.name_of_database(number)
         members = tuple(
             MemberEntry(
                 f'{name}/{string.ascii_lowercase[i]}',
