Name the check of old verdicts by what it does

Cause: 'rumours' and 'the accused' are metaphors; the module probes a host that is said to be dead before it believes the claim. Conclusion: names only.

--- a/features/fakes/membership_faults.py
+++ b/features/fakes/membership_faults.py
@@ -40,12 +40,12 @@
         watch._choose_helpers = lambda subject: []
 
 
-class RumoursAreBelieved(Membership):
+class BelievesOldDeaths(Membership):
     """A host that asks no accused."""
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self._rumours.learn = self._news.learn
+        self._verifier.learn = self._news.learn
 
 
 class ListBeforeRecords(Membership):
@@ -78,7 +78,7 @@
     'no ring probes': NoRingProbes,
     'no word on leaving': NoWordOnLeaving,
     'silence is a verdict': SilenceIsVerdict,
-    'rumours are believed': RumoursAreBelieved,
+    'believes old deaths': BelievesOldDeaths,
     'list before records': ListBeforeRecords,
     'pause is evidence': PauseIsEvidence,
 }
--- a/features/membership_traces.feature
+++ b/features/membership_traces.feature
@@ -37,6 +37,6 @@
       | no ring probes       | dead-host    |
       | no word on leaving   | leaving-host |
       | silence is a verdict | one-link-cut |
-      | rumours are believed | cut-off-host |
+      | believes old deaths  | cut-off-host |
       | list before records  | listed-but-dead |
       | pause is evidence    | stuttering-zone |
--- a/packages/core/src/trefoilpulley_core/membership/rumours.py
+++ b/packages/core/src/trefoilpulley_core/membership/death_verifier.py
@@ -14,12 +14,12 @@
     from trefoilpulley_core.membership.record import HostRecord
     from trefoilpulley_core.membership.record import ZoneRecord
 
-RUMOUR_TIMEOUT_S = 0.5
+VERIFY_TIMEOUT_S = 0.5
 """Longest wait for the answer of a host that is said to be dead."""
 
 
-class Rumours:
-    """Asks the accused before it believes an old verdict.
+class DeathVerifier:
+    """Probes a host that is said to be dead before it believes it.
 
     A host that was cut off has taken its peers for dead. When the link
     comes back its records reach them before they can refute; without
@@ -32,7 +32,7 @@
     probes : Probes
         Sends the questions.
     outbox : Outbox
-        Takes the messages to the accused.
+        Takes the messages to the host concerned.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
             name,
             lambda now: self._checking.discard(name),
             on_silence,
-            RUMOUR_TIMEOUT_S,
+            VERIFY_TIMEOUT_S,
         )
 
     def _check_zone(self, record: ZoneRecord) -> None:
@@ -111,4 +111,4 @@
             self._checking.discard(record.zone)
             self._news.learn_zone(record)
 
-        self._probes.send(hosts[0], on_reached, on_silence, RUMOUR_TIMEOUT_S)
+        self._probes.send(hosts[0], on_reached, on_silence, VERIFY_TIMEOUT_S)
--- a/packages/core/src/trefoilpulley_core/membership/membership.py
+++ b/packages/core/src/trefoilpulley_core/membership/membership.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.membership.death_verifier import DeathVerifier
 from trefoilpulley_core.membership.failure_detector import FailureDetector
 from trefoilpulley_core.membership.messages import ProbeReport
 from trefoilpulley_core.membership.messages import Versions
@@ -14,7 +15,6 @@
 from trefoilpulley_core.membership.reconciler import Reconciler
 from trefoilpulley_core.membership.record import HostRecord
 from trefoilpulley_core.membership.record import HostState
-from trefoilpulley_core.membership.rumours import Rumours
 from trefoilpulley_core.membership.table import MembershipTable
 from trefoilpulley_core.membership.zone_watch import ZoneWatch
 
@@ -76,10 +76,10 @@
         self._table = MembershipTable(me.region)
         self._news = NewsSpread(own, self._table, self._outbox)
         self._reconciler = Reconciler(
-            self._news, self._outbox, lambda news: self._rumours.learn(news)
+            self._news, self._outbox, lambda news: self._verifier.learn(news)
         )
         self._probes = Probes(self._outbox, self._news, self._reconciler)
-        self._rumours = Rumours(self._news, self._probes, self._outbox)
+        self._verifier = DeathVerifier(self._news, self._probes, self._outbox)
         self._detector = FailureDetector(self._news, self._probes, rng)
         self._zone_watch = ZoneWatch(self._news, self._probes, rng)
         self._seeds = tuple(s for s in seeds if s != me.name)
@@ -169,7 +169,7 @@
         """Take the records of another host."""
         known = self._table.find(sender)
         if known is None or known.state is HostState.DEAD:
-            self._rumours.learn(news)
+            self._verifier.learn(news)
         else:
             self._news.learn(news)
 
@@ -206,7 +206,7 @@
             self._detector.on_wake()
             self._zone_watch.on_wake()
             self._reconciler.on_wake()
-            self._rumours.on_wake()
+            self._verifier.on_wake()
 
     def _join(self, now: float) -> None:
         if self._reconciler.is_joined and not self._is_introduced:
--- a/packages/core/src/trefoilpulley_core/membership/messages.py
+++ b/packages/core/src/trefoilpulley_core/membership/messages.py
@@ -53,7 +53,7 @@
     is_leaving: bool = False
     """Whether the answering host is leaving."""
 
-    rumour: HostRecord | None = None
+    claim: HostRecord | None = None
     """Record by which the sender is taken for dead."""
 
     zones: tuple[ZoneDigest, ...] = ()
--- a/packages/core/src/trefoilpulley_core/membership/probes.py
+++ b/packages/core/src/trefoilpulley_core/membership/probes.py
@@ -86,7 +86,7 @@
             own.incarnation,
             self.versions,
             own.state is HostState.LEAVING,
-            self._find_rumour(probe),
+            self._find_claim(probe),
             self._table.zone_digests() if differs else (),
         )
 
@@ -95,8 +95,8 @@
         state = HostState.LEAVING if answer.is_leaving else HostState.ALIVE
         self._see(host, answer.incarnation, state)
         self.outbox.add(SeeVersions(host, answer.versions))
-        if answer.rumour is not None:
-            self._news.learn_host(answer.rumour)
+        if answer.claim is not None:
+            self._news.learn_host(answer.claim)
         if answer.zones:
             self._reconciler.on_difference(host, answer.zones, now)
 
@@ -106,7 +106,7 @@
             return
         self._news.learn_host(HostRecord(known.entry, incarnation, state))
 
-    def _find_rumour(self, probe: Probe) -> HostRecord | None:
+    def _find_claim(self, probe: Probe) -> HostRecord | None:
         known = self._table.find(probe.host)
         if known is None or known.state is not HostState.DEAD:
             return None
