Keep the hosts' states from before a cut in the figures' runs

Cause: a failover by a cut took 3.2 s to its detection in one run; who coordinated the database before the cut could not be told afterwards.

Change: each run writes the hosts' states before the cut beside its logs, and the table counts the requests that a share rests on.

--- a/packages/standins/src/trefoilpulley_standins/figures/failover.py
+++ b/packages/standins/src/trefoilpulley_standins/figures/failover.py
@@ -108,6 +108,7 @@
         if self._is_out:
             journal.sleep_until(OUTAGE_AT_S)
             scene.orders.set_down(True)
+        scene.keep_states('before-cut')
         journal.sleep_until(CUT_AT_S)
         cut_s = journal.now_s
         scene.orders.cut_zone(third.members[0].zone)
--- a/packages/standins/src/trefoilpulley_standins/figures/scene.py
+++ b/packages/standins/src/trefoilpulley_standins/figures/scene.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from contextlib import contextmanager
 from itertools import takewhile
+import json
 import time
 from typing import TYPE_CHECKING
 
@@ -127,6 +128,14 @@
         """Return the hosts' logs."""
         return HostLogs(self._directory, self._started_at)
 
+    def keep_states(self, when: str) -> None:
+        """Write the state of each host into the run's directory."""
+        for route in self.layout.routes:
+            state = self.orders.state_of(route.endpoint)
+            path = self._directory / f'state-{when}-{route.host}.json'
+            text = json.dumps(state, indent=1, default=str)
+            path.write_text(text, encoding='utf-8')
+
     def wait(self, check: Callable[[], bool], limit_s: float) -> bool:
         """Wait for a check to hold; return whether it did in time."""
         deadline = self.journal.now_s + limit_s
--- a/packages/standins/src/trefoilpulley_standins/figures/table.py
+++ b/packages/standins/src/trefoilpulley_standins/figures/table.py
@@ -22,6 +22,7 @@
     'median',
     'worst',
     'values',
+    'requests',
     'met',
 )
 """Columns of the table."""
@@ -57,17 +58,23 @@
     missing = len(values) - len(known)
     count = f'{len(values)}, {missing} not seen' if missing else len(values)
     if not known:
-        return (str(target or ''), '', 'not seen', str(count), '**no**')
+        return (str(target or ''), '', 'not seen', str(count), '', '**no**')
     worst = target.worst_of(known) if target else max(known)
     return (
         str(target or ''),
         f'{statistics.median(known):.3g}',
         'not seen' if missing else f'{worst:.3g}',
         str(count),
+        _count_requests(samples),
         _verdict(target, values),
     )
 
 
+def _count_requests(samples: list[Sample]) -> str:
+    total = sum(s.count for s in samples)
+    return str(total) if total > len(samples) else ''
+
+
 def _verdict(target: Target | None, values: list[float | None]) -> str:
     if target is None:
         return ''
