Move a stopping primary's lead past lagging replicas

Cause: with replicas 250 ms behind, the logs were never equal within the hold, so a planned stop never moved its primary. Calm databases were weighed 20 times a second whatever their probes. Change: each failed handover of a stopping primary doubles the hold, at most to 1.6 s, and a member up to 1 s behind may take over; a return keeps its 200 ms. A tick comes six times between two probes. Probes of one coordinator are 0.15 s apart.

--- a/features/coordination_replay.feature
+++ b/features/coordination_replay.feature
@@ -88,6 +88,20 @@
     When the coordination trace "service-out-coordinator-dies" is replayed for 40 seconds
     Then no term was used by two processes
 
+  Scenario Outline: coordination: a primary leaves replicas that lag by <lag> ms
+    Given coordination replicas that lag by <lag> ms
+    When the coordination trace "stop-planned" is replayed for 40 seconds
+    Then the coordination broke no rule
+    And member "b" leads in the end
+    And writes were acknowledged at least every <gap> seconds
+
+    Examples:
+      | lag | gap  |
+      | 5   | 0.25 |
+      | 50  | 0.25 |
+      | 250 | 6    |
+      | 500 | 6    |
+
   Scenario: coordination: pairs and triples around promotion and handover
     When the coordination meets 8 sets of faults around its steps
     Then no set of faults broke a rule and each has settled
--- a/features/steps/coordination_replay_steps.py
+++ b/features/steps/coordination_replay_steps.py
@@ -46,6 +46,14 @@
         else:
             context.stage = Stage(('a', 'b', 'c', 'd'), 0.005, SEED, 7)
 
+    @staticmethod
+    @given('coordination replicas that lag by {lag:d} ms')
+    def make_lagging_stage(context: Any, lag: int) -> None:
+        """Build the smaller deployment with lagging replicas."""
+        context.stage = Stage(
+            ('a', 'b', 'c'), 0.003, SEED, 8, lag_s=lag / 1000
+        )
+
     @staticmethod
     @when('the coordination trace "{name}" is replayed for {time:g} seconds')
     def replay(context: Any, name: str, time: float) -> None:
--- a/packages/core/src/trefoilpulley_core/coordination/database.py
+++ b/packages/core/src/trefoilpulley_core/coordination/database.py
@@ -38,8 +38,14 @@
 BUSY_WAKE_S = 0.005
 """Time between two ticks while a promotion or handover runs."""
 
-CALM_WAKE_S = 0.05
-"""Time between two ticks otherwise."""
+ALERT_WAKE_S = 0.05
+"""Time between two ticks while evidence is gathered."""
+
+CALM_WAKE_LIMIT_S = 0.25
+"""Longest time between two ticks."""
+
+CALM_WAKES = 6
+"""Ticks between two probes of a calm member."""
 
 PAUSE_LIMIT_S = 1.0
 """Time between two ticks after which old evidence is dropped."""
@@ -113,7 +119,12 @@
     @property
     def wake_s(self) -> float:
         """Time after which the next tick is due."""
-        return BUSY_WAKE_S if self.is_busy else CALM_WAKE_S
+        if self.is_busy:
+            return BUSY_WAKE_S
+        if self._polling.is_urgent:
+            return ALERT_WAKE_S
+        wake_s = self._around.poll_interval_s / CALM_WAKES
+        return min(max(wake_s, ALERT_WAKE_S), CALM_WAKE_LIMIT_S)
 
     def stand_down(self) -> None:
         """Drop what runs, since the duty has ended."""
@@ -335,7 +346,10 @@
         self._handovers_begun += 1
         handover_id = f'{self.holder}/{self._handovers_begun}'
         record = HandoverRecord(handover_id, self.holder, source, target)
-        self.handover = Handover(self._entry, record, now)
+        pause_s = self._policy.pause_s(
+            source, self.record, self._around.stopped
+        )
+        self.handover = Handover(self._entry, record, now, pause_s)
         began = commands.HandoverBegan(
             self.database, handover_id, source, target
         )
--- a/packages/core/src/trefoilpulley_core/coordination/handover.py
+++ b/packages/core/src/trefoilpulley_core/coordination/handover.py
@@ -38,8 +38,8 @@
 HOLD_S = 0.2
 """Longest hold of writes; the pooler ends it by itself."""
 
-DRAIN_S = 0.12
-"""Part of the hold by which the logs must be equal, else it ends."""
+SWITCH_S = 0.08
+"""Part of the hold kept for the switch, once the logs are equal."""
 
 STORE_DEADLINE_S = 2.0
 """Time for a step's record to be stored."""
@@ -77,12 +77,19 @@
         Source, target and identifier.
     now : float
         Monotonic time in seconds.
+    hold_s : float
+        Longest hold of writes.
     """
 
     def __init__(
-        self, entry: DatabaseEntry, record: HandoverRecord, now: float
+        self,
+        entry: DatabaseEntry,
+        record: HandoverRecord,
+        now: float,
+        hold_s: float = HOLD_S,
     ) -> None:
         self._entry = entry
+        self._hold_s = hold_s
         self._deadline = now + STORE_DEADLINE_S
         self._next_at = now
         self._paused_at: float | None = None
@@ -176,13 +183,13 @@
     def _pause(self, now: float) -> Commands:
         self._next_at = now + STEP_RETRY_S
         source = self.record.source
-        left_s = HOLD_S - (now - self._paused_at)
+        left_s = self._hold_s - (now - self._paused_at)
         hold_ms = max(1, round(left_s * 1000))
         message = PauseWrites(source, self.record.handover_id, hold_ms)
         return (self._call(source, message),)
 
     def _continue_switch(self, now: float) -> Commands:
-        if now >= self._paused_at + DRAIN_S:
+        if now >= self._paused_at + self._hold_s - SWITCH_S:
             return self.abandon('writes did not drain')
         if self._pending or now < self._next_at:
             return ()
--- a/packages/core/src/trefoilpulley_core/coordination/polling.py
+++ b/packages/core/src/trefoilpulley_core/coordination/polling.py
@@ -19,7 +19,7 @@
 MIN_INTERVAL_S = 0.3
 """Time between two probes of a member where few are watched."""
 
-MEMBER_INTERVAL_S = 0.12
+MEMBER_INTERVAL_S = 0.15
 """Time between two probes of any member by one coordinator."""
 
 URGENT_INTERVAL_S = 0.1
--- a/packages/core/src/trefoilpulley_core/coordination/return_policy.py
+++ b/packages/core/src/trefoilpulley_core/coordination/return_policy.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.coordination.detection import SILENCE_S
+from trefoilpulley_core.coordination.handover import HOLD_S
 from trefoilpulley_core.coordination.layout import desired_primary
 from trefoilpulley_core.coordination.layout import is_departing
 
@@ -29,9 +30,15 @@
 DEPARTURE_DOUBLINGS_LIMIT = 2
 """The same where the present primary is about to stop."""
 
+PAUSE_DOUBLINGS_LIMIT = 3
+"""Failed handovers of a stopping primary that lengthen its pause."""
+
 CAUGHT_UP_S = 0.3
 """Greatest lag of a member that may take the lead."""
 
+DEPARTURE_CAUGHT_UP_S = 1.0
+"""The same where the present primary is about to stop."""
+
 QUIET_S = 600.0
 """Time in the wanted layout after which relapses are forgotten."""
 
@@ -84,13 +91,27 @@
         self._note_leader(detector.watches[leader.member])
         hold_s = self._hold_s(leader.member, record, stopped)
         targets = self._targets(leader.member, stopped)
+        lag_s = self._lag_s(leader.member, stopped)
         steady = (
             name
             for name in targets
-            if self._steady_for(detector.watches[name], leader, now) >= hold_s
+            if self._steady_for(detector.watches[name], leader, lag_s, now)
+            >= hold_s
         )
         return next(steady, None)
 
+    def pause_s(
+        self, source: str, record: DatabaseRecord, stopped: frozenset[str]
+    ) -> float:
+        """Return the longest hold of writes that a handover may take.
+
+        A primary that is about to stop must move even where its
+        replicas lag: a longer pause cuts nothing, a failover might.
+        """
+        if not self._is_departing(source, stopped):
+            return HOLD_S
+        return HOLD_S * 2 ** min(record.relapses, PAUSE_DOUBLINGS_LIMIT)
+
     def _targets(self, source: str, stopped: frozenset[str]) -> list[str]:
         wanted = desired_primary(self._entry, stopped).name
         if source == wanted:
@@ -104,6 +125,11 @@
     def _is_departing(self, name: str, stopped: frozenset[str]) -> bool:
         return is_departing(self._entry.find_member(name), stopped)
 
+    def _lag_s(self, source: str, stopped: frozenset[str]) -> float:
+        if self._is_departing(source, stopped):
+            return DEPARTURE_CAUGHT_UP_S
+        return CAUGHT_UP_S
+
     def _hold_s(
         self, source: str, record: DatabaseRecord, stopped: frozenset[str]
     ) -> float:
@@ -117,16 +143,20 @@
             self._past.append((watch.answered_at, watch.status.history.last))
 
     def _steady_for(
-        self, watch: MemberWatch, leader: MemberStatus, now: float
+        self,
+        watch: MemberWatch,
+        leader: MemberStatus,
+        lag_s: float,
+        now: float,
     ) -> float:
-        if not self._is_steady(watch, leader, now):
+        if not self._is_steady(watch, leader, lag_s):
             if watch.status is not None:
                 self._steady_since.pop(watch.status.member, None)
             return -1.0
         return now - self._steady_since.setdefault(watch.status.member, now)
 
     def _is_steady(
-        self, watch: MemberWatch, leader: MemberStatus, now: float
+        self, watch: MemberWatch, leader: MemberStatus, lag_s: float
     ) -> bool:
         if not watch.is_answering or watch.status.term != leader.term:
             return False
@@ -134,9 +164,9 @@
             return False
         if watch.status.primary_contact_age_ms / 1000 >= SILENCE_S:
             return False
-        return self._is_caught_up(watch)
+        return self._is_caught_up(watch, lag_s)
 
-    def _is_caught_up(self, watch: MemberWatch) -> bool:
-        limit = watch.answered_at - CAUGHT_UP_S
+    def _is_caught_up(self, watch: MemberWatch, lag_s: float) -> bool:
+        limit = watch.answered_at - lag_s
         older = [p for at, p in self._past if at <= limit]
         return not older or watch.status.history.last >= older[-1]
--- a/packages/core/src/trefoilpulley_core/coordination/shard_coordinator.py
+++ b/packages/core/src/trefoilpulley_core/coordination/shard_coordinator.py
@@ -7,7 +7,6 @@
 from trefoilpulley_core.coordination.commands import EditRecord
 from trefoilpulley_core.coordination.commands import LoadShard
 from trefoilpulley_core.coordination.commands import StoreShard
-from trefoilpulley_core.coordination.database import CALM_WAKE_S
 from trefoilpulley_core.coordination.database import DatabaseCoordinator
 from trefoilpulley_core.coordination.edits import ClaimTerms
 from trefoilpulley_core.coordination.shard import decode_shard
@@ -82,7 +81,7 @@
         if not self.is_acting:
             return STANDBY_WAKE_S
         wakes = (d.wake_s for d in self.databases.values())
-        return min(wakes, default=CALM_WAKE_S)
+        return min(wakes, default=STANDBY_WAKE_S)
 
     def on_tick(
         self, around: Sequence[Surroundings], is_acting: bool, now: float
--- a/packages/standins/src/trefoilpulley_standins/explore_member.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_member.py
@@ -120,13 +120,19 @@
         self.log = (*self.log, Entry(term, value))
         return self.last
 
+    def hear(self, term: int, primary: str, now: float) -> bool:
+        """Note a word from a primary; false where it is not followed."""
+        if self.is_primary or term != self.term or primary != self.primary:
+            return False
+        self.contact_at = now
+        return True
+
     def append(
         self, term: int, primary: str, log: tuple[Entry, ...], now: float
     ) -> Position | None:
         """Take the primary's log; return what is confirmed."""
-        if self.is_primary or term != self.term or primary != self.primary:
+        if not self.hear(term, primary, now):
             return None
-        self.contact_at = now
         is_older = len(log) < len(self.log)
         if not (is_older and self.log[: len(log)] == log):
             self.log = log
--- a/packages/standins/src/trefoilpulley_standins/explore_world.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_world.py
@@ -267,11 +267,18 @@
             if other is primary or not self._is_replicating(primary, other):
                 continue
             delay_s = self.delay_s(primary.zone, other.zone)
+            self.after(delay_s, lambda o=other: self._hear(primary, o, term))
             self.after(
                 delay_s + self._lag_s,
                 lambda o=other: self._take_log(primary, o, term, log),
             )
 
+    def _hear(
+        self, primary: ModelMember, other: ModelMember, term: int
+    ) -> None:
+        if self._is_replicating(primary, other):
+            other.hear(term, primary.name, self.now)
+
     def _take_log(
         self, primary: ModelMember, other: ModelMember, term: int, log: Any
     ) -> None:
