--- a/packages/standins/src/trefoilpulley_standins/figures/reads.py
+++ b/packages/standins/src/trefoilpulley_standins/figures/reads.py
@@ -90,7 +90,9 @@
         _set_lag(scene, lag_ms)
         began_s = scene.journal.now_s + WARM_S
         scene.journal.sleep_until(began_s + WINDOW_S)
-        return LagWindow(lag_ms, began_s, scene.journal.now_s)
+        ended_s = scene.journal.now_s
+        scene.keep_states(f'lag-{lag_ms:g}')
+        return LagWindow(lag_ms, began_s, ended_s)
 
     def _judge(
         self, scene: Scene, window: LagWindow, what: str, read_class: str
