Make a quiet host wake and talk less

Change: a member that has not changed says so in one small frame; a host asks for at most 4 digests a second instead of 20 (overdue requests ask at once as before); the loops of the entry and the monitors wake for work.

--- a/packages/node/src/trefoilpulley_node/entry/views.py
+++ b/packages/node/src/trefoilpulley_node/entry/views.py
@@ -27,7 +27,7 @@
 OVERDUE_TICK_S = 0.05
 """Time between two looks for overdue requests."""
 
-REFRESH_TICK_S = 0.5
+REFRESH_TICK_S = 1.0
 """Time between two looks for the oldest digests."""
 
 OVERDUE_S = 0.2
@@ -36,7 +36,7 @@
 REFRESH_S = 0.25
 """Age of a digest at which it may be asked for anew."""
 
-REFRESHES_PER_S = 20.0
+REFRESHES_PER_S = 4.0
 """Digests that a host asks for a second, whatever its callers use."""
 
 USE_MEMORY_S = 30.0
@@ -92,6 +92,7 @@
         self._database_of: dict[str, str] = {}
         self._changed: dict[str, Event] = {}
         self._in_work: dict[int, _InWork] = {}
+        self._has_work = Event()
         self._ids = itertools.count(1)
         self._greenlets: tuple[gevent.Greenlet, ...] = ()
 
@@ -123,6 +124,7 @@
 
     def begin_work(self, database: str) -> int:
         """Note that a request waits for a member of a database."""
+        self._has_work.set()
         number = next(self._ids)
         self._in_work[number] = _InWork(database, self._clock.now())
         return number
@@ -182,7 +184,10 @@
 
     def _watch_overdue(self) -> None:
         while True:
+            self._has_work.wait()
             gevent.sleep(OVERDUE_TICK_S)
+            if not self._in_work:
+                self._has_work.clear()
             self._ask_overdue(self._clock.now() - OVERDUE_S)
 
     def _ask_overdue(self, since: float) -> None:
--- a/packages/node/src/trefoilpulley_node/pool_owner.py
+++ b/packages/node/src/trefoilpulley_node/pool_owner.py
@@ -12,7 +12,7 @@
     from trefoilpulley_node.directory import Directory
     from trefoilpulley_node.pooler.pooler import Pooler
 
-CHECK_S = 0.5
+CHECK_S = 2.0
 """Time between two looks at the owners of the pooled members."""
 
 
--- a/packages/node/src/trefoilpulley_node/pooler/member_link.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -18,8 +19,6 @@
 from trefoilpulley_wire import member_codec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.position import Position
     from trefoilpulley_core.upstream import MemberStatus
@@ -145,14 +144,25 @@
         return reply
 
 
+class LinkListener(abc.ABC):
+    """Takes what a member sends unasked."""
+
+    @abc.abstractmethod
+    def on_status(self, status: MemberStatus) -> None:
+        """Take a report on progress."""
+
+    @abc.abstractmethod
+    def on_alive(self) -> None:
+        """Take note that the last report still holds."""
+
+    @abc.abstractmethod
+    def on_lost(self) -> None:
+        """Take note that the connection has ended."""
+
+
 class _ReportHandler(Handler):
-    def __init__(
-        self,
-        on_status: Callable[[MemberStatus], None] | None,
-        on_lost: Callable[[], None] | None,
-    ) -> None:
-        self._on_status = on_status
-        self._on_lost = on_lost
+    def __init__(self, listener: LinkListener | None) -> None:
+        self._listener = listener
 
     def on_request(self, channel: Channel, message: Any) -> Any:
         """Refuse requests: a member has none to send."""
@@ -164,19 +174,22 @@
 
     def on_notice(self, channel: Channel, message: Any) -> None:
         """Take a report on progress."""
-        if self._on_status and isinstance(message, member_codec.MemberReport):
-            self._on_status(message.status)
+        if self._listener is None:
+            return
+        if isinstance(message, member_codec.MemberReport):
+            self._listener.on_status(message.status)
+        elif isinstance(message, member_codec.StillAlive):
+            self._listener.on_alive()
 
     def on_close(self, channel: Channel) -> None:
         """Tell the owner that the connection has ended."""
-        if self._on_lost:
-            self._on_lost()
+        if self._listener is not None:
+            self._listener.on_lost()
 
 
 def connect_member(
     endpoint: Endpoint,
-    on_status: Callable[[MemberStatus], None] | None = None,
-    on_lost: Callable[[], None] | None = None,
+    listener: LinkListener | None = None,
 ) -> Result[MemberLink, Failure]:
     """Open a connection to a member.
 
@@ -184,10 +197,8 @@
     ----------
     endpoint : Endpoint
         Address of the member.
-    on_status : Callable[[MemberStatus], None], optional
-        Takes reports on progress.
-    on_lost : Callable[[], None], optional
-        Called once when the connection ends.
+    listener : LinkListener, optional
+        Takes what the member sends unasked.
 
     Returns
     -------
@@ -197,6 +208,6 @@
     return dial(
         endpoint,
         member_codec.MEMBER_CODEC,
-        _ReportHandler(on_status, on_lost),
+        _ReportHandler(listener),
         CONNECT_TIMEOUT_S,
     ).map(MemberLink)
--- a/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_monitor.py
@@ -15,6 +15,7 @@
 from trefoilpulley_node import events
 from trefoilpulley_node.pooler.copy_waiters import CopyWaiters
 from trefoilpulley_node.pooler.member_link import connect_member
+from trefoilpulley_node.pooler.member_link import LinkListener
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,8 +32,10 @@
 SILENCE_S = 0.6
 """Time without a report after which a member counts as unreachable."""
 
+_MARGIN_S = 0.01
 
-class MemberMonitor:
+
+class MemberMonitor(LinkListener):
     """Newest status of a member, and the work that waits for it.
 
     Parameters
@@ -83,6 +86,25 @@
         """Call back when the member stops to report."""
         self._on_lost.append(listener)
 
+    def on_status(self, status: MemberStatus) -> None:
+        """Take a report on progress."""
+        self.status = status
+        self.copy_waiters.on_status(status)
+        self._changed.set()
+        self.on_alive()
+
+    def on_alive(self) -> None:
+        """Take note that the newest status still holds."""
+        self._heard_at = now = self._clock.now()
+        if self.status is None:
+            return
+        for listener in self._listeners:
+            listener(self.status, now)
+
+    def on_lost(self) -> None:
+        """Take note that the control connection has ended."""
+        self._lost.set()
+
     def control(
         self,
         ask: Callable[[MemberLink], Result[MemberStatus, Failure]],
@@ -92,7 +114,7 @@
             return Failed(PeerUnreachable('member is not connected'))
         reply = ask(self._link)
         if isinstance(reply, Success):
-            self._on_status(reply.unwrap())
+            self.on_status(reply.unwrap())
         return reply
 
     def wait_for_position(self, floor: Position, timeout_s: float) -> bool:
@@ -116,9 +138,7 @@
 
     def _watch_once(self) -> None:
         self._lost.clear()
-        opened = connect_member(
-            self._member.endpoint, self._on_status, self._lost.set
-        )
+        opened = connect_member(self._member.endpoint, self)
         if not isinstance(opened, Success):
             return
         self._link = link = opened.unwrap()
@@ -127,7 +147,7 @@
             if not isinstance(watched, Success):
                 return
             events.MEMBER_CONNECTED.log(member=self._member.name)
-            self._on_status(watched.unwrap())
+            self.on_status(watched.unwrap())
             self._wait_until_lost()
         finally:
             self._link = None
@@ -139,14 +159,6 @@
 
     def _wait_until_lost(self) -> None:
         while self.is_reachable:
-            if self._lost.wait(SILENCE_S / 2):
+            silent_s = self._clock.now() - self._heard_at
+            if self._lost.wait(SILENCE_S - silent_s + _MARGIN_S):
                 return
-
-    def _on_status(self, status: MemberStatus) -> None:
-        now = self._clock.now()
-        self._heard_at = now
-        self.status = status
-        self.copy_waiters.on_status(status)
-        self._changed.set()
-        for listener in self._listeners:
-            listener(status, now)
--- a/packages/standins/src/trefoilpulley_standins/member/server.py
+++ b/packages/standins/src/trefoilpulley_standins/member/server.py
@@ -239,9 +239,15 @@
         return channel.context
 
     def _report(self) -> None:
+        told = None
         while True:
             seen = self._changes
-            report = wire.MemberReport(self.status())
+            status = self.status()
+            lasting = replace(status, primary_contact_age_ms=None)
+            report = wire.MemberReport(status)
+            if lasting == told:
+                report = wire.StillAlive()
+            told = lasting
             for channel in list(self._watchers):
                 channel.notify(report)
             gevent.sleep(REPORT_JOIN_S)
--- a/packages/wire/src/trefoilpulley_wire/member_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/member_codec.py
@@ -125,6 +125,11 @@
     """Status of the member."""
 
 
+@dataclass(frozen=True, slots=True)
+class StillAlive:
+    """Sent unasked where the last `MemberReport` still holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class MemberDone:
     """Answer without a result."""
@@ -145,7 +150,8 @@
 class WatchProgress:
     """Asks for a `MemberReport` whenever the member's progress changes.
 
-    Reports come as one-way messages, joined over a short time.
+    Reports come as one-way messages, joined over a short time; where
+    nothing has changed, `StillAlive` takes their place.
     """
 
 
@@ -164,6 +170,7 @@
         Follow,
         MemberResult,
         MemberReport,
+        StillAlive,
         MemberDone,
         MemberFailure,
         WatchProgress,
