Work out the page of capacity from measured slopes

Cause: the users ask for each role's state, messages, processor time and memory at 1,600 hosts before 2,500 databases, from measured slopes, with the mechanism that carries each and the margin told plainly.

--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/measure/page.py
@@ -0,0 +1,123 @@
+"""Table of the page of capacity."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from trefoilpulley_standins.measure.rows import ROWS
+from trefoilpulley_standins.measure.terms import format_figure
+from trefoilpulley_standins.measure.terms import Line
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpulley_standins.measure.row import Row
+    from trefoilpulley_standins.measure.slopes import Recorded
+
+PAGE = Path('docs/CAPACITY.md')
+"""Page of capacity, from the root of the repository."""
+
+BEGIN = '<!-- table: begin -->'
+"""Line before the tables."""
+
+END = '<!-- table: end -->'
+"""Line after the tables."""
+
+
+def render_tables(recorded: Recorded) -> str:
+    """Return the tables of the page."""
+    lines = [
+        *_render_rows(recorded),
+        '',
+        '### Slopes',
+        '',
+        *_render_slopes(recorded),
+        '',
+        '### Figures of one size',
+        '',
+        *_render_figures(recorded),
+    ]
+    return '\n'.join(lines)
+
+
+def put_tables(text: str, tables: str) -> str:
+    """Return the page's text with other tables."""
+    head, _, rest = text.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    return f'{head}{BEGIN}\n\n{tables}\n\n{END}{tail}'
+
+
+def take_tables(text: str) -> str:
+    """Return the tables in the page's text."""
+    return text.partition(BEGIN)[2].partition(END)[0].strip()
+
+
+def _render_rows(recorded: Recorded) -> Iterator[str]:
+    yield (
+        '| role | figure | arithmetic | at the size | budget | margin '
+        '| mechanism |'
+    )
+    yield '| --- | --- | --- | --- | --- | --- | --- |'
+    for row in ROWS:
+        value = sum(t.value(recorded) for t in row.terms)
+        arithmetic = ' + '.join(t.text(recorded) for t in row.terms)
+        budget = '' if row.budget is None else format_figure(row.budget)
+        yield (
+            f'| {row.role} | {row.figure} | {arithmetic} '
+            f'| {format_figure(value)} {row.unit} | {budget} '
+            f'| {_tell_margin(row, value, recorded)} | `{row.mechanism}` |'
+        )
+
+
+def _tell_margin(row: Row, value: float, recorded: Recorded) -> str:
+    if row.budget is None:
+        return 'none stated'
+    if value <= row.budget:
+        return f'{format_figure(row.budget / max(value, 1e-9))} times under'
+    over = f'**over {format_figure(value / row.budget)} times**'
+    return f'{over}{_tell_break(row, value, recorded)}'
+
+
+def _tell_break(row: Row, value: float, recorded: Recorded) -> str:
+    first = row.terms[0]
+    if not isinstance(first, Line):
+        return ''
+    others = value - first.value(recorded)
+    size = first.size_at(recorded, row.budget - others)
+    if size is None:
+        return ''
+    if size <= 0:
+        return ', at any size'
+    return f', from {format_figure(size)} {first.of}'
+
+
+def _render_slopes(recorded: Recorded) -> Iterator[str]:
+    yield (
+        '| key | figure | against | unit | points | at 0 | slope | spread '
+        '| command |'
+    )
+    yield '| --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+    for found in recorded.slopes:
+        sizes = [p.x for p in found.points]
+        points = (
+            f'{len(sizes)}, {format_figure(min(sizes))} to '
+            f'{format_figure(max(sizes))}'
+        )
+        yield (
+            f'| {found.key} | {found.subject} | {found.against} '
+            f'| {found.unit} | {points} | {format_figure(found.base)} '
+            f'| {format_figure(found.slope)} | {format_figure(found.spread)} '
+            f'| `{found.command}` |'
+        )
+
+
+def _render_figures(recorded: Recorded) -> Iterator[str]:
+    yield '| key | figure | value | command |'
+    yield '| --- | --- | --- | --- |'
+    for found in recorded.figures:
+        yield (
+            f'| {found.key} | {found.subject} '
+            f'| {format_figure(found.value)} {found.unit} '
+            f'| `{found.command}` |'
+        )
