Count a member's sign of life as control

Cause: a new type of message from members was counted as work by the experiments, since what no part names is work.

Change: it is counted with the members' control, and a scenario fails for every message of the two codecs that is neither control nor known as work. It failed before the change of the parts.

Conclusion: a new type of message has to be told apart when it is added.

--- a/features/capacity_experiments.feature
+++ b/features/capacity_experiments.feature
@@ -33,3 +33,6 @@
   Scenario: Two results are compared point by point
     Given capacity results at 1 and 2, and others that are half as great
     Then each capacity difference has the ratio 0.5
+
+  Scenario: Every message is counted as control or is known as work
+    Then each message without a capacity part is known as work
--- a/features/steps/capacity_experiment_steps.py
+++ b/features/steps/capacity_experiment_steps.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import is_dataclass
 from pathlib import Path
 from typing import Any
 
 from behave import given
 from behave import then
 
+from trefoilpulley_core.membership import messages as membership
+from trefoilpulley_core import peer
 from trefoilpulley_standins.experiment.callers import Callers
 from trefoilpulley_standins.experiment.comparison import compare_results
 from trefoilpulley_standins.experiment.figures import make_figures
+from trefoilpulley_standins.experiment.figures import MEMBER_PARTS
+from trefoilpulley_standins.experiment.figures import PEER_PARTS
 from trefoilpulley_standins.experiment.figures import Window
 from trefoilpulley_standins.experiment.probe import HostSample
 from trefoilpulley_standins.experiment.probe import Sample
@@ -20,8 +25,22 @@
 from trefoilpulley_standins.experiment.spec import Load
 from trefoilpulley_standins.experiment.spec import load_experiment
 from trefoilpulley_standins.experiment.spec import parse_experiment
+from trefoilpulley_wire import member_codec
 
 EXAMPLES = Path('examples/experiments')
+PARTS_OF_MESSAGES = {'MemberDigest', 'Versions', 'WorkScope'}
+MEMBER_WORK = {
+    'BeginTransaction',
+    'CommitTransaction',
+    'MemberDone',
+    'MemberFailure',
+    'MemberResult',
+    'Read',
+    'Resolve',
+    'RollbackTransaction',
+    'RunStatement',
+    'Write',
+}
 
 
 def _sample(
@@ -46,6 +65,15 @@
     }
 
 
+def _messages_of(module: Any) -> set[str]:
+    found = vars(module).values()
+    return {
+        kind.__name__
+        for kind in found
+        if is_dataclass(kind) and kind.__module__ == module.__name__
+    }
+
+
 def _figures(before: Sample, after: Sample) -> dict[str, float]:
     callers = Callers(None, Load(), 1)
     made = make_figures(Window(before, after), callers, 0)
@@ -132,6 +160,15 @@
         faults = context.parsed.failure().faults
         assert any(fault in f for f in faults), faults
 
+    @staticmethod
+    @then('each message without a capacity part is known as work')
+    def check_parts(context: Any) -> None:
+        """Look at the messages of both codecs."""
+        assert _messages_of(member_codec) - set(MEMBER_PARTS) == MEMBER_WORK
+        peers = _messages_of(peer) | _messages_of(membership)
+        rest = peers - set(PEER_PARTS) - PARTS_OF_MESSAGES
+        assert all(name.startswith('Pooled') for name in rest), rest
+
     @staticmethod
     @then('the capacity figure "{name}" is {value:g}')
     def check_figure(context: Any, name: str, value: float) -> None:
--- a/packages/standins/src/trefoilpulley_standins/experiment/figures.py
+++ b/packages/standins/src/trefoilpulley_standins/experiment/figures.py
@@ -66,6 +66,7 @@
 MEMBER_PARTS = {
     'Status': Part.MEMBERS,
     'MemberReport': Part.MEMBERS,
+    'StillAlive': Part.MEMBERS,
     'WatchProgress': Part.MEMBERS,
     'Fence': Part.MEMBERS,
     'Promote': Part.MEMBERS,
