--- a/packages/standins/src/trefoilpulley_standins/experiment/probe.py
+++ b/packages/standins/src/trefoilpulley_standins/experiment/probe.py
@@ -117,9 +117,9 @@
         self._channels: dict[str, Channel] = {}
 
     def wait_ready(self) -> None:
-        """Wait until every host holds the declarations."""
+        """Wait until every host and every member serves."""
         with gevent.Timeout(READY_LIMIT_S):
-            while not all(self._is_ready(h) for h in self._layout.hosts):
+            while not self._is_ready():
                 gevent.sleep(_POLL_S)
 
     def sample(self) -> Sample:
@@ -136,9 +136,12 @@
         for channel in self._channels.values():
             channel.close()
 
-    def _is_ready(self, host: NodeSettings) -> bool:
-        held = self._ask(host).get('configuration', {})
-        return held.get('configuration_revision', 0) > 0
+    def _is_ready(self) -> bool:
+        states = [self._ask(h) for h in self._layout.hosts]
+        if not all(_has_declarations(s) for s in states):
+            return False
+        reached = {m for state in states for m in _reachable(state)}
+        return len(reached) == len(self._layout.members.members)
 
     def _sample_host(self, host: NodeSettings) -> HostSample | None:
         try:
@@ -162,3 +165,13 @@
             channel = self._channels[host.host] = opened.unwrap()
         reply = channel.call(GetState(host.operator_secret), ANSWER_LIMIT_S)
         return getattr(reply.value_or(None), 'state', {})
+
+
+def _has_declarations(state: dict[str, Any]) -> bool:
+    held = state.get('configuration', {})
+    return held.get('configuration_revision', 0) > 0
+
+
+def _reachable(state: dict[str, Any]) -> list[str]:
+    pooled = state.get('pooler', {}).get('members', ())
+    return [m['member'] for m in pooled if m['is_reachable']]
--- a/packages/standins/src/trefoilpulley_standins/experiment/run.py
+++ b/packages/standins/src/trefoilpulley_standins/experiment/run.py
@@ -108,14 +108,23 @@
         processes = GroupedProcesses(layout, directory)
         try:
             processes.start()
+            _wait_ready(layout, processes)
             return layout, processes
-        except ProcessFailed:
+        except (ProcessFailed, gevent.Timeout):
             # Another process may have taken a port that was free.
             processes.stop()
             if not attempts_left:
                 raise
 
 
+def _wait_ready(layout: Layout, processes: GroupedProcesses) -> None:
+    probe = Probe(layout, processes)
+    try:
+        probe.wait_ready()
+    finally:
+        probe.close()
+
+
 class _Point:
     def __init__(
         self,
@@ -132,7 +141,6 @@
 
     def run(self) -> None:
         try:
-            self._probe.wait_ready()
             self.callers.start()
             gevent.sleep(self._experiment.settle_s)
             before = self._probe.sample()
