--- a/packages/standins/src/trefoilpulley_standins/figures/__main__.py
+++ b/packages/standins/src/trefoilpulley_standins/figures/__main__.py
@@ -74,9 +74,16 @@
 
 
 @main.command()
-def table() -> None:
+@click.option(
+    '--most-stolen',
+    default=1.0,
+    show_default=True,
+    help="Share of the processors' time above which a run is left out.",
+)
+def table(most_stolen: float) -> None:
     """Print the table of the results."""
-    samples = load_samples(RESULT)
+    found = load_samples(RESULT)
+    samples = tuple(s for s in found if s.stolen <= most_stolen)
     for line in render_table(samples):
         click.echo(line)
     if samples:
