--- /dev/null
+++ b/packages/standins/src/trefoilpulley_standins/explore_copies.py
@@ -0,0 +1,59 @@
+"""Copies of explored states, and what tells them apart."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from trefoilpulley_standins.explore_member import ModelMember
+
+
+def clone_member(member: ModelMember) -> ModelMember:
+    """Return a copy of a member that may be changed."""
+    other = copy.copy(member)
+    other.confirmed = dict(member.confirmed)
+    return other
+
+
+def clone_operation(operation: Any) -> Any:
+    """Return a copy of a promotion or handover that may be changed."""
+    if operation is None:
+        return None
+    other = copy.copy(operation)
+    for name, value in vars(operation).items():
+        if isinstance(value, dict | set):
+            setattr(other, name, value.copy())
+    return other
+
+
+def member_key(member: ModelMember) -> tuple[Any, ...]:
+    """Return what tells a member from others."""
+    return (
+        member.term,
+        member.fenced_term,
+        member.is_primary,
+        member.primary,
+        member.log,
+        frozenset(member.confirmed.items()),
+    )
+
+
+def operation_key(operation: Any) -> Any:
+    """Return what tells a promotion or handover from others."""
+    if operation is None:
+        return None
+    return tuple(
+        (name, _freeze(value)) for name, value in vars(operation).items()
+    )
+
+
+def _freeze(value: Any) -> Any:
+    if isinstance(value, dict):
+        return frozenset(value.items())
+    if isinstance(value, set):
+        return frozenset(value)
+    if isinstance(value, list):
+        return tuple(value)
+    return value
--- a/packages/standins/src/trefoilpulley_standins/explore_state.py
+++ b/packages/standins/src/trefoilpulley_standins/explore_state.py
@@ -34,6 +34,10 @@
 from trefoilpulley_core.peer import ResumeWrites
 from trefoilpulley_core.peer import StatusReport
 from trefoilpulley_core.peer import WarmConnections
+from trefoilpulley_standins.explore_copies import clone_member
+from trefoilpulley_standins.explore_copies import clone_operation
+from trefoilpulley_standins.explore_copies import member_key
+from trefoilpulley_standins.explore_copies import operation_key
 
 if TYPE_CHECKING:
     from trefoilpulley_core.catalog import DatabaseEntry
@@ -194,23 +198,23 @@
     def clone(self) -> ExploredState:
         """Return a copy that may be changed."""
         other = copy.copy(self)
-        other.members = {n: _clone_member(m) for n, m in self.members.items()}
+        other.members = {n: clone_member(m) for n, m in self.members.items()}
         other.times = list(self.times)
         other.used = list(self.used)
-        other.promotions = [_clone_operation(p) for p in self.promotions]
-        other.handover = _clone_operation(self.handover)
+        other.promotions = [clone_operation(p) for p in self.promotions]
+        other.handover = clone_operation(self.handover)
         return other
 
     def key(self) -> tuple[Any, ...]:
         """Return what tells this state from others."""
         return (
-            tuple(_member_key(m) for m in self.members.values()),
+            tuple(member_key(m) for m in self.members.values()),
             self.cut_off,
             self.flights,
             self.confirmations,
             tuple(self.times),
-            tuple(_operation_key(p) for p in self.promotions),
-            _operation_key(self.handover),
+            tuple(operation_key(p) for p in self.promotions),
+            operation_key(self.handover),
             self.hold,
             self.writes,
             self.acknowledged,
@@ -372,48 +376,3 @@
         if fresh and any(term > primary.term for term, _ in self.leads):
             self.late |= fresh
         self.acknowledged |= ready
-
-
-def _clone_member(member: ModelMember) -> ModelMember:
-    other = copy.copy(member)
-    other.confirmed = dict(member.confirmed)
-    return other
-
-
-def _clone_operation(operation: Any) -> Any:
-    if operation is None:
-        return None
-    other = copy.copy(operation)
-    for name, value in vars(operation).items():
-        if isinstance(value, dict | set):
-            setattr(other, name, value.copy())
-    return other
-
-
-def _member_key(member: ModelMember) -> tuple[Any, ...]:
-    return (
-        member.term,
-        member.fenced_term,
-        member.is_primary,
-        member.primary,
-        member.log,
-        frozenset(member.confirmed.items()),
-    )
-
-
-def _operation_key(operation: Any) -> Any:
-    if operation is None:
-        return None
-    return tuple(
-        (name, _freeze(value)) for name, value in vars(operation).items()
-    )
-
-
-def _freeze(value: Any) -> Any:
-    if isinstance(value, dict):
-        return frozenset(value.items())
-    if isinstance(value, set):
-        return frozenset(value)
-    if isinstance(value, list):
-        return tuple(value)
-    return value
