Move duties out of the home zone soon and keep the actor's terms

A fifth claimant pushed the acting process's terms out of the record, and a handover then paused writes for 42 to 66 ms only to find no term. One stall of a process inflated a class's service time beyond its deadline, and the refusals that followed fed the class's danger. Change: a holder in the home zone gives the duty back after 5 s; records keep 30 grants, drop past terms and those of a host's earlier process; a handover waits for its terms; one sample adds at most four careful service times.

--- a/packages/core/src/trefoilpulley_core/coordination/database.py
+++ b/packages/core/src/trefoilpulley_core/coordination/database.py
@@ -318,7 +318,8 @@
             out += (EditRecord(edit),)
         above = self._highest_known_term
         if not has_grants(self.record, self.holder, above):
-            out += (self._claim(above),)
+            # A handover pauses writes for a term that must be at hand.
+            return (*out, self._claim(above))
         if not self._around.is_service_up:
             return out
         return out + self._keep_handovers(now)
--- a/packages/core/src/trefoilpulley_core/coordination/duty.py
+++ b/packages/core/src/trefoilpulley_core/coordination/duty.py
@@ -47,6 +47,13 @@
 RELEASE_S = 300.0
 """Time for which another host must be first before it gets the duty."""
 
+RELEASE_AT_HOME_S = 5.0
+"""The same for a holder in the zone of the shard's home primaries.
+
+A zone that fails would take primary and coordinator at once, and the
+promotion would wait for the lease to lapse.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class GrantLease:
@@ -315,7 +322,7 @@
             return ()
         if view.outranked_since is None:
             view.outranked_since = now
-        if now - view.outranked_since < RELEASE_S:
+        if now - view.outranked_since < self._release_s(shard):
             return ()
         revision, view.revision = view.revision, 0
         view.outranked_since = None
@@ -323,6 +330,11 @@
         view.read_at = now + RELEASE_WAIT_S
         return out
 
+    def _release_s(self, shard: int) -> float:
+        if self.succession.is_at_home(shard, self._host):
+            return RELEASE_AT_HOME_S
+        return RELEASE_S
+
     def _call(
         self, view: DutyView, command: DutyCommand, now: float
     ) -> tuple[DutyCommand, ...]:
--- a/packages/core/src/trefoilpulley_core/coordination/succession.py
+++ b/packages/core/src/trefoilpulley_core/coordination/succession.py
@@ -66,6 +66,11 @@
         ranking = self.ranking(shard)
         return ranking.index(host) if host in ranking else SUCCESSORS
 
+    def is_at_home(self, shard: int, host: str) -> bool:
+        """Return whether a host stands where home primaries do."""
+        homes = {e.members[0].zone for e in self.members.get(shard, ())}
+        return any(h.name == host and h.zone in homes for h in self._hosts)
+
     def shards_of(self, host: str) -> set[int]:
         """Return the shards for which a host keeps ready."""
         return {s for s, r in self._rankings.items() if host in r}
--- a/packages/core/src/trefoilpulley_core/coordination/terms.py
+++ b/packages/core/src/trefoilpulley_core/coordination/terms.py
@@ -13,7 +13,7 @@
 GRANTS_AHEAD = 3
 """Terms that a process holds ahead for each database of its shards."""
 
-GRANTS_LIMIT = 12
+GRANTS_LIMIT = 30
 """Grants that a record keeps; the oldest others are dropped first."""
 
 
@@ -41,6 +41,15 @@
     return len(own) >= GRANTS_AHEAD
 
 
+def _is_kept(grant: TermGrant, holder: str, term: int) -> bool:
+    """Return whether another process may still use a grant.
+
+    Terms up to the recorded one are past, and an earlier process of the
+    same host is gone.
+    """
+    return grant.term > term and host_of(grant.holder) != host_of(holder)
+
+
 def with_grants(
     record: DatabaseRecord, holder: str, above: int
 ) -> DatabaseRecord:
@@ -67,6 +76,6 @@
     first = max(record.ceiling, record.term, above) + 1
     terms = range(first, first + missing)
     own.extend(TermGrant(term, holder) for term in terms)
-    others = [g for g in record.grants if g.holder != holder]
+    others = [g for g in record.grants if _is_kept(g, holder, record.term)]
     kept = others[max(0, len(others) + len(own) - GRANTS_LIMIT) :]
     return replace(record, grants=(*kept, *own), ceiling=terms[-1])
--- a/packages/core/src/trefoilpulley_core/slot_service.py
+++ b/packages/core/src/trefoilpulley_core/slot_service.py
@@ -10,6 +10,10 @@
 LOAD_MEMORY_S = 5.0
 """Time over which the load of a class is remembered, in seconds."""
 
+OUTLIER_FACTOR = 4.0
+"""Distance from the mean, in careful service times, that one sample may
+add at most: a stall of the process says little of the next statement."""
+
 _SMOOTHING = 0.1
 
 
@@ -45,9 +49,13 @@
         """Service time that most work exceeds, in seconds."""
         return max(0.0, self.mean_s - 2 * self.deviation_s)
 
+    @property
+    def _longest_error_s(self) -> float:
+        return OUTLIER_FACTOR * max(self.careful_s, INITIAL_SERVICE_S)
+
     def record(self, service_s: float, now: float) -> None:
         """Learn one service time."""
-        error_s = service_s - self.mean_s
+        error_s = min(service_s - self.mean_s, self._longest_error_s)
         self.mean_s += _SMOOTHING * error_s
         self.deviation_s += _SMOOTHING * (abs(error_s) - self.deviation_s)
         self._busy_s = self._decayed_s(now) + service_s
