Give the background parts one interface in a module of its own

Cause: the process took its parts by shape; only two declared themselves. Conclusion: names and types only.

--- a/packages/node/src/trefoilpulley_node/configuration_runner.py
+++ b/packages/node/src/trefoilpulley_node/configuration_runner.py
@@ -21,6 +21,7 @@
 from trefoilpulley_node.document_reader import SOURCES
 from trefoilpulley_node import events
 from trefoilpulley_node.peer_server import make_reply
+from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,7 +74,7 @@
     """Whether the last read of the service was answered."""
 
 
-class ConfigurationRunner:
+class ConfigurationRunner(Service):
     """Carries the spread over the service and the peer connections.
 
     Parameters
--- a/packages/node/src/trefoilpulley_node/coordination/driver.py
+++ b/packages/node/src/trefoilpulley_node/coordination/driver.py
@@ -26,6 +26,7 @@
 from trefoilpulley_node.coordination.dump import describe_shard
 from trefoilpulley_node.coordination.duty_runner import DutyRunner
 from trefoilpulley_node.coordination.shard_store import ShardStore
+from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +41,7 @@
     from trefoilpulley_node.coordination.situation import Situation
 
 
-class CoordinationDriver:
+class CoordinationDriver(Service):
     """Greenlets around the decisions of the coordinator role.
 
     Parameters
--- a/packages/node/src/trefoilpulley_node/entry/views.py
+++ b/packages/node/src/trefoilpulley_node/entry/views.py
@@ -13,7 +13,7 @@
 from trefoilpulley_core.routing import DatabaseView
 from trefoilpulley_node.entry.digest_asker import DigestAsker
 from trefoilpulley_node.entry.digest_store import DigestStore
-from trefoilpulley_node.node import Service
+from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/node/src/trefoilpulley_node/membership_runner.py
+++ b/packages/node/src/trefoilpulley_node/membership_runner.py
@@ -22,6 +22,7 @@
 from trefoilpulley_core.membership.messages import ProbeReport
 from trefoilpulley_core.membership.probes import PROBE_TIMEOUT_S
 from trefoilpulley_node import events
+from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +70,7 @@
     """Number of changes of the records."""
 
 
-class MembershipRunner:
+class MembershipRunner(Service):
     """Carries the membership decisions over the peer connections.
 
     Parameters
--- a/packages/node/src/trefoilpulley_node/node.py
+++ b/packages/node/src/trefoilpulley_node/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from typing import TYPE_CHECKING
 
 import gevent
@@ -17,6 +16,7 @@
     from trefoilpulley_node.peers import Peers
     from trefoilpulley_node.pipeline.admit import Admit
     from trefoilpulley_node.pooler.pooler import Pooler
+    from trefoilpulley_node.service import Service
     from trefoilpulley_node.settings import NodeSettings
     from trefoilpulley_wire.listener import Listener
 
@@ -27,18 +27,6 @@
 """Time in which peers learn that this host leaves."""
 
 
-class Service(abc.ABC):
-    """Part that works in the background."""
-
-    @abc.abstractmethod
-    def start(self) -> None:
-        """Begin to work."""
-
-    @abc.abstractmethod
-    def stop(self) -> None:
-        """End the work."""
-
-
 class Node:
     """One entry host process.
 
--- a/packages/node/src/trefoilpulley_node/pool_owner.py
+++ b/packages/node/src/trefoilpulley_node/pool_owner.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from trefoilpulley_node.node import Service
+from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
     from trefoilpulley_node.directory import Directory
