--- a/features/steps/coordination_driver_steps.py
+++ b/features/steps/coordination_driver_steps.py
@@ -25,7 +25,7 @@
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import StaleTerm
-from trefoilpulley_core.keys import shard_key
+from trefoilpulley_core.keys import SHARD_PREFIX
 from trefoilpulley_core.peer import FenceMember
 from trefoilpulley_core.peer import FollowMember
 from trefoilpulley_core.peer import PromoteMember
@@ -103,7 +103,7 @@
             if b'grants' in entry.value:
                 granted.set()
 
-        watch = self.watch(shard_key(0)[:-4], look, look)
+        watch = self.watch(SHARD_PREFIX, look, look)
         for entry in list(self.values.values()):
             if entry.key.startswith(watch.prefix):
                 look(entry)
--- a/packages/core/src/trefoilpulley_core/keys.py
+++ b/packages/core/src/trefoilpulley_core/keys.py
@@ -14,6 +14,9 @@
 CATALOG_HOSTS_KEY = '/platform/hosts'
 """Lagging list of hosts; the platform writes, the system reads."""
 
+SHARD_PREFIX = '/trefoilpulley/shard/'
+"""Prefix of the keys that hold the records of shards."""
+
 
 def duty_key(shard: int) -> str:
     """Return the key that the coordinator of a shard holds by lease."""
@@ -22,4 +25,4 @@
 
 def shard_key(shard: int) -> str:
     """Return the key that holds the records of a shard's databases."""
-    return f'/trefoilpulley/shard/{shard:04d}'
+    return f'{SHARD_PREFIX}{shard:04d}'
