--- a/features/coordination_duty.feature
+++ b/features/coordination_duty.feature
@@ -22,3 +22,8 @@
     Given a record whose acting process holds terms ahead
     When its host starts anew and claims terms ahead
     Then only the new process of the host holds terms
+
+  Scenario: the state of a process tells how long its lease holds
+    Given a duty of home zone "a" held by a host of zone "c"
+    Then its lease holds for 900 seconds at 100
+    And its lease holds for 0 seconds at 2000
--- a/features/steps/coordination_duty_steps.py
+++ b/features/steps/coordination_duty_steps.py
@@ -69,6 +69,16 @@
         assert is_released == (outcome == 'given back'), context.commands
 
 
+class LeaseSteps:
+    """Looks at the lease of a process."""
+
+    @staticmethod
+    @then('its lease holds for {left:g} seconds at {now:g}')
+    def check_lease(context: Any, left: float, now: float) -> None:
+        """Compare the time that is left."""
+        assert context.duty.lease_left_s(now) == left
+
+
 class TermSteps:
     """Grants terms ahead to several processes."""
 
--- a/packages/core/src/trefoilpulley_core/coordination/duty.py
+++ b/packages/core/src/trefoilpulley_core/coordination/duty.py
@@ -167,6 +167,10 @@
         """Lease of this process, or 0."""
         return self._lease_id
 
+    def lease_left_s(self, now: float) -> float:
+        """Return the time for which the lease holds, 0 without one."""
+        return max(0.0, self._lease_until - now)
+
     def may_act(self, shard: int, now: float) -> bool:
         """Return whether this process coordinates a shard now."""
         view = self.views.get(shard)
--- a/packages/node/src/trefoilpulley_node/coordination/driver.py
+++ b/packages/node/src/trefoilpulley_node/coordination/driver.py
@@ -103,6 +103,7 @@
         return CoordinationState(
             self._holder,
             self._duty.is_service_up,
+            self._duty.lease_left_s(now),
             tuple(
                 describe_shard(number, shard, self._duty.may_act(number, now))
                 for number, shard in sorted(self._shards.items())
--- a/packages/node/src/trefoilpulley_node/coordination/dump.py
+++ b/packages/node/src/trefoilpulley_node/coordination/dump.py
@@ -67,6 +67,9 @@
     is_service_up: bool
     """Whether the platform's service answered the last call."""
 
+    lease_left_s: float
+    """Time for which this host's lease holds; 0 without one."""
+
     shards: tuple[ShardState, ...]
     """Shards for which this host acts or keeps ready."""
 
