Teach the slot queue nothing by a broken connection

Cause: work whose connection broke was recorded as served in 0 s, against the comment beside it, and drew the class's service time down. Change: the queue counts such work as ended and learns no time.

--- a/packages/core/src/trefoilpulley_core/slots.py
+++ b/packages/core/src/trefoilpulley_core/slots.py
@@ -65,6 +65,13 @@
     ) -> None:
         """Learn how long a piece of work held its slot."""
 
+    @abc.abstractmethod
+    def record_broken(self) -> None:
+        """Count work as ended whose connection broke.
+
+        How long it held its slot says nothing of the work.
+        """
+
     @abc.abstractmethod
     def expected_wait_ms(self, now: float) -> int:
         """Return the expected wait of new work, in milliseconds."""
--- a/packages/core/src/trefoilpulley_core/slots_deadline.py
+++ b/packages/core/src/trefoilpulley_core/slots_deadline.py
@@ -115,13 +115,17 @@
         self, work_class: str, service_s: float, is_in_time: bool
     ) -> None:
         """Learn how long a piece of work held its slot."""
-        if self._taken_at:
-            self._taken_at.popleft()
+        self.record_broken()
         self._own.record_outcome(work_class, is_in_time, self._now)
         for lane in self._lanes:
             if lane.work_class == work_class:
                 lane.service.record(service_s, self._now)
 
+    def record_broken(self) -> None:
+        """Count work as ended whose connection broke."""
+        if self._taken_at:
+            self._taken_at.popleft()
+
     def expected_wait_ms(self, now: float) -> int:
         """Return the expected wait of new work, in milliseconds."""
         self._refresh(now)
--- a/packages/core/src/trefoilpulley_core/slots_fifo.py
+++ b/packages/core/src/trefoilpulley_core/slots_fifo.py
@@ -74,6 +74,9 @@
         """Learn how long a piece of work held its slot."""
         self._service_s += _SMOOTHING * (service_s - self._service_s)
 
+    def record_broken(self) -> None:
+        """Learn nothing: the queue does not count running work."""
+
     def expected_wait_ms(self, now: float) -> int:
         """Return the expected wait of new work, in milliseconds."""
         share = len(self._waiting) / self._slots
--- a/packages/node/src/trefoilpulley_node/pooler/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_pool.py
@@ -132,11 +132,12 @@
     def release(self, lease: SlotLease, is_in_time: bool = True) -> None:
         """Return a slot, and its connection where it still works."""
         held_s = self._clock.now() - lease.taken_at
-        if not lease.link.is_open:
-            # The end of a connection says nothing of the work on it.
-            held_s = 0.0
+        work_class = lease.ticket.work_class
+        if lease.link.is_open:
+            self._queue.record_service(work_class, held_s, is_in_time)
+        else:
+            self._queue.record_broken()
         self._connections.give_back(lease.link)
-        self._queue.record_service(lease.ticket.work_class, held_s, is_in_time)
         self._free_slot(lease.ticket)
 
     def warm(self, count: int) -> int:
@@ -198,7 +199,7 @@
     def _connect(self, ticket: Ticket) -> Result[SlotLease, Failure]:
         lent = self._connections.lend(ticket.deadline)
         if not isinstance(lent, Success):
-            self._queue.record_service(ticket.work_class, 0.0, False)
+            self._queue.record_broken()
             self._free_slot(ticket)
             return Failed(NoUpstream('member can not be connected'))
         return Success(SlotLease(lent.unwrap(), ticket, self._clock.now()))
