--- a/packages/core/src/trefoilpulley_core/keys.py
+++ b/packages/core/src/trefoilpulley_core/keys.py
@@ -18,6 +18,16 @@
 """Prefix of the keys that hold the records of shards."""
 
 
+PROXY_PREFIX = '/trefoilpulley/proxy/'
+"""Prefix of the keys of hosts that order promotions."""
+
+HOST_PREFIX = f'{PROXY_PREFIX}host/'
+"""Prefix of the entries of the hosts, each bound to its lease."""
+
+CLAIM_PREFIX = f'{PROXY_PREFIX}claim/'
+"""Prefix of the claims to change a group's primary."""
+
+
 def duty_key(shard: int) -> str:
     """Return the key that the coordinator of a shard holds by lease."""
     return f'/trefoilpulley/duty/{shard:04d}'
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -51,6 +51,14 @@
     run_state = RunState.NOT_RUN
 
 
+@dataclass(frozen=True, slots=True)
+class WatchExpired(Failure):
+    """The service no longer has the history that the watch needs."""
+
+    code = 'watch-expired'
+    run_state = RunState.NOT_RUN
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """Value of one key."""
@@ -161,5 +169,7 @@
 
         A deleted key comes with an empty value. A broken watch calls
         ``on_failure`` once and ends. Returns once the watch is in
-        force, so that a read that follows misses no change.
+        force, so that a read that follows misses no change. A watch
+        that follows a broken one may go on where that one ended; it
+        fails with `WatchExpired` where changes in between are lost.
         """
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for sessions that are a connection."""
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/proxy/connection_share.py
@@ -0,0 +1,44 @@
+"""Share of a member's connections that one host may open."""
+
+from __future__ import annotations
+
+GROWTH_FACTOR = 2
+"""Connections that a host may hold at most, in shares."""
+
+LIMIT_PAUSE_S = 0.5
+"""Time without growth after the member refused a connection."""
+
+SURPLUS_IDLE_S = 1.0
+"""Time after which an idle connection above the share is closed."""
+
+
+class ConnectionShare:
+    """Equal share of each host, with room above it while it is free.
+
+    A host opens connections above its share only where work waits and
+    the member has refused none for a while, and gives them back as soon
+    as they are idle.
+    """
+
+    def __init__(self) -> None:
+        self._share = 1
+        self._refused_until = float('-inf')
+
+    @property
+    def share(self) -> int:
+        """Connections that this host may keep."""
+        return self._share
+
+    def update(self, max_connections: int, hosts: int) -> None:
+        """Take the member's limit and the number of live hosts."""
+        self._share = max(1, max_connections // max(1, hosts))
+
+    def on_refused(self, now: float) -> None:
+        """Note that the member has as many connections as it allows."""
+        self._refused_until = now + LIMIT_PAUSE_S
+
+    def limit(self, now: float) -> int:
+        """Return the connections that may be open now."""
+        if now < self._refused_until:
+            return self._share
+        return self._share * GROWTH_FACTOR
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -0,0 +1,219 @@
+"""What one host knows of the members of a database group."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.position import BEGINNING
+from trefoilpulley_core.proxy.evidence import EvidenceLog
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.position import Position
+
+FIRST_LATENCY_S = 0.025
+"""Time of a statement assumed before the first one, in seconds."""
+
+LATENCY_WEIGHT = 0.1
+"""Weight of a new statement in the mean time of statements."""
+
+FIRST_LAG_S = 0.15
+"""Lag assumed of a replica before it has answered, in seconds."""
+
+BEHIND_PAUSE_S = 0.25
+"""Time for which a replica that was behind is not asked, in seconds."""
+
+UNREACHABLE_PAUSE_S = 0.3
+"""Time for which an unreachable replica is not asked, in seconds."""
+
+BUSY_PAUSE_S = 0.02
+"""Time for which a member that refused for load is avoided, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRecord:
+    """One member as the platform lists it."""
+
+    member: str
+    """Identifier of the member."""
+
+    group: str
+    """Database group of the member."""
+
+    endpoint: Endpoint
+    """Address of the member."""
+
+    zone: str
+    """Availability zone of the member."""
+
+    is_primary: bool
+    """Whether the member takes itself for the primary."""
+
+    is_leaving: bool
+    """Whether the member is about to stop."""
+
+    incarnation: int = 0
+    """Moment of the member's start; changes where it starts anew."""
+
+
+class MemberHealth:
+    """How one member has answered this host.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        Entry of the member.
+    """
+
+    def __init__(self, record: MemberRecord) -> None:
+        self.record = record
+        self.latency_s = FIRST_LATENCY_S
+        """Recent mean time of a statement, in seconds."""
+
+        self.lag_s = FIRST_LAG_S
+        """Age of a floor that the member is expected to hold."""
+
+        self.in_flight = 0
+        """Statements of this host at the member."""
+
+        self.silent_since = float('-inf')
+        """Time since which statements have been in flight, in seconds."""
+
+        self.last_answer_at = float('-inf')
+        """Time of the last answer of any kind, in seconds."""
+
+        self.failing_since: float | None = None
+        """Time of the first failure since the last answer, in seconds."""
+
+        self.avoid_until = float('-inf')
+        """Time until which reads go elsewhere, in seconds."""
+
+        self.position: Position = BEGINNING
+        """Greatest position that the member has shown."""
+
+    def on_answer(self, now: float, position: Position) -> None:
+        """Note an answer of the member."""
+        self.last_answer_at = now
+        self.failing_since = None
+        if position > self.position:
+            self.position = position
+
+    def on_served(self, duration_s: float) -> None:
+        """Note how long a statement took."""
+        self.latency_s += LATENCY_WEIGHT * (duration_s - self.latency_s)
+
+    def on_behind(self, floor_age_s: float, now: float) -> None:
+        """Note that the member lacked a floor of an age."""
+        self.lag_s = max(self.lag_s, min(2 * floor_age_s, 4.0))
+        self.avoid_until = now + BEHIND_PAUSE_S
+
+    def on_held(self, floor_age_s: float) -> None:
+        """Note that the member held a floor of an age."""
+        if floor_age_s < self.lag_s:
+            self.lag_s += 0.2 * (floor_age_s - self.lag_s)
+
+    def on_busy(self, now: float) -> None:
+        """Note that the member refused work for load."""
+        self.avoid_until = max(self.avoid_until, now + BUSY_PAUSE_S)
+
+    def on_unreachable(self, now: float) -> None:
+        """Note that the member did not answer."""
+        if self.failing_since is None:
+            self.failing_since = now
+        self.avoid_until = now + UNREACHABLE_PAUSE_S
+
+
+class GroupState:
+    """Members, primary and evidence of one database group.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    """
+
+    def __init__(self, group: str) -> None:
+        self.group = group
+        self.members: dict[str, MemberHealth] = {}
+        """Members by identifier."""
+
+        self.primary: str | None = None
+        """Member that proved last to lead, or is listed as primary."""
+
+        self.term = 0
+        """Highest term in which a leader proved itself."""
+
+        self.evidence = EvidenceLog()
+        """Proved positions."""
+
+        self.proved_at = float('-inf')
+        """Time at which the last proof's request left, in seconds."""
+
+        self.change_due_at = float('-inf')
+        """Time at which a change of primary should be over."""
+
+        self.asked_at = float('-inf')
+        """Time of the last request for the group, in seconds."""
+
+    def update(self, records: Iterable[MemberRecord]) -> None:
+        """Take the platform's present entries of the group."""
+        by_name = {r.member: r for r in records}
+        self._forget(by_name)
+        for record in by_name.values():
+            known = self.members.get(record.member)
+            if known is None:
+                self.members[record.member] = MemberHealth(record)
+                continue
+            if known.record.incarnation != record.incarnation:
+                known = self.members[record.member] = MemberHealth(record)
+                continue
+            if record.is_primary and not known.record.is_primary:
+                self.primary = record.member
+            known.record = record
+        if self.primary not in self.members:
+            self.primary = self._listed_primary()
+
+    def on_proof(self, member: str, sent_at: float, position: Position) -> bool:
+        """Note that a member has proved to lead.
+
+        Parameters
+        ----------
+        member : str
+            Identifier of the member.
+        sent_at : float
+            Time at which the proving request left, in seconds.
+        position : Position
+            Position in the reply.
+
+        Returns
+        -------
+        bool
+            Whether the primary changed by it.
+        """
+        self.term = max(self.term, position.term)
+        self.evidence.record(sent_at, position)
+        self.proved_at = max(self.proved_at, sent_at)
+        is_change = self.primary != member
+        self.primary = member
+        return is_change
+
+    def on_not_leading(self, member: str) -> None:
+        """Note that a member refused as it does not lead."""
+        if self.primary == member:
+            self.primary = None
+
+    def others(self, member: str | None) -> tuple[str, ...]:
+        """Return the members but one."""
+        return tuple(m for m in self.members if m != member)
+
+    def _listed_primary(self) -> str | None:
+        listed = [m for m, h in self.members.items() if h.record.is_primary]
+        return listed[0] if listed else None
+
+    def _forget(self, present: Mapping[str, MemberRecord]) -> None:
+        for member in [m for m in self.members if m not in present]:
+            del self.members[member]
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -0,0 +1,115 @@
+"""Who changes a primary, when, and to which member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpulley_core.rendezvous import rank_hosts
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.proxy.group_state import GroupState
+    from trefoilpulley_core.proxy.upstream_session import LogStatus
+
+RANK_DELAY_S = 0.04
+"""Head start of each host over the next in rank, in seconds.
+
+A claim in the platform's service takes a few milliseconds; a host that
+loses the race sees the claim before its own turn.
+"""
+
+RANK_DELAY_ALONE_S = 0.6
+"""The same while the service is out and no claim can be seen."""
+
+FENCE_HOLDERS = 1 << 20
+"""Fencing tokens of one round; one a holder, told apart by its lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Right to change the primary of a group, as the service keeps it."""
+
+    holder: str
+    """Name of the host that acts."""
+
+    round: int
+    """Number of the change; every change of target takes a new one."""
+
+    target: str
+    """Member that is to lead."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReachQuestion:
+    """Asks another host whether a member answers it."""
+
+    group: str
+    """Group of the member."""
+
+    member: str
+    """Identifier of the member."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReachReport:
+    """What another host says of a member."""
+
+    host: str
+    """Name of the host."""
+
+    is_reached: bool
+    """Whether the member answers that host."""
+
+
+def fencing_token(round_number: int, holder_id: int) -> int:
+    """Return the token of a holder in a round.
+
+    Two holders never share a token, also where neither could see the
+    other's claim.
+    """
+    return round_number * FENCE_HOLDERS + holder_id % FENCE_HOLDERS
+
+
+def act_delay_s(
+    group: str, host: str, hosts: Sequence[str], is_service_out: bool
+) -> float:
+    """Return how long a host gives those before it in rank."""
+    ranked = rank_hosts(group, sorted({*hosts, host}))
+    each_s = RANK_DELAY_ALONE_S if is_service_out else RANK_DELAY_S
+    return ranked.index(host) * each_s
+
+
+def is_lost_to_majority(
+    reports: Iterable[ReachReport], hosts: int
+) -> bool:
+    """Return whether most hosts, this one included, miss a member.
+
+    A host that does not answer counts as reaching it: it may be cut off
+    from here and serve from there.
+    """
+    lost = 1 + sum(1 for r in reports if not r.is_reached)
+    return 2 * lost > hosts
+
+
+def choose_target(
+    group: GroupState, statuses: Mapping[str, LogStatus]
+) -> str | None:
+    """Return the member to promote, or ``None`` where none answers.
+
+    The log that goes furthest wins, since the records that the new
+    primary lacks are lost; a member that stays goes before one that
+    leaves among equals.
+    """
+    best = None
+    for member, status in sorted(statuses.items()):
+        health = group.members.get(member)
+        if health is None:
+            continue
+        key = (status.received, not health.record.is_leaving)
+        if best is None or key > best[0]:
+            best = (key, member)
+    return best[1] if best else None
--- a/packages/node/src/trefoilpulley_node/clock.py
+++ b/packages/node/src/trefoilpulley_node/clock.py
@@ -1,4 +1,4 @@
-"""Monotonic clock of the process."""
+"""Clocks of the process."""
 
 from __future__ import annotations
 
@@ -13,3 +13,11 @@
     def now(self) -> float:
         """Return monotonic time in seconds."""
         return time.monotonic()
+
+
+class BoottimeClock(Clock):
+    """Monotonic clock that goes on while the machine is suspended."""
+
+    def now(self) -> float:
+        """Return time since the start of the machine in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Runs sessions that are a connection."""
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_session.py
@@ -0,0 +1,293 @@
+"""Session of one caller: its commands and their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from trefoilpulley_core.failure import OutcomeUnknown
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.failure import UnknownDatabase
+from trefoilpulley_core.proxy.commands import Assign
+from trefoilpulley_core.proxy.commands import Begin
+from trefoilpulley_core.proxy.commands import Commit
+from trefoilpulley_core.proxy.commands import Forget
+from trefoilpulley_core.proxy.commands import Prepare
+from trefoilpulley_core.proxy.commands import Rollback
+from trefoilpulley_core.proxy.commands import Run
+from trefoilpulley_core.proxy.commands import Unreadable
+from trefoilpulley_core.proxy.evidence import SessionFloor
+from trefoilpulley_core.proxy.session_state import SessionState
+from trefoilpulley_core.proxy.upstream_session import CommandRefused
+from trefoilpulley_core.proxy.upstream_session import Reply
+from trefoilpulley_core.proxy.upstream_session import TransactionState
+from trefoilpulley_core.proxy.upstream_session import UnknownStatement
+from trefoilpulley_node import events
+from trefoilpulley_node.proxy.caller_transaction import CallerTransaction
+from trefoilpulley_node.proxy.work import Work
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.proxy.commands import Command
+    from trefoilpulley_core.proxy.routes import Route
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.directory import ProxyDirectory
+    from trefoilpulley_node.proxy.exchange import Exchanger
+    from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+    from trefoilpulley_node.proxy.statement_runner import StatementRunner
+
+VALUES_LIMIT = 256
+"""Values and prepared statements that one session may keep."""
+
+
+class SessionFactory:
+    """Makes the sessions of callers.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    directory : ProxyDirectory
+        Routes and groups.
+    runner : StatementRunner
+        Runs single statements.
+    exchanger : Exchanger
+        Runs requests on connections.
+    primary_wait : PrimaryWait
+        Waits for a change of primary that is nearly over.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        directory: ProxyDirectory,
+        runner: StatementRunner,
+        exchanger: Exchanger,
+        primary_wait: PrimaryWait,
+        clock: Clock,
+    ) -> None:
+        self.zone = zone
+        self.directory = directory
+        self.runner = runner
+        self.exchanger = exchanger
+        self.primary_wait = primary_wait
+        self.clock = clock
+
+    def open(self, database: str) -> CallerSession:
+        """Return a new session for a database name."""
+        return CallerSession(self, database)
+
+    def is_known(self, database: str) -> bool:
+        """Return whether a route has a database name."""
+        return self.directory.find_route(database) is not None
+
+
+class CallerSession:
+    """One session; its commands are handled one after the other.
+
+    Parameters
+    ----------
+    parts : SessionFactory
+        What the sessions of a host share.
+    database : str
+        Database name that the caller gave.
+    """
+
+    def __init__(self, parts: SessionFactory, database: str) -> None:
+        self._parts = parts
+        self._database = database
+        self._state = SessionState()
+        self._floor = SessionFloor()
+        self._transaction: CallerTransaction | None = None
+        self.is_busy = False
+        """Whether a command is being handled."""
+
+    @property
+    def has_transaction(self) -> bool:
+        """Whether a transaction is open or failed."""
+        return self._transaction is not None
+
+    @property
+    def transaction_state(self) -> TransactionState:
+        """State that the caller is told."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.is_failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    @property
+    def transaction_idle_s(self) -> float:
+        """Time after which an idle transaction ends, in seconds."""
+        return self._parts.directory.table.transaction_idle_s
+
+    def handle(self, command: Command) -> Reply:
+        """Carry out one command and return its answer."""
+        self.is_busy = True
+        try:
+            reply = self._handle(command)
+        finally:
+            self.is_busy = False
+        if reply.failure is not None:
+            self._log_failure(command, reply.failure)
+        return reply
+
+    def abort(self) -> None:
+        """Roll an open transaction back; only a rollback is left."""
+        if self._transaction is None or self._transaction.is_failed:
+            return
+        self._transaction.is_failed = True
+        self._transaction.roll_back()
+
+    def close(self) -> None:
+        """Roll back what the caller has left open."""
+        if self._transaction is not None:
+            self._transaction.roll_back()
+            self._transaction = None
+
+    def _handle(self, command: Command) -> Reply:
+        match command:
+            case Run():
+                return self._on_run(command)
+            case Begin():
+                return self._on_begin(command)
+            case Commit():
+                return self._on_commit(command)
+            case Rollback():
+                return self._on_rollback()
+            case Assign() | Prepare() | Forget():
+                return self._on_setting(command)
+            case Unreadable():
+                return self._refuse(CommandRefused(command.reason))
+
+    def _on_run(self, run: Run) -> Reply:
+        transaction = self._transaction
+        if transaction is not None and transaction.is_failed:
+            return self._refuse(CommandRefused('transaction has failed'))
+        prepared = None
+        if run.prepared:
+            prepared = self._state.prepared.get(run.prepared)
+            if prepared is None:
+                return self._refuse(UnknownStatement(run.prepared))
+            run = Run(
+                run.request_id, run.text, prepared.is_write, run.prepared
+            )
+        work = self._make_work(run, prepared)
+        if work is None:
+            return self._refuse(self._no_route())
+        if transaction is not None:
+            return self._answer(transaction.run(work))
+        if run.is_write:
+            return self._answer(self._parts.runner.write(work))
+        return self._answer(self._parts.runner.read(work))
+
+    def _on_begin(self, command: Begin) -> Reply:
+        if self._transaction is not None:
+            return self._refuse(CommandRefused('transaction is open'))
+        if self._route() is None:
+            return self._refuse(self._no_route())
+        parts = self._parts
+        self._transaction = CallerTransaction(
+            command.is_read_only,
+            parts.zone,
+            parts.exchanger,
+            parts.primary_wait,
+            parts.clock,
+        )
+        return Reply(state=TransactionState.OPEN)
+
+    def _on_commit(self, command: Commit) -> Reply:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(CommandRefused('no transaction is open'))
+        if transaction.is_failed:
+            return self._refuse(CommandRefused('transaction has failed'))
+        work = self._make_work(Run(command.request_id, '', False), None)
+        if work is None:
+            transaction.roll_back()
+            self._transaction = None
+            return self._refuse(self._no_route())
+        done = transaction.commit(work)
+        self._transaction = None
+        return self._answer(done)
+
+    def _on_rollback(self) -> Reply:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(CommandRefused('no transaction is open'))
+        self._transaction = None
+        transaction.roll_back()
+        return Reply()
+
+    def _on_setting(self, command: Assign | Prepare | Forget) -> Reply:
+        if self._transaction is not None and self._transaction.is_failed:
+            return self._refuse(CommandRefused('transaction has failed'))
+        state = self._state
+        if isinstance(command, Forget):
+            if state.prepared.pop(command.name, None) is None:
+                return self._refuse(UnknownStatement(command.name))
+        elif len(state.values) + len(state.prepared) >= VALUES_LIMIT:
+            return self._refuse(CommandRefused('too many values'))
+        elif isinstance(command, Prepare):
+            state.prepared[command.name] = command
+        else:
+            state.values[command.name] = command.value
+        return Reply(state=self.transaction_state)
+
+    def _make_work(self, run: Run, prepared: Prepare | None) -> Work | None:
+        route = self._route()
+        group = self._parts.directory.find_group(route) if route else None
+        if group is None:
+            return None
+        now = self._parts.clock.now()
+        group.state.asked_at = now
+        return Work(
+            run,
+            prepared,
+            route,
+            group,
+            self._state,
+            self._floor,
+            now,
+            now + route.timeout_s,
+        )
+
+    def _route(self) -> Route | None:
+        return self._parts.directory.find_route(self._database)
+
+    def _no_route(self) -> Failure:
+        return UnknownDatabase(self._database)
+
+    def _answer(self, done: Result[Reply, Failure]) -> Reply:
+        if not isinstance(done, Success):
+            return self._refuse(done.failure())
+        reply = done.unwrap()
+        return Reply(
+            reply.rows,
+            reply.signature,
+            None,
+            self.transaction_state,
+            reply.position,
+        )
+
+    def _refuse(self, failure: Failure) -> Reply:
+        return Reply(failure=failure, state=self.transaction_state)
+
+    def _log_failure(self, command: Command, failure: Failure) -> None:
+        request = getattr(command, 'request_id', '')
+        event = events.STATEMENT_REFUSED
+        if isinstance(failure, OutcomeUnknown):
+            event = events.STATEMENT_UNKNOWN
+        event.log(
+            request=request,
+            database=self._database,
+            failure=failure.code,
+            detail=failure.detail,
+            is_run=failure.run_state is not RunState.NOT_RUN,
+        )
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -0,0 +1,297 @@
+"""Transaction of one caller, pinned to one connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.failure import NotPrimary
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import OutcomeUnknown
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.failure import TransactionLost
+from trefoilpulley_core.proxy.placement import place_read
+from trefoilpulley_core.proxy.upstream_session import CommitTransaction
+from trefoilpulley_core.proxy.upstream_session import OpenTransaction
+from trefoilpulley_core.proxy.upstream_session import RollBack
+from trefoilpulley_core.proxy.upstream_session import TransactionState
+from trefoilpulley_node import events
+from trefoilpulley_node.proxy.exchange import prove
+from trefoilpulley_node.proxy.statement_runner import BUSY_BACKOFF_S
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.proxy.evidence import Evidence
+    from trefoilpulley_core.proxy.placement import Placement
+    from trefoilpulley_core.proxy.upstream_session import Reply
+    from trefoilpulley_node.proxy.exchange import Exchanger
+    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.member_pool import PooledSession
+    from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+    from trefoilpulley_node.proxy.work import Work
+
+OPEN_TRIES = 6
+"""Members that a transaction may be opened at, repeats included."""
+
+OPEN_TIMEOUT_S = 0.3
+"""Longest time to open a transaction, which needs no slot."""
+
+SILENCE_S = 0.45
+"""Silence after which a statement's answer counts as lost, in seconds.
+
+Above the time of the slowest statement behind a full queue of a member;
+the transaction is then rolled back and its caller told so at once.
+"""
+
+ROLLBACK_TIMEOUT_S = 0.5
+"""Longest time for a rollback before the connection is closed."""
+
+
+class CallerTransaction:
+    """One transaction of a caller.
+
+    Parameters
+    ----------
+    is_read_only : bool
+        Whether the caller promised not to write.
+    zone : str
+        Availability zone of this host.
+    exchanger : Exchanger
+        Runs requests on connections.
+    primary_wait : PrimaryWait
+        Waits for a change of primary that is nearly over.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        is_read_only: bool,
+        zone: str,
+        exchanger: Exchanger,
+        primary_wait: PrimaryWait,
+        clock: Clock,
+    ) -> None:
+        self._is_read_only = is_read_only
+        self._zone = zone
+        self._exchanger = exchanger
+        self._primary_wait = primary_wait
+        self._clock = clock
+        self._pool: MemberPool | None = None
+        self._conn: PooledSession | None = None
+        self._has_written = False
+        self.is_failed = False
+        """Whether only a rollback is possible."""
+
+        self.is_begun = False
+        """Whether a statement of the caller was sent to a member."""
+
+    def run(self, work: Work) -> Result[Reply, Failure]:
+        """Run a statement inside the transaction."""
+        if self._conn is None:
+            opened = self._open(work)
+            if not isinstance(opened, Success):
+                return self._fail(work, opened.failure())
+        self._has_written = self._has_written or work.run.is_write
+        deadline = min(work.deadline, self._clock.now() + SILENCE_S)
+        is_first = not self.is_begun
+        self.is_begun = True
+        done = self._exchanger.run(
+            self._pool, self._conn, work, None, False, deadline
+        )
+        if isinstance(done, Success):
+            return done
+        failure = done.failure()
+        if isinstance(failure, Overloaded) and self._is_retried(work, is_first):
+            return self._again(work)
+        if isinstance(failure, NotPrimary):
+            work.group.state.on_not_leading(self._pool.health.record.member)
+            work.group.attention.set()
+        if failure.run_state is not RunState.NOT_RUN:
+            work.group.attention.set()
+        return self._fail(work, failure)
+
+    def commit(self, work: Work) -> Result[Reply, Failure]:
+        """Commit; a lost answer of a transaction that wrote is unknown."""
+        if self._conn is None:
+            opened = self._open(work)
+            if not isinstance(opened, Success):
+                return self._fail(work, opened.failure())
+        pool, conn = self._pool, self._conn
+        sent_at = self._clock.now()
+        done = self._exchanger.exchange(
+            pool,
+            conn,
+            (CommitTransaction(work.run.request_id),),
+            work.deadline,
+        )
+        if not isinstance(done, Success):
+            work.group.attention.set()
+            failure = done.failure()
+            self._discard()
+            if self._has_written:
+                return Failed(OutcomeUnknown(failure.code))
+            return Failed(TransactionLost(failure.code))
+        reply = done.unwrap()[0]
+        if reply.failure is not None:
+            if isinstance(reply.failure, NotPrimary):
+                work.group.state.on_not_leading(pool.health.record.member)
+                work.group.attention.set()
+            self._end(reply)
+            return Failed(self._commit_failure(reply.failure))
+        if self._has_written:
+            prove(work.group, pool, sent_at, reply.position)
+            work.floor.at = self._clock.now()
+            work.floor.position = reply.position
+        self._end(reply)
+        return Success(reply)
+
+    def roll_back(self) -> None:
+        """Roll back and give the connection back."""
+        if self._conn is None:
+            return
+        pool, conn = self._pool, self._conn
+        self._pool = self._conn = None
+        deadline = self._clock.now() + ROLLBACK_TIMEOUT_S
+        done = self._exchanger.exchange(pool, conn, (RollBack(),), deadline)
+        if not isinstance(done, Success):
+            pool.discard(conn)
+        elif done.unwrap()[0].state is not TransactionState.IDLE:
+            pool.discard(conn)
+        else:
+            pool.release(conn)
+
+    def _is_retried(self, work: Work, is_first: bool) -> bool:
+        return is_first and self._clock.now() < work.deadline - 0.1
+
+    def _again(self, work: Work) -> Result[Reply, Failure]:
+        """Open the transaction anew after its first statement met no slot."""
+        self._pool.health.on_busy(self._clock.now())
+        self.roll_back()
+        self.is_begun = False
+        self._has_written = False
+        gevent.sleep(BUSY_BACKOFF_S)
+        return self.run(work)
+
+    def _open(self, work: Work) -> Result[None, Failure]:
+        failure: Failure = NoUpstream('no member may open the transaction')
+        excluded: set[str] = set()
+        for _ in range(OPEN_TRIES):
+            if self._clock.now() >= work.deadline:
+                break
+            place = self._place(work, frozenset(excluded))
+            if place is None:
+                if not self._primary_wait.wait(work):
+                    break
+                excluded.clear()
+                continue
+            done = self._open_at(work, place)
+            if isinstance(done, Success):
+                return done
+            failure = done.failure()
+            self._on_refused(work, place, failure, excluded)
+        if failure.run_state is RunState.NOT_RUN:
+            return Failed(failure)
+        return Failed(TransactionLost(failure.code))
+
+    def _on_refused(
+        self,
+        work: Work,
+        place: Placement,
+        failure: Failure,
+        excluded: set[str],
+    ) -> None:
+        now = self._clock.now()
+        state = work.group.state
+        health = state.members.get(place.member)
+        if isinstance(failure, ReplicaBehind) and place.floor and health:
+            health.on_behind(now - place.floor.at, now)
+        if isinstance(failure, NotPrimary) and place.floor is None:
+            state.on_not_leading(place.member)
+            work.group.attention.set()
+        else:
+            excluded.add(place.member)
+        if failure.run_state is not RunState.NOT_RUN:
+            work.group.attention.set()
+        events.STATEMENT_RETRIED.log(
+            request=work.run.request_id,
+            member=place.member,
+            failure=failure.code,
+            detail=failure.detail,
+            step='begin',
+        )
+
+    def _place(self, work: Work, excluded: frozenset[str]) -> Placement | None:
+        state = work.group.state
+        now = self._clock.now()
+        floor: Evidence | None = None
+        if self._is_read_only:
+            floor = state.evidence.floor_of(work.route, work.floor, now)
+        if self._primary_wait.is_lost(work.group) and state.primary:
+            excluded = excluded | {state.primary}
+        return place_read(state, floor, self._zone, excluded, now)
+
+    def _open_at(
+        self, work: Work, place: Placement
+    ) -> Result[None, Failure]:
+        pool = work.group.pool_of(place.member)
+        if pool is None:
+            return Failed(NoUpstream('member has left'))
+        lent = pool.acquire(work.route.priority, work.deadline, work.session)
+        if not isinstance(lent, Success):
+            return lent
+        conn = lent.unwrap()
+        is_plain = place.floor is None
+        floor = None if is_plain else place.floor.position
+        call = OpenTransaction(not is_plain, floor)
+        deadline = min(work.deadline, self._clock.now() + OPEN_TIMEOUT_S)
+        done = self._exchanger.open_transaction(
+            pool, conn, work.group, call, deadline
+        )
+        if not isinstance(done, Success):
+            pool.release(conn)
+            return done
+        self._pool, self._conn = pool, conn
+        return done
+
+    def _fail(self, work: Work, failure: Failure) -> Result[Reply, Failure]:
+        """End the transaction; nothing of it is kept."""
+        self.is_failed = True
+        self._discard()
+        events.TRANSACTION_ABORTED.log(
+            request=work.run.request_id,
+            failure=failure.code,
+            detail=failure.detail,
+        )
+        if failure.run_state is RunState.NOT_RUN:
+            return Failed(failure)
+        return Failed(TransactionLost(failure.code))
+
+    def _commit_failure(self, failure: Failure) -> Failure:
+        if failure.run_state is RunState.NOT_RUN:
+            return failure
+        if self._has_written:
+            return OutcomeUnknown(failure.code)
+        return TransactionLost(failure.code)
+
+    def _end(self, reply: Reply) -> None:
+        pool, conn = self._pool, self._conn
+        if reply.state is TransactionState.IDLE:
+            self._pool = self._conn = None
+            pool.release(conn)
+        else:
+            self.roll_back()
+
+    def _discard(self) -> None:
+        if self._conn is not None:
+            pool, conn = self._pool, self._conn
+            self._pool = self._conn = None
+            pool.discard(conn)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/claims.py
@@ -0,0 +1,121 @@
+"""Claims to change a primary, agreed through the platform's service."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from dataclasses import dataclass
+import json
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.failure import MalformedMessage
+from trefoilpulley_core.keys import CLAIM_PREFIX
+from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.proxy.succession import Claim
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Platform
+
+CLAIM_TIMEOUT_S = 0.3
+"""Longest wait for the service before a failover goes on without it."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownClaim:
+    """Newest claim of a group as this host knows it."""
+
+    claim: Claim
+    """Claim."""
+
+    revision: int
+    """Revision in the service."""
+
+
+class ClaimBook:
+    """Newest claims of every group.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    platform : Platform
+        The platform's service.
+    """
+
+    def __init__(self, host: str, platform: Platform) -> None:
+        self._host = host
+        self._platform = platform
+        self._known: dict[str, KnownClaim] = {}
+
+    def last_round(self, group: str) -> int:
+        """Return the number of a group's newest claim, or 0."""
+        known = self._known.get(group)
+        return known.claim.round if known else 0
+
+    def learn(self, group: str, claim: Claim, revision: int) -> bool:
+        """Take a claim; return whether it is newer than the known one."""
+        known = self._known.get(group)
+        if known is not None and known.revision >= revision:
+            return False
+        self._known[group] = KnownClaim(claim, revision)
+        return True
+
+    def raise_round(self, group: str, round_number: int) -> None:
+        """Note a number that was used without the service."""
+        known = self._known.get(group)
+        revision = known.revision if known else 0
+        if round_number > self.last_round(group):
+            claim = Claim(self._host, round_number, '')
+            self._known[group] = KnownClaim(claim, revision)
+
+    def take(self, group: str, target: str) -> Result[int, Failure]:
+        """Claim the next change of a group.
+
+        Returns
+        -------
+        Result[int, Failure]
+            Number of the change; `RevisionConflict` where another host
+            was first; `PlatformDown` or `PlatformAnswerLost` where the
+            service can't say.
+        """
+        known = self._known.get(group)
+        claim = Claim(self._host, self.last_round(group) + 1, target)
+        value = json.dumps(asdict(claim)).encode()
+        done = None
+        with gevent.Timeout(CLAIM_TIMEOUT_S, False):
+            done = self._platform.compare_and_swap(
+                claim_key(group), known.revision if known else 0, value
+            )
+        if done is None:
+            return Failed(PlatformAnswerLost('no answer in time'))
+        if not isinstance(done, Success):
+            return done
+        self.learn(group, claim, done.unwrap())
+        return Success(claim.round)
+
+
+def claim_key(group: str) -> str:
+    """Return the key of a group's newest claim."""
+    return f'{CLAIM_PREFIX}{group}'
+
+
+def read_claim(entry: KeyValue) -> Result[Claim, Failure]:
+    """Decode the value of a claim's key."""
+    try:
+        fields = json.loads(entry.value)
+        return Success(
+            Claim(
+                str(fields['holder']),
+                int(fields['round']),
+                str(fields['target']),
+            )
+        )
+    except (ValueError, KeyError, TypeError) as exc:
+        return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/directory.py
@@ -0,0 +1,176 @@
+"""Routes, groups and pools of this host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+
+from trefoilpulley_core.proxy.group_state import GroupState
+from trefoilpulley_core.proxy.routes import RouteTable
+from trefoilpulley_node import events
+from trefoilpulley_node.proxy.member_pool import MemberPool
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.proxy.group_state import MemberRecord
+    from trefoilpulley_core.proxy.routes import Route
+    from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+
+
+class Group:
+    """One database group: what is known of it, and its pools.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.state = GroupState(name)
+        self.pools: dict[str, MemberPool] = {}
+        """Connections by member."""
+
+        self.changed = Event()
+        """Set for a moment whenever a primary has proved itself."""
+
+        self.attention = Event()
+        """Set where the primary may be lost."""
+
+    def on_primary(self) -> None:
+        """Wake the work that waits for a primary."""
+        waiting, self.changed = self.changed, Event()
+        waiting.set()
+
+    def pool_of(self, member: str) -> MemberPool | None:
+        """Return the pool of a member, or ``None``."""
+        return self.pools.get(member)
+
+
+class ProxyDirectory:
+    """Holds the newest routes and entries.
+
+    Parameters
+    ----------
+    dialer : UpstreamDialer
+        Opens connections to members.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, dialer: UpstreamDialer, clock: Clock) -> None:
+        self._dialer = dialer
+        self._clock = clock
+        self._records: dict[str, MemberRecord] = {}
+        self._hosts = 1
+        self.table = RouteTable()
+        """Routes in force."""
+
+        self.groups: dict[str, Group] = {}
+        """Groups that a route leads to, by name."""
+
+        self._on_group: list[Callable[[Group], None]] = []
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether a configuration is in force."""
+        return self.table.version > 0
+
+    def subscribe_groups(self, on_group: Callable[[Group], None]) -> None:
+        """Call back for each new group."""
+        self._on_group.append(on_group)
+
+    def find_route(self, database: str) -> Route | None:
+        """Return the route of a database name, or ``None``."""
+        return self.table.routes.get(database)
+
+    def find_group(self, route: Route) -> Group | None:
+        """Return the group that serves a route, or ``None``."""
+        return self.groups.get(route.group)
+
+    def set_routes(self, table: RouteTable) -> bool:
+        """Take a configuration where it is newer than the present one."""
+        if table.version <= self.table.version:
+            return False
+        self.table = table
+        for name in {r.group for r in table.routes.values()}:
+            self._ensure_group(name)
+        self._update_shares()
+        events.ROUTES_IN_FORCE.log(
+            version=table.version, routes=len(table.routes)
+        )
+        return True
+
+    def set_hosts(self, hosts: int) -> None:
+        """Take the number of live hosts, this one included."""
+        if hosts != self._hosts:
+            self._hosts = max(1, hosts)
+            self._update_shares()
+
+    def set_member(self, record: MemberRecord) -> None:
+        """Take a member's entry."""
+        if self._records.get(record.member) == record:
+            return
+        self._records[record.member] = record
+        events.MEMBER_LISTED.log(
+            member=record.member,
+            group=record.group,
+            zone=record.zone,
+            is_primary=record.is_primary,
+            is_leaving=record.is_leaving,
+            incarnation=record.incarnation,
+        )
+        self._update_group(record.group)
+
+    def remove_member(self, member: str) -> None:
+        """Forget a member that is gone."""
+        record = self._records.pop(member, None)
+        if record is not None:
+            events.MEMBER_UNLISTED.log(member=member, group=record.group)
+            self._update_group(record.group)
+
+    def trim(self) -> None:
+        """Close connections that are not needed."""
+        now = self._clock.now()
+        for group in self.groups.values():
+            for pool in group.pools.values():
+                pool.trim(now)
+
+    def _ensure_group(self, name: str) -> None:
+        if name in self.groups:
+            return
+        group = self.groups[name] = Group(name)
+        self._update_group(name)
+        for on_group in self._on_group:
+            on_group(group)
+
+    def _update_group(self, name: str) -> None:
+        group = self.groups.get(name)
+        if group is None:
+            return
+        group.state.update(
+            r for r in self._records.values() if r.group == name
+        )
+        for member, pool in list(group.pools.items()):
+            health = group.state.members.get(member)
+            if health is not pool.health:
+                pool.close()
+                del group.pools[member]
+        for member, health in group.state.members.items():
+            if member not in group.pools:
+                group.pools[member] = MemberPool(
+                    health, self._dialer, self._clock
+                )
+        self._update_shares()
+        group.attention.set()
+
+    def _update_shares(self) -> None:
+        for name, group in self.groups.items():
+            limits = self.table.groups.get(name)
+            if limits is None:
+                continue
+            for pool in group.pools.values():
+                pool.share.update(limits.max_connections, self._hosts)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -0,0 +1,149 @@
+"""One statement on one lent connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.failure import NotPrimary
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.proxy.session_state import alias_of
+from trefoilpulley_core.proxy.session_state import plan_setup
+from trefoilpulley_core.proxy.upstream_session import OpenTransaction
+from trefoilpulley_core.proxy.upstream_session import Reply
+from trefoilpulley_core.proxy.upstream_session import RollBack
+from trefoilpulley_core.proxy.upstream_session import RunStatement
+from trefoilpulley_core.proxy.upstream_session import UnknownStatement
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.position import Position
+    from trefoilpulley_core.proxy.upstream_session import Call
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.member_pool import PooledSession
+    from trefoilpulley_node.proxy.work import Work
+
+
+@dataclass(frozen=True, slots=True)
+class SetupFailed(PeerUnreachable):
+    """The connection could not take the session's values."""
+
+    code = 'setup-failed'
+
+
+class Exchanger:
+    """Runs requests on lent connections and learns from the replies.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    def exchange(
+        self,
+        pool: MemberPool,
+        conn: PooledSession,
+        calls: Sequence[Call],
+        deadline: float,
+    ) -> Result[tuple[Reply, ...], Failure]:
+        """Send requests and note how the member answered."""
+        health = pool.health
+        sent_at = self._clock.now()
+        timeout_s = max(0.001, deadline - sent_at)
+        health.in_flight += 1
+        if health.in_flight == 1:
+            health.silent_since = sent_at
+        try:
+            done = conn.upstream.exchange(calls, timeout_s)
+        finally:
+            health.in_flight -= 1
+        now = self._clock.now()
+        if isinstance(done, Success):
+            health.on_answer(now, done.unwrap()[-1].position)
+            health.on_served(now - sent_at)
+        return done
+
+    def run(
+        self,
+        pool: MemberPool,
+        conn: PooledSession,
+        work: Work,
+        floor: Position | None,
+        is_proof_needed: bool,
+        deadline: float,
+    ) -> Result[Reply, Failure]:
+        """Run a statement, with a proof of leadership where needed.
+
+        The proof is a plain transaction opened behind the statement: a
+        member that still leads then led while the statement ran.
+        """
+        setup = plan_setup(conn.state, work.session, work.prepared)
+        calls: list[Call] = [*setup, _statement(work, floor)]
+        if is_proof_needed:
+            calls += (OpenTransaction(is_read_only=False), RollBack())
+        sent_at = self._clock.now()
+        done = self.exchange(pool, conn, calls, deadline)
+        if not isinstance(done, Success):
+            return done
+        replies = done.unwrap()
+        if any(r.failure is not None for r in replies[: len(setup)]):
+            conn.upstream.close()
+            return Failed(SetupFailed('session values were refused'))
+        reply = replies[len(setup)]
+        if isinstance(reply.failure, UnknownStatement):
+            conn.state.aliases.clear()
+        if reply.failure is not None:
+            return Failed(reply.failure)
+        if is_proof_needed:
+            proof = replies[len(setup) + 1]
+            if proof.failure is not None:
+                return Failed(NotPrimary('lead could not be proved'))
+            prove(work.group, pool, sent_at, proof.position)
+        return Success(reply)
+
+    def open_transaction(
+        self,
+        pool: MemberPool,
+        conn: PooledSession,
+        group: Group,
+        call: OpenTransaction,
+        deadline: float,
+    ) -> Result[None, Failure]:
+        """Open a transaction; a plain one proves the lead."""
+        sent_at = self._clock.now()
+        done = self.exchange(pool, conn, (call,), deadline)
+        if not isinstance(done, Success):
+            return done
+        reply = done.unwrap()[0]
+        if reply.failure is not None:
+            return Failed(reply.failure)
+        if not call.is_read_only:
+            prove(group, pool, sent_at, reply.position)
+        return Success(None)
+
+
+def prove(
+    group: Group, pool: MemberPool, sent_at: float, position: Position
+) -> None:
+    """Note that a pool's member has proved to lead its group."""
+    member = pool.health.record.member
+    if group.state.on_proof(member, sent_at, position):
+        group.on_primary()
+
+
+def _statement(work: Work, floor: Position | None) -> RunStatement:
+    alias = alias_of(work.prepared) if work.prepared else ''
+    return RunStatement(work.run.request_id, work.run.text, alias, floor)
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/host_registration.py
@@ -0,0 +1,139 @@
+"""Entry of this host in the platform's service, bound to a lease."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.failure import MalformedMessage
+from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.platform import LeaseExpired
+from trefoilpulley_core.platform import RevisionConflict
+from trefoilpulley_node.service import Service
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Platform
+
+LEASE_S = 30
+"""Time to live of a host's lease; probes notice a death sooner."""
+
+RENEW_S = 10.0
+"""Time between two renewals of the lease, in seconds."""
+
+RETRY_S = 1.0
+"""Pause after a call that failed, in seconds."""
+
+
+class HostRegistration(Service):
+    """Keeps the host listed, so that other hosts find it.
+
+    Parameters
+    ----------
+    me : HostEntry
+        Entry of this host.
+    platform : Platform
+        The platform's service.
+    """
+
+    def __init__(self, me: HostEntry, platform: Platform) -> None:
+        self._me = me
+        self._platform = platform
+        self._lease_id = 0
+        self._holder_id: int | None = None
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def holder_id(self) -> int | None:
+        """Number that no other running host has; from its first lease."""
+        return self._holder_id
+
+    def start(self) -> None:
+        """Begin to register."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the lease, which removes the entry."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        if self._lease_id:
+            with gevent.Timeout(RETRY_S / 2, False):
+                self._platform.revoke_lease(self._lease_id)
+
+    def _run(self) -> None:
+        while True:
+            is_listed = self._renew() if self._lease_id else self._register()
+            gevent.sleep(RENEW_S if is_listed else RETRY_S)
+
+    def _register(self) -> bool:
+        granted = self._platform.grant_lease(LEASE_S)
+        if not isinstance(granted, Success):
+            return False
+        lease_id = granted.unwrap().lease_id
+        self._holder_id = self._holder_id or lease_id
+        if isinstance(self._put(lease_id), Success):
+            self._lease_id = lease_id
+        return bool(self._lease_id)
+
+    def _put(self, lease_id: int) -> Result[int, Failure]:
+        key = f'{HOST_PREFIX}{self._me.name}'
+        value = write_host(self._me)
+        done = self._platform.compare_and_swap(key, 0, value, lease_id)
+        if isinstance(done, Success):
+            return done
+        if not isinstance(done.failure(), RevisionConflict):
+            return done
+        found = self._platform.get(key)
+        if not isinstance(found, Success):
+            return found
+        entry = found.unwrap()
+        revision = entry.mod_revision if entry else 0
+        return self._platform.compare_and_swap(key, revision, value, lease_id)
+
+    def _renew(self) -> bool:
+        done = self._platform.keep_alive(self._lease_id)
+        if isinstance(done, Success):
+            return True
+        if isinstance(done.failure(), LeaseExpired):
+            self._lease_id = 0
+            return self._register()
+        return False
+
+
+def write_host(entry: HostEntry) -> bytes:
+    """Return the value of a host's key."""
+    fields = {
+        'region': entry.region,
+        'zone': entry.zone,
+        'address': entry.peer_endpoint.address,
+        'port': entry.peer_endpoint.port,
+        'caller_port': entry.endpoint.port,
+    }
+    return json.dumps(fields).encode()
+
+
+def read_host(entry: KeyValue) -> Result[HostEntry, Failure]:
+    """Decode the value of a host's key."""
+    try:
+        fields = json.loads(entry.value)
+        address = str(fields['address'])
+        return Success(
+            HostEntry(
+                entry.key.removeprefix(HOST_PREFIX),
+                str(fields['region']),
+                str(fields['zone']),
+                Endpoint(address, int(fields['caller_port'])),
+                Endpoint(address, int(fields['port'])),
+            )
+        )
+    except (ValueError, KeyError, TypeError) as exc:
+        return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -0,0 +1,233 @@
+"""Connections of this host to one member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gevent import Timeout
+from gevent.event import AsyncResult
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.proxy.connection_share import ConnectionShare
+from trefoilpulley_core.proxy.connection_share import SURPLUS_IDLE_S
+from trefoilpulley_core.proxy.session_state import ConnectionState
+from trefoilpulley_core.proxy.upstream_session import ConnectionLimitReached
+from trefoilpulley_core.proxy.waiting_line import WaitingLine
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.proxy.group_state import MemberHealth
+    from trefoilpulley_core.proxy.session_state import SessionState
+    from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+    from trefoilpulley_core.proxy.upstream_session import UpstreamSession
+
+DIAL_TIMEOUT_S = 0.4
+"""Longest time to open a connection; a busy member takes tens of ms."""
+
+LIMIT_RETRY_S = 0.05
+"""Time between two tries to connect to a member that is full."""
+
+
+@dataclass(eq=False, slots=True)
+class PooledSession:
+    """Connection to a member with what is set on it."""
+
+    upstream: UpstreamSession
+    """Connection."""
+
+    state: ConnectionState = field(default_factory=ConnectionState)
+    """Values and prepared statements on the connection."""
+
+    since: float = 0.0
+    """Time at which it was last taken or given back, in seconds."""
+
+
+class MemberPool:
+    """Opens, lends and closes the connections to one member.
+
+    Parameters
+    ----------
+    health : MemberHealth
+        How the member answers this host.
+    dialer : UpstreamDialer
+        Opens connections.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self, health: MemberHealth, dialer: UpstreamDialer, clock: Clock
+    ) -> None:
+        self.health = health
+        self.share = ConnectionShare()
+        """Connections that this host may open."""
+
+        self._dialer = dialer
+        self._clock = clock
+        self._idle: list[PooledSession] = []
+        self._line = WaitingLine()
+        self._open = 0
+        self._is_closed = False
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open or being opened."""
+        return self._open
+
+    @property
+    def waiting(self) -> int:
+        """Pieces of work that wait for a connection."""
+        return len(self._line)
+
+    def acquire(
+        self, priority: int, deadline: float, session: SessionState
+    ) -> Result[PooledSession, Failure]:
+        """Lend a connection, or say why none can be had in time."""
+        while not self._is_closed:
+            conn = self._take_idle(session)
+            if conn is not None:
+                return Success(conn)
+            now = self._clock.now()
+            if now >= deadline:
+                break
+            limit = self.share.limit(now)
+            if self._open < limit:
+                dialled = self._dial(deadline)
+                failure = _failure_of(dialled)
+                if not isinstance(failure, ConnectionLimitReached):
+                    return dialled
+                self.share.on_refused(now)
+                if self._open == 0:
+                    wait_s = min(LIMIT_RETRY_S, deadline - now)
+                    conn = self._wait(priority, deadline, wait_s)
+                    if conn is not None:
+                        return Success(conn)
+                    continue
+            work = self._line.join(
+                priority, deadline, now, self._open, AsyncResult()
+            )
+            if work is None:
+                return Failed(Overloaded('line for connections is too long'))
+            conn = self._await(work, deadline - now)
+            if conn is not None:
+                return Success(conn)
+        if self._is_closed:
+            return Failed(NoUpstream('member has left'))
+        return Failed(Overloaded('no connection came free in time'))
+
+    def release(self, conn: PooledSession) -> None:
+        """Take a connection back for the next work."""
+        now = self._clock.now()
+        self._line.on_held(now - conn.since)
+        if not conn.upstream.is_usable or self._is_closed:
+            self._drop(conn)
+            return
+        if self._open > self.share.share * 2:
+            self._drop(conn)
+            return
+        conn.since = now
+        work = self._line.take(now)
+        if work is not None:
+            work.handle.set(conn)
+        else:
+            self._idle.append(conn)
+
+    def discard(self, conn: PooledSession) -> None:
+        """Close a connection; its transaction is rolled back."""
+        self._drop(conn)
+
+    def trim(self, now: float) -> None:
+        """Close idle connections above this host's share."""
+        while self._idle and self._open > self.share.share:
+            if now - self._idle[0].since < SURPLUS_IDLE_S:
+                return
+            self._drop(self._idle.pop(0))
+
+    def close(self) -> None:
+        """Close idle connections; those lent close when they return."""
+        self._is_closed = True
+        for conn in self._idle:
+            conn.upstream.close()
+            self._open -= 1
+        self._idle.clear()
+        for work in self._line.drain():
+            work.handle.set(None)
+
+    def _take_idle(self, session: SessionState) -> PooledSession | None:
+        while self._idle:
+            conn = self._pick(session)
+            if conn.upstream.is_usable:
+                conn.since = self._clock.now()
+                return conn
+            self._drop(conn)
+        return None
+
+    def _pick(self, session: SessionState) -> PooledSession:
+        for i in range(len(self._idle) - 1, -1, -1):
+            if self._idle[i].state.fits(session):
+                return self._idle.pop(i)
+        return self._idle.pop()
+
+    def _dial(self, deadline: float) -> Result[PooledSession, Failure]:
+        self._open += 1
+        now = self._clock.now()
+        timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
+        dialled = self._dialer.dial(self.health.record, timeout_s)
+        now = self._clock.now()
+        if isinstance(dialled, Success):
+            self.health.on_answer(now, self.health.position)
+            return Success(PooledSession(dialled.unwrap(), since=now))
+        self._open -= 1
+        failure = dialled.failure()
+        if isinstance(failure, ConnectionLimitReached):
+            self.health.on_answer(now, self.health.position)
+        elif timeout_s >= DIAL_TIMEOUT_S or not _is_timeout(failure):
+            self.health.on_unreachable(now)
+            self._wake_all()
+        return dialled
+
+    def _wake_all(self) -> None:
+        """Let waiting work try again, so that it fails at once."""
+        if self._open:
+            return
+        for work in self._line.drain():
+            work.handle.set(None)
+
+    def _wait(
+        self, priority: int, deadline: float, wait_s: float
+    ) -> PooledSession | None:
+        now = self._clock.now()
+        work = self._line.join(priority, deadline, now, 1, AsyncResult())
+        if work is None:
+            return None
+        return self._await(work, wait_s)
+
+    def _await(self, work, wait_s: float) -> PooledSession | None:
+        try:
+            return work.handle.get(timeout=wait_s)
+        except Timeout:
+            self._line.leave(work)
+            return None
+
+    def _drop(self, conn: PooledSession) -> None:
+        conn.upstream.close()
+        self._open -= 1
+        work = self._line.take(self._clock.now())
+        if work is not None:
+            work.handle.set(None)
+
+
+def _failure_of(result: Result) -> Failure | None:
+    return None if isinstance(result, Success) else result.failure()
+
+
+def _is_timeout(failure: Failure) -> bool:
+    return failure.detail == 'timeout'
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/member_prober.py
@@ -0,0 +1,150 @@
+"""Asks members whether they answer, lead, and how far their log goes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.proxy.session_state import SessionState
+from trefoilpulley_core.proxy.upstream_session import AskStatus
+from trefoilpulley_core.proxy.upstream_session import ConnectionLimitReached
+from trefoilpulley_core.proxy.upstream_session import Demote
+from trefoilpulley_core.proxy.upstream_session import OpenTransaction
+from trefoilpulley_core.proxy.upstream_session import RollBack
+from trefoilpulley_node.proxy.exchange import prove
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.proxy.upstream_session import Call
+    from trefoilpulley_core.proxy.upstream_session import LogStatus
+    from trefoilpulley_core.proxy.upstream_session import Reply
+    from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.exchange import Exchanger
+
+PROBE_PRIORITY = -1
+"""Importance of the system's own requests, before any route's."""
+
+PROBE_TIMEOUT_S = 0.25
+"""Longest time of a question to a member, in seconds."""
+
+STATUS_TRIES = 4
+"""Times that a member without a free slot is asked for its status."""
+
+STATUS_PAUSE_S = 0.03
+"""Pause before a busy member is asked again, in seconds."""
+
+_NO_VALUES = SessionState()
+
+
+class MemberProber:
+    """Questions of this host to members.
+
+    Parameters
+    ----------
+    exchanger : Exchanger
+        Runs requests on connections.
+    dialer : UpstreamDialer
+        Opens connections.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self, exchanger: Exchanger, dialer: UpstreamDialer, clock: Clock
+    ) -> None:
+        self._exchanger = exchanger
+        self._dialer = dialer
+        self._clock = clock
+
+    def prove_lead(self, group: Group, member: str) -> bool:
+        """Return whether a member proves to lead, and note it."""
+        sent_at = self._clock.now()
+        opened = self._ask(
+            group, member, (OpenTransaction(is_read_only=False), RollBack())
+        )
+        if opened is None or opened.failure is not None:
+            return False
+        prove(group, group.pools[member], sent_at, opened.position)
+        return True
+
+    def find_leader(self, group: Group) -> bool:
+        """Ask every member at once; return whether one leads."""
+        asked = [
+            gevent.spawn(self.prove_lead, group, member)
+            for member in group.state.members
+        ]
+        for _ in gevent.iwait(asked, timeout=PROBE_TIMEOUT_S):
+            if group.state.primary is not None:
+                return True
+        return group.state.primary is not None
+
+    def reach(self, group: Group, member: str) -> bool:
+        """Return whether a member takes a new connection."""
+        pool = group.pool_of(member)
+        if pool is None:
+            return False
+        dialled = self._dialer.dial(pool.health.record, PROBE_TIMEOUT_S)
+        now = self._clock.now()
+        if isinstance(dialled, Success):
+            dialled.unwrap().close()
+            pool.health.on_answer(now, pool.health.position)
+            return True
+        if isinstance(dialled.failure(), ConnectionLimitReached):
+            pool.health.on_answer(now, pool.health.position)
+            return True
+        return False
+
+    def read_status(self, group: Group, member: str) -> LogStatus | None:
+        """Return what a member says of its log, or ``None``."""
+        for _ in range(STATUS_TRIES):
+            reply = self._ask(group, member, (AskStatus(),))
+            if reply is None:
+                return None
+            if reply.status is not None:
+                return reply.status
+            if not isinstance(reply.failure, Overloaded):
+                return None
+            gevent.sleep(STATUS_PAUSE_S)
+        return None
+
+    def read_statuses(
+        self, group: Group, members: tuple[str, ...]
+    ) -> dict[str, LogStatus]:
+        """Return the status of each member that answers in time."""
+        asked = {
+            m: gevent.spawn(self.read_status, group, m) for m in members
+        }
+        gevent.joinall(list(asked.values()), timeout=2 * PROBE_TIMEOUT_S)
+        found = {m: g.value for m, g in asked.items()}
+        gevent.killall(list(asked.values()), block=False)
+        return {m: s for m, s in found.items() if s is not None}
+
+    def demote(
+        self, group: Group, member: str, term: int
+    ) -> LogStatus | None:
+        """Make a primary of a lower term a replica."""
+        reply = self._ask(group, member, (Demote(term),))
+        return reply.status if reply else None
+
+    def _ask(
+        self, group: Group, member: str, calls: tuple[Call, ...]
+    ) -> Reply | None:
+        pool = group.pool_of(member)
+        if pool is None:
+            return None
+        deadline = self._clock.now() + PROBE_TIMEOUT_S
+        lent = pool.acquire(PROBE_PRIORITY, deadline, _NO_VALUES)
+        if not isinstance(lent, Success):
+            return None
+        conn = lent.unwrap()
+        try:
+            done = self._exchanger.exchange(pool, conn, calls, deadline)
+        except gevent.GreenletExit:
+            pool.discard(conn)
+            raise
+        pool.release(conn)
+        return done.unwrap()[0] if isinstance(done, Success) else None
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -0,0 +1,228 @@
+"""Follows the platform's service: routes, members, hosts and claims."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+from returns.result import Success
+
+from trefoilpulley_core.keys import CLAIM_PREFIX
+from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.keys import PROXY_PREFIX
+from trefoilpulley_core.platform import KeyValue
+from trefoilpulley_core.platform import WatchExpired
+from trefoilpulley_node import events
+from trefoilpulley_node.proxy.claims import read_claim
+from trefoilpulley_node.proxy.host_registration import read_host
+from trefoilpulley_node.service import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpulley_core.catalog import HostEntry
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.platform import Platform
+    from trefoilpulley_core.platform import Watch
+    from trefoilpulley_core.proxy.platform_documents import PlatformDocuments
+    from trefoilpulley_core.proxy.succession import Claim
+    from trefoilpulley_node.proxy.directory import ProxyDirectory
+
+REMOVAL_GRACE_S = 3.0
+"""Time for which a member without an entry is kept, in seconds.
+
+Entries that lapsed while the service was away are back about two seconds
+after its return.
+"""
+
+FIRST_BACKOFF_S = 0.2
+"""Pause after the first failure of the service, in seconds."""
+
+LAST_BACKOFF_S = 1.0
+"""Longest pause between two tries to reach the service, in seconds."""
+
+
+class PlatformFollower(Service):
+    """Keeps the directory as the service has it.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform's service.
+    documents : PlatformDocuments
+        How the platform writes routes and members.
+    directory : ProxyDirectory
+        Takes routes and members.
+    on_hosts : Callable[[tuple[HostEntry, ...]], None]
+        Takes the hosts that hold a lease.
+    on_claim : Callable[[str, Claim, int], None]
+        Takes a group's claim and its revision.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        documents: PlatformDocuments,
+        directory: ProxyDirectory,
+        on_hosts: Callable[[tuple[HostEntry, ...]], None],
+        on_claim: Callable[[str, Claim, int], None],
+        clock: Clock,
+    ) -> None:
+        self._platform = platform
+        self._documents = documents
+        self._directory = directory
+        self._on_hosts = on_hosts
+        self._on_claim = on_claim
+        self._clock = clock
+        self._revisions: dict[str, int] = {}
+        self._hosts: dict[str, HostEntry] = {}
+        self._removals: dict[str, float] = {}
+        self._unreadable: set[str] = set()
+        self._greenlet: gevent.Greenlet | None = None
+        self._watch: Watch | None = None
+        self._broken = Event()
+        self._failure: Failure | None = None
+        self.is_following = False
+        """Whether a watch is in force."""
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        if self._watch is not None:
+            self._watch.cancel()
+
+    def tick(self) -> None:
+        """Forget the members whose grace is over."""
+        now = self._clock.now()
+        for member, at in list(self._removals.items()):
+            if now >= at:
+                del self._removals[member]
+                self._directory.remove_member(member)
+
+    def _run(self) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        is_synchronized = False
+        while True:
+            self._broken.clear()
+            self._failure = None
+            self._watch = self._platform.watch(
+                '', self._on_change, self._on_failure
+            )
+            if self._failure is None and not is_synchronized:
+                is_synchronized = self._synchronize()
+            if self._failure is None and is_synchronized:
+                self._show_following(True)
+                backoff_s = FIRST_BACKOFF_S
+                self._broken.wait()
+            self._watch.cancel()
+            if isinstance(self._failure, WatchExpired):
+                is_synchronized = False
+                continue
+            self._show_following(False)
+            gevent.sleep(backoff_s)
+            backoff_s = min(LAST_BACKOFF_S, 2 * backoff_s)
+
+    def _on_failure(self, failure: Failure) -> None:
+        self._failure = failure
+        self._broken.set()
+
+    def _show_following(self, is_following: bool) -> None:
+        if is_following == self.is_following:
+            return
+        self.is_following = is_following
+        if is_following:
+            events.PLATFORM_REACHABLE.log()
+        else:
+            code = self._failure.code if self._failure else 'range-failed'
+            events.PLATFORM_UNREACHABLE.log(failure=code)
+
+    def _synchronize(self) -> bool:
+        """Read everything; what is missing now has been removed."""
+        documents = self._documents
+        routes = self._platform.get(documents.routes_key)
+        members = self._platform.get_prefix(documents.members_prefix)
+        own = self._platform.get_prefix(PROXY_PREFIX)
+        for done in (routes, members, own):
+            if not isinstance(done, Success):
+                return False
+        if routes.unwrap() is not None:
+            self._on_change(routes.unwrap())
+        present = (*members.unwrap(), *own.unwrap())
+        for entry in present:
+            self._on_change(entry)
+        listed = {e.key for e in present}
+        prefixes = (documents.members_prefix, PROXY_PREFIX)
+        for key in list(self._revisions):
+            if key.startswith(prefixes) and key not in listed:
+                self._on_change(KeyValue(key, b'', self._revisions[key] + 1))
+        return True
+
+    def _on_change(self, entry: KeyValue) -> None:
+        if entry.mod_revision <= self._revisions.get(entry.key, 0):
+            return
+        self._revisions[entry.key] = entry.mod_revision
+        documents = self._documents
+        if entry.key == documents.routes_key:
+            self._on_routes(entry)
+        elif entry.key.startswith(documents.members_prefix):
+            self._on_member(entry)
+        elif entry.key.startswith(HOST_PREFIX):
+            self._on_host(entry)
+        elif entry.key.startswith(CLAIM_PREFIX) and entry.value:
+            self._on_claim_entry(entry)
+        if not entry.value:
+            self._revisions.pop(entry.key, None)
+
+    def _on_routes(self, entry: KeyValue) -> None:
+        read = self._documents.read_routes(entry.value)
+        if isinstance(read, Success):
+            self._directory.set_routes(read.unwrap())
+        else:
+            self._refuse(entry, read.failure())
+
+    def _on_member(self, entry: KeyValue) -> None:
+        member = entry.key.removeprefix(self._documents.members_prefix)
+        if entry.value:
+            read = self._documents.read_member(entry.key, entry.value)
+            if isinstance(read, Success):
+                self._removals.pop(member, None)
+                self._directory.set_member(read.unwrap())
+                return
+            self._refuse(entry, read.failure())
+        self._removals.setdefault(member, self._clock.now() + REMOVAL_GRACE_S)
+
+    def _on_host(self, entry: KeyValue) -> None:
+        name = entry.key.removeprefix(HOST_PREFIX)
+        read = read_host(entry) if entry.value else None
+        if isinstance(read, Success):
+            self._hosts[name] = read.unwrap()
+        else:
+            self._hosts.pop(name, None)
+            if read is not None:
+                self._refuse(entry, read.failure())
+        self._on_hosts(tuple(self._hosts.values()))
+
+    def _on_claim_entry(self, entry: KeyValue) -> None:
+        read = read_claim(entry)
+        if isinstance(read, Success):
+            group = entry.key.removeprefix(CLAIM_PREFIX)
+            self._on_claim(group, read.unwrap(), entry.mod_revision)
+        else:
+            self._refuse(entry, read.failure())
+
+    def _refuse(self, entry: KeyValue, failure: Failure) -> None:
+        if entry.key in self._unreadable:
+            return
+        self._unreadable.add(entry.key)
+        events.ENTRY_UNREADABLE.log(
+            key=entry.key, revision=entry.mod_revision, detail=failure.detail
+        )
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -0,0 +1,321 @@
+"""Changes the primary of a group: after a loss, or as planned."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.platform import RevisionConflict
+from trefoilpulley_core.proxy.promotion_service import PromotionRefused
+from trefoilpulley_core.proxy.succession import act_delay_s
+from trefoilpulley_core.proxy.succession import choose_target
+from trefoilpulley_core.proxy.succession import fencing_token
+from trefoilpulley_core.proxy.succession import is_lost_to_majority
+from trefoilpulley_core.proxy.succession import ReachQuestion
+from trefoilpulley_core.proxy.succession import ReachReport
+from trefoilpulley_node import events
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.proxy.promotion_service import PromotionService
+    from trefoilpulley_core.proxy.upstream_session import LogStatus
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.proxy.claims import ClaimBook
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.member_prober import MemberProber
+
+VOTE_TIMEOUT_S = 0.35
+"""Longest wait for what other hosts say of a member, in seconds."""
+
+RECENT_ANSWER_S = 0.15
+"""Age up to which an answer shows that a member is reached."""
+
+PROMOTION_S = 0.8
+"""Time that the platform takes to carry out a promotion, with slack."""
+
+LEAD_POLL_S = 0.03
+"""Pause between two questions whether the new primary leads."""
+
+LEAD_TIMEOUT_S = 2.0
+"""Time after which a promotion that shows no effect is ordered anew."""
+
+ORDER_TRIES = 3
+"""Orders of one change, each with a higher fencing token."""
+
+KEPT_PAUSE_S = 0.7
+"""Pause after most hosts still reached a primary missed here."""
+
+DEMOTE_AFTER_S = 0.42
+"""Time from the order until the leaving primary is demoted.
+
+The platform takes some hundred ms more to finish, in which the last
+records reach the new primary; writes wait for that long and no more.
+"""
+
+
+class PrimaryChanger:
+    """Carries out the changes of primary that fall to this host.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    prober : MemberProber
+        Asks the members.
+    claims : ClaimBook
+        Claims of the groups.
+    promotions : PromotionService
+        Orders promotions.
+    peers : Peers
+        Other hosts.
+    live_hosts : Callable[[], Sequence[str]]
+        Names of the live hosts, this one included.
+    holder_id : Callable[[], int | None]
+        Number that no other running host has; ``None`` before it is
+        known.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        prober: MemberProber,
+        claims: ClaimBook,
+        promotions: PromotionService,
+        peers: Peers,
+        live_hosts: Callable[[], Sequence[str]],
+        holder_id: Callable[[], int | None],
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._prober = prober
+        self._claims = claims
+        self._promotions = promotions
+        self._peers = peers
+        self._live_hosts = live_hosts
+        self._holder_id = holder_id
+        self._clock = clock
+        self._kept_until: dict[str, float] = {}
+
+    def replace(self, group: Group, lost: str | None) -> None:
+        """Promote another member where most hosts miss the primary.
+
+        Parameters
+        ----------
+        group : Group
+            Group without a primary that answers here.
+        lost : str | None
+            Primary that does not answer, if one is known.
+        """
+        now = self._clock.now()
+        if now < group.state.change_due_at:
+            return
+        if now < self._kept_until.get(group.state.group, now):
+            return
+        if not self._wait_turn(group, is_service_out=False):
+            return
+        reports = gevent.spawn(self._ask_hosts, group, lost)
+        statuses = self._prober.read_statuses(group, group.state.others(lost))
+        hosts = self._live_hosts()
+        if lost and not is_lost_to_majority(reports.get(), len(hosts)):
+            self._keep(group, lost, reports.get(), len(hosts))
+            return
+        leader = next((m for m, s in statuses.items() if s.is_primary), None)
+        if leader and self._prober.prove_lead(group, leader):
+            return
+        target = choose_target(group.state, statuses)
+        if target is not None and not self._has_recovered(group, lost):
+            self._change(group, target, statuses, None)
+
+    def hand_over(self, group: Group, leaving: str) -> None:
+        """Move the lead away from a primary that is about to stop."""
+        if self._clock.now() < group.state.change_due_at:
+            return
+        if not self._wait_turn(group, is_service_out=False):
+            return
+        if group.state.primary != leaving:
+            return
+        statuses = self._prober.read_statuses(
+            group, tuple(group.state.members)
+        )
+        old = statuses.pop(leaving, None)
+        staying = {
+            m: s
+            for m, s in statuses.items()
+            if not group.state.members[m].record.is_leaving
+        }
+        target = choose_target(group.state, staying or statuses)
+        if target is not None:
+            self._change(group, target, statuses, old and (leaving, old))
+
+    def on_reach_question(self, question: ReachQuestion) -> ReachReport:
+        """Return whether a member answers this host."""
+        group = self._find_group(question.group)
+        if group is None:
+            return ReachReport(self._host, is_reached=False)
+        health = group.state.members.get(question.member)
+        now = self._clock.now()
+        if health and now - health.last_answer_at < RECENT_ANSWER_S:
+            return ReachReport(self._host, is_reached=True)
+        reached = self._prober.reach(group, question.member)
+        if not reached:
+            group.attention.set()
+        return ReachReport(self._host, reached)
+
+    def use_groups(self, find_group: Callable[[str], Group | None]) -> None:
+        """Take the way to find a group by its name."""
+        self._find_group = find_group
+
+    def _wait_turn(self, group: Group, is_service_out: bool) -> bool:
+        """Give the hosts before this one their head start."""
+        state = group.state
+        before = self._claims.last_round(state.group)
+        delay_s = act_delay_s(
+            state.group, self._host, self._live_hosts(), is_service_out
+        )
+        gevent.sleep(delay_s)
+        if self._claims.last_round(state.group) != before:
+            return False
+        return self._clock.now() >= state.change_due_at
+
+    def _has_recovered(self, group: Group, lost: str | None) -> bool:
+        health = group.state.members.get(lost or '')
+        return health is not None and health.failing_since is None
+
+    def _ask_hosts(
+        self, group: Group, lost: str | None
+    ) -> tuple[ReachReport, ...]:
+        if lost is None:
+            return ()
+        question = ReachQuestion(group.state.group, lost)
+        asked = [
+            gevent.spawn(
+                self._peers.call_host, host, question, VOTE_TIMEOUT_S
+            )
+            for host in self._live_hosts()
+            if host != self._host
+        ]
+        gevent.joinall(asked, timeout=VOTE_TIMEOUT_S)
+        found = [g.value.value_or(None) for g in asked if g.value is not None]
+        gevent.killall(asked, block=False)
+        return tuple(r for r in found if isinstance(r, ReachReport))
+
+    def _keep(
+        self,
+        group: Group,
+        lost: str,
+        reports: Sequence[ReachReport],
+        hosts: int,
+    ) -> None:
+        self._kept_until[group.state.group] = self._clock.now() + KEPT_PAUSE_S
+        events.PRIMARY_KEPT.log(
+            group=group.state.group,
+            member=lost,
+            missed_by=1 + sum(1 for r in reports if not r.is_reached),
+            reached_by=sum(1 for r in reports if r.is_reached),
+            hosts=hosts,
+        )
+
+    def _change(
+        self,
+        group: Group,
+        target: str,
+        statuses: dict[str, LogStatus],
+        old: tuple[str, LogStatus] | None,
+    ) -> None:
+        state = group.state
+        began_at = self._clock.now()
+        for _ in range(ORDER_TRIES):
+            round_number = self._take_round(group, target)
+            if round_number is None:
+                return
+            ordered = self._order(group, target, round_number)
+            if not ordered:
+                continue
+            state.change_due_at = self._clock.now() + PROMOTION_S
+            if old is not None:
+                self._demote(group, *old)
+            if self._await_lead(group, target):
+                events.CHANGE_OVER.log(
+                    group=state.group,
+                    member=target,
+                    took_ms=round(1000 * (self._clock.now() - began_at)),
+                )
+                return
+        state.change_due_at = float('-inf')
+
+    def _take_round(self, group: Group, target: str) -> int | None:
+        name = group.state.group
+        taken = self._claims.take(name, target)
+        if isinstance(taken, Success):
+            events.CHANGE_CLAIMED.log(
+                group=name, target=target, round=taken.unwrap()
+            )
+            return taken.unwrap()
+        if isinstance(taken.failure(), RevisionConflict):
+            # Another host acts; give it the time to finish.
+            group.state.change_due_at = self._clock.now() + PROMOTION_S
+            return None
+        if not self._wait_turn(group, is_service_out=True):
+            return None
+        if group.state.primary and self._prober.prove_lead(
+            group, group.state.primary
+        ):
+            return None
+        round_number = self._claims.last_round(name) + 1
+        self._claims.raise_round(name, round_number)
+        events.CHANGE_CLAIMED.log(
+            group=name,
+            target=target,
+            round=round_number,
+            failure=taken.failure().code,
+        )
+        return round_number
+
+    def _order(self, group: Group, target: str, round_number: int) -> bool:
+        """Order a promotion; return whether it may have been taken."""
+        holder_id = self._holder_id()
+        if holder_id is None:
+            return False
+        name = group.state.group
+        token = fencing_token(round_number, holder_id)
+        done = self._promotions.promote(name, target, self._host, token)
+        failure = None if isinstance(done, Success) else done.failure()
+        events.PROMOTION_ORDERED.log(
+            group=name,
+            member=target,
+            token=token,
+            failure=failure.code if failure else None,
+            detail=failure.detail if failure else None,
+        )
+        if isinstance(failure, PromotionRefused):
+            self._claims.raise_round(name, round_number)
+        return failure is None or isinstance(failure, PlatformAnswerLost)
+
+    def _demote(self, group: Group, leaving: str, old: LogStatus) -> None:
+        gevent.sleep(DEMOTE_AFTER_S)
+        if group.state.primary != leaving:
+            return
+        demoted = self._prober.demote(group, leaving, old.term + 1)
+        events.HANDOVER_STEP.log(
+            group=group.state.group,
+            step='demote',
+            member=leaving,
+            term=old.term + 1,
+            received=str(demoted.received) if demoted else None,
+        )
+
+    def _await_lead(self, group: Group, target: str) -> bool:
+        until = self._clock.now() + LEAD_TIMEOUT_S
+        while self._clock.now() < until:
+            if self._prober.prove_lead(group, target):
+                return True
+            gevent.sleep(LEAD_POLL_S)
+        return False
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -0,0 +1,153 @@
+"""Watches the primary of one group from this host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_node import events
+from trefoilpulley_node.service import Service
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.proxy.group_state import MemberHealth
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.member_prober import MemberProber
+    from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
+
+TICK_S = 0.1
+"""Time between two looks at the primary, in seconds."""
+
+SILENCE_S = 0.25
+"""Silence of a primary with statements in flight that needs a look.
+
+Above the time of the slowest statement behind a full queue.
+"""
+
+EVIDENCE_AGE_S = 0.4
+"""Age at which evidence is renewed while the group is in use."""
+
+IN_USE_S = 2.0
+"""Time after its last request for which a group counts as in use."""
+
+LEADERLESS_S = 0.4
+"""Time without a leader, at members that answer, before one is chosen."""
+
+
+class PrimaryWatch(Service):
+    """Keeps proof of the primary fresh and notices its loss.
+
+    Parameters
+    ----------
+    group : Group
+        Group to watch.
+    prober : MemberProber
+        Asks the members.
+    changer : PrimaryChanger
+        Changes the primary.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        prober: MemberProber,
+        changer: PrimaryChanger,
+        clock: Clock,
+    ) -> None:
+        self._group = group
+        self._prober = prober
+        self._changer = changer
+        self._clock = clock
+        self._greenlet: gevent.Greenlet | None = None
+        self._leaderless_since: float | None = None
+        self._shown: str | None = None
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to watch."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            self._group.attention.wait(timeout=TICK_S)
+            self._group.attention.clear()
+            try:
+                self._look()
+            except Exception as exc:  # a fault here must not end the watch
+                events.HANDLER_CRASHED.log(
+                    message='primary-watch', error=repr(exc)
+                )
+            gevent.sleep(0.01)
+
+    def _look(self) -> None:
+        state = self._group.state
+        self._show()
+        health = state.members.get(state.primary or '')
+        if health is None:
+            self._look_for_leader()
+            return
+        self._leaderless_since = None
+        now = self._clock.now()
+        if _is_suspect(health, now):
+            self._on_suspect(health)
+        elif health.record.is_leaving:
+            self._changer.hand_over(self._group, health.record.member)
+        elif self._is_evidence_due(now):
+            self._prober.prove_lead(self._group, health.record.member)
+
+    def _look_for_leader(self) -> None:
+        if not self._group.state.members:
+            return
+        if self._prober.find_leader(self._group):
+            self._leaderless_since = None
+            return
+        now = self._clock.now()
+        if self._leaderless_since is None:
+            self._leaderless_since = now
+        if now - self._leaderless_since > LEADERLESS_S:
+            self._changer.replace(self._group, None)
+
+    def _on_suspect(self, health: MemberHealth) -> None:
+        member = health.record.member
+        if self._prober.reach(self._group, member):
+            return
+        now = self._clock.now()
+        if health.failing_since is None:
+            health.on_unreachable(now)
+        events.PRIMARY_MISSED.log(
+            group=self._group.state.group,
+            member=member,
+            failing_ms=round(1000 * (now - health.failing_since)),
+        )
+        self._changer.replace(self._group, member)
+        if self._group.state.primary == member:
+            self._prober.find_leader(self._group)
+
+    def _is_evidence_due(self, now: float) -> bool:
+        state = self._group.state
+        if now - state.asked_at > IN_USE_S:
+            return False
+        return now - state.proved_at > EVIDENCE_AGE_S
+
+    def _show(self) -> None:
+        state = self._group.state
+        if state.primary != self._shown:
+            self._shown = state.primary
+            events.PRIMARY_PROVED.log(
+                group=state.group, member=state.primary, term=state.term
+            )
+
+
+def _is_suspect(health: MemberHealth, now: float) -> bool:
+    if health.failing_since is not None:
+        return True
+    if not health.in_flight:
+        return False
+    return now - max(health.last_answer_at, health.silent_since) > SILENCE_S
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -0,0 +1,271 @@
+"""Composition root of a host whose callers' sessions are connections."""
+
+from __future__ import annotations
+
+from functools import cached_property
+import random
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.membership.membership import Membership
+from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.proxy.succession import ReachQuestion
+from trefoilpulley_node import events
+from trefoilpulley_node.membership_runner import MembershipRunner
+from trefoilpulley_node.peer_server import PeerServer
+from trefoilpulley_node.peers import Peers
+from trefoilpulley_node.proxy.caller_session import SessionFactory
+from trefoilpulley_node.proxy.claims import ClaimBook
+from trefoilpulley_node.proxy.directory import ProxyDirectory
+from trefoilpulley_node.proxy.exchange import Exchanger
+from trefoilpulley_node.proxy.host_registration import HostRegistration
+from trefoilpulley_node.proxy.member_prober import MemberProber
+from trefoilpulley_node.proxy.platform_follower import PlatformFollower
+from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
+from trefoilpulley_node.proxy.primary_changer import PROMOTION_S
+from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+from trefoilpulley_node.proxy.primary_watch import PrimaryWatch
+from trefoilpulley_node.proxy.session_registry import SessionRegistry
+from trefoilpulley_node.proxy.statement_runner import StatementRunner
+from trefoilpulley_wire.listener import Listener
+from trefoilpulley_wire.peer_codec import PEER_CODEC
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.platform import Platform
+    from trefoilpulley_core.proxy.platform_documents import PlatformDocuments
+    from trefoilpulley_core.proxy.promotion_service import PromotionService
+    from trefoilpulley_core.proxy.succession import Claim
+    from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.proxy_settings import ProxySettings
+
+UPKEEP_S = 0.5
+"""Time between two rounds of upkeep, in seconds."""
+
+
+class ProxyComposition:
+    """Builds each part once, on first use.
+
+    Parameters
+    ----------
+    cfg : ProxySettings
+        Settings of the host.
+    platform : Platform
+        The platform's service.
+    documents : PlatformDocuments
+        How the platform writes routes and members.
+    dialer : UpstreamDialer
+        Opens connections to members.
+    promotions : PromotionService
+        Orders promotions.
+    clock : Clock
+        Monotonic time that goes on while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        cfg: ProxySettings,
+        platform: Platform,
+        documents: PlatformDocuments,
+        dialer: UpstreamDialer,
+        promotions: PromotionService,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._platform = platform
+        self._documents = documents
+        self._dialer = dialer
+        self._promotions = promotions
+        self._clock = clock
+        # Only tells the starts of one host apart; never a decision's time.
+        self._incarnation = time.time_ns()
+        self._rng = random.Random(self._incarnation)
+        self._watches: list[PrimaryWatch] = []
+        self._upkeep: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start the parts that work in the background."""
+        self.directory.subscribe_groups(self._watch_group)
+        self._changer.use_groups(self.directory.groups.get)
+        self._membership.serve_on(self._peer_server, self._peers)
+        self._membership.subscribe_live(self._on_live_hosts)
+        self._peer_server.register(
+            ReachQuestion,
+            lambda question, _: self._changer.on_reach_question(question),
+        )
+        self._peer_listener.start()
+        self._membership.start()
+        self._follower.start()
+        self._registration.start()
+        self._upkeep = gevent.spawn(self._run_upkeep)
+        events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
+
+    def drain(self) -> None:
+        """End the sessions, then stop."""
+        events.HOST_DRAINING.log(
+            host=self._cfg.host, sessions=len(self.sessions)
+        )
+        leave = gevent.spawn(self._membership.leave)
+        self.sessions.drain(self._cfg.grace_s)
+        leave.join(timeout=0)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop every part."""
+        self._registration.stop()
+        for watch in self._watches:
+            watch.stop()
+        self._follower.stop()
+        if self._upkeep is not None:
+            self._upkeep.kill(block=False)
+        self._membership.stop()
+        self._peers.close()
+        events.HOST_STOPPED.log(host=self._cfg.host)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent to this host."""
+        return self.directory.is_loaded and not self.sessions.is_draining
+
+    @cached_property
+    def directory(self) -> ProxyDirectory:
+        """Routes, groups and pools."""
+        return ProxyDirectory(self._dialer, self._clock)
+
+    @cached_property
+    def sessions(self) -> SessionRegistry:
+        """Open sessions."""
+        return SessionRegistry(self._clock)
+
+    @cached_property
+    def factory(self) -> SessionFactory:
+        """Makes sessions."""
+        runner = StatementRunner(
+            self._cfg.zone, self._exchanger, self._primary_wait, self._clock
+        )
+        return SessionFactory(
+            self._cfg.zone,
+            self.directory,
+            runner,
+            self._exchanger,
+            self._primary_wait,
+            self._clock,
+        )
+
+    @cached_property
+    def _exchanger(self) -> Exchanger:
+        return Exchanger(self._clock)
+
+    @cached_property
+    def _primary_wait(self) -> PrimaryWait:
+        return PrimaryWait(self._clock)
+
+    @cached_property
+    def _me(self) -> HostEntry:
+        cfg = self._cfg
+        return HostEntry(
+            cfg.host, cfg.region, cfg.zone, cfg.listen, cfg.peer_listen
+        )
+
+    @cached_property
+    def _membership(self) -> MembershipRunner:
+        membership = Membership(
+            self._me,
+            self._incarnation,
+            [s.name for s in self._cfg.seeds],
+            self._rng,
+        )
+        return MembershipRunner(membership, self._clock, self._cfg.seeds)
+
+    @cached_property
+    def _peer_server(self) -> PeerServer:
+        cfg = self._cfg
+        return PeerServer(cfg.host, self._incarnation, cfg.peer_secret)
+
+    @cached_property
+    def _peers(self) -> Peers:
+        cfg = self._cfg
+        return Peers(
+            PeerHello(cfg.host, cfg.zone, self._incarnation, cfg.peer_secret),
+            self._peer_server,
+            self._membership.find_peer_endpoint,
+            lambda member: None,
+        )
+
+    @cached_property
+    def _peer_listener(self) -> Listener:
+        return Listener(
+            self._cfg.peer_listen, PEER_CODEC, self._peer_server
+        )
+
+    @cached_property
+    def _registration(self) -> HostRegistration:
+        return HostRegistration(self._me, self._platform)
+
+    @cached_property
+    def _claims(self) -> ClaimBook:
+        return ClaimBook(self._cfg.host, self._platform)
+
+    @cached_property
+    def _prober(self) -> MemberProber:
+        return MemberProber(self._exchanger, self._dialer, self._clock)
+
+    @cached_property
+    def _changer(self) -> PrimaryChanger:
+        return PrimaryChanger(
+            self._cfg.host,
+            self._prober,
+            self._claims,
+            self._promotions,
+            self._peers,
+            self._live_hosts,
+            lambda: self._registration.holder_id,
+            self._clock,
+        )
+
+    @cached_property
+    def _follower(self) -> PlatformFollower:
+        return PlatformFollower(
+            self._platform,
+            self._documents,
+            self.directory,
+            self._membership.set_host_list,
+            self._on_claim,
+            self._clock,
+        )
+
+    def _live_hosts(self) -> tuple[str, ...]:
+        zones = self._membership.live_hosts.zones
+        hosts = {h for z in zones for h in z.hosts}
+        return tuple(sorted({*hosts, self._cfg.host}))
+
+    def _on_live_hosts(self, live: LiveHosts) -> None:
+        hosts = self._live_hosts()
+        events.LIVE_HOSTS_CHANGED.log(hosts=list(hosts))
+        self.directory.set_hosts(len(hosts))
+
+    def _on_claim(self, name: str, claim: Claim, revision: int) -> None:
+        if not self._claims.learn(name, claim, revision):
+            return
+        group = self.directory.groups.get(name)
+        if group is None or claim.holder == self._cfg.host:
+            return
+        if self._follower.is_following:
+            group.state.change_due_at = self._clock.now() + PROMOTION_S
+            group.attention.set()
+
+    def _watch_group(self, group: Group) -> None:
+        watch = PrimaryWatch(group, self._prober, self._changer, self._clock)
+        self._watches.append(watch)
+        watch.start()
+
+    def _run_upkeep(self) -> None:
+        while True:
+            gevent.sleep(UPKEEP_S)
+            self._follower.tick()
+            self.directory.trim()
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_settings.py
@@ -0,0 +1,39 @@
+"""Settings of a host whose callers' sessions are connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_node.settings import SeedPeer
+
+
+@dataclass(frozen=True, slots=True)
+class ProxySettings:
+    """Settings of one host."""
+
+    host: str
+    """Name of the host."""
+
+    region: str
+    """Region of the host."""
+
+    zone: str
+    """Availability zone of the host."""
+
+    listen: Endpoint
+    """Address for callers."""
+
+    peer_listen: Endpoint
+    """Address for other hosts."""
+
+    seeds: tuple[SeedPeer, ...] = ()
+    """Hosts to ask when the service is out at start."""
+
+    grace_s: float = 6.0
+    """Time from a planned stop until the process is killed."""
+
+    peer_secret: str = ''
+    """Secret of the deployment's hosts; empty on a closed network."""
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/session_registry.py
@@ -0,0 +1,89 @@
+"""Open sessions of this host, and how they end at a planned stop."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import gevent
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_node.proxy.caller_session import CallerSession
+
+NOTICE_S = 2.2
+"""Time in which the balancer notices that this host is not ready.
+
+It asks once a second and gives up after two refusals.
+"""
+
+EXIT_MARGIN_S = 0.7
+"""Part of the grace left for the process to end, in seconds."""
+
+POLL_S = 0.05
+"""Time between two looks at the sessions while draining."""
+
+
+class CallerConnection(abc.ABC):
+    """Connection of a caller, as the drain sees it."""
+
+    @abc.abstractmethod
+    def has_input(self) -> bool:
+        """Whether the caller has sent what was not read yet."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class SessionRegistry:
+    """Counts the open sessions and drains them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._sessions: dict[CallerSession, CallerConnection] = {}
+        self.is_draining = False
+        """Whether the host is about to stop."""
+
+    def __len__(self) -> int:
+        return len(self._sessions)
+
+    def add(self, session: CallerSession, conn: CallerConnection) -> None:
+        """Note a new session."""
+        self._sessions[session] = conn
+
+    def remove(self, session: CallerSession) -> None:
+        """Note the end of a session."""
+        self._sessions.pop(session, None)
+
+    def drain(self, grace_s: float) -> None:
+        """End every session without cutting a request.
+
+        Idle sessions are closed once the balancer sends no new ones;
+        open transactions have the first half of the grace to end.
+        """
+        self.is_draining = True
+        began_at = self._clock.now()
+        gevent.sleep(min(NOTICE_S, grace_s / 2))
+        while self._sessions:
+            passed_s = self._clock.now() - began_at
+            if passed_s > grace_s - EXIT_MARGIN_S:
+                break
+            for session, conn in list(self._sessions.items()):
+                self._end(session, conn, passed_s > grace_s / 2)
+            gevent.sleep(POLL_S)
+
+    def _end(
+        self, session: CallerSession, conn: CallerConnection, is_late: bool
+    ) -> None:
+        if session.is_busy or conn.has_input():
+            return
+        if session.has_transaction and not is_late:
+            return
+        conn.close()
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/work.py
@@ -0,0 +1,43 @@
+"""One statement on its way, and how its time is bounded."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from trefoilpulley_core.proxy.commands import Prepare
+    from trefoilpulley_core.proxy.commands import Run
+    from trefoilpulley_core.proxy.evidence import SessionFloor
+    from trefoilpulley_core.proxy.routes import Route
+    from trefoilpulley_core.proxy.session_state import SessionState
+    from trefoilpulley_node.proxy.directory import Group
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One statement of a caller with what it needs."""
+
+    run: Run
+    """Statement."""
+
+    prepared: Prepare | None
+    """Prepared statement that it executes, if any."""
+
+    route: Route
+    """Route that it takes."""
+
+    group: Group
+    """Group that serves the route."""
+
+    session: SessionState
+    """Values of the caller's session."""
+
+    floor: SessionFloor
+    """Newest commit of the caller's session."""
+
+    arrived_at: float
+    """Time of arrival, in seconds."""
+
+    deadline: float
+    """Time at which it must have been answered, in seconds."""
