Let one side alone decide a change of primary

Hosts of a zone that was cut off counted only the hosts they still saw, found the service out, and ordered the old primary to lead again once the cut had healed: commits of the branch in between were missing from reads. Several hosts also ordered one change, each after the next one's claim.

Change: a change is claimed for the round seen when its decision began; without the service only a majority of all registered hosts may act; an order that shows no effect is decided anew instead of repeated.

--- a/packages/core/src/trefoilpulley_core/proxy/succession.py
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -83,16 +83,34 @@
     return ranked.index(host) * each_s
 
 
-def is_lost_to_majority(
-    reports: Iterable[ReachReport], hosts: int
+def is_lost_to_most(
+    reports: Iterable[ReachReport],
+    registered: Mapping[str, str],
+    zone: str,
+    is_claimed: bool,
 ) -> bool:
-    """Return whether most hosts, this one included, miss a member.
-
-    A host that does not answer counts as reaching it: it may be cut off
-    from here and serve from there.
+    """Return whether enough hosts, this one included, miss a member.
+
+    Hosts of the member's zone that are silent may be cut off together
+    with it and don't count, as long as the platform's service says which
+    side acts. Without the service only a majority of all hosts is safe:
+    a smaller side that acted would order the lead back after the cut.
+
+    Parameters
+    ----------
+    reports : Iterable[ReachReport]
+        What the hosts that answered say.
+    registered : Mapping[str, str]
+        Availability zone of each registered host, this one included.
+    zone : str
+        Availability zone of the member.
+    is_claimed : bool
+        Whether the service answers, so that only one side can act.
     """
-    lost = 1 + sum(1 for r in reports if not r.is_reached)
-    return 2 * lost > hosts
+    answers = {r.host: r.is_reached for r in reports}
+    lost = 1 + sum(1 for is_reached in answers.values() if not is_reached)
+    voters = {h for h, z in registered.items() if z != zone or not is_claimed}
+    return 2 * lost > max(len(voters | set(answers)), 1 + len(answers))
 
 
 def choose_target(
--- a/packages/node/src/trefoilpulley_node/proxy/claims.py
+++ b/packages/node/src/trefoilpulley_node/proxy/claims.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_core.proxy.succession import Claim
 
 if TYPE_CHECKING:
@@ -75,8 +76,10 @@
             claim = Claim(self._host, round_number, '')
             self._known[group] = KnownClaim(claim, revision)
 
-    def take(self, group: str, target: str) -> Result[int, Failure]:
-        """Claim the next change of a group.
+    def take(
+        self, group: str, after_round: int, target: str
+    ) -> Result[int, Failure]:
+        """Claim the change of a group that follows a round.
 
         Returns
         -------
@@ -85,8 +88,10 @@
             was first; `PlatformDown` or `PlatformAnswerLost` where the
             service can't say.
         """
+        if self.last_round(group) != after_round:
+            return Failed(RevisionConflict(group))
         known = self._known.get(group)
-        claim = Claim(self._host, self.last_round(group) + 1, target)
+        claim = Claim(self._host, after_round + 1, target)
         value = json.dumps(asdict(claim)).encode()
         done = None
         with gevent.Timeout(CLAIM_TIMEOUT_S, False):
--- a/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -89,6 +89,11 @@
         self.is_following = False
         """Whether a watch is in force."""
 
+    @property
+    def hosts(self) -> tuple[HostEntry, ...]:
+        """Hosts that hold a lease, as last seen."""
+        return tuple(self._hosts.values())
+
     def start(self) -> None:
         """Begin to follow."""
         self._greenlet = gevent.spawn(self._run)
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -13,13 +13,14 @@
 from trefoilpulley_core.proxy.succession import act_delay_s
 from trefoilpulley_core.proxy.succession import choose_target
 from trefoilpulley_core.proxy.succession import fencing_token
-from trefoilpulley_core.proxy.succession import is_lost_to_majority
+from trefoilpulley_core.proxy.succession import is_lost_to_most
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_core.proxy.succession import ReachReport
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from trefoilpulley_core.clock import Clock
@@ -45,9 +46,6 @@
 LEAD_TIMEOUT_S = 2.0
 """Time after which a promotion that shows no effect is ordered anew."""
 
-ORDER_TRIES = 3
-"""Orders of one change, each with a higher fencing token."""
-
 KEPT_PAUSE_S = 0.7
 """Pause after most hosts still reached a primary missed here."""
 
@@ -74,8 +72,8 @@
         Orders promotions.
     peers : Peers
         Other hosts.
-    live_hosts : Callable[[], Sequence[str]]
-        Names of the live hosts, this one included.
+    registered_hosts : Callable[[], Mapping[str, str]]
+        Availability zone of each registered host, this one included.
     holder_id : Callable[[], int | None]
         Number that no other running host has; ``None`` before it is
         known.
@@ -90,7 +88,7 @@
         claims: ClaimBook,
         promotions: PromotionService,
         peers: Peers,
-        live_hosts: Callable[[], Sequence[str]],
+        registered_hosts: Callable[[], Mapping[str, str]],
         holder_id: Callable[[], int | None],
         clock: Clock,
     ) -> None:
@@ -99,7 +97,7 @@
         self._claims = claims
         self._promotions = promotions
         self._peers = peers
-        self._live_hosts = live_hosts
+        self._registered = registered_hosts
         self._holder_id = holder_id
         self._clock = clock
         self._kept_until: dict[str, float] = {}
@@ -115,45 +113,54 @@
             Primary that does not answer, if one is known.
         """
         now = self._clock.now()
-        if now < group.state.change_due_at:
+        state = group.state
+        if now < state.change_due_at:
             return
-        if now < self._kept_until.get(group.state.group, now):
+        if now < self._kept_until.get(state.group, now):
             return
-        if not self._wait_turn(group, is_service_out=False):
+        after_round = self._claims.last_round(state.group)
+        if not self._wait_turn(group, after_round, is_service_out=False):
             return
-        reports = gevent.spawn(self._ask_hosts, group, lost)
-        statuses = self._prober.read_statuses(group, group.state.others(lost))
-        hosts = self._live_hosts()
-        if lost and not is_lost_to_majority(reports.get(), len(hosts)):
-            self._keep(group, lost, reports.get(), len(hosts))
+        asked = gevent.spawn(self._ask_hosts, group, lost)
+        statuses = self._prober.read_statuses(group, state.others(lost))
+        reports = asked.get()
+        if lost and not self._is_lost(group, lost, reports, True):
+            self._keep(group, lost, reports)
             return
-        leader = next((m for m, s in statuses.items() if s.is_primary), None)
-        if leader and self._prober.prove_lead(group, leader):
+        target = choose_target(state, statuses)
+        if target is None or self._has_leader(group, lost, statuses):
             return
-        target = choose_target(group.state, statuses)
-        if target is not None and not self._has_recovered(group, lost):
-            self._change(group, target, statuses, None)
+        round_number = self._take_round(group, after_round, target)
+        if round_number is None:
+            round_number = self._go_on_alone(
+                group, after_round, target, lost, reports
+            )
+        if round_number is not None:
+            self._change(group, target, round_number, None)
 
     def hand_over(self, group: Group, leaving: str) -> None:
         """Move the lead away from a primary that is about to stop."""
-        if self._clock.now() < group.state.change_due_at:
+        state = group.state
+        if self._clock.now() < state.change_due_at:
             return
-        if not self._wait_turn(group, is_service_out=False):
+        after_round = self._claims.last_round(state.group)
+        if not self._wait_turn(group, after_round, is_service_out=False):
             return
-        if group.state.primary != leaving:
+        if state.primary != leaving:
             return
-        statuses = self._prober.read_statuses(
-            group, tuple(group.state.members)
-        )
+        statuses = self._prober.read_statuses(group, tuple(state.members))
         old = statuses.pop(leaving, None)
         staying = {
             m: s
             for m, s in statuses.items()
-            if not group.state.members[m].record.is_leaving
+            if m in state.members and not state.members[m].record.is_leaving
         }
-        target = choose_target(group.state, staying or statuses)
-        if target is not None:
-            self._change(group, target, statuses, old and (leaving, old))
+        target = choose_target(state, staying)
+        if target is None or old is None:
+            return
+        round_number = self._take_round(group, after_round, target)
+        if round_number is not None:
+            self._change(group, target, round_number, (leaving, old))
 
     def on_reach_question(self, question: ReachQuestion) -> ReachReport:
         """Return whether a member answers this host."""
@@ -173,21 +180,43 @@
         """Take the way to find a group by its name."""
         self._find_group = find_group
 
-    def _wait_turn(self, group: Group, is_service_out: bool) -> bool:
+    def _wait_turn(
+        self, group: Group, after_round: int, is_service_out: bool
+    ) -> bool:
         """Give the hosts before this one their head start."""
         state = group.state
-        before = self._claims.last_round(state.group)
         delay_s = act_delay_s(
-            state.group, self._host, self._live_hosts(), is_service_out
+            state.group, self._host, tuple(self._registered()), is_service_out
         )
         gevent.sleep(delay_s)
-        if self._claims.last_round(state.group) != before:
+        if self._claims.last_round(state.group) != after_round:
             return False
         return self._clock.now() >= state.change_due_at
 
-    def _has_recovered(self, group: Group, lost: str | None) -> bool:
+    def _is_lost(
+        self,
+        group: Group,
+        lost: str,
+        reports: Sequence[ReachReport],
+        is_claimed: bool,
+    ) -> bool:
+        health = group.state.members.get(lost)
+        zone = health.record.zone if health else ''
+        return is_lost_to_most(
+            reports, self._registered(), zone, is_claimed
+        )
+
+    def _has_leader(
+        self, group: Group, lost: str | None, statuses: dict[str, LogStatus]
+    ) -> bool:
+        """Return whether a member leads after all."""
         health = group.state.members.get(lost or '')
-        return health is not None and health.failing_since is None
+        if health is not None and health.failing_since is None:
+            return True
+        return any(
+            s.is_primary and self._prober.prove_lead(group, m)
+            for m, s in statuses.items()
+        )
 
     def _ask_hosts(
         self, group: Group, lost: str | None
@@ -199,7 +228,7 @@
             gevent.spawn(
                 self._peers.call_host, host, question, VOTE_TIMEOUT_S
             )
-            for host in self._live_hosts()
+            for host in self._registered()
             if host != self._host
         ]
         gevent.joinall(asked, timeout=VOTE_TIMEOUT_S)
@@ -208,11 +237,7 @@
         return tuple(r for r in found if isinstance(r, ReachReport))
 
     def _keep(
-        self,
-        group: Group,
-        lost: str,
-        reports: Sequence[ReachReport],
-        hosts: int,
+        self, group: Group, lost: str, reports: Sequence[ReachReport]
     ) -> None:
         self._kept_until[group.state.group] = self._clock.now() + KEPT_PAUSE_S
         events.PRIMARY_KEPT.log(
@@ -220,64 +245,88 @@
             member=lost,
             missed_by=1 + sum(1 for r in reports if not r.is_reached),
             reached_by=sum(1 for r in reports if r.is_reached),
-            hosts=hosts,
+            hosts=len(self._registered()),
         )
 
     def _change(
         self,
         group: Group,
         target: str,
-        statuses: dict[str, LogStatus],
+        round_number: int,
         old: tuple[str, LogStatus] | None,
     ) -> None:
+        """Order one promotion and see it through.
+
+        Where it shows no effect, the next look at the group decides anew
+        from what it then sees, never from what was seen before.
+        """
         state = group.state
         began_at = self._clock.now()
-        for _ in range(ORDER_TRIES):
-            round_number = self._take_round(group, target)
-            if round_number is None:
-                return
-            ordered = self._order(group, target, round_number)
-            if not ordered:
-                continue
-            state.change_due_at = self._clock.now() + PROMOTION_S
-            if old is not None:
-                self._demote(group, *old)
-            if self._await_lead(group, target):
-                events.CHANGE_OVER.log(
-                    group=state.group,
-                    member=target,
-                    took_ms=round(1000 * (self._clock.now() - began_at)),
-                )
-                return
+        if not self._order(group, target, round_number):
+            return
+        state.change_due_at = self._clock.now() + PROMOTION_S
+        if old is not None:
+            self._demote(group, *old)
+        if self._await_lead(group, target):
+            took_s = self._clock.now() - began_at
+            events.CHANGE_OVER.log(
+                group=state.group, member=target, took_ms=round(1000 * took_s)
+            )
         state.change_due_at = float('-inf')
 
-    def _take_round(self, group: Group, target: str) -> int | None:
+    def _take_round(
+        self, group: Group, after_round: int, target: str
+    ) -> int | None:
+        """Claim the change; ``None`` where another acts or none can say."""
         name = group.state.group
-        taken = self._claims.take(name, target)
-        if isinstance(taken, Success):
-            events.CHANGE_CLAIMED.log(
-                group=name, target=target, round=taken.unwrap()
-            )
+        taken = self._claims.take(name, after_round, target)
+        failure = None if isinstance(taken, Success) else taken.failure()
+        events.CHANGE_CLAIMED.log(
+            group=name,
+            target=target,
+            round=after_round + 1,
+            failure=failure.code if failure else None,
+        )
+        if failure is None:
             return taken.unwrap()
-        if isinstance(taken.failure(), RevisionConflict):
+        if isinstance(failure, RevisionConflict):
             # Another host acts; give it the time to finish.
             group.state.change_due_at = self._clock.now() + PROMOTION_S
+        return None
+
+    def _go_on_alone(
+        self,
+        group: Group,
+        after_round: int,
+        target: str,
+        lost: str | None,
+        reports: Sequence[ReachReport],
+    ) -> int | None:
+        """Return a round of this side's own while the service is out.
+
+        Only the side with most of all hosts may, one host after the
+        other, and only while no member has come to lead meanwhile.
+        """
+        if self._clock.now() < group.state.change_due_at or lost is None:
+            return None
+        if not self._is_lost(group, lost, reports, is_claimed=False):
             return None
-        if not self._wait_turn(group, is_service_out=True):
+        if not self._wait_turn(group, after_round, is_service_out=True):
             return None
-        if group.state.primary and self._prober.prove_lead(
-            group, group.state.primary
-        ):
+        if self._prober.reach(group, lost) or self._leads_now(group):
             return None
-        round_number = self._claims.last_round(name) + 1
-        self._claims.raise_round(name, round_number)
+        name = group.state.group
+        self._claims.raise_round(name, after_round + 1)
         events.CHANGE_CLAIMED.log(
-            group=name,
-            target=target,
-            round=round_number,
-            failure=taken.failure().code,
+            group=name, target=target, round=after_round + 1, failure='alone'
+        )
+        return after_round + 1
+
+    def _leads_now(self, group: Group) -> bool:
+        return any(
+            self._prober.prove_lead(group, m)
+            for m in tuple(group.state.members)
         )
-        return round_number
 
     def _order(self, group: Group, target: str, round_number: int) -> bool:
         """Order a promotion; return whether it may have been taken."""
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -223,7 +223,7 @@
             self._claims,
             self._promotions,
             self._peers,
-            self._live_hosts,
+            self._registered_hosts,
             lambda: self._registration.holder_id,
             self._clock,
         )
@@ -239,6 +239,10 @@
             self._clock,
         )
 
+    def _registered_hosts(self) -> dict[str, str]:
+        hosts = {h.name: h.zone for h in self._follower.hosts}
+        return {**hosts, self._cfg.host: self._cfg.zone}
+
     def _live_hosts(self) -> tuple[str, ...]:
         zones = self._membership.live_hosts.zones
         hosts = {h for z in zones for h in z.hosts}
