--- a/packages/core/src/trefoilpulley_core/proxy/connection_share.py
+++ b/packages/core/src/trefoilpulley_core/proxy/connection_share.py
@@ -16,8 +16,10 @@
     """Equal share of each host, with room above it while it is free.
 
     A host opens connections above its share only where work waits and
-    the member has refused none for a while, and gives them back as soon
-    as they are idle.
+    the member has refused none for a while. It keeps half of its share
+    open and gives the rest back as soon as it is idle: the connections
+    of hosts that lost power stay open at the member for seconds, and
+    those hosts need room for new ones when they are back.
     """
 
     def __init__(self) -> None:
@@ -25,9 +27,14 @@
         self._refused_until = float('-inf')
 
     @property
-    def share(self) -> int:
-        """Connections that this host may keep."""
-        return self._share
+    def kept(self) -> int:
+        """Connections that stay open while idle."""
+        return max(1, self._share // 2)
+
+    @property
+    def most(self) -> int:
+        """Connections that may ever be open at once."""
+        return self._share * GROWTH_FACTOR
 
     def update(self, max_connections: int, hosts: int) -> None:
         """Take the member's limit and the number of live hosts."""
@@ -41,4 +48,4 @@
         """Return the connections that may be open now."""
         if now < self._refused_until:
             return self._share
-        return self._share * GROWTH_FACTOR
+        return self.most
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -27,9 +27,6 @@
 BEHIND_PAUSE_S = 0.25
 """Time for which a replica that was behind is not asked, in seconds."""
 
-UNREACHABLE_PAUSE_S = 0.3
-"""Time for which an unreachable replica is not asked, in seconds."""
-
 BUSY_PAUSE_S = 0.02
 """Time for which a member that refused for load is avoided, in seconds."""
 
@@ -124,7 +121,6 @@
         """Note that the member did not answer."""
         if self.failing_since is None:
             self.failing_since = now
-        self.avoid_until = now + UNREACHABLE_PAUSE_S
 
 
 class GroupState:
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/proxy/isolation.py
@@ -0,0 +1,64 @@
+"""Whether a host is cut off from what it needs to serve.
+
+Load pattern: an availability zone is cut off while its callers still reach
+its hosts. These can't reach most primaries, refuse most work, and their
+callers come back to them. A host that tells the balancer so, and closes
+its idle sessions, lets the callers go to the hosts of other zones.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ISOLATED_AFTER_S = 0.6
+"""Time for which a host must look cut off; above a change of primary's
+search, below the time that callers wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a host reaches at one moment."""
+
+    groups: int
+    """Groups that routes lead to."""
+
+    groups_lost: int
+    """Groups whose primary does not answer or is not known."""
+
+    hosts: int
+    """Registered hosts, this one included."""
+
+    hosts_reached: int
+    """Hosts that answer, this one included."""
+
+    is_service_reached: bool
+    """Whether the platform's service answers."""
+
+    @property
+    def looks_cut_off(self) -> bool:
+        """Whether it is this host, not the others, that is cut off."""
+        if self.is_service_reached or not self.groups:
+            return False
+        if 2 * self.hosts_reached > self.hosts:
+            return False
+        return 2 * self.groups_lost > self.groups
+
+
+class Isolation:
+    """Tells a cut that lasts from a short disturbance."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+
+    def update(self, seen: Surroundings, now: float) -> None:
+        """Take what the host reaches now."""
+        if not seen.looks_cut_off:
+            self._since = None
+        elif self._since is None:
+            self._since = now
+
+    def duration_s(self, now: float) -> float:
+        """Return for how long the host has counted as cut off; 0 if not."""
+        if self._since is None:
+            return 0.0
+        return max(0.0, now - self._since - ISOLATED_AFTER_S)
--- a/packages/core/src/trefoilpulley_core/proxy/placement.py
+++ b/packages/core/src/trefoilpulley_core/proxy/placement.py
@@ -67,7 +67,7 @@
     best: Placement | None = None
     best_s = float('inf')
     for name, health in group.members.items():
-        if name in excluded:
+        if name in excluded or health.failing_since is not None:
             continue
         is_primary = name == group.primary
         if not is_primary and (floor is None or health.record.is_leaving):
--- a/packages/core/src/trefoilpulley_core/proxy/succession.py
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -54,6 +54,17 @@
     """Identifier of the member."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderNotice:
+    """Tells another host which member leads now."""
+
+    group: str
+    """Group of the member."""
+
+    member: str
+    """Identifier of the member."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReachReport:
     """What another host says of a member."""
--- a/packages/node/src/trefoilpulley_node/proxy/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_session.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import OutcomeUnknown
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_core.failure import UnknownDatabase
@@ -40,6 +41,12 @@
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
     from trefoilpulley_node.proxy.statement_runner import StatementRunner
 
+CONFIGURATION_WAIT_S = 1.5
+"""Longest wait of a new session for the first configuration.
+
+Callers give up a connection that is not greeted within two seconds.
+"""
+
 VALUES_LIMIT = 256
 """Values and prepared statements that one session may keep."""
 
@@ -83,9 +90,17 @@
         """Return a new session for a database name."""
         return CallerSession(self, database)
 
-    def is_known(self, database: str) -> bool:
-        """Return whether a route has a database name."""
-        return self.directory.find_route(database) is not None
+    def find_fault(self, database: str) -> Failure | None:
+        """Return why no session can be opened, or ``None``.
+
+        A host that has just started waits for its configuration rather
+        than deny a database that it does not know yet.
+        """
+        if not self.directory.wait_loaded(CONFIGURATION_WAIT_S):
+            return NoUpstream('no configuration yet')
+        if self.directory.find_route(database) is None:
+            return UnknownDatabase(database)
+        return None
 
 
 class CallerSession:
--- a/packages/node/src/trefoilpulley_node/proxy/directory.py
+++ b/packages/node/src/trefoilpulley_node/proxy/directory.py
@@ -73,12 +73,17 @@
         """Groups that a route leads to, by name."""
 
         self._on_group: list[Callable[[Group], None]] = []
+        self._loaded = Event()
 
     @property
     def is_loaded(self) -> bool:
         """Whether a configuration is in force."""
         return self.table.version > 0
 
+    def wait_loaded(self, timeout_s: float) -> bool:
+        """Wait for the first configuration; false where none came."""
+        return self._loaded.wait(timeout_s)
+
     def subscribe_groups(self, on_group: Callable[[Group], None]) -> None:
         """Call back for each new group."""
         self._on_group.append(on_group)
@@ -99,6 +104,7 @@
         for name in {r.group for r in table.routes.values()}:
             self._ensure_group(name)
         self._update_shares()
+        self._loaded.set()
         events.ROUTES_IN_FORCE.log(
             version=table.version, routes=len(table.routes)
         )
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -130,7 +130,7 @@
         if not conn.upstream.is_usable or self._is_closed:
             self._drop(conn)
             return
-        if self._open > self.share.share * 2:
+        if self._open > self.share.most:
             self._drop(conn)
             return
         conn.since = now
@@ -145,8 +145,8 @@
         self._drop(conn)
 
     def trim(self, now: float) -> None:
-        """Close idle connections above this host's share."""
-        while self._idle and self._open > self.share.share:
+        """Close idle connections that are not kept."""
+        while self._idle and self._open > self.share.kept:
             if now - self._idle[0].since < SURPLUS_IDLE_S:
                 return
             self._drop(self._idle.pop(0))
--- a/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -37,6 +37,9 @@
 after its return.
 """
 
+PROOF_S = 0.3
+"""Time for which a new watch must hold to count as in force."""
+
 FIRST_BACKOFF_S = 0.2
 """Pause after the first failure of the service, in seconds."""
 
@@ -89,6 +92,9 @@
         self.is_following = False
         """Whether a watch is in force."""
 
+        self.is_synchronized = False
+        """Whether everything has been read once."""
+
     @property
     def hosts(self) -> tuple[HostEntry, ...]:
         """Hosts that hold a lease, as last seen."""
@@ -124,10 +130,12 @@
             )
             if self._failure is None and not is_synchronized:
                 is_synchronized = self._synchronize()
+                self.is_synchronized |= is_synchronized
             if self._failure is None and is_synchronized:
-                self._show_following(True)
-                backoff_s = FIRST_BACKOFF_S
-                self._broken.wait()
+                if not self._broken.wait(timeout=PROOF_S):
+                    self._show_following(True)
+                    backoff_s = FIRST_BACKOFF_S
+                    self._broken.wait()
             self._watch.cancel()
             if isinstance(self._failure, WatchExpired):
                 is_synchronized = False
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.proxy.succession import choose_target
 from trefoilpulley_core.proxy.succession import fencing_token
 from trefoilpulley_core.proxy.succession import is_lost_to_most
+from trefoilpulley_core.proxy.succession import LeaderNotice
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_core.proxy.succession import ReachReport
 from trefoilpulley_node import events
@@ -135,7 +136,9 @@
             round_number = self._go_on_alone(
                 group, after_round, target, lost, reports
             )
-        if round_number is not None:
+        if round_number is None:
+            self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
+        else:
             self._change(group, target, round_number, None)
 
     def hand_over(self, group: Group, leaving: str) -> None:
@@ -176,6 +179,13 @@
             group.attention.set()
         return ReachReport(self._host, reached)
 
+    def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
+        """Ask a member that another host says leads; return the notice."""
+        group = self._find_group(notice.group)
+        if group is not None and group.state.primary != notice.member:
+            self._prober.prove_lead(group, notice.member)
+        return notice
+
     def use_groups(self, find_group: Callable[[str], Group | None]) -> None:
         """Take the way to find a group by its name."""
         self._find_group = find_group
@@ -272,8 +282,18 @@
             events.CHANGE_OVER.log(
                 group=state.group, member=target, took_ms=round(1000 * took_s)
             )
+            self._tell_hosts(group, target)
         state.change_due_at = float('-inf')
 
+    def _tell_hosts(self, group: Group, member: str) -> None:
+        """Let the hosts that can't see the service know the leader."""
+        notice = LeaderNotice(group.state.group, member)
+        for host in self._registered():
+            if host != self._host:
+                gevent.spawn(
+                    self._peers.call_host, host, notice, VOTE_TIMEOUT_S
+                )
+
     def _take_round(
         self, group: Group, after_round: int, target: str
     ) -> int | None:
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import gevent
@@ -10,6 +11,8 @@
 from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.proxy.group_state import MemberHealth
     from trefoilpulley_node.proxy.directory import Group
@@ -34,6 +37,12 @@
 LEADERLESS_S = 0.4
 """Time without a leader, at members that answer, before one is chosen."""
 
+REVIVE_S = 0.4
+"""Time between two questions to a replica that does not answer."""
+
+REPORT_S = 1.0
+"""Time between two log lines on one primary that is missed."""
+
 
 class PrimaryWatch(Service):
     """Keeps proof of the primary fresh and notices its loss.
@@ -64,6 +73,9 @@
         self._greenlet: gevent.Greenlet | None = None
         self._leaderless_since: float | None = None
         self._shown: str | None = None
+        self._acting: gevent.Greenlet | None = None
+        self._reported_at = float('-inf')
+        self._revived_at = float('-inf')
 
     def start(self) -> None:
         """Begin to watch."""
@@ -71,8 +83,9 @@
 
     def stop(self) -> None:
         """Stop to watch."""
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
+        for greenlet in (self._greenlet, self._acting):
+            if greenlet is not None:
+                greenlet.kill(block=False)
 
     def _run(self) -> None:
         while True:
@@ -89,6 +102,7 @@
     def _look(self) -> None:
         state = self._group.state
         self._show()
+        self._revive()
         health = state.members.get(state.primary or '')
         if health is None:
             self._look_for_leader()
@@ -98,7 +112,8 @@
         if _is_suspect(health, now):
             self._on_suspect(health)
         elif health.record.is_leaving:
-            self._changer.hand_over(self._group, health.record.member)
+            member = health.record.member
+            self._act(self._changer.hand_over, self._group, member)
         elif self._is_evidence_due(now):
             self._prober.prove_lead(self._group, health.record.member)
 
@@ -112,7 +127,7 @@
         if self._leaderless_since is None:
             self._leaderless_since = now
         if now - self._leaderless_since > LEADERLESS_S:
-            self._changer.replace(self._group, None)
+            self._act(self._changer.replace, self._group, None)
 
     def _on_suspect(self, health: MemberHealth) -> None:
         member = health.record.member
@@ -121,15 +136,33 @@
         now = self._clock.now()
         if health.failing_since is None:
             health.on_unreachable(now)
-        events.PRIMARY_MISSED.log(
-            group=self._group.state.group,
-            member=member,
-            failing_ms=round(1000 * (now - health.failing_since)),
-        )
-        self._changer.replace(self._group, member)
+        if now - self._reported_at > REPORT_S:
+            self._reported_at = now
+            events.PRIMARY_MISSED.log(
+                group=self._group.state.group,
+                member=member,
+                failing_ms=round(1000 * (now - health.failing_since)),
+            )
+        self._act(self._changer.replace, self._group, member)
         if self._group.state.primary == member:
             self._prober.find_leader(self._group)
 
+    def _act(self, change: Callable[..., None], *arguments: Any) -> None:
+        """Run a change beside the watch, one at a time."""
+        if self._acting is None or self._acting.ready():
+            self._acting = gevent.spawn(change, *arguments)
+
+    def _revive(self) -> None:
+        """Ask the replicas that stopped to answer, now and then."""
+        now = self._clock.now()
+        if now - self._revived_at < REVIVE_S:
+            return
+        self._revived_at = now
+        state = self._group.state
+        for member, health in state.members.items():
+            if health.failing_since is not None and member != state.primary:
+                gevent.spawn(self._prober.reach, self._group, member)
+
     def _is_evidence_due(self, now: float) -> bool:
         state = self._group.state
         if now - state.asked_at > IN_USE_S:
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -12,6 +12,9 @@
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.proxy.isolation import Isolation
+from trefoilpulley_core.proxy.isolation import Surroundings
+from trefoilpulley_core.proxy.succession import LeaderNotice
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_node import events
 from trefoilpulley_node.membership_runner import MembershipRunner
@@ -28,6 +31,7 @@
 from trefoilpulley_node.proxy.primary_changer import PROMOTION_S
 from trefoilpulley_node.proxy.primary_wait import PrimaryWait
 from trefoilpulley_node.proxy.primary_watch import PrimaryWatch
+from trefoilpulley_node.proxy.session_registry import NOTICE_S
 from trefoilpulley_node.proxy.session_registry import SessionRegistry
 from trefoilpulley_node.proxy.statement_runner import StatementRunner
 from trefoilpulley_wire.listener import Listener
@@ -44,7 +48,7 @@
     from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.proxy_settings import ProxySettings
 
-UPKEEP_S = 0.5
+UPKEEP_S = 0.25
 """Time between two rounds of upkeep, in seconds."""
 
 
@@ -86,6 +90,7 @@
         self._incarnation = time.time_ns()
         self._rng = random.Random(self._incarnation)
         self._watches: list[PrimaryWatch] = []
+        self._isolation = Isolation()
         self._upkeep: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -98,6 +103,10 @@
             ReachQuestion,
             lambda question, _: self._changer.on_reach_question(question),
         )
+        self._peer_server.register(
+            LeaderNotice,
+            lambda notice, _: self._changer.on_leader_notice(notice),
+        )
         self._peer_listener.start()
         self._membership.start()
         self._follower.start()
@@ -130,7 +139,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent to this host."""
-        return self.directory.is_loaded and not self.sessions.is_draining
+        if self.sessions.is_draining or not self.directory.is_loaded:
+            return False
+        return self._isolation.duration_s(self._clock.now()) == 0
 
     @cached_property
     def directory(self) -> ProxyDirectory:
@@ -259,7 +270,8 @@
         group = self.directory.groups.get(name)
         if group is None or claim.holder == self._cfg.host:
             return
-        if self._follower.is_following:
+        # A claim that was there before this host started is over.
+        if self._follower.is_synchronized:
             group.state.change_due_at = self._clock.now() + PROMOTION_S
             group.attention.set()
 
@@ -273,3 +285,24 @@
             gevent.sleep(UPKEEP_S)
             self._follower.tick()
             self.directory.trim()
+            self._look_around()
+
+    def _look_around(self) -> None:
+        now = self._clock.now()
+        groups = self.directory.groups.values()
+        was_cut_off = self._isolation.duration_s(now) > 0
+        self._isolation.update(
+            Surroundings(
+                len(groups),
+                sum(1 for g in groups if self._primary_wait.is_lost(g)),
+                len(self._registered_hosts()),
+                len(self._live_hosts()),
+                self._follower.is_following,
+            ),
+            now,
+        )
+        cut_off_s = self._isolation.duration_s(now)
+        if was_cut_off != (cut_off_s > 0):
+            events.ISOLATION_CHANGED.log(is_cut_off=cut_off_s > 0)
+        if cut_off_s > NOTICE_S:
+            self.sessions.close_idle()
--- a/packages/node/src/trefoilpulley_node/proxy/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/proxy/session_registry.py
@@ -20,6 +20,12 @@
 EXIT_MARGIN_S = 0.7
 """Part of the grace left for the process to end, in seconds."""
 
+QUIET_S = 0.6
+"""Time without a connection after which none is expected any more.
+
+Connections that the balancer sent before it noticed are on their way.
+"""
+
 POLL_S = 0.05
 """Time between two looks at the sessions while draining."""
 
@@ -48,12 +54,21 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._sessions: dict[CallerSession, CallerConnection] = {}
+        self._connections = 0
         self.is_draining = False
         """Whether the host is about to stop."""
 
     def __len__(self) -> int:
         return len(self._sessions)
 
+    def enter(self) -> None:
+        """Note a new connection, greeted or not."""
+        self._connections += 1
+
+    def leave(self) -> None:
+        """Note the end of a connection."""
+        self._connections -= 1
+
     def add(self, session: CallerSession, conn: CallerConnection) -> None:
         """Note a new session."""
         self._sessions[session] = conn
@@ -62,6 +77,11 @@
         """Note the end of a session."""
         self._sessions.pop(session, None)
 
+    def close_idle(self) -> None:
+        """Close the sessions without work, so that they go elsewhere."""
+        for session, conn in list(self._sessions.items()):
+            self._end(session, conn, is_late=False)
+
     def drain(self, grace_s: float) -> None:
         """End every session without cutting a request.
 
@@ -71,12 +91,18 @@
         self.is_draining = True
         began_at = self._clock.now()
         gevent.sleep(min(NOTICE_S, grace_s / 2))
-        while self._sessions:
-            passed_s = self._clock.now() - began_at
+        quiet_since = self._clock.now()
+        while True:
+            now = self._clock.now()
+            passed_s = now - began_at
             if passed_s > grace_s - EXIT_MARGIN_S:
                 break
             for session, conn in list(self._sessions.items()):
                 self._end(session, conn, passed_s > grace_s / 2)
+            if self._connections:
+                quiet_since = now
+            elif now - quiet_since > QUIET_S:
+                break
             gevent.sleep(POLL_S)
 
     def _end(
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -42,6 +42,7 @@
         peer.ResumeWrites,
         peer.StatusReport,
         peer.WarmConnections,
+        succession.LeaderNotice,
         succession.ReachQuestion,
         succession.ReachReport,
     )
