Choose a new primary only where most members answer

Hosts without a known primary asked for no votes at all.

Change: a side needs the status of most members, or every host, before it changes a primary; rounds used without the service travel with the notice of the new leader and are written to the service once it is back.

--- a/packages/core/src/trefoilpulley_core/proxy/connection_share.py
+++ b/packages/core/src/trefoilpulley_core/proxy/connection_share.py
@@ -8,7 +8,7 @@
 LIMIT_PAUSE_S = 0.5
 """Time without growth after the member refused a connection."""
 
-SURPLUS_IDLE_S = 1.0
+SURPLUS_IDLE_S = 0.4
 """Time after which an idle connection above the share is closed."""
 
 
--- a/packages/core/src/trefoilpulley_core/proxy/succession.py
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -64,6 +64,9 @@
     member: str
     """Identifier of the member."""
 
+    round: int = 0
+    """Number of the change that made it lead."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReachReport:
@@ -124,6 +127,22 @@
     return 2 * lost > max(len(voters | set(answers)), 1 + len(answers))
 
 
+def sees_enough(
+    members: int,
+    answering: int,
+    reports: Iterable[ReachReport],
+    registered: Mapping[str, str],
+) -> bool:
+    """Return whether this side may choose among the members it sees.
+
+    A side that reaches less than most members may have missed a change
+    on the other side, unless every host is on this side.
+    """
+    if 2 * answering > members:
+        return True
+    return len({r.host for r in reports}) + 1 >= len(registered)
+
+
 def choose_target(
     group: GroupState, statuses: Mapping[str, LogStatus]
 ) -> str | None:
--- a/packages/node/src/trefoilpulley_node/proxy/claims.py
+++ b/packages/node/src/trefoilpulley_node/proxy/claims.py
@@ -54,6 +54,7 @@
         self._host = host
         self._platform = platform
         self._known: dict[str, KnownClaim] = {}
+        self._unpublished: set[str] = set()
 
     def last_round(self, group: str) -> int:
         """Return the number of a group's newest claim, or 0."""
@@ -65,6 +66,11 @@
         known = self._known.get(group)
         if known is not None and known.revision >= revision:
             return False
+        if known is not None and known.claim.round > claim.round:
+            # A round used without the service is ahead of the stored one.
+            self._known[group] = KnownClaim(known.claim, revision)
+            self._unpublished.add(group)
+            return False
         self._known[group] = KnownClaim(claim, revision)
         return True
 
@@ -75,6 +81,25 @@
         if round_number > self.last_round(group):
             claim = Claim(self._host, round_number, '')
             self._known[group] = KnownClaim(claim, revision)
+            self._unpublished.add(group)
+
+    def publish(self) -> None:
+        """Write the rounds that were used without the service.
+
+        A host that was cut off meanwhile then can't claim one of them.
+        """
+        for group in tuple(self._unpublished):
+            known = self._known[group]
+            value = json.dumps(asdict(known.claim)).encode()
+            done = self._platform.compare_and_swap(
+                claim_key(group), known.revision, value
+            )
+            if isinstance(done, Success):
+                self._known[group] = KnownClaim(known.claim, done.unwrap())
+                self._unpublished.discard(group)
+            elif isinstance(done.failure(), RevisionConflict):
+                # Another host has published the round or a later one.
+                self._unpublished.discard(group)
 
     def take(
         self, group: str, after_round: int, target: str
--- a/packages/node/src/trefoilpulley_node/proxy/directory.py
+++ b/packages/node/src/trefoilpulley_node/proxy/directory.py
@@ -55,13 +55,18 @@
 
     Parameters
     ----------
+    zone : str
+        Availability zone of this host.
     dialer : UpstreamDialer
         Opens connections to members.
     clock : Clock
         Monotonic time.
     """
 
-    def __init__(self, dialer: UpstreamDialer, clock: Clock) -> None:
+    def __init__(
+        self, zone: str, dialer: UpstreamDialer, clock: Clock
+    ) -> None:
+        self._zone = zone
         self._dialer = dialer
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
@@ -142,7 +147,9 @@
         """Close connections that are not needed."""
         now = self._clock.now()
         for group in self.groups.values():
-            for pool in group.pools.values():
+            for member, pool in group.pools.items():
+                is_near = pool.health.record.zone == self._zone
+                pool.is_kept = is_near or member == group.state.primary
                 pool.trim(now)
 
     def _ensure_group(self, name: str) -> None:
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -70,6 +70,9 @@
         self.share = ConnectionShare()
         """Connections that this host may open."""
 
+        self.is_kept = True
+        """Whether idle connections are kept at all."""
+
         self._dialer = dialer
         self._clock = clock
         self._idle: list[PooledSession] = []
@@ -146,7 +149,7 @@
 
     def trim(self, now: float) -> None:
         """Close idle connections that are not kept."""
-        while self._idle and self._open > self.share.kept:
+        while self._idle and self._open > self._kept:
             if now - self._idle[0].since < SURPLUS_IDLE_S:
                 return
             self._drop(self._idle.pop(0))
@@ -161,6 +164,10 @@
         for work in self._line.drain():
             work.handle.set(None)
 
+    @property
+    def _kept(self) -> int:
+        return self.share.kept if self.is_kept else 0
+
     def _take_idle(self, session: SessionState) -> PooledSession | None:
         while self._idle:
             conn = self._pick(session)
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -17,6 +17,7 @@
 from trefoilpulley_core.proxy.succession import LeaderNotice
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_core.proxy.succession import ReachReport
+from trefoilpulley_core.proxy.succession import sees_enough
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
@@ -131,6 +132,11 @@
         target = choose_target(state, statuses)
         if target is None or self._has_leader(group, lost, statuses):
             return
+        if not sees_enough(
+            len(state.members), len(statuses), reports, self._registered()
+        ):
+            self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
+            return
         round_number = self._take_round(group, after_round, target)
         if round_number is None:
             round_number = self._go_on_alone(
@@ -181,6 +187,7 @@
 
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Ask a member that another host says leads; return the notice."""
+        self._claims.raise_round(notice.group, notice.round)
         group = self._find_group(notice.group)
         if group is not None and group.state.primary != notice.member:
             self._prober.prove_lead(group, notice.member)
@@ -282,12 +289,14 @@
             events.CHANGE_OVER.log(
                 group=state.group, member=target, took_ms=round(1000 * took_s)
             )
-            self._tell_hosts(group, target)
+            self._tell_hosts(group, target, round_number)
         state.change_due_at = float('-inf')
 
-    def _tell_hosts(self, group: Group, member: str) -> None:
+    def _tell_hosts(
+        self, group: Group, member: str, round_number: int
+    ) -> None:
         """Let the hosts that can't see the service know the leader."""
-        notice = LeaderNotice(group.state.group, member)
+        notice = LeaderNotice(group.state.group, member, round_number)
         for host in self._registered():
             if host != self._host:
                 gevent.spawn(
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -146,7 +146,7 @@
     @cached_property
     def directory(self) -> ProxyDirectory:
         """Routes, groups and pools."""
-        return ProxyDirectory(self._dialer, self._clock)
+        return ProxyDirectory(self._cfg.zone, self._dialer, self._clock)
 
     @cached_property
     def sessions(self) -> SessionRegistry:
@@ -286,6 +286,8 @@
             self._follower.tick()
             self.directory.trim()
             self._look_around()
+            if self._follower.is_following:
+                self._claims.publish()
 
     def _look_around(self) -> None:
         now = self._clock.now()
