Test the path over an emulator of the platform

Change: platform/emulator holds store, members, orders and callers on loopback ports; scenarios play failover with and without the service, the planned handover, roaming, transactions, values, drain and broken input. Two faults found on the way: a session's commit that a promotion rolled back stayed its floor for ever, and a member that had once been slow was never tried again.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core wire node client cli standins
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
-SOURCES := packages features .ci
+PACKAGES := $(addprefix packages/,core wire node client cli standins) \
+	platform platform/emulator
+EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
+SOURCES := packages platform features .ci
 DEPLOYMENT ?= karamanlis
 
 .PHONY: setup format lint test demo explore measure clean
@@ -11,7 +12,7 @@
 setup: $(VENV)/.stamp
 
 $(VENV)/.stamp: constraints.txt requirements-dev.txt \
-		$(wildcard packages/*/pyproject.toml)
+		$(addsuffix /pyproject.toml,$(PACKAGES))
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
--- /dev/null
+++ b/features/steps/platform_path_steps.py
@@ -0,0 +1,400 @@
+"""Steps on the whole path over the emulated platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+
+from trefoilpulley_emulator.caller import Caller
+from trefoilpulley_emulator.caller import CallerAnswer
+from trefoilpulley_emulator.deployment import EmulatedDeployment
+
+HANG_S = 60.0
+"""Time after which a scenario counts as hung, in seconds."""
+
+POLL_S = 0.05
+"""Pause between two tries, in seconds."""
+
+
+def _until(is_done: Callable[[], bool]) -> None:
+    """Try until a condition holds; only a hang ends it early."""
+    with gevent.Timeout(HANG_S, AssertionError('hung')):
+        while not is_done():
+            gevent.sleep(POLL_S)
+
+
+def _ask(context: Any, database: str, host: int, text: str) -> CallerAnswer:
+    """Ask on a session of its own."""
+    caller = context.deployment.hosts[host].connect(database)
+    try:
+        if not caller.greeting.startswith('READY'):
+            return CallerAnswer(caller.greeting.split()[1], (), '', '')
+        return caller.ask(text)
+    finally:
+        caller.close()
+
+
+class DeploymentSteps:
+    """Steps on the deployment and its faults."""
+
+    @staticmethod
+    @given('an emulated deployment of {hosts:d} hosts')
+    def make(context: Any, hosts: int) -> None:
+        """Start a deployment and wait until it serves."""
+        context.deployment = EmulatedDeployment(hosts)
+        context.cleanups.append(context.deployment.stop)
+        context.deployment.start()
+        for host in range(hosts):
+            _until(
+                lambda host=host: (
+                    _ask(context, 'orders', host, 'READ none').code == 'DONE'
+                )
+            )
+
+    @staticmethod
+    @when('the configuration holds "{one}" and "{other}" alone')
+    def configure(context: Any, one: str, other: str) -> None:
+        """Put a configuration with two databases in force."""
+        context.deployment.configure({one: 'primary', other: 'session'})
+
+    @staticmethod
+    @when('reads take {took:d} ms at the primary')
+    def slow_primary(context: Any, took: int) -> None:
+        """Let the primary be slow."""
+        context.deployment.group.primary.read_s = took / 1000
+
+    @staticmethod
+    @when('the primary crashes')
+    def crash(context: Any) -> None:
+        """Stop the primary without a word."""
+        group = context.deployment.group
+        group.crash(group.primary.state.member)
+
+    @staticmethod
+    @when('the primary announces its end')
+    def leave(context: Any) -> None:
+        """Let the primary be about to stop."""
+        group = context.deployment.group
+        context.leaving = group.primary.state.member
+        group.leave(context.leaving)
+
+    @staticmethod
+    @when('the primary loses its next answer')
+    def lose_answer(context: Any) -> None:
+        """Let the primary run a statement and stay silent."""
+        context.deployment.group.primary.lose_answers = 1
+
+    @staticmethod
+    @when('the store goes down')
+    def lose_store(context: Any) -> None:
+        """Refuse every call to the store."""
+        context.deployment.store.is_down = True
+
+    @staticmethod
+    @when('the store forgets its history')
+    def forget(context: Any) -> None:
+        """Drop the history of the store."""
+        context.deployment.store.forget_history()
+
+    @staticmethod
+    @when('the store holds a broken entry')
+    def break_entry(context: Any) -> None:
+        """Write entries that can't be read."""
+        store = context.deployment.store
+        store.put('servers/broken', b'\xff\xfe')
+        store.put('servers/odd', {'service': 'ledger', 'state': 7})
+
+    @staticmethod
+    @then('one promotion was carried out')
+    def check_promotions(context: Any) -> None:
+        """Check that exactly one order was taken."""
+        orders = context.deployment.duty.orders
+        taken = [o for o in orders if o[3] == 200]
+        assert len({o[1] for o in taken}) == 1, orders
+        assert len(taken) == 1, orders
+
+    @staticmethod
+    @then('another member leads before long')
+    def check_handover(context: Any) -> None:
+        """Wait until the leaving member no longer leads."""
+        group = context.deployment.group
+        _until(
+            lambda: (
+                group.log.primary is not None
+                and group.log.primary.member != context.leaving
+            )
+        )
+
+    @staticmethod
+    @then('no commit was rolled back')
+    def check_rollbacks(context: Any) -> None:
+        """Check that nothing was lost."""
+        assert not context.deployment.group.log.rolled_back
+
+
+class CallerSteps:
+    """Steps on callers and what they are told."""
+
+    @staticmethod
+    @when(
+        'a caller of "{database}" writes "{item}" as "{data}" through host '
+        '{host:d}'
+    )
+    @then(
+        'a caller of "{database}" writes "{item}" as "{data}" through host '
+        '{host:d}'
+    )
+    def write(
+        context: Any, database: str, item: str, data: str, host: int
+    ) -> None:
+        """Write on a session that stays open."""
+        context.caller = context.deployment.hosts[host].connect(database)
+        context.cleanups.append(context.caller.close)
+        context.answers = [context.caller.ask(f'WRITE {item} {data}')]
+        assert context.answers[0].code == 'DONE', context.answers
+
+    @staticmethod
+    @then('the same caller reads "{item}" as "{data}"')
+    def read_same(context: Any, item: str, data: str) -> None:
+        """Read on the same session."""
+        answer = context.caller.ask(f'READ {item}')
+        context.answers.append(answer)
+        assert answer.rows == (data,), answer
+
+    @staticmethod
+    @then(
+        'a caller of "{database}" reads "{item}" as "{data}" through host '
+        '{host:d}'
+    )
+    def read(
+        context: Any, database: str, item: str, data: str, host: int
+    ) -> None:
+        """Read on a session of its own."""
+        answer = _ask(context, database, host, f'READ {item}')
+        assert answer.rows == (data,), answer
+
+    @staticmethod
+    @then('every answer carries a member\'s signature')
+    def check_signatures(context: Any) -> None:
+        """Check that members have answered."""
+        for answer in context.answers:
+            assert answer.signature.startswith('sig.ledger-'), answer
+
+    @staticmethod
+    @when('a caller of "{database}" reads {count:d} times through host 0')
+    def read_often(context: Any, database: str, count: int) -> None:
+        """Read again and again on one session."""
+        caller = context.deployment.hosts[0].connect(database)
+        context.cleanups.append(caller.close)
+        answers = [caller.ask('READ a') for _ in range(count)]
+        assert all(a.code == 'DONE' for a in answers), answers
+        context.answers = answers
+
+    @staticmethod
+    @then('replicas have served some of them')
+    def check_replicas(context: Any) -> None:
+        """Check that not every read ran at the primary."""
+        primary = context.deployment.group.primary.state.member
+        served = {a.signature.split('.')[1] for a in context.answers}
+        assert served - {primary}, served
+
+    @staticmethod
+    @then('a caller of "{database}" is denied with "{code}" at host {host:d}')
+    def check_denied(
+        context: Any, database: str, code: str, host: int
+    ) -> None:
+        """Check the refusal of a session."""
+        assert _ask(context, database, host, 'READ a').code == code
+
+    @staticmethod
+    @then('a caller of "{database}" is served before long at host {host:d}')
+    def wait_served(context: Any, database: str, host: int) -> None:
+        """Wait until a database is served."""
+        _until(lambda: _ask(context, database, host, 'READ a').code == 'DONE')
+
+    @staticmethod
+    @then('a caller of "{database}" is denied before long at host {host:d}')
+    def wait_denied(context: Any, database: str, host: int) -> None:
+        """Wait until a database is denied."""
+        _until(lambda: _ask(context, database, host, 'READ a').code == 'NODB')
+
+    @staticmethod
+    @then(
+        'a caller of "{database}" can write "{item}" before long through '
+        'host {host:d}'
+    )
+    def wait_write(context: Any, database: str, item: str, host: int) -> None:
+        """Wait until a write is acknowledged."""
+        text = f'WRITE {item} later'
+        _until(lambda: _ask(context, database, host, text).code == 'DONE')
+
+    @staticmethod
+    @then(
+        'a caller of "{database}" reads "{item}" before long through host '
+        '{host:d}'
+    )
+    def wait_read(context: Any, database: str, item: str, host: int) -> None:
+        """Wait for an answer; the first one must hold the write."""
+        answers = []
+
+        def is_answered() -> bool:
+            answer = _ask(context, database, host, f'READ {item}')
+            answers.append(answer)
+            return answer.code == 'DONE'
+
+        _until(is_answered)
+        assert answers[-1].rows != ('-',), answers[-1]
+
+    @staticmethod
+    @then(
+        'a caller of "{database}" that writes "{item}" is told "{code}" at '
+        'host {host:d}'
+    )
+    def check_told(
+        context: Any, database: str, item: str, code: str, host: int
+    ) -> None:
+        """Check what a writer is told."""
+        answer = _ask(context, database, host, f'WRITE {item} once')
+        assert answer.code == code, answer
+
+    @staticmethod
+    @then('the members have seen one write of "{item}"')
+    def check_once(context: Any, item: str) -> None:
+        """Check that the write was sent once."""
+        servers = context.deployment.group.servers.values()
+        seen = [t for s in servers for _, t in s.seen]
+        writes = [t for t in seen if t.startswith(f'WRITE {item} ')]
+        assert len(writes) == 1, writes
+
+
+class SessionSteps:
+    """Steps on one session that stays open."""
+
+    @staticmethod
+    @given('a caller of "{database}" at host {host:d}')
+    def connect(context: Any, database: str, host: int) -> None:
+        """Open a session."""
+        context.caller = context.deployment.hosts[host].connect(database)
+        context.cleanups.append(context.caller.close)
+
+    @staticmethod
+    @when('it says "{texts}"')
+    def say(context: Any, texts: str) -> None:
+        """Send statements one by one; each must succeed."""
+        for text in texts.split('" and "'):
+            answer = context.caller.ask(text)
+            assert answer.code == 'DONE', (text, answer)
+
+    @staticmethod
+    @when('it closes its connection')
+    def close(context: Any) -> None:
+        """Leave without a word."""
+        context.caller.close()
+
+    @staticmethod
+    @when('other callers of "{database}" use {count:d} connections of host 0')
+    def use_connections(context: Any, database: str, count: int) -> None:
+        """Let other sessions use the connections at the same time."""
+        callers = [
+            context.deployment.hosts[0].connect(database) for _ in range(count)
+        ]
+        for caller in callers:
+            caller.ask('SET lang el')
+            caller.send('READ other')
+        for caller in callers:
+            assert caller.read_answer().code == 'DONE'
+            caller.close()
+
+    @staticmethod
+    @then('its "{text}" answers "{data}" with the values "{values}"')
+    def check_values(context: Any, text: str, data: str, values: str) -> None:
+        """Check the answer and the values that the member had."""
+        answer = context.caller.ask(text)
+        assert answer.rows == (data,), answer
+        assert answer.signature.split('.')[2] == values, answer
+
+    @staticmethod
+    @when('it sends "{one}" and "{two}" and "{three}" in one write')
+    def pipeline(context: Any, one: str, two: str, three: str) -> None:
+        """Send three requests without waiting."""
+        lines = [
+            f'QUERY p{i} {t}\r\n' for i, t in enumerate((one, two, three))
+        ]
+        context.caller.send_bytes(''.join(lines).encode())
+
+    @staticmethod
+    @then('it is answered "{one}", "{two}" and "{three}"')
+    def check_order(context: Any, one: str, two: str, three: str) -> None:
+        """Check the answers in their order."""
+        for data in (one, two, three):
+            answer = context.caller.read_answer()
+            assert answer.code == 'DONE', answer
+            assert answer.rows == ((data,) if data else ()), answer
+
+    @staticmethod
+    @then('it is answered "", "{two}" and "{three}"')
+    def check_write_first(context: Any, two: str, three: str) -> None:
+        """Check the answers where the first one has no row."""
+        SessionSteps.check_order(context, '', two, three)
+
+    @staticmethod
+    @when('another caller sends "{text}"')
+    def send_broken(context: Any, text: str) -> None:
+        """Send a line that makes no sense."""
+        SessionSteps._send(context, f'{text}\r\n'.encode())
+
+    @staticmethod
+    @when('another caller sends a message over the limit')
+    def send_long(context: Any) -> None:
+        """Send a message without an end."""
+        SessionSteps._send(context, b'QUERY 1 READ ' + b'x' * (1 << 21))
+
+    @staticmethod
+    @then('the other caller is told "{code}"')
+    def check_told(context: Any, code: str) -> None:
+        """Check the refusal."""
+        assert context.other.read_answer().code == code
+
+    @staticmethod
+    @when('host {host:d} is told to stop while the caller goes on')
+    def stop_host(context: Any, host: int) -> None:
+        """Drain a host."""
+        proxy = context.deployment.hosts[host].proxy
+        context.drain = gevent.spawn(proxy.drain)
+
+    @staticmethod
+    @then('the caller is answered until the host closes its session')
+    def check_drain(context: Any) -> None:
+        """Ask until the session ends; no request may be cut."""
+        caller: Caller = context.caller
+        with gevent.Timeout(HANG_S, AssertionError('hung')):
+            while True:
+                try:
+                    answer = caller.ask('READ a')
+                except OSError:
+                    # Closed between two requests.
+                    break
+                if not answer.code:
+                    break
+                assert answer.code == 'DONE', answer
+                gevent.sleep(POLL_S)
+            context.drain.join()
+
+    @staticmethod
+    def _send(context: Any, data: bytes) -> None:
+        context.other = context.deployment.hosts[0].connect('orders')
+        context.cleanups.append(context.other.close)
+        gevent.spawn(_send_all, context.other, data)
+
+
+def _send_all(caller: Caller, data: bytes) -> None:
+    try:
+        caller.send_bytes(data)
+    except OSError:
+        # The host has refused the message and closed.
+        pass
--- a/packages/core/src/trefoilpulley_core/proxy/evidence.py
+++ b/packages/core/src/trefoilpulley_core/proxy/evidence.py
@@ -118,8 +118,9 @@
         if route.freshness is ReadFreshness.BOUNDED or session.at <= base.at:
             return base
         later = self.find(session.at)
-        if later is not None and later.position < session.position:
-            # The commit was rolled back; nothing will ever hold it.
+        if later is not None and later.position.term > session.position.term:
+            # A promotion since then may have rolled the commit back; then
+            # no log will ever hold it.
             return later
         if session.position <= base.position:
             return base
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -21,6 +21,9 @@
 LATENCY_WEIGHT = 0.1
 """Weight of a new statement in the mean time of statements."""
 
+LATENCY_HALF_LIFE_S = 2.0
+"""Time in which half of what was seen of a member's speed fades."""
+
 FIRST_LAG_S = 0.15
 """Lag assumed of a replica before it has answered, in seconds."""
 
@@ -71,6 +74,9 @@
         self.latency_s = FIRST_LATENCY_S
         """Recent mean time of a statement, in seconds."""
 
+        self.served_at = float('-inf')
+        """Time of the last statement that was served, in seconds."""
+
         self.lag_s = FIRST_LAG_S
         """Age of a floor that the member is expected to hold."""
 
@@ -99,9 +105,23 @@
         if position > self.position:
             self.position = position
 
-    def on_served(self, duration_s: float) -> None:
+    def on_served(self, duration_s: float, now: float) -> None:
         """Note how long a statement took."""
+        self.latency_s = self.expected_s(now)
         self.latency_s += LATENCY_WEIGHT * (duration_s - self.latency_s)
+        self.served_at = now
+
+    def expected_s(self, now: float) -> float:
+        """Return the expected time of a statement, in seconds.
+
+        What was seen fades while the member is not used, so that one
+        that was slow is tried again.
+        """
+        age_s = now - self.served_at
+        if age_s <= 0:
+            return self.latency_s
+        kept = 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
+        return FIRST_LATENCY_S + kept * (self.latency_s - FIRST_LATENCY_S)
 
     def on_behind(self, floor_age_s: float, now: float) -> None:
         """Note that the member lacked a floor of an age."""
@@ -173,7 +193,9 @@
         if self.primary not in self.members:
             self.primary = self._listed_primary()
 
-    def on_proof(self, member: str, sent_at: float, position: Position) -> bool:
+    def on_proof(
+        self, member: str, sent_at: float, position: Position
+    ) -> bool:
         """Note that a member has proved to lead.
 
         Parameters
--- a/packages/core/src/trefoilpulley_core/proxy/waiting_line.py
+++ b/packages/core/src/trefoilpulley_core/proxy/waiting_line.py
@@ -63,9 +63,7 @@
     def expected_wait_s(self, priority: int, connections: int) -> float:
         """Return the expected wait of new work, in seconds."""
         ahead = sum(
-            1
-            for w in self._heap
-            if not w.is_done and w.priority <= priority
+            1 for w in self._heap if not w.is_done and w.priority <= priority
         )
         return (ahead + 1) * self.hold_s / max(1, connections)
 
--- a/packages/node/src/trefoilpulley_node/proxy/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_session.py
@@ -35,7 +35,6 @@
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.proxy.commands import Command
     from trefoilpulley_core.proxy.routes import Route
-    from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.directory import ProxyDirectory
     from trefoilpulley_node.proxy.exchange import Exchanger
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -110,7 +110,9 @@
         if isinstance(done, Success):
             return done
         failure = done.failure()
-        if isinstance(failure, Overloaded) and self._is_retried(work, is_first):
+        if isinstance(failure, Overloaded) and self._is_retried(
+            work, is_first
+        ):
             return self._again(work)
         if isinstance(failure, NotPrimary):
             work.group.state.on_not_leading(self._pool.health.record.member)
@@ -239,9 +241,7 @@
             excluded = excluded | {state.primary}
         return place_read(state, floor, self._zone, excluded, now)
 
-    def _open_at(
-        self, work: Work, place: Placement
-    ) -> Result[None, Failure]:
+    def _open_at(self, work: Work, place: Placement) -> Result[None, Failure]:
         pool = work.group.pool_of(place.member)
         if pool is None:
             return Failed(NoUpstream('member has left'))
--- a/packages/node/src/trefoilpulley_node/proxy/exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -73,7 +73,7 @@
         now = self._clock.now()
         if isinstance(done, Success):
             health.on_answer(now, done.unwrap()[-1].position)
-            health.on_served(now - sent_at)
+            health.on_served(now - sent_at, now)
         return done
 
     def run(
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -6,8 +6,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from gevent import Timeout
 from gevent.event import AsyncResult
+from gevent import Timeout
 from returns.result import Failure as Failed
 from returns.result import Success
 
--- a/packages/node/src/trefoilpulley_node/proxy/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_prober.py
@@ -115,17 +115,13 @@
         self, group: Group, members: tuple[str, ...]
     ) -> dict[str, LogStatus]:
         """Return the status of each member that answers in time."""
-        asked = {
-            m: gevent.spawn(self.read_status, group, m) for m in members
-        }
+        asked = {m: gevent.spawn(self.read_status, group, m) for m in members}
         gevent.joinall(list(asked.values()), timeout=2 * PROBE_TIMEOUT_S)
         found = {m: g.value for m, g in asked.items()}
         gevent.killall(list(asked.values()), block=False)
         return {m: s for m, s in found.items() if s is not None}
 
-    def demote(
-        self, group: Group, member: str, term: int
-    ) -> LogStatus | None:
+    def demote(self, group: Group, member: str, term: int) -> LogStatus | None:
         """Make a primary of a lower term a replica."""
         reply = self._ask(group, member, (Demote(term),))
         return reply.status if reply else None
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -219,9 +219,7 @@
     ) -> bool:
         health = group.state.members.get(lost)
         zone = health.record.zone if health else ''
-        return is_lost_to_most(
-            reports, self._registered(), zone, is_claimed
-        )
+        return is_lost_to_most(reports, self._registered(), zone, is_claimed)
 
     def _has_leader(
         self, group: Group, lost: str | None, statuses: dict[str, LogStatus]
@@ -242,9 +240,7 @@
             return ()
         question = ReachQuestion(group.state.group, lost)
         asked = [
-            gevent.spawn(
-                self._peers.call_host, host, question, VOTE_TIMEOUT_S
-            )
+            gevent.spawn(self._peers.call_host, host, question, VOTE_TIMEOUT_S)
             for host in self._registered()
             if host != self._host
         ]
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -210,9 +210,7 @@
 
     @cached_property
     def _peer_listener(self) -> Listener:
-        return Listener(
-            self._cfg.peer_listen, PEER_CODEC, self._peer_server
-        )
+        return Listener(self._cfg.peer_listen, PEER_CODEC, self._peer_server)
 
     @cached_property
     def _registration(self) -> HostRegistration:
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -165,11 +165,12 @@
     def _next_outcome(
         self, work: Work, place: Placement | None, results: SimpleQueue
     ) -> Result[Reply, Failure] | None:
-        left_s = work.deadline - self._clock.now()
+        now = self._clock.now()
+        left_s = work.deadline - now
         if place is not None:
             health = work.group.state.members.get(place.member)
             if health is not None:
-                hedge_s = max(HEDGE_S, HEDGE_FACTOR * health.latency_s)
+                hedge_s = max(HEDGE_S, HEDGE_FACTOR * health.expected_s(now))
                 left_s = min(left_s, hedge_s)
         try:
             return results.get(timeout=max(0.0, left_s))
