Share proved positions between hosts

Cause: a host without a connection to a primary has no floor for its reads, so that even its replicas could not serve them, after a restart of all hosts or behind a cut between it and the primary.

Change: such a host asks two others for their newest evidence, dated back from its question.

--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/evidence_exchange.py
@@ -0,0 +1,92 @@
+"""Shares proved positions between hosts.
+
+Load pattern: after a restart of all hosts, or while some hosts are cut off
+from a primary, its connections are few. A host that can't prove the lead
+itself takes the floor of its reads from hosts that can, and its reads go
+on at the replicas.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from trefoilpulley_core.proxy.evidence_messages import EvidenceQuestion
+from trefoilpulley_core.proxy.evidence_messages import EvidenceReport
+from trefoilpulley_core.proxy.evidence_messages import make_report
+from trefoilpulley_core.proxy.evidence_messages import read_report
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    import random
+
+    from trefoilpulley_core.clock import Clock
+    from trefoilpulley_node.peers import Peers
+    from trefoilpulley_node.proxy.directory import Group
+
+HOSTS_ASKED = 2
+"""Hosts that are asked at once; one may be as badly off as this one."""
+
+ANSWER_TIMEOUT_S = 0.2
+"""Longest wait for another host, in seconds."""
+
+
+class EvidenceExchange:
+    """Asks other hosts for evidence, and answers them.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    peers : Peers
+        Other hosts.
+    registered_hosts : Callable[[], Mapping[str, str]]
+        Availability zone of each registered host.
+    groups : Mapping[str, Group]
+        Groups by name.
+    clock : Clock
+        Monotonic time.
+    rng : random.Random
+        Picks the hosts to ask.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        peers: Peers,
+        registered_hosts: Callable[[], Mapping[str, str]],
+        groups: Mapping[str, Group],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._peers = peers
+        self._registered = registered_hosts
+        self._groups = groups
+        self._clock = clock
+        self._rng = rng
+
+    def ask(self, group: Group) -> None:
+        """Take newer evidence of a group from some other hosts."""
+        others = sorted(h for h in self._registered() if h != self._host)
+        chosen = self._rng.sample(others, min(HOSTS_ASKED, len(others)))
+        gevent.joinall([gevent.spawn(self._ask, group, h) for h in chosen])
+
+    def on_question(self, question: EvidenceQuestion) -> EvidenceReport:
+        """Return this host's newest evidence."""
+        group = self._groups.get(question.group)
+        newest = group.state.evidence.newest if group else None
+        return make_report(newest, self._clock.now())
+
+    def _ask(self, group: Group, host: str) -> None:
+        asked_at = self._clock.now()
+        question = EvidenceQuestion(group.state.group)
+        done = self._peers.call_host(host, question, ANSWER_TIMEOUT_S)
+        report = done.value_or(None)
+        if not isinstance(report, EvidenceReport):
+            return
+        found = read_report(report, asked_at)
+        if found is not None:
+            group.state.evidence.record(found.at, found.position)
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -16,6 +16,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.proxy.group_state import MemberHealth
     from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
     from trefoilpulley_node.proxy.member_prober import MemberProber
     from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
 
@@ -31,6 +32,9 @@
 EVIDENCE_AGE_S = 0.4
 """Age at which evidence is renewed while the group is in use."""
 
+BORROW_AGE_S = 0.7
+"""Age of the newest evidence at which other hosts are asked for theirs."""
+
 IN_USE_S = 2.0
 """Time after its last request for which a group counts as in use."""
 
@@ -55,6 +59,8 @@
         Asks the members.
     changer : PrimaryChanger
         Changes the primary.
+    evidence : EvidenceExchange
+        Asks other hosts for proved positions.
     clock : Clock
         Monotonic time.
     """
@@ -64,16 +70,19 @@
         group: Group,
         prober: MemberProber,
         changer: PrimaryChanger,
+        evidence: EvidenceExchange,
         clock: Clock,
     ) -> None:
         self._group = group
         self._prober = prober
         self._changer = changer
+        self._evidence = evidence
         self._clock = clock
         self._greenlet: gevent.Greenlet | None = None
         self._leaderless_since: float | None = None
         self._shown: str | None = None
         self._acting: gevent.Greenlet | None = None
+        self._borrowing: gevent.Greenlet | None = None
         self._reported_at = float('-inf')
         self._revived_at = float('-inf')
 
@@ -83,7 +92,7 @@
 
     def stop(self) -> None:
         """Stop to watch."""
-        for greenlet in (self._greenlet, self._acting):
+        for greenlet in (self._greenlet, self._acting, self._borrowing):
             if greenlet is not None:
                 greenlet.kill(block=False)
 
@@ -103,6 +112,7 @@
         state = self._group.state
         self._show()
         self._revive()
+        self._borrow_evidence()
         health = state.members.get(state.primary or '')
         if health is None:
             self._look_for_leader()
@@ -163,6 +173,18 @@
             if health.failing_since is not None and member != state.primary:
                 gevent.spawn(self._prober.reach, self._group, member)
 
+    def _borrow_evidence(self) -> None:
+        """Ask other hosts while this one has no proof of its own."""
+        state = self._group.state
+        now = self._clock.now()
+        if now - state.asked_at > IN_USE_S:
+            return
+        newest = state.evidence.newest
+        if newest is not None and now - newest.at < BORROW_AGE_S:
+            return
+        if self._borrowing is None or self._borrowing.ready():
+            self._borrowing = gevent.spawn(self._evidence.ask, self._group)
+
     def _is_evidence_due(self, now: float) -> bool:
         state = self._group.state
         if now - state.asked_at > IN_USE_S:
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -12,6 +12,7 @@
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.proxy.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.proxy.isolation import Isolation
 from trefoilpulley_core.proxy.isolation import Surroundings
 from trefoilpulley_core.proxy.succession import LeaderNotice
@@ -23,6 +24,7 @@
 from trefoilpulley_node.proxy.caller_session import SessionFactory
 from trefoilpulley_node.proxy.claims import ClaimBook
 from trefoilpulley_node.proxy.directory import ProxyDirectory
+from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
 from trefoilpulley_node.proxy.exchange import Exchanger
 from trefoilpulley_node.proxy.host_registration import HostRegistration
 from trefoilpulley_node.proxy.member_prober import MemberProber
@@ -108,6 +110,10 @@
             LeaderNotice,
             lambda notice, _: self._changer.on_leader_notice(notice),
         )
+        self._peer_server.register(
+            EvidenceQuestion,
+            lambda question, _: self._evidence.on_question(question),
+        )
         self._peer_listener.start()
         self._membership.start()
         self._follower.start()
@@ -225,6 +231,17 @@
     def _prober(self) -> MemberProber:
         return MemberProber(self._exchanger, self._dialer, self._clock)
 
+    @cached_property
+    def _evidence(self) -> EvidenceExchange:
+        return EvidenceExchange(
+            self._cfg.host,
+            self._peers,
+            self._registered_hosts,
+            self.directory.groups,
+            self._clock,
+            self._rng,
+        )
+
     @cached_property
     def _changer(self) -> PrimaryChanger:
         return PrimaryChanger(
@@ -281,7 +298,9 @@
             group.attention.set()
 
     def _watch_group(self, group: Group) -> None:
-        watch = PrimaryWatch(group, self._prober, self._changer, self._clock)
+        watch = PrimaryWatch(
+            group, self._prober, self._changer, self._evidence, self._clock
+        )
         self._watches.append(watch)
         watch.start()
 
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -5,6 +5,7 @@
 from trefoilpulley_core.configuration import messages as documents
 from trefoilpulley_core.membership import messages
 from trefoilpulley_core import peer
+from trefoilpulley_core.proxy import evidence_messages
 from trefoilpulley_core.proxy import succession
 from trefoilpulley_wire.codec import Codec
 
@@ -42,6 +43,8 @@
         peer.ResumeWrites,
         peer.StatusReport,
         peer.WarmConnections,
+        evidence_messages.EvidenceQuestion,
+        evidence_messages.EvidenceReport,
         succession.LeaderNotice,
         succession.ReachQuestion,
         succession.ReachReport,
