--- a/packages/node/src/trefoilpulley_node/proxy/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_prober.py
@@ -31,6 +31,9 @@
 PROBE_TIMEOUT_S = 0.25
 """Longest time of a question to a member, in seconds."""
 
+LAST_STATUS_S = 0.06
+"""Wait for the last member once most have answered, in seconds."""
+
 STATUS_TRIES = 4
 """Times that a member without a free slot is asked for its status."""
 
@@ -116,7 +119,15 @@
     ) -> dict[str, LogStatus]:
         """Return the status of each member that answers in time."""
         asked = {m: gevent.spawn(self.read_status, group, m) for m in members}
-        gevent.joinall(list(asked.values()), timeout=2 * PROBE_TIMEOUT_S)
+        enough = len(group.state.members) // 2 + 1
+        answers = 0
+        for done in gevent.iwait(
+            list(asked.values()), timeout=2 * PROBE_TIMEOUT_S
+        ):
+            answers += done.value is not None
+            if answers >= enough:
+                break
+        gevent.joinall(list(asked.values()), timeout=LAST_STATUS_S)
         found = {m: g.value for m, g in asked.items()}
         gevent.killall(list(asked.values()), block=False)
         return {m: s for m, s in found.items() if s is not None}
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -48,10 +48,16 @@
 PROMOTION_S = 0.8
 """Time that the platform takes to carry out a promotion, with slack."""
 
+ORDER_TRIES = 4
+"""Times that an order without an answer is sent."""
+
+RESPITE_S = 1.1
+"""Time that the host with the claim has before another one acts."""
+
 LEAD_POLL_S = 0.03
 """Pause between two questions whether the new primary leads."""
 
-LEAD_TIMEOUT_S = 2.0
+LEAD_TIMEOUT_S = 1.5
 """Time after which a promotion that shows no effect is ordered anew."""
 
 KEPT_PAUSE_S = 0.7
@@ -258,10 +264,16 @@
             for host in self._registered()
             if host != self._host
         ]
-        gevent.joinall(asked, timeout=VOTE_TIMEOUT_S)
-        found = [g.value.value_or(None) for g in asked if g.value is not None]
+        reports: tuple[ReachReport, ...] = ()
+        for done in gevent.iwait(asked, timeout=VOTE_TIMEOUT_S):
+            report = done.value.value_or(None) if done.value else None
+            if not isinstance(report, ReachReport):
+                continue
+            reports = (*reports, report)
+            if self._is_lost(group, lost, reports, is_claimed=False):
+                # No answer that is still out can change the outcome.
+                break
         gevent.killall(asked, block=False)
-        reports = tuple(r for r in found if isinstance(r, ReachReport))
         self._answers = len(reports)
         self._asked_at = self._clock.now()
         return reports
@@ -333,7 +345,7 @@
             return taken.unwrap()
         if isinstance(failure, RevisionConflict):
             # Another host acts; give it the time to finish.
-            group.state.change_due_at = self._clock.now() + PROMOTION_S
+            group.state.change_due_at = self._clock.now() + RESPITE_S
         return None
 
     def _go_on_alone(
@@ -377,8 +389,13 @@
             return False
         name = group.state.group
         token = fencing_token(round_number, holder_id)
-        done = self._promotions.promote(name, target, self._host, token)
-        failure = None if isinstance(done, Success) else done.failure()
+        for _ in range(ORDER_TRIES):
+            # The same order again is harmless: once it is carried out, a
+            # late repeat finds the member leading, or a higher token.
+            done = self._promotions.promote(name, target, self._host, token)
+            failure = None if isinstance(done, Success) else done.failure()
+            if not isinstance(failure, PlatformAnswerLost):
+                break
         events.PROMOTION_ORDERED.log(
             group=name,
             member=target,
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -30,7 +30,7 @@
 from trefoilpulley_node.proxy.member_prober import MemberProber
 from trefoilpulley_node.proxy.platform_follower import PlatformFollower
 from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
-from trefoilpulley_node.proxy.primary_changer import PROMOTION_S
+from trefoilpulley_node.proxy.primary_changer import RESPITE_S
 from trefoilpulley_node.proxy.primary_wait import PrimaryWait
 from trefoilpulley_node.proxy.primary_watch import PrimaryWatch
 from trefoilpulley_node.proxy.session_registry import NOTICE_S
@@ -294,7 +294,7 @@
             return
         # A claim that was there before this host started is over.
         if self._follower.is_synchronized:
-            group.state.change_due_at = self._clock.now() + PROMOTION_S
+            group.state.change_due_at = self._clock.now() + RESPITE_S
             group.attention.set()
 
     def _watch_group(self, group: Group) -> None:
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -64,25 +64,18 @@
     """
 
     def __init__(self, types: Iterable[type]) -> None:
-        converter = make_converter(
+        self._converter = make_converter(
             omit_if_default=True, detailed_validation=False
         )
+        self._kinds = {kind.__name__: kind for kind in types}
         self._encoders: dict[type, _Encoder] = {}
         self._structure: dict[str, _Structure] = {}
-        for kind in types:
-            self._encoders[kind] = _Encoder(
-                cbor2.dumps(kind.__name__),
-                converter.get_unstructure_hook(kind),
-            )
-            self._structure[kind.__name__] = _Structure(
-                kind, converter.get_structure_hook(kind)
-            )
         self.traffic = Traffic()
         """Frames of every channel that uses this codec."""
 
     def encode(self, sequence: int, message: Any) -> bytes:
         """Return the frame of a message."""
-        encoder = self._encoders[type(message)]
+        encoder = self._encoder_of(type(message))
         fields = cbor2.dumps(encoder.unstructure(message))
         return cbor2.dumps(sequence) + encoder.tag + fields
 
@@ -109,7 +102,33 @@
         fields = decoder.decode()
         if not isinstance(sequence, int):
             return Failed(MalformedMessage('sequence is not a number'))
-        known = self._structure.get(tag) if isinstance(tag, str) else None
-        if known is None:
+        kind = self._kinds.get(tag) if isinstance(tag, str) else None
+        if kind is None:
             return Failed(MalformedMessage('unknown type of message'))
+        known = self._structure_of(kind)
         return Success(Frame(sequence, known.structure(fields, known.kind)))
+
+    # Hooks are made on first use: making all of them takes longer than the
+    # rest of a host's start.
+
+    def _encoder_of(self, kind: type) -> _Encoder:
+        encoder = self._encoders.get(kind)
+        if encoder is None:
+            tag = cbor2.dumps(self._tag_of(kind))
+            unstructure = self._converter.get_unstructure_hook(kind)
+            encoder = self._encoders[kind] = _Encoder(tag, unstructure)
+        return encoder
+
+    def _structure_of(self, kind: type) -> _Structure:
+        known = self._structure.get(kind.__name__)
+        if known is None:
+            structure = self._converter.get_structure_hook(kind)
+            known = self._structure[kind.__name__] = _Structure(
+                kind, structure
+            )
+        return known
+
+    def _tag_of(self, kind: type) -> str:
+        if self._kinds.get(kind.__name__) is not kind:
+            raise KeyError(kind)
+        return kind.__name__
