End every try of a read with the read

A read was sent to a second member while its first try waited for a connection; the second answered, the caller changed a value of its session, and the first try then ran with the new values.

Change: tries that were not sent when the read ends are dropped.

--- /dev/null
+++ b/features/proxy_hedge.feature
@@ -0,0 +1,15 @@
+Feature: Reads that are sent to a second member
+
+  Load pattern: a member stays silent, or its connections are all taken, and
+  a read goes to another member meanwhile.
+
+  Scenario: a read that still waits when another answers is never sent
+    Given a read whose first member has no connection free
+    When its second member answers
+    And the session changes its value before the first has a connection
+    Then the first member was sent nothing
+
+  Scenario: a read that was sent counts if it answers first
+    Given a read whose first member has no connection free
+    When the first member has a connection before the second is asked
+    Then the first member was sent the read once
--- /dev/null
+++ b/features/steps/proxy_hedge_steps.py
@@ -0,0 +1,152 @@
+"""Steps on reads that are sent to a second member."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+from gevent.event import Event
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.proxy.commands import Run
+from trefoilpulley_core.proxy.evidence import SessionFloor
+from trefoilpulley_core.proxy.group_state import MemberRecord
+from trefoilpulley_core.proxy.routes import ReadFreshness
+from trefoilpulley_core.proxy.routes import Route
+from trefoilpulley_core.proxy.session_state import SessionState
+from trefoilpulley_core.proxy.upstream_session import Call
+from trefoilpulley_core.proxy.upstream_session import Reply
+from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+from trefoilpulley_core.proxy.upstream_session import UpstreamSession
+from trefoilpulley_node.clock import BoottimeClock
+from trefoilpulley_node.proxy.directory import Group
+from trefoilpulley_node.proxy.exchange import Exchanger
+from trefoilpulley_node.proxy.member_pool import MemberPool
+from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+from trefoilpulley_node.proxy.statement_runner import StatementRunner
+from trefoilpulley_node.proxy.work import Work
+
+
+class _Upstream(UpstreamSession):
+    """Connection that answers at once."""
+
+    def __init__(self, sent: list[Call]) -> None:
+        self._sent = sent
+
+    @property
+    def is_usable(self) -> bool:
+        return True
+
+    def exchange(
+        self, calls: Sequence[Call], timeout_s: float
+    ) -> Result[tuple[Reply, ...], Failure]:
+        self._sent.extend(calls)
+        return Success(tuple(Reply(signature=b'x') for _ in calls))
+
+    def close(self) -> None:
+        pass
+
+
+class _Dialer(UpstreamDialer):
+    """Opens a connection once the member's gate is open."""
+
+    def __init__(self) -> None:
+        self.gates: dict[str, Event] = {}
+        self.sent: dict[str, list[Call]] = {}
+
+    def dial(
+        self, member: MemberRecord, timeout_s: float
+    ) -> Result[UpstreamSession, Failure]:
+        if not self.gates[member.member].wait(30.0):
+            return Failed(NoUpstream('never opened'))
+        return Success(_Upstream(self.sent[member.member]))
+
+
+class HedgeSteps:
+    """Steps on one read and two members."""
+
+    @staticmethod
+    @given('a read whose first member has no connection free')
+    def make_read(context: Any) -> None:
+        """Send a read to a member that keeps it waiting."""
+        clock = BoottimeClock()
+        context.dialer = _Dialer()
+        context.group = Group('ledger')
+        context.group.state.update(
+            MemberRecord(
+                name, 'ledger', Endpoint('127.0.0.1', 1), 'a', False, False
+            )
+            for name in ('first', 'second')
+        )
+        for name, health in context.group.state.members.items():
+            context.dialer.gates[name] = Event()
+            context.dialer.sent[name] = []
+            pool = MemberPool(health, context.dialer, clock)
+            context.group.pools[name] = pool
+        now = clock.now()
+        context.group.state.members['second'].latency_s = 0.04
+        context.group.state.members['second'].served_at = now
+        context.group.state.evidence.record(now - 1.0, Position(1, 5))
+        context.session = SessionState({'tz': 'utc'})
+        route = Route('db', 'ledger', ReadFreshness.BOUNDED, 9.0, 0.2, 1, 8.0)
+        work = Work(
+            Run('q1', 'READ a', False),
+            None,
+            route,
+            context.group,
+            context.session,
+            SessionFloor(),
+            now,
+            now + route.timeout_s,
+        )
+        runner = StatementRunner(
+            'a', Exchanger(clock), PrimaryWait(clock), clock
+        )
+        context.read = gevent.spawn(runner.read, work)
+
+    @staticmethod
+    @when('its second member answers')
+    def answer_second(context: Any) -> None:
+        """Let the second member have a connection."""
+        context.dialer.gates['second'].set()
+        assert isinstance(context.read.get(), Success)
+
+    @staticmethod
+    @when('the session changes its value before the first has a connection')
+    def change_value(context: Any) -> None:
+        """Let the caller go on, then free the first member."""
+        context.session.values['tz'] = 'eet'
+        context.dialer.gates['first'].set()
+        pool = context.group.pools['first']
+        while pool.health.in_flight or not pool.has_idle:
+            gevent.sleep(0.001)
+
+    @staticmethod
+    @when('the first member has a connection before the second is asked')
+    def answer_first(context: Any) -> None:
+        """Free the first member at once."""
+        context.dialer.gates['first'].set()
+        assert isinstance(context.read.get(), Success)
+
+    @staticmethod
+    @then('the first member was sent nothing')
+    def check_unsent(context: Any) -> None:
+        """Check that no statement ran with other values."""
+        assert context.dialer.sent['first'] == []
+
+    @staticmethod
+    @then('the first member was sent the read once')
+    def check_sent(context: Any) -> None:
+        """Check that the read ran there."""
+        assert len(context.dialer.sent['first']) == 2
+        assert context.dialer.sent['second'] == []
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -91,6 +91,11 @@
         """Pieces of work that wait for a connection."""
         return len(self._line)
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is free."""
+        return bool(self._idle)
+
     def acquire(
         self, priority: int, deadline: float, session: SessionState
     ) -> Result[PooledSession, Failure]:
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -53,6 +53,14 @@
 """Times that a write which has not run may be sent."""
 
 
+class _Race:
+    """Tries of one read; the first whole answer counts."""
+
+    def __init__(self) -> None:
+        self.results: SimpleQueue = SimpleQueue()
+        self.is_over = False
+
+
 class StatementRunner:
     """Runs statements outside of transactions.
 
@@ -86,7 +94,15 @@
         A member that refuses, breaks or stays silent is passed over for
         another; the first whole answer counts.
         """
-        results: SimpleQueue = SimpleQueue()
+        race = _Race()
+        try:
+            return self._race(work, race)
+        finally:
+            # A try that still waits for a connection must not run any
+            # more: the session may have other values by then.
+            race.is_over = True
+
+    def _race(self, work: Work, race: _Race) -> Result[Reply, Failure]:
         excluded: set[str] = set()
         running = 0
         has_run = False
@@ -100,9 +116,9 @@
                 continue
             if place is not None:
                 excluded.add(place.member)
-                gevent.spawn(self._try_read, work, place, results)
+                gevent.spawn(self._try_read, work, place, race)
                 running += 1
-            outcome = self._next_outcome(work, place, results)
+            outcome = self._next_outcome(work, place, race)
             if outcome is None:
                 continue
             running -= 1
@@ -117,7 +133,7 @@
             if isinstance(failure, UpstreamFailed):
                 break
         while running and self._clock.now() < work.deadline:
-            outcome = self._next_outcome(work, None, results)
+            outcome = self._next_outcome(work, None, race)
             if outcome is None:
                 break
             running -= 1
@@ -163,7 +179,7 @@
         return place_read(state, floor, self._zone, excluded, now)
 
     def _next_outcome(
-        self, work: Work, place: Placement | None, results: SimpleQueue
+        self, work: Work, place: Placement | None, race: _Race
     ) -> Result[Reply, Failure] | None:
         now = self._clock.now()
         left_s = work.deadline - now
@@ -173,16 +189,16 @@
                 hedge_s = max(HEDGE_S, HEDGE_FACTOR * health.expected_s(now))
                 left_s = min(left_s, hedge_s)
         try:
-            return results.get(timeout=max(0.0, left_s))
+            return race.results.get(timeout=max(0.0, left_s))
         except Empty:
             return None
 
-    def _try_read(
-        self, work: Work, place: Placement, results: SimpleQueue
-    ) -> None:
-        results.put(self._read_at(work, place))
+    def _try_read(self, work: Work, place: Placement, race: _Race) -> None:
+        race.results.put(self._read_at(work, place, race))
 
-    def _read_at(self, work: Work, place: Placement) -> Result[Reply, Failure]:
+    def _read_at(
+        self, work: Work, place: Placement, race: _Race
+    ) -> Result[Reply, Failure]:
         pool = work.group.pool_of(place.member)
         if pool is None:
             return Failed(NoUpstream('member has left'))
@@ -190,6 +206,9 @@
         if not isinstance(lent, Success):
             return lent
         conn = lent.unwrap()
+        if race.is_over:
+            pool.release(conn)
+            return Failed(NoUpstream('answered elsewhere'))
         floor = place.floor
         position = floor.position if floor else None
         done = self._exchanger.run(
