Log without ever waiting, serve metrics, explain a request by its id

Cause: on call there are only logs and metrics; the log was written synchronously to standard output and had no host, metrics went by statsd alone, and a request's lines had to be found by hand.

Change: a bounded queue and a rate for each event stand before standard output, dropped lines are counted and told; counters and histograms are served as text beside the state dump; trefoilpulley explain tells a request's story from log files.

--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,57 @@
+Feature: The story of a failed request
+
+  Scenario: a refusal while a primary changed
+    Given the log lines
+      """
+      {"event":"primary-proved","host":"a-1","group":"g","member":"m1","timestamp":10.0}
+      {"event":"primary-missed","host":"a-1","group":"g","member":"m1","failing_ms":12,"timestamp":20.0}
+      {"event":"primary-missed","host":"a-1","group":"other","member":"x","failing_ms":12,"timestamp":20.1}
+      {"event":"statement-refused","host":"a-1","request":"r1","group":"g","failure":"no-upstream","timestamp":20.2}
+      {"event":"statement-refused","host":"a-1","request":"r2","group":"g","failure":"no-upstream","timestamp":20.3}
+      {"event":"change-over","host":"a-1","group":"g","member":"m2","timestamp":20.9}
+      {"event":"change-over","host":"b-1","group":"g","member":"m2","timestamp":20.9}
+      """
+    When request "r1" is explained
+    Then the story is "primary-missed, statement-refused, change-over"
+
+  Scenario: a request that tried two hosts is told in order
+    Given the log lines
+      """
+        20.4 b-1 {"event":"statement-retried","host":"b-1","request":"r1","group":"g","failure":"replica-behind","timestamp":20.4}
+      20.2 a-1 {"event":"statement-refused","host":"a-1","request":"r1","group":"g","failure":"overloaded","timestamp":20.2}
+      not a log line
+      {"broken": true
+      """
+    When request "r1" is explained
+    Then the story is "statement-refused, statement-retried"
+
+  Scenario: an unknown request is said to be unknown
+    Given the log lines
+      """
+      {"event":"host-started","host":"a-1","timestamp":1.0}
+      """
+    When request "r9" is explained
+    Then the command has failed with "no line names the request r9"
+
+  Scenario: a reader that stops reading holds nobody up
+    Given a log that nobody reads
+    When 5000 lines of one event and 1 line of another are logged
+    Then logging never waited and the queue is bounded
+    And the dropped lines are counted by event
+    When the reader reads again and a line is logged
+    Then the reader is told how many lines were dropped
+
+  Scenario: the metrics page lists each metric and no other
+    When the page of metrics is compared with the proxy's metrics
+    Then both hold the same metrics
+
+  Scenario: the metrics render as text
+    Given metrics with a request of 30 ms and 2 dropped lines
+    Then the text holds
+      """
+      trefoilpulley_requests_total{kind="session",outcome="done"} 1.0
+      trefoilpulley_request_seconds_bucket{kind="session",le="0.05"} 1.0
+      trefoilpulley_request_seconds_count{kind="session"} 1.0
+      trefoilpulley_sessions 4.0
+      trefoilpulley_log_dropped_total{event="statement-refused"} 2.0
+      """
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -33,6 +33,7 @@
 from trefoilpulley_node.proxy.exchange import Exchanger
 from trefoilpulley_node.proxy.member_pool import MemberPool
 from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
 from trefoilpulley_node.proxy.statement_runner import StatementRunner
 from trefoilpulley_node.proxy.work import Work
 
@@ -109,8 +110,13 @@
             now,
             now + route.timeout_s,
         )
+        metrics = ProxyMetrics()
         runner = StatementRunner(
-            'a', Exchanger(clock), PrimaryWait(clock), clock
+            'a',
+            Exchanger(clock, metrics),
+            PrimaryWait(clock),
+            clock,
+            metrics,
         )
         context.read = gevent.spawn(runner.read, work)
 
--- a/packages/cli/src/trefoilpulley_cli/main.py
+++ b/packages/cli/src/trefoilpulley_cli/main.py
@@ -9,6 +9,7 @@
 from trefoilpulley_cli.apply import apply
 from trefoilpulley_cli.check import check
 from trefoilpulley_cli.execute import execute
+from trefoilpulley_cli.explain import explain
 from trefoilpulley_cli.invocation import Invocation
 from trefoilpulley_cli.outside import Network
 from trefoilpulley_cli.show import show
@@ -34,7 +35,7 @@
     ctx.obj = Invocation(ctx.obj or Network(), path)
 
 
-for command in (apply, check, execute, show, state, stop, targets):
+for command in (apply, check, execute, explain, show, state, stop, targets):
     main.add_command(command)
 
 
--- a/packages/node/src/trefoilpulley_node/proxy/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_session.py
@@ -38,6 +38,7 @@
     from trefoilpulley_node.proxy.directory import ProxyDirectory
     from trefoilpulley_node.proxy.exchange import Exchanger
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.statement_runner import StatementRunner
 
 CONFIGURATION_WAIT_S = 1.5
@@ -46,6 +47,9 @@
 Callers give up a connection that is not greeted within two seconds.
 """
 
+SERVED_SAMPLE = 200
+"""Served requests of a session for each one that is logged."""
+
 VALUES_LIMIT = 256
 """Values and prepared statements that one session may keep."""
 
@@ -67,6 +71,8 @@
         Waits for a change of primary that is nearly over.
     clock : Clock
         Monotonic time.
+    metrics : ProxyMetrics
+        Counts requests.
     """
 
     def __init__(
@@ -77,7 +83,9 @@
         exchanger: Exchanger,
         primary_wait: PrimaryWait,
         clock: Clock,
+        metrics: ProxyMetrics,
     ) -> None:
+        self.metrics = metrics
         self.zone = zone
         self.directory = directory
         self.runner = runner
@@ -118,6 +126,7 @@
         self._database = database
         self._state = SessionState()
         self._floor = SessionFloor()
+        self._served = 0
         self._transaction: CallerTransaction | None = None
         self.is_busy = False
         """Whether a command is being handled."""
@@ -144,12 +153,18 @@
     def handle(self, command: Command) -> Reply:
         """Carry out one command and return its answer."""
         self.is_busy = True
+        began_at = self._parts.clock.now()
         try:
             reply = self._handle(command)
         finally:
             self.is_busy = False
+        took_s = self._parts.clock.now() - began_at
+        if isinstance(command, Run | Commit):
+            self._count(reply, took_s)
         if reply.failure is not None:
-            self._log_failure(command, reply.failure)
+            self._log_failure(command, reply.failure, took_s)
+        elif isinstance(command, Run):
+            self._log_served(command, reply, took_s)
         return reply
 
     def abort(self) -> None:
@@ -293,14 +308,41 @@
     def _refuse(self, failure: Failure) -> Reply:
         return Reply(failure=failure, state=self.transaction_state)
 
-    def _log_failure(self, command: Command, failure: Failure) -> None:
+    def _count(self, reply: Reply, took_s: float) -> None:
+        route = self._route()
+        kind = route.freshness.value if route else 'none'
+        outcome = reply.failure.code if reply.failure else 'done'
+        self._parts.metrics.count('requests', kind, outcome)
+        self._parts.metrics.observe('request_seconds', took_s, kind)
+
+    def _log_served(self, run: Run, reply: Reply, took_s: float) -> None:
+        """Log one served request in some, and each that took long."""
+        self._served += 1
+        route = self._route()
+        is_late = route is not None and took_s > route.goal_s
+        if is_late or self._served % SERVED_SAMPLE == 1:
+            events.STATEMENT_SERVED.log(
+                request=run.request_id,
+                database=self._database,
+                group=route.group if route else None,
+                took_ms=round(1000 * took_s),
+                position=f'{reply.position.term}.{reply.position.index}',
+            )
+
+    def _log_failure(
+        self, command: Command, failure: Failure, took_s: float
+    ) -> None:
         request = getattr(command, 'request_id', '')
+        route = self._route()
         event = events.STATEMENT_REFUSED
         if isinstance(failure, OutcomeUnknown):
             event = events.STATEMENT_UNKNOWN
         event.log(
             request=request,
             database=self._database,
+            group=route.group if route else None,
+            configuration=self._parts.directory.table.version,
+            took_ms=round(1000 * took_s),
             failure=failure.code,
             detail=failure.detail,
             is_run=failure.run_state is not RunState.NOT_RUN,
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -225,6 +225,7 @@
             work.group.attention.set()
         events.STATEMENT_RETRIED.log(
             request=work.run.request_id,
+            group=work.route.group,
             member=place.member,
             failure=failure.code,
             detail=failure.detail,
@@ -268,6 +269,7 @@
         self._discard()
         events.TRANSACTION_ABORTED.log(
             request=work.run.request_id,
+            group=work.route.group,
             failure=failure.code,
             detail=failure.detail,
         )
--- a/packages/node/src/trefoilpulley_node/proxy/exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -30,6 +30,7 @@
     from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.member_pool import MemberPool
     from trefoilpulley_node.proxy.member_pool import PooledSession
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.work import Work
 
 
@@ -47,10 +48,13 @@
     ----------
     clock : Clock
         Monotonic time.
+    metrics : ProxyMetrics
+        Counts what members answer.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, metrics: ProxyMetrics) -> None:
         self._clock = clock
+        self._metrics = metrics
 
     def exchange(
         self,
@@ -90,6 +94,22 @@
         The proof is a plain transaction opened behind the statement: a
         member that still leads then led while the statement ran.
         """
+        done = self._run(pool, conn, work, floor, is_proof_needed, deadline)
+        role = 'primary' if floor is None else 'replica'
+        is_done = isinstance(done, Success)
+        outcome = 'done' if is_done else done.failure().code
+        self._metrics.count('tries', role, outcome)
+        return done
+
+    def _run(
+        self,
+        pool: MemberPool,
+        conn: PooledSession,
+        work: Work,
+        floor: Position | None,
+        is_proof_needed: bool,
+        deadline: float,
+    ) -> Result[Reply, Failure]:
         setup = plan_setup(conn.state, work.session, work.prepared)
         calls: list[Call] = [*setup, _statement(work, floor)]
         if is_proof_needed:
--- a/packages/node/src/trefoilpulley_node/proxy/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/proxy/host_registration.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
@@ -43,9 +44,15 @@
         Entry of this host.
     platform : Platform
         The platform's service.
+    clock : Clock
+        Monotonic time.
     """
 
-    def __init__(self, me: HostEntry, platform: Platform) -> None:
+    def __init__(
+        self, me: HostEntry, platform: Platform, clock: Clock
+    ) -> None:
+        self._clock = clock
+        self._renewed_at = clock.now()
         self._me = me
         self._platform = platform
         self._lease_id = 0
@@ -57,6 +64,11 @@
         """Number that no other running host has; from its first lease."""
         return self._holder_id
 
+    @property
+    def lease_age_s(self) -> float:
+        """Time since the lease was granted or renewed, in seconds."""
+        return self._clock.now() - self._renewed_at
+
     def start(self) -> None:
         """Begin to register."""
         self._greenlet = gevent.spawn(self._run)
@@ -82,6 +94,7 @@
         self._holder_id = self._holder_id or lease_id
         if isinstance(self._put(lease_id), Success):
             self._lease_id = lease_id
+            self._renewed_at = self._clock.now()
         return bool(self._lease_id)
 
     def _put(self, lease_id: int) -> Result[int, Failure]:
@@ -102,6 +115,7 @@
     def _renew(self) -> bool:
         done = self._platform.keep_alive(self._lease_id)
         if isinstance(done, Success):
+            self._renewed_at = self._clock.now()
             return True
         if isinstance(done.failure(), LeaseExpired):
             self._lease_id = 0
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -32,6 +32,7 @@
     from trefoilpulley_node.proxy.claims import ClaimBook
     from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.member_prober import MemberProber
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
 
 VOTE_TIMEOUT_S = 0.35
 """Longest wait for what other hosts say of a member, in seconds."""
@@ -93,6 +94,8 @@
         known.
     clock : Clock
         Monotonic time.
+    metrics : ProxyMetrics
+        Counts changes.
     """
 
     def __init__(
@@ -105,7 +108,9 @@
         registered_hosts: Callable[[], Mapping[str, str]],
         holder_id: Callable[[], int | None],
         clock: Clock,
+        metrics: ProxyMetrics,
     ) -> None:
+        self._metrics = metrics
         self._host = host
         self._prober = prober
         self._claims = claims
@@ -309,7 +314,11 @@
         state.change_due_at = self._clock.now() + PROMOTION_S
         if old is not None:
             self._demote(group, *old)
-        if self._await_lead(group, target):
+        is_over = self._await_lead(group, target)
+        cause = 'lost' if old is None else 'leaving'
+        outcome = 'over' if is_over else 'no-effect'
+        self._metrics.count('primary_changes', cause, outcome)
+        if is_over:
             took_s = self._clock.now() - began_at
             events.CHANGE_OVER.log(
                 group=state.group, member=target, took_ms=round(1000 * took_s)
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -19,6 +19,7 @@
     from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
     from trefoilpulley_node.proxy.member_prober import MemberProber
     from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
 
 TICK_S = 0.1
 """Time between two looks at the primary, in seconds."""
@@ -63,6 +64,8 @@
         Asks other hosts for proved positions.
     clock : Clock
         Monotonic time.
+    metrics : ProxyMetrics
+        Takes the time without a primary.
     """
 
     def __init__(
@@ -72,7 +75,9 @@
         changer: PrimaryChanger,
         evidence: EvidenceExchange,
         clock: Clock,
+        metrics: ProxyMetrics,
     ) -> None:
+        self._metrics = metrics
         self._group = group
         self._prober = prober
         self._changer = changer
@@ -81,6 +86,7 @@
         self._greenlet: gevent.Greenlet | None = None
         self._leaderless_since: float | None = None
         self._shown: str | None = None
+        self._lost_at: float | None = None
         self._acting: gevent.Greenlet | None = None
         self._borrowing: gevent.Greenlet | None = None
         self._reported_at = float('-inf')
@@ -191,8 +197,19 @@
             return False
         return now - state.proved_at > EVIDENCE_AGE_S
 
+    def _measure_gap(self, health: MemberHealth | None) -> None:
+        """Note how long the group has had no primary that answers."""
+        now = self._clock.now()
+        is_lost = health is None or health.failing_since is not None
+        if is_lost and self._lost_at is None:
+            self._lost_at = now
+        elif not is_lost and self._lost_at is not None:
+            self._metrics.observe('primary_gap_seconds', now - self._lost_at)
+            self._lost_at = None
+
     def _show(self) -> None:
         state = self._group.state
+        self._measure_gap(state.members.get(state.primary or ''))
         if state.primary != self._shown:
             self._shown = state.primary
             events.PRIMARY_PROVED.log(
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -33,6 +33,8 @@
 from trefoilpulley_node.proxy.primary_changer import RESPITE_S
 from trefoilpulley_node.proxy.primary_wait import PrimaryWait
 from trefoilpulley_node.proxy.primary_watch import PrimaryWatch
+from trefoilpulley_node.proxy.proxy_state import make_state
+from trefoilpulley_node.proxy.proxy_state import ProxyState
 from trefoilpulley_node.proxy.session_registry import NOTICE_S
 from trefoilpulley_node.proxy.session_registry import SessionRegistry
 from trefoilpulley_node.proxy.statement_runner import StatementRunner
@@ -48,6 +50,8 @@
     from trefoilpulley_core.proxy.succession import Claim
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
     from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.proxy_settings import ProxySettings
 
 UPKEEP_S = 0.25
@@ -71,6 +75,8 @@
         Orders promotions.
     clock : Clock
         Monotonic time that goes on while the machine is suspended.
+    metrics : ProxyMetrics
+        Counts what the host does.
     """
 
     def __init__(
@@ -81,7 +87,11 @@
         dialer: UpstreamDialer,
         promotions: PromotionService,
         clock: Clock,
+        metrics: ProxyMetrics,
     ) -> None:
+        self.metrics = metrics
+        """Counters and histograms of the host."""
+
         self._cfg = cfg
         self._platform = platform
         self._documents = documents
@@ -114,6 +124,7 @@
             EvidenceQuestion,
             lambda question, _: self._evidence.on_question(question),
         )
+        self._register_gauges()
         self._peer_listener.start()
         self._membership.start()
         self._follower.start()
@@ -121,6 +132,10 @@
         self._upkeep = gevent.spawn(self._run_upkeep)
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
 
+    def on_settings_changed(self) -> None:
+        """Note a change of the settings, which hold for a whole run."""
+        events.SETTINGS_KEPT.log(host=self._cfg.host)
+
     def drain(self) -> None:
         """End the sessions, then stop."""
         events.HOST_DRAINING.log(
@@ -164,7 +179,11 @@
     def factory(self) -> SessionFactory:
         """Makes sessions."""
         runner = StatementRunner(
-            self._cfg.zone, self._exchanger, self._primary_wait, self._clock
+            self._cfg.zone,
+            self._exchanger,
+            self._primary_wait,
+            self._clock,
+            self.metrics,
         )
         return SessionFactory(
             self._cfg.zone,
@@ -173,11 +192,12 @@
             self._exchanger,
             self._primary_wait,
             self._clock,
+            self.metrics,
         )
 
     @cached_property
     def _exchanger(self) -> Exchanger:
-        return Exchanger(self._clock)
+        return Exchanger(self._clock, self.metrics)
 
     @cached_property
     def _primary_wait(self) -> PrimaryWait:
@@ -221,7 +241,7 @@
 
     @cached_property
     def _registration(self) -> HostRegistration:
-        return HostRegistration(self._me, self._platform)
+        return HostRegistration(self._me, self._platform, self._clock)
 
     @cached_property
     def _claims(self) -> ClaimBook:
@@ -253,6 +273,7 @@
             self._registered_hosts,
             lambda: self._registration.holder_id,
             self._clock,
+            self.metrics,
         )
 
     @cached_property
@@ -297,9 +318,53 @@
             group.state.change_due_at = self._clock.now() + RESPITE_S
             group.attention.set()
 
+    def _register_gauges(self) -> None:
+        register = self.metrics.register_gauge
+        groups = self.directory.groups
+        register('sessions', lambda: len(self.sessions))
+        register(
+            'connections',
+            lambda: sum(p.open_connections for p in self._pools()),
+        )
+        register('waiting', lambda: sum(p.waiting for p in self._pools()))
+        register(
+            'in_flight', lambda: sum(p.health.in_flight for p in self._pools())
+        )
+        register(
+            'groups_lost',
+            lambda: sum(
+                self._primary_wait.is_lost(g) for g in groups.values()
+            ),
+        )
+        register('configuration_version', lambda: self.directory.table.version)
+        register('service_followed', lambda: self._follower.is_following)
+        register('lease_age_seconds', lambda: self._registration.lease_age_s)
+        register('live_hosts', lambda: len(self._live_hosts()))
+
+    def _pools(self) -> list[MemberPool]:
+        groups = self.directory.groups.values()
+        return [p for g in groups for p in g.pools.values()]
+
+    def dump(self) -> ProxyState:
+        """Return the state of the host."""
+        return make_state(
+            self._cfg,
+            self.directory,
+            len(self.sessions),
+            self._live_hosts(),
+            self._registered_hosts(),
+            self._is_cut_off,
+            self._clock.now(),
+        )
+
     def _watch_group(self, group: Group) -> None:
         watch = PrimaryWatch(
-            group, self._prober, self._changer, self._evidence, self._clock
+            group,
+            self._prober,
+            self._changer,
+            self._evidence,
+            self._clock,
+            self.metrics,
         )
         self._watches.append(watch)
         watch.start()
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_metrics.py
@@ -0,0 +1,165 @@
+"""Counters and histograms of a host whose sessions are connections.
+
+Values are kept in plain counters, so that a host starts without the
+library; `render` hands them to it. No label holds a database, host, member
+or caller: the number of series does not grow with the deployment.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+PREFIX = 'trefoilpulley_'
+"""First part of every name."""
+
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+"""Upper bounds of the histograms, in seconds."""
+
+COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+    'requests': (
+        'Requests of callers by kind of route and outcome.',
+        ('kind', 'outcome'),
+    ),
+    'tries': (
+        'Statements sent to members by role and outcome.',
+        ('role', 'outcome'),
+    ),
+    'store_calls': (
+        "Calls to the platform's service by outcome.",
+        ('call', 'outcome'),
+    ),
+    'primary_changes': (
+        'Changes of primary that this host ordered, by cause.',
+        ('cause', 'outcome'),
+    ),
+}
+"""Help and labels of each counter."""
+
+HISTOGRAMS: dict[str, tuple[str, tuple[str, ...]]] = {
+    'request_seconds': (
+        'Time from a request to its answer, by kind of route.',
+        ('kind',),
+    ),
+    'floor_age_seconds': (
+        'Age of the floors of reads at replicas.',
+        (),
+    ),
+    'primary_gap_seconds': (
+        'Time for which this host knew no primary that answers.',
+        (),
+    ),
+}
+"""Help and labels of each histogram."""
+
+GAUGES: dict[str, str] = {
+    'sessions': 'Open sessions of callers.',
+    'connections': 'Open connections to members.',
+    'waiting': 'Pieces of work that wait for a connection.',
+    'in_flight': 'Statements at members.',
+    'groups_lost': 'Groups whose primary does not answer.',
+    'configuration_version': 'Version of the configuration in force.',
+    'service_followed': 'Whether a watch on the service is in force.',
+    'lease_age_seconds': "Time since this host's lease was renewed.",
+    'live_hosts': 'Hosts that answer, this one included.',
+    'log_bytes': 'Bytes of log that reached the reader.',
+}
+"""Help of each gauge."""
+
+
+class ProxyMetrics:
+    """Counts what a host does."""
+
+    def __init__(self) -> None:
+        self._counters: dict[str, Counter[tuple[str, ...]]] = {
+            name: Counter() for name in COUNTERS
+        }
+        self._histograms: dict[str, dict[tuple[str, ...], _Buckets]] = {
+            name: defaultdict(_Buckets) for name in HISTOGRAMS
+        }
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._dropped: Callable[[], Mapping[str, int]] = dict
+
+    def count(self, name: str, *labels: str) -> None:
+        """Add one to a counter."""
+        self._counters[name][labels] += 1
+
+    def observe(self, name: str, seconds: float, *labels: str) -> None:
+        """Add a duration to a histogram."""
+        self._histograms[name][labels].add(seconds)
+
+    def register_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Read a gauge whenever the metrics are asked for."""
+        if name not in GAUGES:
+            raise KeyError(name)
+        self._gauges[name] = read
+
+    def register_dropped(self, read: Callable[[], Mapping[str, int]]) -> None:
+        """Read the dropped log lines by event."""
+        self._dropped = read
+
+    def render(self) -> bytes:
+        """Return every metric in the text format of Prometheus."""
+        # Imported here: it would add to the start of every host.
+        from prometheus_client import CollectorRegistry
+        from prometheus_client import generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self):
+        """Yield the families of metrics, as the library asks for them."""
+        from prometheus_client import core
+
+        for name, (text, labels) in COUNTERS.items():
+            family = core.CounterMetricFamily(
+                PREFIX + name, text, labels=labels
+            )
+            for values, count in sorted(self._counters[name].items()):
+                family.add_metric(values, count)
+            yield family
+        for name, (text, labels) in HISTOGRAMS.items():
+            family = core.HistogramMetricFamily(
+                PREFIX + name, text, labels=labels
+            )
+            for values, buckets in sorted(self._histograms[name].items()):
+                family.add_metric(values, buckets.cumulated(), buckets.total)
+            yield family
+        for name, read in sorted(self._gauges.items()):
+            yield core.GaugeMetricFamily(
+                PREFIX + name, GAUGES[name], value=read()
+            )
+        dropped = core.CounterMetricFamily(
+            PREFIX + 'log_dropped',
+            'Log lines that were dropped, by event.',
+            labels=('event',),
+        )
+        for event, count in sorted(self._dropped().items()):
+            dropped.add_metric((event,), count)
+        yield dropped
+
+
+class _Buckets:
+    def __init__(self) -> None:
+        self._counts = [0] * (len(BOUNDS_S) + 1)
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        self._counts[bisect_left(BOUNDS_S, seconds)] += 1
+        self.total += seconds
+
+    def cumulated(self) -> list[tuple[str, float]]:
+        found = []
+        count = 0
+        for bound, n in zip((*BOUNDS_S, float('inf')), self._counts):
+            count += n
+            label = '+Inf' if bound == float('inf') else str(bound)
+            found.append((label, count))
+        return found
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_state.py
@@ -0,0 +1,154 @@
+"""State dump of a host whose sessions are connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.directory import ProxyDirectory
+    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.proxy_settings import ProxySettings
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDump:
+    """One member as this host sees it."""
+
+    member: str
+    """Identifier of the member."""
+
+    zone: str
+    """Availability zone of the member."""
+
+    is_leaving: bool
+    """Whether the member is about to stop."""
+
+    failing_ms: int | None
+    """Time since it stopped to answer; ``None`` where it answers."""
+
+    expected_ms: float
+    """Expected time of a statement, in milliseconds."""
+
+    lag_ms: int
+    """Age of a floor that the member is expected to hold."""
+
+    position: str
+    """Greatest position that the member has shown."""
+
+    connections: int
+    """Connections of this host to the member."""
+
+    share: int
+    """Connections that fall to this host."""
+
+    waiting: int
+    """Pieces of work that wait for a connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class GroupDump:
+    """One group as this host sees it."""
+
+    group: str
+    """Name of the group."""
+
+    primary: str | None
+    """Member that is taken for the primary."""
+
+    term: int
+    """Highest term of a position that a leader showed."""
+
+    evidence_age_ms: int | None
+    """Age of the newest proved position; ``None`` without any."""
+
+    members: tuple[MemberDump, ...]
+    """Members."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyState:
+    """State of one host."""
+
+    host: str
+    """Name of the host."""
+
+    zone: str
+    """Availability zone of the host."""
+
+    configuration: int
+    """Version of the configuration in force."""
+
+    routes: int
+    """Routes in force."""
+
+    sessions: int
+    """Open sessions."""
+
+    is_cut_off: bool
+    """Whether the host has left the balancer as it is cut off."""
+
+    live_hosts: tuple[str, ...]
+    """Hosts that answer, this one included."""
+
+    registered_hosts: tuple[str, ...]
+    """Hosts that hold a lease, this one included."""
+
+    groups: tuple[GroupDump, ...]
+    """Groups that a route leads to."""
+
+
+def make_state(
+    cfg: ProxySettings,
+    directory: ProxyDirectory,
+    sessions: int,
+    live: Iterable[str],
+    registered: Mapping[str, str],
+    is_cut_off: bool,
+    now: float,
+) -> ProxyState:
+    """Return the state of a host."""
+    return ProxyState(
+        cfg.host,
+        cfg.zone,
+        directory.table.version,
+        len(directory.table.routes),
+        sessions,
+        is_cut_off,
+        tuple(live),
+        tuple(sorted(registered)),
+        tuple(_dump_group(g, now) for g in directory.groups.values()),
+    )
+
+
+def _dump_group(group: Group, now: float) -> GroupDump:
+    state = group.state
+    newest = state.evidence.newest
+    return GroupDump(
+        state.group,
+        state.primary,
+        state.term,
+        round(1000 * (now - newest.at)) if newest else None,
+        tuple(_dump_member(p, now) for p in group.pools.values()),
+    )
+
+
+def _dump_member(pool: MemberPool, now: float) -> MemberDump:
+    health = pool.health
+    failing = health.failing_since
+    return MemberDump(
+        health.record.member,
+        health.record.zone,
+        health.record.is_leaving,
+        None if failing is None else round(1000 * (now - failing)),
+        round(1000 * health.expected_s(now), 1),
+        round(1000 * health.lag_s),
+        f'{health.position.term}.{health.position.index}',
+        pool.open_connections,
+        pool.share.share,
+        pool.waiting,
+    )
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -32,6 +32,7 @@
     from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_node.proxy.exchange import Exchanger
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
+    from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.work import Work
 
 READ_TRIES = 5
@@ -74,6 +75,8 @@
         Waits for a change of primary that is nearly over.
     clock : Clock
         Monotonic time.
+    metrics : ProxyMetrics
+        Counts what members answer.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         exchanger: Exchanger,
         primary_wait: PrimaryWait,
         clock: Clock,
+        metrics: ProxyMetrics,
     ) -> None:
+        self._metrics = metrics
         self._zone = zone
         self._exchanger = exchanger
         self._primary_wait = primary_wait
@@ -220,6 +225,7 @@
         if isinstance(done, Success):
             if floor is not None:
                 health.on_held(now - floor.at)
+                self._metrics.observe('floor_age_seconds', now - floor.at)
             return done
         failure = done.failure()
         if isinstance(failure, ReplicaBehind) and floor is not None:
@@ -233,6 +239,7 @@
             self._note_trouble(work, failure)
         events.STATEMENT_RETRIED.log(
             request=work.run.request_id,
+            group=work.route.group,
             member=place.member,
             failure=failure.code,
             detail=failure.detail,
