Keep every commit that replicas confirmed through a promotion

Cause: a deployment may declare synchronous replicas; the most advanced of the replicas that answer may then still lack an acknowledged commit.

Change: replicas are held before one is chosen, and a promotion needs enough of them that one has every commit; a leaving primary of such a group is demoted and caught up with before the order.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -64,6 +64,20 @@
     And no commit was rolled back
     And a caller of "filings" reads "a" before long through host 1
 
+  Scenario: with synchronous replicas the one that has every commit leads
+    Given the group confirms commits at 1 replica
+    When the primary crashes
+    Then a caller of "orders" can write "b" before long through host 0
+    And the replicas were held before the promotion
+
+  Scenario: without every replica no synchronous commit is given up
+    Given the group confirms commits at 1 replica
+    When a replica crashes
+    And the primary crashes
+    Then no promotion is ordered while the replica is away
+    When the replica is back
+    Then a caller of "orders" can write "b" before long through host 0
+
   Scenario: a lost answer of a write is unknown, and never sent again
     When the primary loses its next answer
     Then a caller of "orders" that writes "z" is told "UNSURE" at host 0
--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -52,3 +52,13 @@
 
   Scenario: no two holders share a fencing token
     Then tokens of 200 rounds and 50 holders are all different and rise
+
+  Scenario Outline: a commit that replicas confirmed is in the next log
+    Then with <sync> of 2 replicas confirming, <answering> that answer <verdict>
+
+    Examples:
+      | sync | answering | verdict         |
+      | 0    | 1         | are enough      |
+      | 1    | 1         | are not enough  |
+      | 1    | 2         | are enough      |
+      | 2    | 1         | are enough      |
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -75,6 +75,55 @@
         group = context.deployment.group
         group.crash(group.primary.state.member)
 
+    @staticmethod
+    @given('the group confirms commits at {count:d} replica')
+    def confirm(context: Any, count: int) -> None:
+        """Declare synchronous replicas, and wait until they are known."""
+        deployment = context.deployment
+        deployment.synchronous = count
+        deployment.configure({'orders': 'session', 'filings': 'primary'})
+        for host in deployment.hosts:
+            directory = host.proxy.directory
+            _until(
+                lambda d=directory: (
+                    d.groups['ledger'].synchronous_replicas == count
+                )
+            )
+
+    @staticmethod
+    @when('a replica crashes')
+    def crash_replica(context: Any) -> None:
+        """Stop a replica without a word."""
+        group = context.deployment.group
+        leader = group.primary.state.member
+        context.replica = next(m for m in group.servers if m != leader)
+        group.crash(context.replica)
+
+    @staticmethod
+    @when('the replica is back')
+    def start_replica(context: Any) -> None:
+        """Start the replica again at its address."""
+        context.deployment.group.servers[context.replica].start()
+
+    @staticmethod
+    @then('no promotion is ordered while the replica is away')
+    def check_kept(context: Any) -> None:
+        """Let every host decide some times; none may act."""
+        for host in context.deployment.hosts:
+            group = host.proxy.directory.groups['ledger']
+            _until(lambda g=group: g.state.primary in g.state.members)
+            for _ in range(3):
+                host.proxy.decide_now('ledger')
+        assert not context.deployment.duty.orders
+
+    @staticmethod
+    @then('the replicas were held before the promotion')
+    def check_held(context: Any) -> None:
+        """Check that both replicas were told to hold."""
+        servers = context.deployment.group.servers.values()
+        held = [s for s in servers if any('HOLD' in t for _, t in s.seen)]
+        assert len(held) == 2, held
+
     @staticmethod
     @when('the primary announces its end')
     def leave(context: Any) -> None:
--- a/features/steps/proxy_succession_steps.py
+++ b/features/steps/proxy_succession_steps.py
@@ -18,6 +18,7 @@
 from trefoilpulley_core.proxy.succession import choose_target
 from trefoilpulley_core.proxy.succession import Claim
 from trefoilpulley_core.proxy.succession import fencing_token
+from trefoilpulley_core.proxy.succession import holds_every_commit
 from trefoilpulley_core.proxy.succession import is_lost_to_most
 from trefoilpulley_core.proxy.succession import ReachReport
 from trefoilpulley_core.proxy.succession import sees_enough
@@ -122,6 +123,22 @@
         )
 
 
+class ConfirmedSteps:
+    """Steps on commits that replicas confirmed."""
+
+    @staticmethod
+    @then(
+        'with {sync:d} of {replicas:d} replicas confirming, {answering:d} '
+        'that answer {verdict}'
+    )
+    def check_enough(
+        context: Any, sync: int, replicas: int, answering: int, verdict: str
+    ) -> None:
+        """Check whether one of them has every commit."""
+        found = holds_every_commit(replicas, answering, sync)
+        assert found is (verdict == 'are enough'), found
+
+
 class TargetSteps:
     """Steps on the choice of the next primary."""
 
--- a/packages/core/src/trefoilpulley_core/proxy/succession.py
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -143,6 +143,27 @@
     return len({r.host for r in reports}) + 1 >= len(registered)
 
 
+def holds_every_commit(
+    replicas: int, answering: int, synchronous: int
+) -> bool:
+    """Return whether one of the answering replicas has every commit.
+
+    Where a commit is acknowledged once ``synchronous`` replicas have
+    received it, so many replicas less one may be missing; without, no
+    replica is bound to have it and any may lead.
+
+    Parameters
+    ----------
+    replicas : int
+        Replicas of the group.
+    answering : int
+        Replicas whose log is known and held.
+    synchronous : int
+        Replicas that receive a commit before it is acknowledged.
+    """
+    return not synchronous or answering > replicas - synchronous
+
+
 def choose_target(
     group: GroupState, statuses: Mapping[str, LogStatus]
 ) -> str | None:
--- a/packages/core/src/trefoilpulley_core/proxy/upstream_session.py
+++ b/packages/core/src/trefoilpulley_core/proxy/upstream_session.py
@@ -157,6 +157,19 @@
     """Term that the member must give way to."""
 
 
+@dataclass(frozen=True, slots=True)
+class HoldReplication:
+    """Stop a replica from receiving records of lower terms."""
+
+    term: int
+    """Term above every term in use."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeReplication:
+    """Let a replica receive again."""
+
+
 Call = (
     ResetSession
     | AssignValue
@@ -167,6 +180,8 @@
     | RunStatement
     | AskStatus
     | Demote
+    | HoldReplication
+    | ResumeReplication
 )
 """Any request to a member."""
 
@@ -205,7 +220,7 @@
     """End of the member's log afterwards; the beginning if unknown."""
 
     status: LogStatus | None = None
-    """Role and log; only after `AskStatus` and `Demote`."""
+    """Role and log; only after requests that ask for it."""
 
 
 class UpstreamSession(abc.ABC):
--- a/packages/node/src/trefoilpulley_node/proxy/directory.py
+++ b/packages/node/src/trefoilpulley_node/proxy/directory.py
@@ -16,6 +16,7 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.proxy.group_state import MemberRecord
+    from trefoilpulley_core.proxy.routes import GroupLimits
     from trefoilpulley_core.proxy.routes import Route
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
 
@@ -34,6 +35,9 @@
         self.pools: dict[str, MemberPool] = {}
         """Connections by member."""
 
+        self.limits: GroupLimits | None = None
+        """Limits in the configuration."""
+
         self.changed = Event()
         """Set for a moment whenever a primary has proved itself."""
 
@@ -45,6 +49,11 @@
         waiting, self.changed = self.changed, Event()
         waiting.set()
 
+    @property
+    def synchronous_replicas(self) -> int:
+        """Replicas that receive a commit before it is acknowledged."""
+        return self.limits.synchronous_replicas if self.limits else 0
+
     def pool_of(self, member: str) -> MemberPool | None:
         """Return the pool of a member, or ``None``."""
         return self.pools.get(member)
@@ -186,5 +195,6 @@
             limits = self.table.groups.get(name)
             if limits is None:
                 continue
+            group.limits = limits
             for pool in group.pools.values():
                 pool.share.update(limits.max_connections, self._hosts)
--- a/packages/node/src/trefoilpulley_node/proxy/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_prober.py
@@ -12,11 +12,16 @@
 from trefoilpulley_core.proxy.upstream_session import AskStatus
 from trefoilpulley_core.proxy.upstream_session import ConnectionLimitReached
 from trefoilpulley_core.proxy.upstream_session import Demote
+from trefoilpulley_core.proxy.upstream_session import HoldReplication
 from trefoilpulley_core.proxy.upstream_session import OpenTransaction
+from trefoilpulley_core.proxy.upstream_session import ResumeReplication
 from trefoilpulley_core.proxy.upstream_session import RollBack
 from trefoilpulley_node.proxy.exchange import prove
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.proxy.upstream_session import Call
     from trefoilpulley_core.proxy.upstream_session import LogStatus
@@ -41,6 +46,7 @@
 """Pause before a busy member is asked again, in seconds."""
 
 _NO_VALUES = SessionState()
+_ASK_STATUS = AskStatus()
 
 
 class MemberProber:
@@ -101,10 +107,15 @@
             return True
         return False
 
-    def read_status(self, group: Group, member: str) -> LogStatus | None:
+    def read_status(
+        self,
+        group: Group,
+        member: str,
+        call: AskStatus | HoldReplication = _ASK_STATUS,
+    ) -> LogStatus | None:
         """Return what a member says of its log, or ``None``."""
         for _ in range(STATUS_TRIES):
-            reply = self._ask(group, member, (AskStatus(),))
+            reply = self._ask(group, member, (call,))
             if reply is None:
                 return None
             if reply.status is not None:
@@ -114,11 +125,34 @@
             gevent.sleep(STATUS_PAUSE_S)
         return None
 
+    def hold(
+        self, group: Group, statuses: Mapping[str, LogStatus]
+    ) -> dict[str, LogStatus]:
+        """Stop the replicas from receiving; return how far they got.
+
+        A primary that is cut off from here then can't have a commit
+        confirmed by a replica that is not chosen.
+        """
+        term = 1 + max((s.term for s in statuses.values()), default=0)
+        return self.read_statuses(
+            group, tuple(statuses), HoldReplication(term)
+        )
+
+    def resume(self, group: Group, members: Iterable[str]) -> None:
+        """Let replicas receive again after a change was abandoned."""
+        for member in members:
+            gevent.spawn(self._ask, group, member, (ResumeReplication(),))
+
     def read_statuses(
-        self, group: Group, members: tuple[str, ...]
+        self,
+        group: Group,
+        members: tuple[str, ...],
+        call: AskStatus | HoldReplication = _ASK_STATUS,
     ) -> dict[str, LogStatus]:
         """Return the status of each member that answers in time."""
-        asked = {m: gevent.spawn(self.read_status, group, m) for m in members}
+        asked = {
+            m: gevent.spawn(self.read_status, group, m, call) for m in members
+        }
         enough = len(group.state.members) // 2 + 1
         answers = 0
         for done in gevent.iwait(
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -13,6 +13,7 @@
 from trefoilpulley_core.proxy.succession import act_delay_s
 from trefoilpulley_core.proxy.succession import choose_target
 from trefoilpulley_core.proxy.succession import fencing_token
+from trefoilpulley_core.proxy.succession import holds_every_commit
 from trefoilpulley_core.proxy.succession import is_lost_to_most
 from trefoilpulley_core.proxy.succession import LeaderNotice
 from trefoilpulley_core.proxy.succession import ReachQuestion
@@ -52,6 +53,9 @@
 ORDER_TRIES = 4
 """Times that an order without an answer is sent."""
 
+CATCH_UP_S = 1.5
+"""Longest wait for the next primary to have the whole log, in seconds."""
+
 RESPITE_S = 1.1
 """Time that the host with the claim has before another one acts."""
 
@@ -148,21 +152,25 @@
         if lost and not self._is_lost(group, lost, reports, True):
             self._keep(group, lost, reports)
             return
-        target = choose_target(state, statuses)
-        if target is None or self._has_leader(group, lost, statuses):
+        if self._has_leader(group, lost, statuses):
             return
         if not sees_enough(
             len(state.members), len(statuses), reports, self._registered()
         ):
             self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
             return
-        round_number = self._take_round(group, after_round, target)
-        if round_number is None:
-            round_number = self._go_on_alone(
-                group, after_round, target, lost, reports
-            )
+        target = self._choose(group, lost, statuses)
+        round_number = None
+        if target is not None:
+            round_number = self._take_round(group, after_round, target)
+            if round_number is None:
+                round_number = self._go_on_alone(
+                    group, after_round, target, lost, reports
+                )
         if round_number is None:
             self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
+            if group.synchronous_replicas:
+                self._prober.resume(group, statuses)
         else:
             self._change(group, target, round_number, None)
 
@@ -187,8 +195,12 @@
         if target is None or old is None:
             return
         round_number = self._take_round(group, after_round, target)
-        if round_number is not None:
+        if round_number is None:
+            return
+        if not group.synchronous_replicas:
             self._change(group, target, round_number, (leaving, old))
+        elif self._catch_up(group, leaving, old, target):
+            self._change(group, target, round_number, None)
 
     def on_reach_question(self, question: ReachQuestion) -> ReachReport:
         """Return whether a member answers this host."""
@@ -222,6 +234,42 @@
         """Take the way to find a group by its name."""
         self._find_group = find_group
 
+    def _choose(
+        self,
+        group: Group,
+        lost: str | None,
+        statuses: dict[str, LogStatus],
+    ) -> str | None:
+        """Return the member to promote, or ``None`` where none may be."""
+        synchronous = group.synchronous_replicas
+        if not synchronous:
+            return choose_target(group.state, statuses)
+        held = self._prober.hold(group, statuses)
+        replicas = len(group.state.members) - 1
+        if not holds_every_commit(replicas, len(held), synchronous):
+            events.PRIMARY_KEPT.log(
+                group=group.state.group,
+                member=lost,
+                replicas=replicas,
+                answering=len(held),
+                synchronous=synchronous,
+            )
+            return None
+        return choose_target(group.state, held)
+
+    def _catch_up(
+        self, group: Group, leaving: str, old: LogStatus, target: str
+    ) -> bool:
+        """Demote a leaving primary and wait until the next has its log."""
+        demoted = self._demote_now(group, leaving, old)
+        until = self._clock.now() + CATCH_UP_S
+        while demoted is not None and self._clock.now() < until:
+            status = self._prober.read_status(group, target)
+            if status is not None and status.received >= demoted.received:
+                return True
+            gevent.sleep(LEAD_POLL_S)
+        return False
+
     def _wait_turn(
         self, group: Group, after_round: int, is_service_out: bool
     ) -> bool:
@@ -418,8 +466,12 @@
 
     def _demote(self, group: Group, leaving: str, old: LogStatus) -> None:
         gevent.sleep(DEMOTE_AFTER_S)
-        if group.state.primary != leaving:
-            return
+        if group.state.primary == leaving:
+            self._demote_now(group, leaving, old)
+
+    def _demote_now(
+        self, group: Group, leaving: str, old: LogStatus
+    ) -> LogStatus | None:
         demoted = self._prober.demote(group, leaving, old.term + 1)
         events.HANDOVER_STEP.log(
             group=group.state.group,
@@ -428,6 +480,7 @@
             term=old.term + 1,
             received=str(demoted.received) if demoted else None,
         )
+        return demoted
 
     def _await_lead(self, group: Group, target: str) -> bool:
         until = self._clock.now() + LEAD_TIMEOUT_S
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -132,6 +132,11 @@
         self._upkeep = gevent.spawn(self._run_upkeep)
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
 
+    def decide_now(self, name: str) -> None:
+        """Decide on the loss of a group's primary at once."""
+        group = self.directory.groups[name]
+        self._changer.replace(group, group.state.primary)
+
     def on_settings_changed(self) -> None:
         """Note a change of the settings, which hold for a whole run."""
         events.SETTINGS_KEPT.log(host=self._cfg.host)
