Refuse at once where no change of primary is coming

A start read routes, members and hosts one after the other.

Change: the vote's outcome is told to the work that waits; the first reads run side by side.

--- a/features/proxy_hedge.feature
+++ b/features/proxy_hedge.feature
@@ -13,3 +13,11 @@
     Given a read whose first member has no connection free
     When the first member has a connection before the second is asked
     Then the first member was sent the read once
+
+  Scenario: work does not wait for a change of primary that is not coming
+    Given a write while no primary is known
+    When this host has learned that no change is coming
+    Then the write is refused without a wait
+    When another host claims the change
+    And the new primary proves itself
+    Then the next write waits for it
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -156,3 +156,62 @@
         """Check that the read ran there."""
         assert len(context.dialer.sent['first']) == 2
         assert context.dialer.sent['second'] == []
+
+
+class PrimaryWaitSteps:
+    """Steps on waiting for a change of primary."""
+
+    @staticmethod
+    @given('a write while no primary is known')
+    def make_write(context: Any) -> None:
+        """Make a write for a group without a primary."""
+        context.clock = BoottimeClock()
+        context.group = Group('ledger')
+        context.wait = PrimaryWait(context.clock)
+
+    @staticmethod
+    @when('this host has learned that no change is coming')
+    def pause(context: Any) -> None:
+        """Note that no change is coming for a long while."""
+        until = context.clock.now() + 1000.0
+        context.group.state.hopeless_until = until
+
+    @staticmethod
+    @then('the write is refused without a wait')
+    def check_refused(context: Any) -> None:
+        """Check that nothing waits; a wait would hang."""
+        assert not context.wait.wait(PrimaryWaitSteps._write(context))
+
+    @staticmethod
+    @when('another host claims the change')
+    def claim(context: Any) -> None:
+        """Note that a change is on its way."""
+        context.group.state.hopeless_until = float('-inf')
+        context.group.state.change_due_at = context.clock.now() + 0.5
+
+    @staticmethod
+    @when('the new primary proves itself')
+    def prove(context: Any) -> None:
+        """Wake the work once it waits."""
+        gevent.spawn(context.group.on_primary)
+
+    @staticmethod
+    @then('the next write waits for it')
+    def check_waits(context: Any) -> None:
+        """Check that the wait ends with a primary."""
+        assert context.wait.wait(PrimaryWaitSteps._write(context))
+
+    @staticmethod
+    def _write(context: Any) -> Work:
+        now = context.clock.now()
+        route = Route('db', 'ledger', ReadFreshness.PRIMARY, 600.0, 0.2, 1)
+        return Work(
+            Run('q2', 'WRITE a 1', True),
+            None,
+            route,
+            context.group,
+            SessionState(),
+            SessionFloor(),
+            now,
+            now + route.timeout_s,
+        )
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -172,6 +172,9 @@
         self.change_due_at = float('-inf')
         """Time at which a change of primary should be over."""
 
+        self.hopeless_until = float('-inf')
+        """Time until which no change of primary is coming."""
+
         self.asked_at = float('-inf')
         """Time of the last request for the group, in seconds."""
 
--- a/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -161,9 +161,13 @@
     def _synchronize(self) -> bool:
         """Read everything; what is missing now has been removed."""
         documents = self._documents
-        routes = self._platform.get(documents.routes_key)
-        members = self._platform.get_prefix(documents.members_prefix)
-        own = self._platform.get_prefix(PROXY_PREFIX)
+        platform = self._platform
+        reads = [
+            gevent.spawn(platform.get, documents.routes_key),
+            gevent.spawn(platform.get_prefix, documents.members_prefix),
+            gevent.spawn(platform.get_prefix, PROXY_PREFIX),
+        ]
+        routes, members, own = (read.get() for read in reads)
         for done in (routes, members, own):
             if not isinstance(done, Success):
                 return False
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -157,7 +157,7 @@
         if not sees_enough(
             len(state.members), len(statuses), reports, self._registered()
         ):
-            self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
+            self._pause(group)
             return
         target = self._choose(group, lost, statuses)
         round_number = None
@@ -168,7 +168,7 @@
                     group, after_round, target, lost, reports
                 )
         if round_number is None:
-            self._kept_until[state.group] = self._clock.now() + KEPT_PAUSE_S
+            self._pause(group)
             if group.synchronous_replicas:
                 self._prober.resume(group, statuses)
         else:
@@ -234,6 +234,12 @@
         """Take the way to find a group by its name."""
         self._find_group = find_group
 
+    def _pause(self, group: Group) -> None:
+        """Leave a group alone for a while; nobody need wait for it."""
+        until = self._clock.now() + KEPT_PAUSE_S
+        self._kept_until[group.state.group] = until
+        group.state.hopeless_until = until
+
     def _choose(
         self,
         group: Group,
@@ -334,7 +340,7 @@
     def _keep(
         self, group: Group, lost: str, reports: Sequence[ReachReport]
     ) -> None:
-        self._kept_until[group.state.group] = self._clock.now() + KEPT_PAUSE_S
+        self._pause(group)
         events.PRIMARY_KEPT.log(
             group=group.state.group,
             member=lost,
--- a/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
@@ -57,6 +57,8 @@
     def wait(self, work: Work) -> bool:
         """Wait for a primary; false where it would come too late."""
         now = self._clock.now()
+        if now < work.group.state.hopeless_until:
+            return False
         spare_s = RUN_SHARE * (work.deadline - work.arrived_at)
         latest = work.deadline - spare_s
         if self._due_at(work.group, now) > latest:
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -321,6 +321,7 @@
         # A claim that was there before this host started is over.
         if self._follower.is_synchronized:
             group.state.change_due_at = self._clock.now() + RESPITE_S
+            group.state.hopeless_until = float('-inf')
             group.attention.set()
 
     def _register_gauges(self) -> None:
