Let a refusal for lag fade, and send older reads to replicas

Cause: a replica that had refused a floor was expected to lag for ever, as only an answer could show otherwise and none was asked for; primaries served older reads wherever they were a little faster.

Change: half of what a refusal taught fades in 0.6 s; a primary serves such reads only where replicas should take four times as long. The metric of tries tells kind, work and the member's role.

--- a/features/proxy_reads.feature
+++ b/features/proxy_reads.feature
@@ -49,6 +49,13 @@
     When "r" was behind a floor of 900 ms
     Then a bounded read goes to "s"
 
+  Scenario: a replica that lagged is asked again after a while
+    Given a group with the primary "p" and replicas "r s" in zone "a"
+    And "r" takes 10 ms and "s" takes 30 ms
+    When "r" was behind a floor of 2000 ms
+    And 4 s have passed
+    Then a bounded read goes to "r"
+
   Scenario: a burst waits by importance, and what comes too late is refused
     Given a line for 2 connections held 30 ms each
     When work "a" of priority 2, "b" of priority 1 and "c" of priority 2 waits
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -138,6 +138,14 @@
         """Let a member refuse a floor."""
         context.state.members[name].on_behind(age / 1000, NOW)
 
+    @staticmethod
+    @when('{passed:d} s have passed')
+    def wait(context: Any, passed: int) -> None:
+        """Look at the group later; the speeds are seen anew."""
+        context.now = NOW + passed
+        for health in context.state.members.values():
+            health.served_at = context.now
+
     @staticmethod
     @then('a bounded read goes to "{name}"')
     def check_place(context: Any, name: str) -> None:
@@ -154,8 +162,9 @@
 
     @staticmethod
     def _place(context: Any) -> Any:
-        floor = Evidence(NOW - 1.0, Position(1, 10))
-        return place_read(context.state, floor, context.zone, frozenset(), NOW)
+        now = getattr(context, 'now', NOW)
+        floor = Evidence(now - 1.0, Position(1, 10))
+        return place_read(context.state, floor, context.zone, frozenset(), now)
 
     @staticmethod
     def _list(context: Any, leaving: str) -> None:
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -27,6 +27,15 @@
 FIRST_LAG_S = 0.15
 """Lag assumed of a replica before it has answered, in seconds."""
 
+MAX_LAG_S = 4.0
+"""Longest lag that is expected; above any route's age, in seconds."""
+
+LAG_HALF_LIFE_S = 0.6
+"""Time in which half of a refusal for lag fades, in seconds."""
+
+HELD_WEIGHT = 0.2
+"""Weight of a floor that was held in the lag that is expected."""
+
 BEHIND_PAUSE_S = 0.25
 """Time for which a replica that was behind is not asked, in seconds."""
 
@@ -78,7 +87,10 @@
         """Time of the last statement that was served, in seconds."""
 
         self.lag_s = FIRST_LAG_S
-        """Age of a floor that the member is expected to hold."""
+        """Age of a floor that the member held, as of ``behind_at``."""
+
+        self.behind_at = float('-inf')
+        """Time of the last refusal for lag, in seconds."""
 
         self.in_flight = 0
         """Statements of this host at the member."""
@@ -123,15 +135,28 @@
         kept = 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
         return FIRST_LATENCY_S + kept * (self.latency_s - FIRST_LATENCY_S)
 
+    def expected_lag_s(self, now: float) -> float:
+        """Return the age of a floor that the member should hold.
+
+        A refusal fades, since a replica that is not asked never shows
+        that it has caught up.
+        """
+        age_s = now - self.behind_at
+        kept = 0.5 ** (max(0.0, age_s) / LAG_HALF_LIFE_S)
+        return FIRST_LAG_S + kept * (self.lag_s - FIRST_LAG_S)
+
     def on_behind(self, floor_age_s: float, now: float) -> None:
         """Note that the member lacked a floor of an age."""
-        self.lag_s = max(self.lag_s, min(2 * floor_age_s, 4.0))
+        self.lag_s = max(
+            self.expected_lag_s(now), min(2 * floor_age_s, MAX_LAG_S)
+        )
+        self.behind_at = now
         self.avoid_until = now + BEHIND_PAUSE_S
 
     def on_held(self, floor_age_s: float) -> None:
         """Note that the member held a floor of an age."""
         if floor_age_s < self.lag_s:
-            self.lag_s += 0.2 * (floor_age_s - self.lag_s)
+            self.lag_s += HELD_WEIGHT * (floor_age_s - self.lag_s)
 
     def on_busy(self, now: float) -> None:
         """Note that the member refused work for load."""
--- a/packages/core/src/trefoilpulley_core/proxy/placement.py
+++ b/packages/core/src/trefoilpulley_core/proxy/placement.py
@@ -17,7 +17,7 @@
     from trefoilpulley_core.proxy.group_state import GroupState
     from trefoilpulley_core.proxy.group_state import MemberHealth
 
-PRIMARY_FACTOR = 1.6
+PRIMARY_FACTOR = 4.0
 """Cost of a primary against a replica: its slots serve the writes."""
 
 OTHER_ZONE_S = 0.004
@@ -96,4 +96,4 @@
     """Return whether a replica may not hold a floor yet."""
     if floor.position <= health.position:
         return False
-    return now - floor.at < health.lag_s
+    return now - floor.at < health.expected_lag_s(now)
--- a/packages/node/src/trefoilpulley_node/proxy/exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -95,10 +95,14 @@
         member that still leads then led while the statement ran.
         """
         done = self._run(pool, conn, work, floor, is_proof_needed, deadline)
-        role = 'primary' if floor is None else 'replica'
         is_done = isinstance(done, Success)
-        outcome = 'done' if is_done else done.failure().code
-        self._metrics.count('tries', role, outcome)
+        self._metrics.count(
+            'tries',
+            work.route.freshness.value,
+            'write' if work.run.is_write else 'read',
+            _role_of(pool, work),
+            'done' if is_done else done.failure().code,
+        )
         return done
 
     def _run(
@@ -164,6 +168,11 @@
         group.on_primary()
 
 
+def _role_of(pool: MemberPool, work: Work) -> str:
+    is_primary = pool.health.record.member == work.group.state.primary
+    return 'primary' if is_primary else 'replica'
+
+
 def _statement(work: Work, floor: Position | None) -> RunStatement:
     alias = alias_of(work.prepared) if work.prepared else ''
     return RunStatement(work.run.request_id, work.run.text, alias, floor)
--- a/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -37,8 +37,11 @@
 after its return.
 """
 
-PROOF_S = 0.3
-"""Time for which a new watch must hold to count as in force."""
+PROOF_S = 0.6
+"""Time for which a new watch must hold to count as in force, in seconds.
+
+Longer than a connection takes to fail.
+"""
 
 FIRST_BACKOFF_S = 0.2
 """Pause after the first failure of the service, in seconds."""
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_metrics.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_metrics.py
@@ -28,8 +28,8 @@
         ('kind', 'outcome'),
     ),
     'tries': (
-        'Statements sent to members by role and outcome.',
-        ('role', 'outcome'),
+        'Statements sent to members, transactions included.',
+        ('kind', 'work', 'role', 'outcome'),
     ),
     'store_calls': (
         "Calls to the platform's service by outcome.",
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_state.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_state.py
@@ -146,7 +146,7 @@
         health.record.is_leaving,
         None if failing is None else round(1000 * (now - failing)),
         round(1000 * health.expected_s(now), 1),
-        round(1000 * health.lag_s),
+        round(1000 * health.expected_lag_s(now)),
         f'{health.position.term}.{health.position.index}',
         pool.open_connections,
         pool.share.share,
