Say not run where no connection could be opened

Cause: found by explaining a write whose outcome was told as unknown: it had met a connection that could not be opened, and nothing was sent.

Change: a failed dial is a refusal that has not run; the write then waits for the change of primary or is refused as such.

--- a/features/proxy_hedge.feature
+++ b/features/proxy_hedge.feature
@@ -21,3 +21,7 @@
     When another host claims the change
     And the new primary proves itself
     Then the next write waits for it
+
+  Scenario: a write for which no connection could be opened has not run
+    Given a group whose primary takes no connection
+    Then a write is refused as not run
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -17,6 +17,8 @@
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import NoUpstream
+from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import RunState
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.proxy.commands import Run
 from trefoilpulley_core.proxy.evidence import SessionFloor
@@ -158,6 +160,52 @@
         assert context.dialer.sent['second'] == []
 
 
+class _DeadDialer(UpstreamDialer):
+    """Opens nothing."""
+
+    def dial(
+        self, member: MemberRecord, timeout_s: float
+    ) -> Result[UpstreamSession, Failure]:
+        return Failed(PeerUnreachable('timeout'))
+
+
+class UnsentSteps:
+    """Steps on what was never sent."""
+
+    @staticmethod
+    @given('a group whose primary takes no connection')
+    def make_group(context: Any) -> None:
+        """Make a group whose only member can't be reached."""
+        context.clock = BoottimeClock()
+        context.group = Group('ledger')
+        context.group.state.update(
+            [
+                MemberRecord(
+                    'p', 'ledger', Endpoint('127.0.0.1', 1), 'a', True, False
+                )
+            ]
+        )
+        health = context.group.state.members['p']
+        pool = MemberPool(health, _DeadDialer(), context.clock)
+        context.group.pools['p'] = pool
+
+    @staticmethod
+    @then('a write is refused as not run')
+    def check_not_run(context: Any) -> None:
+        """Check that the refusal is a promise."""
+        metrics = ProxyMetrics()
+        runner = StatementRunner(
+            'a',
+            Exchanger(context.clock, metrics),
+            PrimaryWait(context.clock),
+            context.clock,
+            metrics,
+        )
+        context.group.state.hopeless_until = context.clock.now() + 1000.0
+        done = runner.write(PrimaryWaitSteps.make_work(context))
+        assert done.failure().run_state is RunState.NOT_RUN, done
+
+
 class PrimaryWaitSteps:
     """Steps on waiting for a change of primary."""
 
@@ -180,7 +228,7 @@
     @then('the write is refused without a wait')
     def check_refused(context: Any) -> None:
         """Check that nothing waits; a wait would hang."""
-        assert not context.wait.wait(PrimaryWaitSteps._write(context))
+        assert not context.wait.wait(PrimaryWaitSteps.make_work(context))
 
     @staticmethod
     @when('another host claims the change')
@@ -199,10 +247,11 @@
     @then('the next write waits for it')
     def check_waits(context: Any) -> None:
         """Check that the wait ends with a primary."""
-        assert context.wait.wait(PrimaryWaitSteps._write(context))
+        assert context.wait.wait(PrimaryWaitSteps.make_work(context))
 
     @staticmethod
-    def _write(context: Any) -> Work:
+    def make_work(context: Any) -> Work:
+        """Return a write with much time left."""
         now = context.clock.now()
         route = Route('db', 'ledger', ReadFreshness.PRIMARY, 600.0, 0.2, 1)
         return Work(
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -221,7 +221,8 @@
             work.group.attention.set()
         else:
             excluded.add(place.member)
-        if failure.run_state is not RunState.NOT_RUN:
+        is_broken = failure.run_state is not RunState.NOT_RUN
+        if is_broken or isinstance(failure, NoUpstream):
             work.group.attention.set()
         events.STATEMENT_RETRIED.log(
             request=work.run.request_id,
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -209,10 +209,12 @@
         failure = dialled.failure()
         if isinstance(failure, ConnectionLimitReached):
             self.health.on_answer(now, self.health.position)
-        elif timeout_s >= DIAL_TIMEOUT_S or not _is_timeout(failure):
+            return dialled
+        if timeout_s >= DIAL_TIMEOUT_S or not _is_timeout(failure):
             self.health.on_unreachable(now)
             self._wake_all()
-        return dialled
+        # Nothing of the caller's was sent.
+        return Failed(NoUpstream(f'{failure.code} {failure.detail}'))
 
     def _warm(self) -> None:
         dialled = self._dial(self._clock.now() + DIAL_TIMEOUT_S)
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -171,6 +171,9 @@
                 work.group.attention.set()
             elif isinstance(failure, Overloaded):
                 gevent.sleep(BUSY_BACKOFF_S)
+            elif isinstance(failure, NoUpstream):
+                if not self._primary_wait.wait(work):
+                    break
             if self._clock.now() >= work.deadline:
                 break
         return Failed(failure)
@@ -269,7 +272,8 @@
         return done
 
     def _note_trouble(self, work: Work, failure: Failure) -> None:
-        if failure.run_state is not RunState.NOT_RUN:
+        is_broken = failure.run_state is not RunState.NOT_RUN
+        if is_broken or isinstance(failure, NoUpstream):
             work.group.attention.set()
 
 
