End sessions with their next answer, and refuse at the end of a stop

Change: once the balancer has had time to notice, a session is closed behind its next answer; in the last 0.3 of the grace new work is refused as not run. A primary that leaves takes no new work after 5 s, whatever became of its handover.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -116,3 +116,14 @@
     Given a caller of "orders" at host 0
     When host 0 is told to stop while the caller goes on
     Then the caller is answered until the host closes its session
+
+  Scenario: a caller that never rests is closed between two requests
+    Given a caller of "orders" at host 0
+    When host 0 is told to stop while the caller asks without a pause
+    Then every request was answered and the host ended its sessions itself
+
+  Scenario: what comes at the very end of a stop is refused, not cut
+    Given a caller of "orders" at host 0
+    When host 0 is about to end
+    Then the caller is told "BUSY" and its session is closed
+    And a caller of "orders" is denied with "BUSY" at host 0
--- a/features/proxy_hedge.feature
+++ b/features/proxy_hedge.feature
@@ -25,3 +25,9 @@
   Scenario: a write for which no connection could be opened has not run
     Given a group whose primary takes no connection
     Then a write is refused as not run
+
+  Scenario: a primary that leaves gets no new work after some seconds
+    Given a group whose primary has been leaving for 1 s
+    Then its primary still takes work
+    Given a group whose primary has been leaving for 6 s
+    Then its primary takes no work
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -434,6 +434,40 @@
                 gevent.sleep(POLL_S)
             context.drain.join()
 
+    @staticmethod
+    @when(
+        'host {host:d} is told to stop while the caller asks without a pause'
+    )
+    def stop_busy_host(context: Any, host: int) -> None:
+        """Drain a host under a caller that never rests."""
+        proxy = context.deployment.hosts[host].proxy
+        context.answers = []
+        asking = gevent.spawn(_ask_on, context.caller, context.answers)
+        context.is_complete = proxy.sessions.drain(4.0)
+        asking.join()
+
+    @staticmethod
+    @then('every request was answered and the host ended its sessions itself')
+    def check_ended(context: Any) -> None:
+        """Check that the drain ended before its time."""
+        assert context.is_complete
+        codes = {a.code for a in context.answers}
+        assert codes == {'DONE'}, codes
+
+    @staticmethod
+    @when('host {host:d} is about to end')
+    def near_end(context: Any, host: int) -> None:
+        """Put a host into the last part of its drain."""
+        registry = context.deployment.hosts[host].proxy.sessions
+        registry.refuse()
+
+    @staticmethod
+    @then('the caller is told "{code}" and its session is closed')
+    def check_refused(context: Any, code: str) -> None:
+        """Check the refusal and the end of the session."""
+        assert context.caller.ask('READ a').code == code
+        assert context.caller.read_answer().code == ''
+
     @staticmethod
     def _send(context: Any, data: bytes) -> None:
         context.other = context.deployment.hosts[0].connect('orders')
@@ -447,3 +481,16 @@
     except OSError:
         # The host has refused the message and closed.
         pass
+
+
+def _ask_on(caller: Caller, answers: list[CallerAnswer]) -> None:
+    """Ask without a pause until the host closes the session."""
+    while True:
+        try:
+            answer = caller.ask('READ a')
+        except OSError:
+            # Closed between two requests.
+            return
+        if not answer.code:
+            return
+        answers.append(answer)
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -206,6 +206,39 @@
         assert done.failure().run_state is RunState.NOT_RUN, done
 
 
+class LeavingSteps:
+    """Steps on a primary that leaves."""
+
+    @staticmethod
+    @given('a group whose primary has been leaving for {since:d} s')
+    def make_group(context: Any, since: int) -> None:
+        """Make a group whose primary has announced its end."""
+        context.clock = BoottimeClock()
+        context.group = Group('ledger')
+        context.group.state.update(
+            [
+                MemberRecord(
+                    'p', 'ledger', Endpoint('127.0.0.1', 1), 'a', True, True
+                )
+            ]
+        )
+        health = context.group.state.members['p']
+        health.note_leaving(context.clock.now() - since)
+        health.note_leaving(context.clock.now())
+
+    @staticmethod
+    @then('its primary still takes work')
+    def check_taken(context: Any) -> None:
+        """Check that the handover has some time."""
+        assert not PrimaryWait(context.clock).is_lost(context.group)
+
+    @staticmethod
+    @then('its primary takes no work')
+    def check_refused(context: Any) -> None:
+        """Check that work waits for another primary, or is refused."""
+        assert PrimaryWait(context.clock).is_lost(context.group)
+
+
 class PrimaryWaitSteps:
     """Steps on waiting for a change of primary."""
 
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -104,6 +104,9 @@
         self.failing_since: float | None = None
         """Time of the first failure since the last answer, in seconds."""
 
+        self.leaving_since: float | None = None
+        """Time since which it is known to leave, in seconds."""
+
         self.avoid_until = float('-inf')
         """Time until which reads go elsewhere, in seconds."""
 
@@ -158,6 +161,13 @@
         if floor_age_s < self.lag_s:
             self.lag_s += HELD_WEIGHT * (floor_age_s - self.lag_s)
 
+    def note_leaving(self, now: float) -> None:
+        """Note that the member is about to stop, or no longer is."""
+        if not self.record.is_leaving:
+            self.leaving_since = None
+        elif self.leaving_since is None:
+            self.leaving_since = now
+
     def on_busy(self, now: float) -> None:
         """Note that the member refused work for load."""
         self.avoid_until = max(self.avoid_until, now + BUSY_PAUSE_S)
--- a/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
@@ -27,6 +27,12 @@
 LOST_AFTER_S = 0.1
 """Time without an answer after a failure that makes a primary lost."""
 
+LEAVING_WORK_S = 5.0
+"""Time for which a leaving primary takes new work, in seconds.
+
+A handover takes less than a second; two may fail before.
+"""
+
 RUN_SHARE = 0.15
 """Part of a statement's time that is kept for running it."""
 
@@ -49,10 +55,12 @@
         health = state.members.get(state.primary or '')
         if health is None:
             return True
+        now = self._clock.now()
+        leaving = health.leaving_since
+        if leaving is not None and now - leaving > LEAVING_WORK_S:
+            return True
         failing = health.failing_since
-        if failing is None:
-            return False
-        return self._clock.now() - failing > LOST_AFTER_S
+        return failing is not None and now - failing > LOST_AFTER_S
 
     def wait(self, work: Work) -> bool:
         """Wait for a primary; false where it would come too late."""
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -125,6 +125,7 @@
             return
         self._leaderless_since = None
         now = self._clock.now()
+        health.note_leaving(now)
         if _is_suspect(health, now):
             self._on_suspect(health)
         elif health.record.is_leaving:
--- a/packages/node/src/trefoilpulley_node/proxy/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/proxy/session_registry.py
@@ -26,6 +26,12 @@
 Connections that the balancer sent before it noticed are on their way.
 """
 
+REFUSE_SHARE = 0.3
+"""Last part of the grace in which new work is refused.
+
+Of 6 s it leaves more than the exit margin and most statements together.
+"""
+
 POLL_S = 0.05
 """Time between two looks at the sessions while draining."""
 
@@ -58,6 +64,12 @@
         self.is_draining = False
         """Whether the host is about to stop."""
 
+        self.is_closing = False
+        """Whether sessions end after their next answer."""
+
+        self.is_refusing = False
+        """Whether what comes now would be cut by the end."""
+
     def __len__(self) -> int:
         return len(self._sessions)
 
@@ -82,27 +94,42 @@
         for session, conn in list(self._sessions.items()):
             self._end(session, conn, is_late=False)
 
-    def drain(self, grace_s: float) -> None:
+    def refuse(self) -> None:
+        """Refuse what comes from now on."""
+        self.is_draining = self.is_closing = self.is_refusing = True
+
+    def drain(self, grace_s: float) -> bool:
         """End every session without cutting a request.
 
-        Idle sessions are closed once the balancer sends no new ones;
-        open transactions have the first half of the grace to end.
+        Sessions are closed once the balancer should send no new ones,
+        each when it is idle or has its next answer; open transactions
+        have the first half of the grace to end. Where the balancer has
+        no other host, new sessions come on: they are served until what
+        they ask could no longer be answered in time.
+
+        Returns
+        -------
+        bool
+            Whether every session ended before the time was over.
         """
         self.is_draining = True
         began_at = self._clock.now()
         gevent.sleep(min(NOTICE_S, grace_s / 2))
+        self.is_closing = True
         quiet_since = self._clock.now()
         while True:
             now = self._clock.now()
             passed_s = now - began_at
             if passed_s > grace_s - EXIT_MARGIN_S:
-                break
+                return False
+            if passed_s > (1 - REFUSE_SHARE) * grace_s:
+                self.refuse()
             for session, conn in list(self._sessions.items()):
                 self._end(session, conn, passed_s > grace_s / 2)
             if self._connections:
                 quiet_since = now
             elif now - quiet_since > QUIET_S:
-                break
+                return True
             gevent.sleep(POLL_S)
 
     def _end(
