Give the vote a module of its own; only the claimer holds replicas

Read again, it let a host that lost the claim end the hold of the host that won it, where replicas confirm commits.

Change: the vote moves to host_vote; replicas are held after the claim and let go by the host that holds it alone.

--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -14,10 +14,7 @@
 from trefoilpulley_core.proxy.succession import choose_target
 from trefoilpulley_core.proxy.succession import fencing_token
 from trefoilpulley_core.proxy.succession import holds_every_commit
-from trefoilpulley_core.proxy.succession import is_lost_to_most
 from trefoilpulley_core.proxy.succession import LeaderNotice
-from trefoilpulley_core.proxy.succession import ReachQuestion
-from trefoilpulley_core.proxy.succession import ReachReport
 from trefoilpulley_core.proxy.succession import sees_enough
 from trefoilpulley_node import events
 
@@ -28,24 +25,17 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.proxy.promotion_service import PromotionService
+    from trefoilpulley_core.proxy.succession import ReachReport
     from trefoilpulley_core.proxy.upstream_session import LogStatus
     from trefoilpulley_node.peers import Peers
     from trefoilpulley_node.proxy.claims import ClaimBook
     from trefoilpulley_node.proxy.directory import Group
+    from trefoilpulley_node.proxy.host_vote import HostVote
     from trefoilpulley_node.proxy.member_prober import MemberProber
     from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
 
-VOTE_TIMEOUT_S = 0.35
-"""Longest wait for what other hosts say of a member, in seconds."""
-
-VOTE_VALID_S = 1.5
-"""Time for which a vote tells how many hosts answer, in seconds.
-
-Votes follow each other sooner while a primary is missed.
-"""
-
-RECENT_ANSWER_S = 0.15
-"""Age up to which an answer shows that a member is reached."""
+NOTICE_TIMEOUT_S = 0.35
+"""Longest time to tell another host who leads, in seconds."""
 
 PROMOTION_S = 0.8
 """Time that the platform takes to carry out a promotion, with slack."""
@@ -85,6 +75,8 @@
         Name of this host.
     prober : MemberProber
         Asks the members.
+    vote : HostVote
+        Asks the other hosts.
     claims : ClaimBook
         Claims of the groups.
     promotions : PromotionService
@@ -93,6 +85,8 @@
         Other hosts.
     registered_hosts : Callable[[], Mapping[str, str]]
         Availability zone of each registered host, this one included.
+    groups : Mapping[str, Group]
+        Groups by name.
     holder_id : Callable[[], int | None]
         Number that no other running host has; ``None`` before it is
         known.
@@ -106,10 +100,12 @@
         self,
         host: str,
         prober: MemberProber,
+        vote: HostVote,
         claims: ClaimBook,
         promotions: PromotionService,
         peers: Peers,
         registered_hosts: Callable[[], Mapping[str, str]],
+        groups: Mapping[str, Group],
         holder_id: Callable[[], int | None],
         clock: Clock,
         metrics: ProxyMetrics,
@@ -117,15 +113,15 @@
         self._metrics = metrics
         self._host = host
         self._prober = prober
+        self._vote = vote
         self._claims = claims
         self._promotions = promotions
         self._peers = peers
         self._registered = registered_hosts
+        self._groups = groups
         self._holder_id = holder_id
         self._clock = clock
         self._kept_until: dict[str, float] = {}
-        self._answers = 0
-        self._asked_at = float('-inf')
 
     def replace(self, group: Group, lost: str | None) -> None:
         """Promote another member where most hosts miss the primary.
@@ -146,10 +142,10 @@
         after_round = self._claims.last_round(state.group)
         if not self._wait_turn(group, after_round, is_service_out=False):
             return
-        asked = gevent.spawn(self._ask_hosts, group, lost)
+        asked = gevent.spawn(self._vote.ask, group, lost)
         statuses = self._prober.read_statuses(group, state.others(lost))
         reports = asked.get()
-        if lost and not self._is_lost(group, lost, reports, True):
+        if lost and not self._vote.is_lost(group, lost, reports, True):
             self._keep(group, lost, reports)
             return
         if self._has_leader(group, lost, statuses):
@@ -159,18 +155,18 @@
         ):
             self._pause(group)
             return
-        target = self._choose(group, lost, statuses)
-        round_number = None
-        if target is not None:
-            round_number = self._take_round(group, after_round, target)
-            if round_number is None:
-                round_number = self._go_on_alone(
-                    group, after_round, target, lost, reports
-                )
+        target = choose_target(state, statuses)
+        if target is None:
+            return
+        round_number = self._take_round(group, after_round, target)
         if round_number is None:
+            round_number = self._go_on_alone(
+                group, after_round, target, lost, reports
+            )
+        if round_number is not None and group.synchronous_replicas:
+            target = self._choose_held(group, lost, statuses)
+        if round_number is None or target is None:
             self._pause(group)
-            if group.synchronous_replicas:
-                self._prober.resume(group, statuses)
         else:
             self._change(group, target, round_number, None)
 
@@ -202,66 +198,45 @@
         elif self._catch_up(group, leaving, old, target):
             self._change(group, target, round_number, None)
 
-    def on_reach_question(self, question: ReachQuestion) -> ReachReport:
-        """Return whether a member answers this host."""
-        group = self._find_group(question.group)
-        if group is None:
-            return ReachReport(self._host, is_reached=False)
-        health = group.state.members.get(question.member)
-        now = self._clock.now()
-        if health and now - health.last_answer_at < RECENT_ANSWER_S:
-            return ReachReport(self._host, is_reached=True)
-        reached = self._prober.reach(group, question.member)
-        if not reached:
-            group.attention.set()
-        return ReachReport(self._host, reached)
-
-    def recent_answers(self, now: float) -> int | None:
-        """Return how many hosts answered the last vote, if it is recent."""
-        if now - self._asked_at > VOTE_VALID_S:
-            return None
-        return self._answers
-
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Ask a member that another host says leads; return the notice."""
         self._claims.raise_round(notice.group, notice.round)
-        group = self._find_group(notice.group)
+        group = self._groups.get(notice.group)
         if group is not None and group.state.primary != notice.member:
             self._prober.prove_lead(group, notice.member)
         return notice
 
-    def use_groups(self, find_group: Callable[[str], Group | None]) -> None:
-        """Take the way to find a group by its name."""
-        self._find_group = find_group
-
     def _pause(self, group: Group) -> None:
         """Leave a group alone for a while; nobody need wait for it."""
         until = self._clock.now() + KEPT_PAUSE_S
         self._kept_until[group.state.group] = until
         group.state.hopeless_until = until
 
-    def _choose(
+    def _choose_held(
         self,
         group: Group,
         lost: str | None,
         statuses: dict[str, LogStatus],
     ) -> str | None:
-        """Return the member to promote, or ``None`` where none may be."""
+        """Return the member to promote where replicas confirm commits.
+
+        Only the host with the claim holds replicas and lets them go: a
+        hold that another host ended would let a commit slip by.
+        """
         synchronous = group.synchronous_replicas
-        if not synchronous:
-            return choose_target(group.state, statuses)
         held = self._prober.hold(group, statuses)
         replicas = len(group.state.members) - 1
-        if not holds_every_commit(replicas, len(held), synchronous):
-            events.PRIMARY_KEPT.log(
-                group=group.state.group,
-                member=lost,
-                replicas=replicas,
-                answering=len(held),
-                synchronous=synchronous,
-            )
-            return None
-        return choose_target(group.state, held)
+        if holds_every_commit(replicas, len(held), synchronous):
+            return choose_target(group.state, held)
+        self._prober.resume(group, statuses)
+        events.PRIMARY_KEPT.log(
+            group=group.state.group,
+            member=lost,
+            replicas=replicas,
+            answering=len(held),
+            synchronous=synchronous,
+        )
+        return None
 
     def _catch_up(
         self, group: Group, leaving: str, old: LogStatus, target: str
@@ -289,17 +264,6 @@
             return False
         return self._clock.now() >= state.change_due_at
 
-    def _is_lost(
-        self,
-        group: Group,
-        lost: str,
-        reports: Sequence[ReachReport],
-        is_claimed: bool,
-    ) -> bool:
-        health = group.state.members.get(lost)
-        zone = health.record.zone if health else ''
-        return is_lost_to_most(reports, self._registered(), zone, is_claimed)
-
     def _has_leader(
         self, group: Group, lost: str | None, statuses: dict[str, LogStatus]
     ) -> bool:
@@ -312,31 +276,6 @@
             for m, s in statuses.items()
         )
 
-    def _ask_hosts(
-        self, group: Group, lost: str | None
-    ) -> tuple[ReachReport, ...]:
-        if lost is None:
-            return ()
-        question = ReachQuestion(group.state.group, lost)
-        asked = [
-            gevent.spawn(self._peers.call_host, host, question, VOTE_TIMEOUT_S)
-            for host in self._registered()
-            if host != self._host
-        ]
-        reports: tuple[ReachReport, ...] = ()
-        for done in gevent.iwait(asked, timeout=VOTE_TIMEOUT_S):
-            report = done.value.value_or(None) if done.value else None
-            if not isinstance(report, ReachReport):
-                continue
-            reports = (*reports, report)
-            if self._is_lost(group, lost, reports, is_claimed=False):
-                # No answer that is still out can change the outcome.
-                break
-        gevent.killall(asked, block=False)
-        self._answers = len(reports)
-        self._asked_at = self._clock.now()
-        return reports
-
     def _keep(
         self, group: Group, lost: str, reports: Sequence[ReachReport]
     ) -> None:
@@ -388,7 +327,7 @@
         for host in self._registered():
             if host != self._host:
                 gevent.spawn(
-                    self._peers.call_host, host, notice, VOTE_TIMEOUT_S
+                    self._peers.call_host, host, notice, NOTICE_TIMEOUT_S
                 )
 
     def _take_round(
@@ -426,7 +365,7 @@
         """
         if self._clock.now() < group.state.change_due_at or lost is None:
             return None
-        if not self._is_lost(group, lost, reports, is_claimed=False):
+        if not self._vote.is_lost(group, lost, reports, is_claimed=False):
             return None
         if not self._wait_turn(group, after_round, is_service_out=True):
             return None
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -27,6 +27,7 @@
 from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
 from trefoilpulley_node.proxy.exchange import Exchanger
 from trefoilpulley_node.proxy.host_registration import HostRegistration
+from trefoilpulley_node.proxy.host_vote import HostVote
 from trefoilpulley_node.proxy.member_prober import MemberProber
 from trefoilpulley_node.proxy.platform_follower import PlatformFollower
 from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
@@ -109,12 +110,11 @@
     def start(self) -> None:
         """Start the parts that work in the background."""
         self.directory.subscribe_groups(self._watch_group)
-        self._changer.use_groups(self.directory.groups.get)
         self._membership.serve_on(self._peer_server, self._peers)
         self._membership.subscribe_live(self._on_live_hosts)
         self._peer_server.register(
             ReachQuestion,
-            lambda question, _: self._changer.on_reach_question(question),
+            lambda question, _: self._vote.on_reach_question(question),
         )
         self._peer_server.register(
             LeaderNotice,
@@ -267,15 +267,28 @@
             self._rng,
         )
 
+    @cached_property
+    def _vote(self) -> HostVote:
+        return HostVote(
+            self._cfg.host,
+            self._prober,
+            self._peers,
+            self._registered_hosts,
+            self.directory.groups,
+            self._clock,
+        )
+
     @cached_property
     def _changer(self) -> PrimaryChanger:
         return PrimaryChanger(
             self._cfg.host,
             self._prober,
+            self._vote,
             self._claims,
             self._promotions,
             self._peers,
             self._registered_hosts,
+            self.directory.groups,
             lambda: self._registration.holder_id,
             self._clock,
             self.metrics,
@@ -295,7 +308,7 @@
     def _hosts_reached(self, now: float) -> int:
         """Return how many hosts answer; a vote tells it first."""
         live = len(self._live_hosts())
-        answers = self._changer.recent_answers(now)
+        answers = self._vote.recent_answers(now)
         return live if answers is None else min(live, 1 + answers)
 
     def _registered_hosts(self) -> dict[str, str]:
