Send statements through the hosts that hold a member's connections

Cause: on the grown deployment 75 hosts share 44 connections of a member.

Change: in a crowd of hosts, or where an equal share is below two, eight hosts of a member's zone hold its connections (connection_holders) and the others send their statements there (relayed_session, connection_lender). A transaction stays with its lease. What a holder has not sent yet is withdrawn before the caller goes on, so that no statement meets other values. Votes are asked of four hosts a zone, who hold connections to the group (choose_jury); other hosts ask them instead of dialling the member. All who wait for a dead host wait for one dial.

Also mended: the state dump raised an AttributeError since the share lost a property; a scenario reads it now.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -127,3 +127,7 @@
     When host 0 is about to end
     Then the caller is told "BUSY" and its session is closed
     And a caller of "orders" is denied with "BUSY" at host 0
+
+  Scenario: the state of a host can be read at any time
+    When a caller of "orders" writes "a" as "one" through host 0
+    Then the state of host 0 tells each member and its connections
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 from behave import given
@@ -10,34 +9,14 @@
 from behave import when
 import gevent
 
+from features.fakes.asking import ask_once
+from features.fakes.asking import HANG_S
+from features.fakes.asking import POLL_S
+from features.fakes.asking import until
 from trefoilpulley_emulator.caller import Caller
 from trefoilpulley_emulator.caller import CallerAnswer
 from trefoilpulley_emulator.deployment import EmulatedDeployment
 
-HANG_S = 60.0
-"""Time after which a scenario counts as hung, in seconds."""
-
-POLL_S = 0.05
-"""Pause between two tries, in seconds."""
-
-
-def _until(is_done: Callable[[], bool]) -> None:
-    """Try until a condition holds; only a hang ends it early."""
-    with gevent.Timeout(HANG_S, AssertionError('hung')):
-        while not is_done():
-            gevent.sleep(POLL_S)
-
-
-def _ask(context: Any, database: str, host: int, text: str) -> CallerAnswer:
-    """Ask on a session of its own."""
-    caller = context.deployment.hosts[host].connect(database)
-    try:
-        if not caller.greeting.startswith('READY'):
-            return CallerAnswer(caller.greeting.split()[1], (), '', '')
-        return caller.ask(text)
-    finally:
-        caller.close()
-
 
 class DeploymentSteps:
     """Steps on the deployment and its faults."""
@@ -50,12 +29,23 @@
         context.cleanups.append(context.deployment.stop)
         context.deployment.start()
         for host in range(hosts):
-            _until(
+            until(
                 lambda host=host: (
-                    _ask(context, 'orders', host, 'READ none').code == 'DONE'
+                    ask_once(context, 'orders', host, 'READ none').code
+                    == 'DONE'
                 )
             )
 
+    @staticmethod
+    @then('the state of host {host:d} tells each member and its connections')
+    def check_state(context: Any, host: int) -> None:
+        """Check that the dump can be made and names what is open."""
+        state = context.deployment.hosts[host].proxy.dump()
+        members = state.groups[0].members
+        assert len(members) == 3, members
+        assert sum(m.connections for m in members) > 0, members
+        assert all(m.share > 0 for m in members), members
+
     @staticmethod
     @when('the configuration holds "{one}" and "{other}" alone')
     def configure(context: Any, one: str, other: str) -> None:
@@ -84,7 +74,7 @@
         deployment.configure({'orders': 'session', 'filings': 'primary'})
         for host in deployment.hosts:
             directory = host.proxy.directory
-            _until(
+            until(
                 lambda d=directory: (
                     d.groups['ledger'].synchronous_replicas == count
                 )
@@ -111,7 +101,7 @@
         """Let every host decide some times; none may act."""
         for host in context.deployment.hosts:
             group = host.proxy.directory.groups['ledger']
-            _until(lambda g=group: g.state.primary in g.state.members)
+            until(lambda g=group: g.state.primary in g.state.members)
             for _ in range(3):
                 host.proxy.decide_now('ledger')
         assert not context.deployment.duty.orders
@@ -172,7 +162,7 @@
     def check_handover(context: Any) -> None:
         """Wait until the leaving member no longer leads."""
         group = context.deployment.group
-        _until(
+        until(
             lambda: (
                 group.log.primary is not None
                 and group.log.primary.member != context.leaving
@@ -224,7 +214,7 @@
         context: Any, database: str, item: str, data: str, host: int
     ) -> None:
         """Read on a session of its own."""
-        answer = _ask(context, database, host, f'READ {item}')
+        answer = ask_once(context, database, host, f'READ {item}')
         assert answer.rows == (data,), answer
 
     @staticmethod
@@ -258,19 +248,23 @@
         context: Any, database: str, code: str, host: int
     ) -> None:
         """Check the refusal of a session."""
-        assert _ask(context, database, host, 'READ a').code == code
+        assert ask_once(context, database, host, 'READ a').code == code
 
     @staticmethod
     @then('a caller of "{database}" is served before long at host {host:d}')
     def wait_served(context: Any, database: str, host: int) -> None:
         """Wait until a database is served."""
-        _until(lambda: _ask(context, database, host, 'READ a').code == 'DONE')
+        until(
+            lambda: ask_once(context, database, host, 'READ a').code == 'DONE'
+        )
 
     @staticmethod
     @then('a caller of "{database}" is denied before long at host {host:d}')
     def wait_denied(context: Any, database: str, host: int) -> None:
         """Wait until a database is denied."""
-        _until(lambda: _ask(context, database, host, 'READ a').code == 'NODB')
+        until(
+            lambda: ask_once(context, database, host, 'READ a').code == 'NODB'
+        )
 
     @staticmethod
     @then(
@@ -280,7 +274,7 @@
     def wait_write(context: Any, database: str, item: str, host: int) -> None:
         """Wait until a write is acknowledged."""
         text = f'WRITE {item} later'
-        _until(lambda: _ask(context, database, host, text).code == 'DONE')
+        until(lambda: ask_once(context, database, host, text).code == 'DONE')
 
     @staticmethod
     @then(
@@ -292,11 +286,11 @@
         answers = []
 
         def is_answered() -> bool:
-            answer = _ask(context, database, host, f'READ {item}')
+            answer = ask_once(context, database, host, f'READ {item}')
             answers.append(answer)
             return answer.code == 'DONE'
 
-        _until(is_answered)
+        until(is_answered)
         assert answers[-1].rows != ('-',), answers[-1]
 
     @staticmethod
@@ -308,7 +302,7 @@
         context: Any, database: str, item: str, code: str, host: int
     ) -> None:
         """Check what a writer is told."""
-        answer = _ask(context, database, host, f'WRITE {item} once')
+        answer = ask_once(context, database, host, f'WRITE {item} once')
         assert answer.code == code, answer
 
     @staticmethod
@@ -443,7 +437,7 @@
         proxy = context.deployment.hosts[host].proxy
         context.answers = []
         asking = gevent.spawn(_ask_on, context.caller, context.answers)
-        context.is_complete = proxy.sessions.drain(4.0)
+        context.is_complete = proxy.sessions.drain(4.0, lambda: 0)
         asking.join()
 
     @staticmethod
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -33,6 +33,7 @@
 from trefoilpulley_node.clock import BoottimeClock
 from trefoilpulley_node.proxy.directory import Group
 from trefoilpulley_node.proxy.exchange import Exchanger
+from trefoilpulley_node.proxy.member_access import MemberAccess
 from trefoilpulley_node.proxy.member_pool import MemberPool
 from trefoilpulley_node.proxy.primary_wait import PrimaryWait
 from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
@@ -95,7 +96,7 @@
             context.dialer.gates[name] = Event()
             context.dialer.sent[name] = []
             pool = MemberPool(health, context.dialer, clock)
-            context.group.pools[name] = pool
+            context.group.pools[name] = MemberAccess(pool)
         now = clock.now()
         context.group.state.members['second'].latency_s = 0.04
         context.group.state.members['second'].served_at = now
@@ -135,7 +136,7 @@
         """Let the caller go on, then free the first member."""
         context.session.values['tz'] = 'eet'
         context.dialer.gates['first'].set()
-        pool = context.group.pools['first']
+        pool = context.group.pools['first'].own
         while pool.health.in_flight or not pool.has_idle:
             gevent.sleep(0.001)
 
@@ -187,7 +188,7 @@
         )
         health = context.group.state.members['p']
         pool = MemberPool(health, _DeadDialer(), context.clock)
-        context.group.pools['p'] = pool
+        context.group.pools['p'] = MemberAccess(pool)
 
     @staticmethod
     @then('a write is refused as not run')
--- a/packages/core/src/trefoilpulley_core/proxy/connection_share.py
+++ b/packages/core/src/trefoilpulley_core/proxy/connection_share.py
@@ -26,6 +26,11 @@
         self._share = 1
         self._refused_until = float('-inf')
 
+    @property
+    def equal(self) -> int:
+        """Connections that fall to this host."""
+        return self._share
+
     @property
     def kept(self) -> int:
         """Connections that stay open while idle."""
--- a/packages/core/src/trefoilpulley_core/proxy/group_state.py
+++ b/packages/core/src/trefoilpulley_core/proxy/group_state.py
@@ -126,6 +126,14 @@
         self.latency_s += LATENCY_WEIGHT * (duration_s - self.latency_s)
         self.served_at = now
 
+    def on_told(self, expected_s: float, now: float) -> None:
+        """Take the time of a statement that another host expects.
+
+        That host sees more statements at the member than this one.
+        """
+        self.latency_s = expected_s
+        self.served_at = now
+
     def expected_s(self, now: float) -> float:
         """Return the expected time of a statement, in seconds.
 
--- a/packages/core/src/trefoilpulley_core/proxy/succession.py
+++ b/packages/core/src/trefoilpulley_core/proxy/succession.py
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from trefoilpulley_core.proxy.group_state import GroupState
     from trefoilpulley_core.proxy.upstream_session import LogStatus
@@ -25,6 +24,13 @@
 RANK_DELAY_ALONE_S = 0.6
 """The same while the service is out and no claim can be seen."""
 
+JURORS_A_ZONE = 4
+"""Hosts of each availability zone that vote on the loss of a primary.
+
+Every host of a deployment of some ten hosts; in a larger one some of those
+that hold connections to the group's members.
+"""
+
 FENCE_HOLDERS = 1 << 20
 """Fencing tokens of one round; one a holder, told apart by its lease."""
 
@@ -88,13 +94,51 @@
     return round_number * FENCE_HOLDERS + holder_id % FENCE_HOLDERS
 
 
+def choose_jury(group: str, registered: Mapping[str, str]) -> dict[str, str]:
+    """Return the hosts that vote on a group's primary, with their zones.
+
+    Load pattern: a primary that is slow or lost is missed by every host
+    at once. Were each of them to ask all others, and all to dial the
+    member, a burst would look like a loss and the dials would make it
+    one.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    registered : Mapping[str, str]
+        Availability zone of each registered host.
+
+    Returns
+    -------
+    dict[str, str]
+        Availability zone of each juror, in the order in which they act.
+    """
+    zones: dict[str, list[str]] = {}
+    for host, zone in registered.items():
+        zones.setdefault(zone, []).append(host)
+    jurors = [
+        host
+        for hosts in zones.values()
+        for host in rank_hosts(group, sorted(hosts))[:JURORS_A_ZONE]
+    ]
+    ranked = rank_hosts(group, sorted(jurors))
+    return {host: registered[host] for host in ranked}
+
+
 def act_delay_s(
-    group: str, host: str, hosts: Sequence[str], is_service_out: bool
+    group: str, host: str, registered: Mapping[str, str], is_service_out: bool
 ) -> float:
-    """Return how long a host gives those before it in rank."""
-    ranked = rank_hosts(group, sorted({*hosts, host}))
+    """Return how long a host gives those before it in rank.
+
+    Jurors go first; the others only act where no juror does.
+    """
     each_s = RANK_DELAY_ALONE_S if is_service_out else RANK_DELAY_S
-    return ranked.index(host) * each_s
+    jury = list(choose_jury(group, registered))
+    if host in jury:
+        return jury.index(host) * each_s
+    others = rank_hosts(group, sorted({*registered, host} - {*jury}))
+    return (len(jury) + others.index(host)) * each_s
 
 
 def is_lost_to_most(
--- a/packages/node/src/trefoilpulley_node/peers.py
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import Any
 from typing import TYPE_CHECKING
 
-from gevent.lock import Semaphore
+import gevent
 from returns.result import Failure as Failed
 from returns.result import Result
 from returns.result import Success
@@ -35,7 +36,10 @@
 DIAL_TIMEOUT_S = 0.5
 """Longest time to connect to a peer."""
 
-_FAILURES = catalogue()
+
+@cache
+def _failures() -> dict[str, type[Failure]]:
+    return catalogue()
 
 
 class Peers(PoolerCaller):
@@ -69,7 +73,7 @@
         self._find_pooler = find_pooler
         self._tls = tls
         self._channels: dict[str, Channel] = {}
-        self._dialling: dict[str, Semaphore] = {}
+        self._dialling: dict[str, gevent.Greenlet] = {}
         self._self = PeerIdentity(hello.host, hello.zone, hello.incarnation, 0)
 
     @property
@@ -135,17 +139,32 @@
         """Return the host that pools a member, or ``None``."""
         return self._find_pooler(member)
 
-    def open_channel(self, host: str) -> Result[Channel, Failure]:
-        """Return the open channel to a host, dialling where needed."""
+    def open_channel(
+        self, host: str, timeout_s: float | None = None
+    ) -> Result[Channel, Failure]:
+        """Return the open channel to a host, dialling where needed.
+
+        All who need the channel wait for one dial and share its outcome:
+        a host that is dead holds each of them up once.
+
+        Parameters
+        ----------
+        host : str
+            Name of the host.
+        timeout_s : float, optional
+            Longest wait for the dial, which goes on afterwards.
+        """
         channel = self._channels.get(host)
         if channel is not None and channel.is_open:
             return Success(channel)
-        lock = self._dialling.setdefault(host, Semaphore())
-        with lock:
-            channel = self._channels.get(host)
-            if channel is not None and channel.is_open:
-                return Success(channel)
-            return self._dial(host)
+        dialling = self._dialling.get(host)
+        if dialling is None:
+            dialling = self._dialling[host] = gevent.spawn(self._dial, host)
+            dialling.link(lambda _: self._dialling.pop(host, None))
+        try:
+            return dialling.get(timeout=timeout_s)
+        except gevent.Timeout:
+            return Failed(PeerUnreachable('timeout'))
 
     def close(self) -> None:
         """Close every channel."""
@@ -155,7 +174,6 @@
     def forget(self, host: str) -> None:
         """Close the channel to a host that is gone."""
         channel = self._channels.pop(host, None)
-        self._dialling.pop(host, None)
         if channel is not None:
             channel.close()
 
@@ -179,7 +197,7 @@
 
 def read_failure(message: PooledFailure) -> Failure:
     """Return the typed failure of its wire form."""
-    kind = _FAILURES.get(message.code, Failure)
+    kind = _failures().get(message.code, Failure)
     return kind(message.detail)
 
 
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -33,8 +33,8 @@
     from trefoilpulley_core.proxy.placement import Placement
     from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_node.proxy.exchange import Exchanger
-    from trefoilpulley_node.proxy.member_pool import MemberPool
-    from trefoilpulley_node.proxy.member_pool import PooledSession
+    from trefoilpulley_node.proxy.lent_session import LentSession
+    from trefoilpulley_node.proxy.member_access import MemberAccess
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
     from trefoilpulley_node.proxy.work import Work
 
@@ -85,8 +85,8 @@
         self._exchanger = exchanger
         self._primary_wait = primary_wait
         self._clock = clock
-        self._pool: MemberPool | None = None
-        self._conn: PooledSession | None = None
+        self._pool: MemberAccess | None = None
+        self._conn: LentSession | None = None
         self._has_written = False
         self.is_failed = False
         """Whether only a rollback is possible."""
--- a/packages/node/src/trefoilpulley_node/proxy/directory.py
+++ b/packages/node/src/trefoilpulley_node/proxy/directory.py
@@ -6,10 +6,13 @@
 
 from gevent.event import Event
 
+from trefoilpulley_core.proxy.connection_holders import choose_holders
 from trefoilpulley_core.proxy.group_state import GroupState
 from trefoilpulley_core.proxy.routes import RouteTable
 from trefoilpulley_node import events
+from trefoilpulley_node.proxy.member_access import MemberAccess
 from trefoilpulley_node.proxy.member_pool import MemberPool
+from trefoilpulley_node.proxy.relayed_session import RelayedAccess
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +22,7 @@
     from trefoilpulley_core.proxy.routes import GroupLimits
     from trefoilpulley_core.proxy.routes import Route
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+    from trefoilpulley_node.peers import Peers
 
 
 class Group:
@@ -32,8 +36,8 @@
 
     def __init__(self, name: str) -> None:
         self.state = GroupState(name)
-        self.pools: dict[str, MemberPool] = {}
-        """Connections by member."""
+        self.pools: dict[str, MemberAccess] = {}
+        """Ways to the members, by member."""
 
         self.limits: GroupLimits | None = None
         """Limits in the configuration."""
@@ -54,8 +58,8 @@
         """Replicas that receive a commit before it is acknowledged."""
         return self.limits.synchronous_replicas if self.limits else 0
 
-    def pool_of(self, member: str) -> MemberPool | None:
-        """Return the pool of a member, or ``None``."""
+    def pool_of(self, member: str) -> MemberAccess | None:
+        """Return the way to a member, or ``None``."""
         return self.pools.get(member)
 
 
@@ -64,22 +68,33 @@
 
     Parameters
     ----------
+    host : str
+        Name of this host.
     zone : str
         Availability zone of this host.
     dialer : UpstreamDialer
         Opens connections to members.
+    peers : Peers
+        Other hosts.
     clock : Clock
         Monotonic time.
     """
 
     def __init__(
-        self, zone: str, dialer: UpstreamDialer, clock: Clock
+        self,
+        host: str,
+        zone: str,
+        dialer: UpstreamDialer,
+        peers: Peers,
+        clock: Clock,
     ) -> None:
+        self._host = host
         self._zone = zone
         self._dialer = dialer
+        self._peers = peers
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
-        self._hosts = 1
+        self._live: dict[str, tuple[str, ...]] = {zone: (host,)}
         self.table = RouteTable()
         """Routes in force."""
 
@@ -94,6 +109,11 @@
         """Whether a configuration is in force."""
         return self.table.version > 0
 
+    @property
+    def live_hosts(self) -> dict[str, tuple[str, ...]]:
+        """Live hosts by availability zone, this one included."""
+        return self._live
+
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait for the first configuration; false where none came."""
         return self._loaded.wait(timeout_s)
@@ -124,10 +144,10 @@
         )
         return True
 
-    def set_hosts(self, hosts: int) -> None:
-        """Take the number of live hosts, this one included."""
-        if hosts != self._hosts:
-            self._hosts = max(1, hosts)
+    def set_hosts(self, live: dict[str, tuple[str, ...]]) -> None:
+        """Take the live hosts by availability zone, this one included."""
+        if live != self._live:
+            self._live = live
             self._update_shares()
 
     def set_member(self, record: MemberRecord) -> None:
@@ -158,9 +178,7 @@
         for group in self.groups.values():
             for member, pool in group.pools.items():
                 is_near = pool.health.record.zone == self._zone
-                pool.is_kept = is_near or member == group.state.primary
-                pool.trim(now)
-                pool.warm()
+                pool.tend(now, is_near or member == group.state.primary)
 
     def _ensure_group(self, name: str) -> None:
         if name in self.groups:
@@ -174,6 +192,7 @@
         group = self.groups.get(name)
         if group is None:
             return
+        primary = group.state.primary
         group.state.update(
             r for r in self._records.values() if r.group == name
         )
@@ -184,11 +203,20 @@
                 del group.pools[member]
         for member, health in group.state.members.items():
             if member not in group.pools:
-                group.pools[member] = MemberPool(
-                    health, self._dialer, self._clock
+                group.pools[member] = MemberAccess(
+                    MemberPool(health, self._dialer, self._clock),
+                    RelayedAccess(
+                        self._host,
+                        group.state,
+                        health,
+                        self._peers,
+                        self._clock,
+                    ),
                 )
         self._update_shares()
         group.attention.set()
+        if group.state.primary not in (None, primary):
+            group.on_primary()
 
     def _update_shares(self) -> None:
         for name, group in self.groups.items():
@@ -197,4 +225,12 @@
                 continue
             group.limits = limits
             for pool in group.pools.values():
-                pool.share.update(limits.max_connections, self._hosts)
+                pool.update(
+                    limits.max_connections,
+                    choose_holders(
+                        name,
+                        pool.health.record.zone,
+                        self._live,
+                        limits.max_connections,
+                    ),
+                )
--- a/packages/node/src/trefoilpulley_node/proxy/evidence_exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/evidence_exchange.py
@@ -70,13 +70,19 @@
 
     def ask(self, group: Group) -> None:
         """Take newer evidence of a group from some other hosts."""
-        others = sorted(h for h in self._registered() if h != self._host)
+        access = group.pool_of(group.state.primary or '')
+        others = list(access.holders) if access else []
+        if not others:
+            others = sorted(h for h in self._registered() if h != self._host)
         chosen = self._rng.sample(others, min(HOSTS_ASKED, len(others)))
         gevent.joinall([gevent.spawn(self._ask, group, h) for h in chosen])
 
     def on_question(self, question: EvidenceQuestion) -> EvidenceReport:
         """Return this host's newest evidence."""
         group = self._groups.get(question.group)
+        if group is not None:
+            # Keeps the evidence fresh while other hosts need it.
+            group.state.asked_at = self._clock.now()
         newest = group.state.evidence.newest if group else None
         return make_report(newest, self._clock.now())
 
--- a/packages/node/src/trefoilpulley_node/proxy/exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from returns.result import Failure as Failed
 from returns.result import Success
 
 from trefoilpulley_core.failure import NotPrimary
-from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.proxy.session_state import alias_of
-from trefoilpulley_core.proxy.session_state import plan_setup
 from trefoilpulley_core.proxy.upstream_session import OpenTransaction
-from trefoilpulley_core.proxy.upstream_session import Reply
 from trefoilpulley_core.proxy.upstream_session import RollBack
 from trefoilpulley_core.proxy.upstream_session import RunStatement
-from trefoilpulley_core.proxy.upstream_session import UnknownStatement
+from trefoilpulley_node.proxy.lent_session import SessionSetting
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -27,20 +23,14 @@
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.position import Position
     from trefoilpulley_core.proxy.upstream_session import Call
+    from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_node.proxy.directory import Group
-    from trefoilpulley_node.proxy.member_pool import MemberPool
-    from trefoilpulley_node.proxy.member_pool import PooledSession
+    from trefoilpulley_node.proxy.lent_session import LentSession
+    from trefoilpulley_node.proxy.member_access import MemberAccess
     from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.work import Work
 
 
-@dataclass(frozen=True, slots=True)
-class SetupFailed(PeerUnreachable):
-    """The connection could not take the session's values."""
-
-    code = 'setup-failed'
-
-
 class Exchanger:
     """Runs requests on lent connections and learns from the replies.
 
@@ -58,10 +48,11 @@
 
     def exchange(
         self,
-        pool: MemberPool,
-        conn: PooledSession,
+        pool: MemberAccess,
+        conn: LentSession,
         calls: Sequence[Call],
         deadline: float,
+        setting: SessionSetting | None = None,
     ) -> Result[tuple[Reply, ...], Failure]:
         """Send requests and note how the member answered."""
         health = pool.health
@@ -71,7 +62,7 @@
         if health.in_flight == 1:
             health.silent_since = sent_at
         try:
-            done = conn.upstream.exchange(calls, timeout_s)
+            done = conn.exchange(calls, timeout_s, setting)
         finally:
             health.in_flight -= 1
         now = self._clock.now()
@@ -82,8 +73,8 @@
 
     def run(
         self,
-        pool: MemberPool,
-        conn: PooledSession,
+        pool: MemberAccess,
+        conn: LentSession,
         work: Work,
         floor: Position | None,
         is_proof_needed: bool,
@@ -107,32 +98,26 @@
 
     def _run(
         self,
-        pool: MemberPool,
-        conn: PooledSession,
+        pool: MemberAccess,
+        conn: LentSession,
         work: Work,
         floor: Position | None,
         is_proof_needed: bool,
         deadline: float,
     ) -> Result[Reply, Failure]:
-        setup = plan_setup(conn.state, work.session, work.prepared)
-        calls: list[Call] = [*setup, _statement(work, floor)]
+        calls: list[Call] = [_statement(work, floor)]
         if is_proof_needed:
             calls += (OpenTransaction(is_read_only=False), RollBack())
+        setting = SessionSetting(work.session, work.prepared)
         sent_at = self._clock.now()
-        done = self.exchange(pool, conn, calls, deadline)
+        done = self.exchange(pool, conn, calls, deadline, setting)
         if not isinstance(done, Success):
             return done
-        replies = done.unwrap()
-        if any(r.failure is not None for r in replies[: len(setup)]):
-            conn.upstream.close()
-            return Failed(SetupFailed('session values were refused'))
-        reply = replies[len(setup)]
-        if isinstance(reply.failure, UnknownStatement):
-            conn.state.aliases.clear()
+        reply, *others = done.unwrap()
         if reply.failure is not None:
             return Failed(reply.failure)
         if is_proof_needed:
-            proof = replies[len(setup) + 1]
+            proof = others[0]
             if proof.failure is not None:
                 return Failed(NotPrimary('lead could not be proved'))
             prove(work.group, pool, sent_at, proof.position)
@@ -140,8 +125,8 @@
 
     def open_transaction(
         self,
-        pool: MemberPool,
-        conn: PooledSession,
+        pool: MemberAccess,
+        conn: LentSession,
         group: Group,
         call: OpenTransaction,
         deadline: float,
@@ -160,7 +145,7 @@
 
 
 def prove(
-    group: Group, pool: MemberPool, sent_at: float, position: Position
+    group: Group, pool: MemberAccess, sent_at: float, position: Position
 ) -> None:
     """Note that a pool's member has proved to lead its group."""
     member = pool.health.record.member
@@ -168,7 +153,7 @@
         group.on_primary()
 
 
-def _role_of(pool: MemberPool, work: Work) -> str:
+def _role_of(pool: MemberAccess, work: Work) -> str:
     is_primary = pool.health.record.member == work.group.state.primary
     return 'primary' if is_primary else 'replica'
 
--- a/packages/node/src/trefoilpulley_node/proxy/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/proxy/host_vote.py
@@ -6,12 +6,14 @@
 
 import gevent
 
+from trefoilpulley_core.proxy.succession import choose_jury
 from trefoilpulley_core.proxy.succession import is_lost_to_most
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_core.proxy.succession import ReachReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -67,7 +69,7 @@
         self._registered = registered_hosts
         self._groups = groups
         self._clock = clock
-        self._answers = 0
+        self._answers = 1.0
         self._asked_at = float('-inf')
 
     def ask(self, group: Group, lost: str | None) -> tuple[ReachReport, ...]:
@@ -75,10 +77,10 @@
         if lost is None:
             return ()
         question = ReachQuestion(group.state.group, lost)
+        jury = [h for h in self.jury(group) if h != self._host]
         asked = [
             gevent.spawn(self._peers.call_host, host, question, VOTE_TIMEOUT_S)
-            for host in self._registered()
-            if host != self._host
+            for host in jury
         ]
         reports: tuple[ReachReport, ...] = ()
         for done in gevent.iwait(asked, timeout=VOTE_TIMEOUT_S):
@@ -90,10 +92,31 @@
                 # No answer that is still out can change the outcome.
                 break
         gevent.killall(asked, block=False)
-        self._answers = len(reports)
+        self._answers = (1 + len(reports)) / (1 + len(jury))
         self._asked_at = self._clock.now()
         return reports
 
+    def jury(self, group: Group) -> dict[str, str]:
+        """Return the zones of the hosts that vote, this one included."""
+        jury = choose_jury(group.state.group, self._registered())
+        jury.setdefault(self._host, self._registered()[self._host])
+        return jury
+
+    def is_reached(
+        self, group: Group, member: str, hosts: Iterable[str]
+    ) -> bool:
+        """Return whether a member answers one of some hosts."""
+        question = ReachQuestion(group.state.group, member)
+        asked = [
+            gevent.spawn(self._peers.call_host, host, question, VOTE_TIMEOUT_S)
+            for host in hosts
+        ]
+        for done in gevent.iwait(asked, timeout=VOTE_TIMEOUT_S):
+            report = done.value.value_or(None) if done.value else None
+            if isinstance(report, ReachReport) and report.is_reached:
+                return True
+        return False
+
     def is_lost(
         self,
         group: Group,
@@ -104,7 +127,7 @@
         """Return whether enough hosts miss a member."""
         health = group.state.members.get(lost)
         zone = health.record.zone if health else ''
-        return is_lost_to_most(reports, self._registered(), zone, is_claimed)
+        return is_lost_to_most(reports, self.jury(group), zone, is_claimed)
 
     def on_reach_question(self, question: ReachQuestion) -> ReachReport:
         """Return whether a member answers this host."""
@@ -117,11 +140,15 @@
             return ReachReport(self._host, is_reached=True)
         reached = self._prober.reach(group, question.member)
         if not reached:
+            access = group.pool_of(question.member)
+            if access is not None and access.is_relayed:
+                # Without statements of its own it would not notice.
+                access.health.on_unreachable(now)
             group.attention.set()
         return ReachReport(self._host, reached)
 
-    def recent_answers(self, now: float) -> int | None:
-        """Return how many hosts answered the last vote, if it is recent."""
+    def recent_answers(self, now: float) -> float | None:
+        """Return the part of the hosts that answered a recent vote."""
         if now - self._asked_at > VOTE_VALID_S:
             return None
         return self._answers
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -17,18 +17,27 @@
 from trefoilpulley_core.proxy.connection_share import ConnectionShare
 from trefoilpulley_core.proxy.connection_share import SURPLUS_IDLE_S
 from trefoilpulley_core.proxy.session_state import ConnectionState
+from trefoilpulley_core.proxy.session_state import plan_setup
 from trefoilpulley_core.proxy.upstream_session import ConnectionLimitReached
+from trefoilpulley_core.proxy.upstream_session import UnknownStatement
 from trefoilpulley_core.proxy.waiting_line import WaitingLine
+from trefoilpulley_node.proxy.lent_session import LentSession
+from trefoilpulley_node.proxy.lent_session import SetupFailed
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from returns.result import Result
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.proxy.group_state import MemberHealth
     from trefoilpulley_core.proxy.session_state import SessionState
+    from trefoilpulley_core.proxy.upstream_session import Call
+    from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
     from trefoilpulley_core.proxy.upstream_session import UpstreamSession
+    from trefoilpulley_node.proxy.lent_session import SessionSetting
 
 DIAL_TIMEOUT_S = 0.4
 """Longest time to open a connection; a busy member takes tens of ms."""
@@ -38,7 +47,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class PooledSession:
+class PooledSession(LentSession):
     """Connection to a member with what is set on it."""
 
     upstream: UpstreamSession
@@ -50,6 +59,37 @@
     since: float = 0.0
     """Time at which it was last taken or given back, in seconds."""
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and owes no reply."""
+        return self.upstream.is_usable
+
+    def exchange(
+        self,
+        calls: Sequence[Call],
+        timeout_s: float,
+        setting: SessionSetting | None = None,
+    ) -> Result[tuple[Reply, ...], Failure]:
+        """Send requests in one write and return the reply to each."""
+        setup: tuple[Call, ...] = ()
+        if setting is not None:
+            setup = plan_setup(self.state, setting.session, setting.prepared)
+        done = self.upstream.exchange((*setup, *calls), timeout_s)
+        if not isinstance(done, Success):
+            return done
+        replies = done.unwrap()
+        if any(r.failure is not None for r in replies[: len(setup)]):
+            self.upstream.close()
+            return Failed(SetupFailed('session values were refused'))
+        replies = replies[len(setup) :]
+        if any(isinstance(r.failure, UnknownStatement) for r in replies):
+            self.state.aliases.clear()
+        return Success(replies)
+
+    def close(self) -> None:
+        """Close the connection; the member rolls back."""
+        self.upstream.close()
+
 
 class MemberPool:
     """Opens, lends and closes the connections to one member.
@@ -136,7 +176,7 @@
         """Take a connection back for the next work."""
         now = self._clock.now()
         self._line.on_held(now - conn.since)
-        if not conn.upstream.is_usable or self._is_closed:
+        if not conn.is_usable or self._is_closed:
             self._drop(conn)
             return
         if self._open > self.share.most:
@@ -171,7 +211,7 @@
         """Close idle connections; those lent close when they return."""
         self._is_closed = True
         for conn in self._idle:
-            conn.upstream.close()
+            conn.close()
             self._open -= 1
         self._idle.clear()
         for work in self._line.drain():
@@ -184,7 +224,7 @@
     def _take_idle(self, session: SessionState) -> PooledSession | None:
         while self._idle:
             conn = self._pick(session)
-            if conn.upstream.is_usable:
+            if conn.is_usable:
                 conn.since = self._clock.now()
                 return conn
             self._drop(conn)
@@ -245,7 +285,7 @@
             return None
 
     def _drop(self, conn: PooledSession) -> None:
-        conn.upstream.close()
+        conn.close()
         self._open -= 1
         work = self._line.take(self._clock.now())
         if work is not None:
--- a/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_changer.py
@@ -151,7 +151,7 @@
         if self._has_leader(group, lost, statuses):
             return
         if not sees_enough(
-            len(state.members), len(statuses), reports, self._registered()
+            len(state.members), len(statuses), reports, self._vote.jury(group)
         ):
             self._pause(group)
             return
@@ -257,7 +257,7 @@
         """Give the hosts before this one their head start."""
         state = group.state
         delay_s = act_delay_s(
-            state.group, self._host, tuple(self._registered()), is_service_out
+            state.group, self._host, self._registered(), is_service_out
         )
         gevent.sleep(delay_s)
         if self._claims.last_round(state.group) != after_round:
@@ -285,7 +285,7 @@
             member=lost,
             missed_by=1 + sum(1 for r in reports if not r.is_reached),
             reached_by=sum(1 for r in reports if r.is_reached),
-            hosts=len(self._registered()),
+            hosts=len(self._vote.jury(group)),
         )
 
     def _change(
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -17,6 +17,7 @@
     from trefoilpulley_core.proxy.group_state import MemberHealth
     from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
+    from trefoilpulley_node.proxy.host_vote import HostVote
     from trefoilpulley_node.proxy.member_prober import MemberProber
     from trefoilpulley_node.proxy.primary_changer import PrimaryChanger
     from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
@@ -45,6 +46,15 @@
 REVIVE_S = 0.4
 """Time between two questions to a replica that does not answer."""
 
+SEARCH_S = 0.5
+"""Time between two searches for a leader through other hosts, in seconds.
+
+Its notice and its entry come without a search in most cases.
+"""
+
+HOSTS_ASKED = 2
+"""Holders, and voters, that are asked for a member together."""
+
 REPORT_S = 1.0
 """Time between two log lines on one primary that is missed."""
 
@@ -58,6 +68,8 @@
         Group to watch.
     prober : MemberProber
         Asks the members.
+    vote : HostVote
+        Asks other hosts for a member.
     changer : PrimaryChanger
         Changes the primary.
     evidence : EvidenceExchange
@@ -72,6 +84,7 @@
         self,
         group: Group,
         prober: MemberProber,
+        vote: HostVote,
         changer: PrimaryChanger,
         evidence: EvidenceExchange,
         clock: Clock,
@@ -80,6 +93,7 @@
         self._metrics = metrics
         self._group = group
         self._prober = prober
+        self._vote = vote
         self._changer = changer
         self._evidence = evidence
         self._clock = clock
@@ -90,6 +104,7 @@
         self._acting: gevent.Greenlet | None = None
         self._borrowing: gevent.Greenlet | None = None
         self._reported_at = float('-inf')
+        self._searched_at = float('-inf')
         self._revived_at = float('-inf')
 
     def start(self) -> None:
@@ -135,7 +150,7 @@
             self._prober.prove_lead(self._group, health.record.member)
 
     def _look_for_leader(self) -> None:
-        if not self._group.state.members:
+        if not self._group.state.members or not self._may_search():
             return
         if self._prober.find_leader(self._group):
             self._leaderless_since = None
@@ -146,9 +161,30 @@
         if now - self._leaderless_since > LEADERLESS_S:
             self._act(self._changer.replace, self._group, None)
 
+    def _may_search(self) -> bool:
+        """Return whether to ask the members now which one leads."""
+        now = self._clock.now()
+        if all(p.is_relayed for p in self._group.pools.values()):
+            if now - self._searched_at < SEARCH_S:
+                return False
+        self._searched_at = now
+        return True
+
+    def _reach(self, member: str) -> bool:
+        """Return whether a member answers, at the least cost to it."""
+        access = self._group.pool_of(member)
+        jury = list(self._vote.jury(self._group))
+        if access is None or not access.is_relayed:
+            return self._prober.reach(self._group, member)
+        asked = {*access.holders[:HOSTS_ASKED], *jury[:HOSTS_ASKED]}
+        if not self._vote.is_reached(self._group, member, sorted(asked)):
+            return False
+        access.health.on_answer(self._clock.now(), access.health.position)
+        return True
+
     def _on_suspect(self, health: MemberHealth) -> None:
         member = health.record.member
-        if self._prober.reach(self._group, member):
+        if self._reach(member):
             return
         now = self._clock.now()
         if health.failing_since is None:
@@ -178,7 +214,7 @@
         state = self._group.state
         for member, health in state.members.items():
             if health.failing_since is not None and member != state.primary:
-                gevent.spawn(self._prober.reach, self._group, member)
+                gevent.spawn(self._reach, member)
 
     def _borrow_evidence(self) -> None:
         """Ask other hosts while this one has no proof of its own."""
@@ -187,13 +223,23 @@
         if now - state.asked_at > IN_USE_S:
             return
         newest = state.evidence.newest
-        if newest is not None and now - newest.at < BORROW_AGE_S:
+        most_s = EVIDENCE_AGE_S if self._is_relayed else BORROW_AGE_S
+        if newest is not None and now - newest.at < most_s:
             return
         if self._borrowing is None or self._borrowing.ready():
             self._borrowing = gevent.spawn(self._evidence.ask, self._group)
 
+    @property
+    def _is_relayed(self) -> bool:
+        """Whether other hosts hold the connections to the primary."""
+        access = self._group.pool_of(self._group.state.primary or '')
+        return access is not None and access.is_relayed
+
     def _is_evidence_due(self, now: float) -> bool:
         state = self._group.state
+        if self._is_relayed:
+            # The holders prove it for every host.
+            return False
         if now - state.asked_at > IN_USE_S:
             return False
         return now - state.proved_at > EVIDENCE_AGE_S
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -15,6 +15,8 @@
 from trefoilpulley_core.proxy.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.proxy.isolation import Isolation
 from trefoilpulley_core.proxy.isolation import Surroundings
+from trefoilpulley_core.proxy.relay_messages import EndLease
+from trefoilpulley_core.proxy.relay_messages import RelayedCalls
 from trefoilpulley_core.proxy.succession import LeaderNotice
 from trefoilpulley_core.proxy.succession import ReachQuestion
 from trefoilpulley_node import events
@@ -23,6 +25,7 @@
 from trefoilpulley_node.peers import Peers
 from trefoilpulley_node.proxy.caller_session import SessionFactory
 from trefoilpulley_node.proxy.claims import ClaimBook
+from trefoilpulley_node.proxy.connection_lender import ConnectionLender
 from trefoilpulley_node.proxy.directory import ProxyDirectory
 from trefoilpulley_node.proxy.evidence_exchange import EvidenceExchange
 from trefoilpulley_node.proxy.exchange import Exchanger
@@ -51,7 +54,7 @@
     from trefoilpulley_core.proxy.succession import Claim
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
     from trefoilpulley_node.proxy.directory import Group
-    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.member_access import MemberAccess
     from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.proxy_settings import ProxySettings
 
@@ -124,6 +127,9 @@
             EvidenceQuestion,
             lambda question, _: self._evidence.on_question(question),
         )
+        self._peer_server.register(RelayedCalls, self.lender.on_calls)
+        self._peer_server.register(EndLease, self.lender.on_end)
+        self._peer_server.register_close(self.lender.on_peer_closed)
         self._register_gauges()
         self._peer_listener.start()
         self._membership.start()
@@ -147,7 +153,7 @@
             host=self._cfg.host, sessions=len(self.sessions)
         )
         leave = gevent.spawn(self._membership.leave)
-        self.sessions.drain(self._cfg.grace_s)
+        self.sessions.drain(self._cfg.grace_s, lambda: self.lender.leases)
         leave.join(timeout=0)
         self.stop()
 
@@ -173,7 +179,13 @@
     @cached_property
     def directory(self) -> ProxyDirectory:
         """Routes, groups and pools."""
-        return ProxyDirectory(self._cfg.zone, self._dialer, self._clock)
+        return ProxyDirectory(
+            self._cfg.host,
+            self._cfg.zone,
+            self._dialer,
+            self._peers,
+            self._clock,
+        )
 
     @cached_property
     def sessions(self) -> SessionRegistry:
@@ -267,6 +279,13 @@
             self._rng,
         )
 
+    @cached_property
+    def lender(self) -> ConnectionLender:
+        """Lends connections to other hosts."""
+        return ConnectionLender(
+            self.directory.groups, self._exchanger, self._clock
+        )
+
     @cached_property
     def _vote(self) -> HostVote:
         return HostVote(
@@ -308,22 +327,30 @@
     def _hosts_reached(self, now: float) -> int:
         """Return how many hosts answer; a vote tells it first."""
         live = len(self._live_hosts())
-        answers = self._vote.recent_answers(now)
-        return live if answers is None else min(live, 1 + answers)
+        answering = self._vote.recent_answers(now)
+        if answering is None:
+            return live
+        return min(live, round(answering * len(self._registered_hosts())))
 
     def _registered_hosts(self) -> dict[str, str]:
         hosts = {h.name: h.zone for h in self._follower.hosts}
         return {**hosts, self._cfg.host: self._cfg.zone}
 
     def _live_hosts(self) -> tuple[str, ...]:
-        zones = self._membership.live_hosts.zones
-        hosts = {h for z in zones for h in z.hosts}
-        return tuple(sorted({*hosts, self._cfg.host}))
+        hosts = {h for z in self._live_zones().values() for h in z}
+        return tuple(sorted(hosts))
+
+    def _live_zones(self) -> dict[str, tuple[str, ...]]:
+        """Return the live hosts by zone, this one included."""
+        zones = {z.zone: z.hosts for z in self._membership.live_hosts.zones}
+        mine = {*zones.get(self._cfg.zone, ()), self._cfg.host}
+        if self.sessions.is_draining:
+            # What is sent here now could be cut by the end.
+            mine.discard(self._cfg.host)
+        return {**zones, self._cfg.zone: tuple(sorted(mine))}
 
     def _on_live_hosts(self, live: LiveHosts) -> None:
-        hosts = self._live_hosts()
-        events.LIVE_HOSTS_CHANGED.log(hosts=list(hosts))
-        self.directory.set_hosts(len(hosts))
+        self.directory.set_hosts(self._live_zones())
 
     def _on_claim(self, name: str, claim: Claim, revision: int) -> None:
         if not self._claims.learn(name, claim, revision):
@@ -343,9 +370,9 @@
         register('sessions', lambda: len(self.sessions))
         register(
             'connections',
-            lambda: sum(p.open_connections for p in self._pools()),
+            lambda: sum(p.own.open_connections for p in self._pools()),
         )
-        register('waiting', lambda: sum(p.waiting for p in self._pools()))
+        register('waiting', lambda: sum(p.own.waiting for p in self._pools()))
         register(
             'in_flight', lambda: sum(p.health.in_flight for p in self._pools())
         )
@@ -360,7 +387,7 @@
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
         register('live_hosts', lambda: len(self._live_hosts()))
 
-    def _pools(self) -> list[MemberPool]:
+    def _pools(self) -> list[MemberAccess]:
         groups = self.directory.groups.values()
         return [p for g in groups for p in g.pools.values()]
 
@@ -380,6 +407,7 @@
         watch = PrimaryWatch(
             group,
             self._prober,
+            self._vote,
             self._changer,
             self._evidence,
             self._clock,
@@ -393,6 +421,7 @@
             gevent.sleep(UPKEEP_S)
             self._follower.tick()
             self.directory.trim()
+            self.lender.end_idle(self.directory.table.transaction_idle_s)
             self._look_around()
             if self._follower.is_following:
                 self._claims.publish()
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_state.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_state.py
@@ -11,7 +11,7 @@
 
     from trefoilpulley_node.proxy.directory import Group
     from trefoilpulley_node.proxy.directory import ProxyDirectory
-    from trefoilpulley_node.proxy.member_pool import MemberPool
+    from trefoilpulley_node.proxy.member_access import MemberAccess
     from trefoilpulley_node.proxy.proxy_settings import ProxySettings
 
 
@@ -49,6 +49,9 @@
     waiting: int
     """Pieces of work that wait for a connection."""
 
+    holders: tuple[str, ...]
+    """Hosts whose connections are used; none for own connections."""
+
 
 @dataclass(frozen=True, slots=True)
 class GroupDump:
@@ -137,7 +140,7 @@
     )
 
 
-def _dump_member(pool: MemberPool, now: float) -> MemberDump:
+def _dump_member(pool: MemberAccess, now: float) -> MemberDump:
     health = pool.health
     failing = health.failing_since
     return MemberDump(
@@ -148,7 +151,8 @@
         round(1000 * health.expected_s(now), 1),
         round(1000 * health.expected_lag_s(now)),
         f'{health.position.term}.{health.position.index}',
-        pool.open_connections,
-        pool.share.share,
-        pool.waiting,
+        pool.own.open_connections,
+        pool.own.share.equal,
+        pool.own.waiting,
+        pool.holders,
     )
--- a/packages/node/src/trefoilpulley_node/proxy/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/proxy/session_registry.py
@@ -8,6 +8,8 @@
 import gevent
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.proxy.caller_session import CallerSession
 
@@ -98,7 +100,7 @@
         """Refuse what comes from now on."""
         self.is_draining = self.is_closing = self.is_refusing = True
 
-    def drain(self, grace_s: float) -> bool:
+    def drain(self, grace_s: float, count_leases: Callable[[], int]) -> bool:
         """End every session without cutting a request.
 
         Sessions are closed once the balancer should send no new ones,
@@ -126,7 +128,7 @@
                 self.refuse()
             for session, conn in list(self._sessions.items()):
                 self._end(session, conn, passed_s > grace_s / 2)
-            if self._connections:
+            if self._connections or count_leases():
                 quiet_since = now
             elif now - quiet_since > QUIET_S:
                 return True
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -31,6 +31,7 @@
     from trefoilpulley_core.proxy.placement import Placement
     from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_node.proxy.exchange import Exchanger
+    from trefoilpulley_node.proxy.lent_session import LentSession
     from trefoilpulley_node.proxy.primary_wait import PrimaryWait
     from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
     from trefoilpulley_node.proxy.work import Work
@@ -59,8 +60,17 @@
 
     def __init__(self) -> None:
         self.results: SimpleQueue = SimpleQueue()
+        self.sessions: set[LentSession] = set()
         self.is_over = False
 
+    def end(self) -> None:
+        """Let no try be sent any more that has not been sent yet.
+
+        The caller may change its values as soon as it has its answer.
+        """
+        self.is_over = True
+        gevent.joinall([gevent.spawn(s.withdraw) for s in self.sessions])
+
 
 class StatementRunner:
     """Runs statements outside of transactions.
@@ -103,9 +113,7 @@
         try:
             return self._race(work, race)
         finally:
-            # A try that still waits for a connection must not run any
-            # more: the session may have other values by then.
-            race.is_over = True
+            race.end()
 
     def _race(self, work: Work, race: _Race) -> Result[Reply, Failure]:
         excluded: set[str] = set()
@@ -219,9 +227,11 @@
             return Failed(NoUpstream('answered elsewhere'))
         floor = place.floor
         position = floor.position if floor else None
+        race.sessions.add(conn)
         done = self._exchanger.run(
             pool, conn, work, position, floor is None, work.deadline
         )
+        race.sessions.discard(conn)
         pool.release(conn)
         now = self._clock.now()
         health = pool.health
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from cattrs.preconf.cbor2 import make_converter
+from cattrs.strategies import configure_tagged_union
 import cbor2
 from returns.result import Failure as Failed
 from returns.result import Result
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 HEADER_BYTES = 64
 """Bytes that always hold a frame's sequence number and tag."""
@@ -61,9 +63,17 @@
     ----------
     types : Iterable[type]
         Frozen data classes; the class name is the tag on the wire.
+    unions : Mapping[type, Any], optional
+        Union of data classes in a field of a message, by the message.
+        Its values are told apart by their class names.
     """
 
-    def __init__(self, types: Iterable[type]) -> None:
+    def __init__(
+        self,
+        types: Iterable[type],
+        unions: Mapping[type, Any] | None = None,
+    ) -> None:
+        self._unions = dict(unions or {})
         self._converter = make_converter(
             omit_if_default=True, detailed_validation=False
         )
@@ -114,6 +124,7 @@
     def _encoder_of(self, kind: type) -> _Encoder:
         encoder = self._encoders.get(kind)
         if encoder is None:
+            self._prepare(kind)
             tag = cbor2.dumps(self._tag_of(kind))
             unstructure = self._converter.get_unstructure_hook(kind)
             encoder = self._encoders[kind] = _Encoder(tag, unstructure)
@@ -122,12 +133,19 @@
     def _structure_of(self, kind: type) -> _Structure:
         known = self._structure.get(kind.__name__)
         if known is None:
+            self._prepare(kind)
             structure = self._converter.get_structure_hook(kind)
             known = self._structure[kind.__name__] = _Structure(
                 kind, structure
             )
         return known
 
+    def _prepare(self, kind: type) -> None:
+        """Make the hooks of the union that a message holds."""
+        union = self._unions.pop(kind, None)
+        if union is not None:
+            configure_tagged_union(union, self._converter)
+
     def _tag_of(self, kind: type) -> str:
         if self._kinds.get(kind.__name__) is not kind:
             raise KeyError(kind)
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -6,7 +6,9 @@
 from trefoilpulley_core.membership import messages
 from trefoilpulley_core import peer
 from trefoilpulley_core.proxy import evidence_messages
+from trefoilpulley_core.proxy import relay_messages
 from trefoilpulley_core.proxy import succession
+from trefoilpulley_core.proxy.upstream_session import Call
 from trefoilpulley_wire.codec import Codec
 
 PEER_CODEC = Codec(
@@ -45,9 +47,14 @@
         peer.WarmConnections,
         evidence_messages.EvidenceQuestion,
         evidence_messages.EvidenceReport,
+        relay_messages.EndLease,
+        relay_messages.RelayedCalls,
+        relay_messages.RelayedReplies,
+        relay_messages.RelayRefused,
         succession.LeaderNotice,
         succession.ReachQuestion,
         succession.ReachReport,
-    )
+    ),
+    unions={relay_messages.RelayedCalls: Call},
 )
 """Codec of the connections between hosts."""
