--- a/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/proxy/platform_follower.py
@@ -163,24 +163,14 @@
 
     def _synchronize(self) -> bool:
         """Read everything; what is missing now has been removed."""
-        documents = self._documents
-        platform = self._platform
-        reads = [
-            gevent.spawn(platform.get, documents.routes_key),
-            gevent.spawn(platform.get_prefix, documents.members_prefix),
-            gevent.spawn(platform.get_prefix, PROXY_PREFIX),
-        ]
-        routes, members, own = (read.get() for read in reads)
-        for done in (routes, members, own):
-            if not isinstance(done, Success):
-                return False
-        if routes.unwrap() is not None:
-            self._on_change(routes.unwrap())
-        present = (*members.unwrap(), *own.unwrap())
-        for entry in present:
+        # One call for all of it: a start of all hosts reads it from each.
+        read = self._platform.get_prefix('')
+        if not isinstance(read, Success):
+            return False
+        for entry in read.unwrap():
             self._on_change(entry)
-        listed = {e.key for e in present}
-        prefixes = (documents.members_prefix, PROXY_PREFIX)
+        listed = {e.key for e in read.unwrap()}
+        prefixes = (self._documents.members_prefix, PROXY_PREFIX)
         for key in list(self._revisions):
             if key.startswith(prefixes) and key not in listed:
                 self._on_change(KeyValue(key, b'', self._revisions[key] + 1))
