--- a/packages/standins/src/trefoilpulley_standins/links/forwarder.py
+++ b/packages/standins/src/trefoilpulley_standins/links/forwarder.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 import random
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -43,6 +45,7 @@
         self._target = (cfg.target.address, cfg.target.port)
         self._network = network
         self._rng = random.Random(seed)
+        self._open: set[socket.socket] = set()
         self._server = StreamServer(
             (cfg.listen.address, cfg.listen.port), self._accept
         )
@@ -60,6 +63,15 @@
         """Accept nothing more."""
         self._server.stop(timeout=0)
 
+    def reset(self) -> None:
+        """Break every connection; new ones work."""
+        for sock in tuple(self._open):
+            # Closing with this option sends a reset.
+            linger = struct.pack('ii', 1, 0)
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.shutdown(socket.SHUT_RDWR)
+
     def _accept(self, sock: socket.socket, address: tuple) -> None:
         try:
             far = self._connect()
@@ -72,7 +84,9 @@
         )
         for conn in (sock, far):
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._open |= {sock, far}
         gevent.joinall([gevent.spawn(pipe.run) for pipe in pipes])
+        self._open -= {sock, far}
         sock.close()
         far.close()
 
