Look less often where a host holds no connection to a group

Cause: 75 hosts looked at each of four groups ten times a second; most hold no connection to it and learn nothing by that.

Change: such a host looks every 0.4 s; trouble with a statement wakes it at once. The scenario on synchronous replicas reaches the changer itself instead of a method that only it used.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
 SOURCES := packages platform features .ci
 DEPLOYMENT ?= karamanlis
+SEEDS ?= 10
 
-.PHONY: setup format lint test demo explore measure clean
+.PHONY: setup format lint test soak demo explore measure clean
 
 setup: $(VENV)/.stamp
 
@@ -31,6 +32,9 @@
 		--format json --outfile build/test/results.json features
 	$(BIN)/python .ci/verdict.py build/test/results.json
 
+soak: setup
+	$(BIN)/python -m trefoilpulley_emulator.soak --seeds $(SEEDS)
+
 demo: setup
 	$(BIN)/python -m trefoilpulley_standins.demo --deployment $(DEPLOYMENT)
 
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -103,7 +103,7 @@
             group = host.proxy.directory.groups['ledger']
             until(lambda g=group: g.state.primary in g.state.members)
             for _ in range(3):
-                host.proxy.decide_now('ledger')
+                host.proxy.changer.replace(group, group.state.primary)
         assert not context.deployment.duty.orders
 
     @staticmethod
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -25,6 +25,13 @@
 TICK_S = 0.1
 """Time between two looks at the primary, in seconds."""
 
+FAR_TICK_S = 0.4
+"""The same on a host that holds no connection to the group, in seconds.
+
+Whoever holds one looks at the primary; trouble with a statement wakes the
+watch at once.
+"""
+
 SILENCE_S = 0.25
 """Silence of a primary with statements in flight that needs a look.
 
@@ -119,7 +126,8 @@
 
     def _run(self) -> None:
         while True:
-            self._group.attention.wait(timeout=TICK_S)
+            tick_s = FAR_TICK_S if self._is_far else TICK_S
+            self._group.attention.wait(timeout=tick_s)
             self._group.attention.clear()
             try:
                 self._look()
@@ -164,9 +172,8 @@
     def _may_search(self) -> bool:
         """Return whether to ask the members now which one leads."""
         now = self._clock.now()
-        if all(p.is_relayed for p in self._group.pools.values()):
-            if now - self._searched_at < SEARCH_S:
-                return False
+        if self._is_far and now - self._searched_at < SEARCH_S:
+            return False
         self._searched_at = now
         return True
 
@@ -229,6 +236,12 @@
         if self._borrowing is None or self._borrowing.ready():
             self._borrowing = gevent.spawn(self._evidence.ask, self._group)
 
+    @property
+    def _is_far(self) -> bool:
+        """Whether this host holds no connection to the group."""
+        pools = self._group.pools.values()
+        return bool(pools) and all(p.is_relayed for p in pools)
+
     @property
     def _is_relayed(self) -> bool:
         """Whether other hosts hold the connections to the primary."""
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_composition.py
@@ -121,7 +121,7 @@
         )
         self._peer_server.register(
             LeaderNotice,
-            lambda notice, _: self._changer.on_leader_notice(notice),
+            lambda notice, _: self.changer.on_leader_notice(notice),
         )
         self._peer_server.register(
             EvidenceQuestion,
@@ -138,11 +138,6 @@
         self._upkeep = gevent.spawn(self._run_upkeep)
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
 
-    def decide_now(self, name: str) -> None:
-        """Decide on the loss of a group's primary at once."""
-        group = self.directory.groups[name]
-        self._changer.replace(group, group.state.primary)
-
     def on_settings_changed(self) -> None:
         """Note a change of the settings, which hold for a whole run."""
         events.SETTINGS_KEPT.log(host=self._cfg.host)
@@ -298,7 +293,8 @@
         )
 
     @cached_property
-    def _changer(self) -> PrimaryChanger:
+    def changer(self) -> PrimaryChanger:
+        """Changes primaries."""
         return PrimaryChanger(
             self._cfg.host,
             self._prober,
@@ -372,6 +368,7 @@
             'connections',
             lambda: sum(p.own.open_connections for p in self._pools()),
         )
+        register('leases', lambda: self.lender.leases)
         register('waiting', lambda: sum(p.own.waiting for p in self._pools()))
         register(
             'in_flight', lambda: sum(p.health.in_flight for p in self._pools())
@@ -408,7 +405,7 @@
             group,
             self._prober,
             self._vote,
-            self._changer,
+            self.changer,
             self._evidence,
             self._clock,
             self.metrics,
--- a/packages/node/src/trefoilpulley_node/proxy/proxy_metrics.py
+++ b/packages/node/src/trefoilpulley_node/proxy/proxy_metrics.py
@@ -61,6 +61,7 @@
 GAUGES: dict[str, str] = {
     'sessions': 'Open sessions of callers.',
     'connections': 'Open connections to members.',
+    'leases': 'Requests and transactions served for other hosts.',
     'waiting': 'Pieces of work that wait for a connection.',
     'in_flight': 'Statements at members.',
     'groups_lost': 'Groups whose primary does not answer.',
