--- a/packages/node/src/trefoilpulley_node/proxy/evidence_exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/evidence_exchange.py
@@ -71,10 +71,12 @@
     def ask(self, group: Group) -> None:
         """Take newer evidence of a group from some other hosts."""
         access = group.pool_of(group.state.primary or '')
-        others = list(access.holders) if access else []
-        if not others:
+        if access is not None and access.is_relayed:
+            # Those of this host's own statements: their channel is open.
+            chosen = access.holders[:1]
+        else:
             others = sorted(h for h in self._registered() if h != self._host)
-        chosen = self._rng.sample(others, min(HOSTS_ASKED, len(others)))
+            chosen = self._rng.sample(others, min(HOSTS_ASKED, len(others)))
         gevent.joinall([gevent.spawn(self._ask, group, h) for h in chosen])
 
     def on_question(self, question: EvidenceQuestion) -> EvidenceReport:
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -44,6 +44,13 @@
 BORROW_AGE_S = 0.7
 """Age of the newest evidence at which other hosts are asked for theirs."""
 
+RELAYED_AGE_S = 0.8
+"""The same where the holders of the primary prove its lead, in seconds.
+
+Replies of holders bring evidence along; with one look more it stays below
+1.5 s, the least age that routes accept.
+"""
+
 IN_USE_S = 2.0
 """Time after its last request for which a group counts as in use."""
 
@@ -230,7 +237,7 @@
         if now - state.asked_at > IN_USE_S:
             return
         newest = state.evidence.newest
-        most_s = EVIDENCE_AGE_S if self._is_relayed else BORROW_AGE_S
+        most_s = RELAYED_AGE_S if self._is_relayed else BORROW_AGE_S
         if newest is not None and now - newest.at < most_s:
             return
         if self._borrowing is None or self._borrowing.ready():
