Ask for evidence at most every 0.3 s; test gathered changes and drains

Cause: as long as nobody has written there is no evidence, and a relayed host asked for it at each look (6.4 questions a second a host for one group of 30 hosts in the emulator).

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -131,3 +131,11 @@
   Scenario: the state of a host can be read at any time
     When a caller of "orders" writes "a" as "one" through host 0
     Then the state of host 0 tells each member and its connections
+
+  Scenario: changes that come together cost few calls to the service
+    When 20 entries of other writers change one after the other
+    Then each host has made less than 10 calls for them
+
+  Scenario: a host that starts reads everything in one call
+    When another host starts
+    Then it has read one range besides the one that begins its watch
--- a/features/proxy_relay.feature
+++ b/features/proxy_relay.feature
@@ -66,3 +66,10 @@
     Given a host that does not answer
     When 20 requests for it come at the same time
     Then it was dialled once and all are told that nothing was sent
+
+  Scenario: a host that stops waits for the transactions of other hosts
+    Given a host without sessions on which another host has a transaction
+    When the host is told to stop and the transaction stays open
+    Then it waits until its grace is over
+    When the host is told to stop and the transaction has ended
+    Then it ends before its grace is over
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -18,6 +18,10 @@
 from trefoilpulley_emulator.deployment import EmulatedDeployment
 
 
+CHANGE_S = 0.03
+"""Pause between two changes, in seconds; a watch is back by then."""
+
+
 class DeploymentSteps:
     """Steps on the deployment and its faults."""
 
@@ -315,6 +319,50 @@
         assert len(writes) == 1, writes
 
 
+class ServiceCallSteps:
+    """Steps on the calls to the platform's service."""
+
+    @staticmethod
+    @when('{count:d} entries of other writers change one after the other')
+    def change_entries(context: Any, count: int) -> None:
+        """Change entries, each once the watches have been woken."""
+        deployment = context.deployment
+        deployment.store.calls.clear()
+        for number in range(count):
+            deployment.store.put(f'status/{number}', {'number': number})
+            gevent.sleep(CHANGE_S)
+        deployment.configure({'orders': 'session', 'last': 'session'})
+        for host in deployment.hosts:
+            directory = host.proxy.directory
+            until(lambda d=directory: 'last' in d.table.routes)
+
+    @staticmethod
+    @then('each host has made less than {most:d} calls for them')
+    def check_calls(context: Any, most: int) -> None:
+        """Count the calls of all hosts."""
+        deployment = context.deployment
+        calls = len(deployment.store.calls)
+        assert calls < most * len(deployment.hosts), deployment.store.calls
+
+    @staticmethod
+    @when('another host starts')
+    def start_host(context: Any) -> None:
+        """Start one more host and wait until it follows the service."""
+        deployment = context.deployment
+        deployment.store.calls.clear()
+        host = deployment.add_host()
+        until(lambda: host.proxy.directory.is_loaded)
+        context.calls = list(deployment.store.calls)
+
+    @staticmethod
+    @then('it has read one range besides the one that begins its watch')
+    def check_ranges(context: Any) -> None:
+        """Count the reads; other hosts only watch."""
+        ranges = context.calls.count('/v1/kv-range')
+        keys = context.calls.count('/v1/kv-key')
+        assert (ranges, keys) == (2, 0), context.calls
+
+
 class SessionSteps:
     """Steps on one session that stays open."""
 
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -46,6 +46,7 @@
 from trefoilpulley_node.proxy.member_access import MemberAccess
 from trefoilpulley_node.proxy.member_pool import MemberPool
 from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
+from trefoilpulley_node.proxy.session_registry import SessionRegistry
 
 ZONES = ('a', 'b', 'c')
 
@@ -451,6 +452,49 @@
         assert states == {RunState.NOT_RUN}, context.failures
 
 
+class StoppingSteps:
+    """Steps on a host that is told to stop."""
+
+    GRACE_S = 3.0
+
+    @staticmethod
+    @given('a host without sessions on which another host has a transaction')
+    def make(context: Any) -> None:
+        """Make the registry of a host."""
+        context.clock = BoottimeClock()
+
+    @staticmethod
+    @when('the host is told to stop and the transaction stays open')
+    def stop_busy(context: Any) -> None:
+        """Drain while a lease stays."""
+        StoppingSteps._drain(context, leases=1)
+
+    @staticmethod
+    @when('the host is told to stop and the transaction has ended')
+    def stop_idle(context: Any) -> None:
+        """Drain without a lease."""
+        StoppingSteps._drain(context, leases=0)
+
+    @staticmethod
+    @then('it waits until its grace is over')
+    def check_waited(context: Any) -> None:
+        """Check that the drain did not end by itself."""
+        assert not context.is_complete
+
+    @staticmethod
+    @then('it ends before its grace is over')
+    def check_ended(context: Any) -> None:
+        """Check that the drain ended by itself."""
+        assert context.is_complete
+
+    @staticmethod
+    def _drain(context: Any, leases: int) -> None:
+        registry = SessionRegistry(context.clock)
+        context.is_complete = registry.drain(
+            StoppingSteps.GRACE_S, lambda: leases
+        )
+
+
 def _read() -> RelayedCalls:
     return _calls(RunStatement('q1', 'READ a'))
 
--- a/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_watch.py
@@ -44,6 +44,12 @@
 BORROW_AGE_S = 0.7
 """Age of the newest evidence at which other hosts are asked for theirs."""
 
+BORROW_PAUSE_S = 0.3
+"""Time between two questions for evidence, in seconds.
+
+Others may have none either, as long as nobody has written.
+"""
+
 RELAYED_AGE_S = 0.8
 """The same where the holders of the primary prove its lead, in seconds.
 
@@ -119,6 +125,7 @@
         self._borrowing: gevent.Greenlet | None = None
         self._reported_at = float('-inf')
         self._searched_at = float('-inf')
+        self._borrowed_at = float('-inf')
         self._revived_at = float('-inf')
 
     def start(self) -> None:
@@ -240,6 +247,9 @@
         most_s = RELAYED_AGE_S if self._is_relayed else BORROW_AGE_S
         if newest is not None and now - newest.at < most_s:
             return
+        if now - self._borrowed_at < BORROW_PAUSE_S:
+            return
+        self._borrowed_at = now
         if self._borrowing is None or self._borrowing.ready():
             self._borrowing = gevent.spawn(self._evidence.ask, self._group)
 
