--- /dev/null
+++ b/features/steps/proxy_overload_steps.py
@@ -0,0 +1,242 @@
+"""Steps on a member that is full."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+from gevent.event import Event
+from returns.result import Success
+
+from features.fakes.asking import until
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.proxy.flight_limit import FlightLimit
+from trefoilpulley_core.proxy.group_state import MemberHealth
+from trefoilpulley_core.proxy.group_state import MemberRecord
+from trefoilpulley_core.proxy.session_state import SessionState
+from trefoilpulley_core.proxy.upstream_session import Reply
+from trefoilpulley_core.proxy.upstream_session import RunStatement
+from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
+from trefoilpulley_core.proxy.upstream_session import UpstreamSession
+from trefoilpulley_node.clock import BoottimeClock
+from trefoilpulley_node.proxy.exchange import Exchanger
+from trefoilpulley_node.proxy.member_access import MemberAccess
+from trefoilpulley_node.proxy.member_pool import MemberPool
+from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
+
+FAR_S = 3600.0
+"""Time that no scenario takes, in seconds."""
+
+STATEMENT_S = 0.025
+"""Time that a statement is taken to need before one was seen."""
+
+
+class FlightSteps:
+    """Steps on the limit alone."""
+
+    @staticmethod
+    @given('a limit of statements at a member of {most:d} connections')
+    def make(context: Any, most: int) -> None:
+        """Make the limit of one host."""
+        context.flight = FlightLimit()
+        context.flight.update(most)
+        context.now = 100.0
+
+    @staticmethod
+    @when('the member serves {count:d} statements')
+    def serve(context: Any, count: int) -> None:
+        """Let the member take statements."""
+        for _ in range(count):
+            context.flight.on_served(STATEMENT_S, context.now)
+
+    @staticmethod
+    @when(
+        'the member serves {count:d} statements in {took:d} ms each, '
+        '{apart:d} ms apart'
+    )
+    def serve_slowly(context: Any, count: int, took: int, apart: int) -> None:
+        """Let statements wait at the member."""
+        for _ in range(count):
+            context.flight.on_served(took / 1000, context.now)
+            context.now += apart / 1000
+
+    @staticmethod
+    @when('the member refuses {count:d} statements at the same moment')
+    def refuse(context: Any, count: int) -> None:
+        """Let the member refuse all that are at it."""
+        for _ in range(count):
+            context.flight.on_busy(count, context.now)
+
+    @staticmethod
+    @when('the member refuses {count:d} statements {later:d} ms later')
+    def refuse_later(context: Any, count: int, later: int) -> None:
+        """Let some time pass before the next refusals."""
+        context.now += later / 1000
+        FlightSteps.refuse(context, count)
+
+    @staticmethod
+    @then('{count:d} statements may be at it at once')
+    def check(context: Any, count: int) -> None:
+        """Check the limit."""
+        assert context.flight.value == count, context.flight.value
+
+
+class _Upstream(UpstreamSession):
+    """Connection whose statements end when they are told to."""
+
+    def __init__(self, context: Any) -> None:
+        self._context = context
+
+    @property
+    def is_usable(self) -> bool:
+        return True
+
+    def exchange(self, calls: Any, timeout_s: float) -> Any:
+        name = calls[-1].request_id
+        self._context.served.append(name)
+        self._context.gates[name].wait()
+        return Success((Reply(),))
+
+    def close(self) -> None:
+        pass
+
+
+class _Dialer(UpstreamDialer):
+    """Opens as many connections as asked for."""
+
+    def __init__(self, context: Any) -> None:
+        self._context = context
+
+    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+        return Success(_Upstream(self._context))
+
+
+class FullMemberSteps:
+    """Steps on work that waits for a member."""
+
+    @staticmethod
+    @given('a member that serves one statement at a time')
+    def make(context: Any) -> None:
+        """Make a pool of some connections whose member was full."""
+        clock = context.clock = BoottimeClock()
+        record = MemberRecord(
+            'm', 'ledger', Endpoint('127.0.0.1', 1), 'a', True, False
+        )
+        context.served = []
+        context.gates = {}
+        pool = MemberPool(MemberHealth(record), _Dialer(context), clock)
+        pool.share.update(16, 2)
+        pool.flight.update(pool.share.most)
+        pool.flight.on_busy(1, clock.now())
+        context.access = MemberAccess(pool)
+        context.exchanger = Exchanger(clock, ProxyMetrics())
+
+    @staticmethod
+    @when(
+        'work "{one}" of priority {first:d} is at it and "{two}" of priority '
+        '{second:d} and "{three}" of priority {third:d} wait'
+    )
+    def press(
+        context: Any,
+        one: str,
+        first: int,
+        two: str,
+        second: int,
+        three: str,
+        third: int,
+    ) -> None:
+        """Send work faster than the member serves it."""
+        pool = context.access.own
+        FullMemberSteps._send(context, one, first)
+        until(lambda: context.served == [one])
+        for count, (name, priority) in enumerate(
+            ((two, second), (three, third))
+        ):
+            FullMemberSteps._send(context, name, priority)
+            until(lambda c=count: pool.waiting == c + 1)
+
+    @staticmethod
+    @when('the statements end one after the other')
+    def end(context: Any) -> None:
+        """Let each statement end once it is at the member."""
+        for count in range(len(context.gates)):
+            until(lambda c=count: len(context.served) == c + 1)
+            context.gates[context.served[-1]].set()
+
+    @staticmethod
+    @then('it has served "{names}"')
+    def check_order(context: Any, names: str) -> None:
+        """Check the order."""
+        assert context.served == names.split(), context.served
+
+    @staticmethod
+    @then(
+        'work of priority {priority:d} that must have its turn in {left:d} ms '
+        'is refused at once'
+    )
+    def check_refused(context: Any, priority: int, left: int) -> None:
+        """Check that it does not wait; a wait would find no turn."""
+        now = context.clock.now()
+        context.access.health.latency_s = STATEMENT_S
+        done = context.access.acquire(
+            priority, now + FAR_S, SessionState(), now + left / 1000
+        )
+        assert isinstance(done.failure(), Overloaded), done
+        assert 'too long' in done.failure().detail, done
+
+    @staticmethod
+    @then(
+        'work of priority {priority:d} that must have its turn in {left:d} ms '
+        'waits'
+    )
+    def check_waits(context: Any, priority: int, left: int) -> None:
+        """Check that it joins the line."""
+        pool = context.access.own
+        before = pool.waiting
+        now = context.clock.now()
+        gevent.spawn(
+            context.access.acquire,
+            priority,
+            now + FAR_S,
+            SessionState(),
+            now + left / 1000,
+        )
+        until(lambda: pool.waiting == before + 1)
+
+    @staticmethod
+    @then('a statement of an open transaction is sent without a wait')
+    def check_transaction(context: Any) -> None:
+        """Send a statement on a connection that was lent before."""
+        conn = context.access.own._dial(context.clock.now() + FAR_S).unwrap()
+        FullMemberSteps._exchange(context, conn, 't')
+        until(lambda: 't' in context.served)
+
+    @staticmethod
+    def _send(context: Any, name: str, priority: int) -> None:
+        context.gates[name] = Event()
+        gevent.spawn(FullMemberSteps._run, context, name, priority)
+
+    @staticmethod
+    def _run(context: Any, name: str, priority: int) -> None:
+        deadline = context.clock.now() + FAR_S
+        lent = context.access.acquire(priority, deadline, SessionState())
+        conn = lent.unwrap()
+        context.exchanger.exchange(
+            context.access, conn, (RunStatement(name, 'READ a'),), deadline
+        )
+        context.access.release(conn)
+
+    @staticmethod
+    def _exchange(context: Any, conn: Any, name: str) -> None:
+        context.gates[name] = Event()
+        gevent.spawn(
+            context.exchanger.exchange,
+            context.access,
+            conn,
+            (RunStatement(name, 'READ a'),),
+            context.clock.now() + FAR_S,
+        )
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -235,7 +235,12 @@
     @staticmethod
     def _join(context: Any, priority: int, left_s: float, name: Any) -> bool:
         work = context.line.join(
-            priority, NOW + left_s, NOW, context.connections, name
+            priority,
+            NOW + left_s,
+            NOW,
+            context.connections,
+            context.line.hold_s,
+            name,
         )
         return work is not None
 
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -501,5 +501,13 @@
 
 def _calls(call: Call, is_pinned: bool = False) -> RelayedCalls:
     return RelayedCalls(
-        'ledger', 'm', 1, 1, 60000, (call,), {}, is_pinned=is_pinned
+        'ledger',
+        'm',
+        1,
+        1,
+        60000,
+        60000,
+        (call,),
+        {},
+        is_pinned=is_pinned,
     )
--- a/packages/core/src/trefoilpulley_core/proxy/relay_messages.py
+++ b/packages/core/src/trefoilpulley_core/proxy/relay_messages.py
@@ -38,6 +38,9 @@
     remaining_ms: int
     """Time left for the replies, in milliseconds."""
 
+    admit_ms: int
+    """Time left until their turn must come, in milliseconds."""
+
     calls: tuple[Call, ...]
     """Requests."""
 
--- a/packages/core/src/trefoilpulley_core/proxy/waiting_line.py
+++ b/packages/core/src/trefoilpulley_core/proxy/waiting_line.py
@@ -60,25 +60,44 @@
         """Learn how long a piece of work held its connection."""
         self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
 
-    def expected_wait_s(self, priority: int, connections: int) -> float:
+    def expected_wait_s(
+        self, priority: int, servers: int, hold_s: float
+    ) -> float:
         """Return the expected wait of new work, in seconds."""
         ahead = sum(
             1 for w in self._heap if not w.is_done and w.priority <= priority
         )
-        return (ahead + 1) * self.hold_s / max(1, connections)
+        return (ahead + 1) * hold_s / max(1, servers)
 
     def join(
         self,
         priority: int,
         deadline: float,
         now: float,
-        connections: int,
+        servers: int,
+        hold_s: float,
         handle: Any,
     ) -> WaitingWork | None:
-        """Add work, or return ``None`` where it would come too late."""
+        """Add work, or return ``None`` where it would come too late.
+
+        Parameters
+        ----------
+        priority : int
+            Importance; 0 is the highest.
+        deadline : float
+            Time by which its turn must come, in seconds.
+        now : float
+            Present time in seconds.
+        servers : int
+            Pieces of work that are served at once.
+        hold_s : float
+            Mean time that serving one takes, in seconds.
+        handle : Any
+            What the caller of the line needs to go on.
+        """
         if self._waiting >= WAITING_LIMIT:
             return None
-        wait_s = self.expected_wait_s(priority, connections)
+        wait_s = self.expected_wait_s(priority, servers, hold_s)
         if now + wait_s > deadline:
             return None
         self._count += 1
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -247,7 +247,9 @@
         pool = work.group.pool_of(place.member)
         if pool is None:
             return Failed(NoUpstream('member has left'))
-        lent = pool.acquire(work.route.priority, work.deadline, work.session)
+        lent = pool.acquire(
+            work.route.priority, work.deadline, work.session, work.admit_by
+        )
         if not isinstance(lent, Success):
             return lent
         conn = lent.unwrap()
--- a/packages/node/src/trefoilpulley_node/proxy/connection_lender.py
+++ b/packages/node/src/trefoilpulley_node/proxy/connection_lender.py
@@ -179,7 +179,8 @@
             return _refuse(NoUpstream('member is not known here'))
         lease = self._leases[key] = _Lease(group, access, self._clock.now())
         values = SessionState(message.values or {})
-        lent = access.own.acquire(message.priority, deadline, values)
+        admit_by = self._clock.now() + message.admit_ms / 1000
+        lent = access.own.acquire(message.priority, deadline, values, admit_by)
         if not isinstance(lent, Success):
             del self._leases[key]
             is_missed = access.health.failing_since is not None
--- a/packages/node/src/trefoilpulley_node/proxy/exchange.py
+++ b/packages/node/src/trefoilpulley_node/proxy/exchange.py
@@ -61,14 +61,17 @@
         health.in_flight += 1
         if health.in_flight == 1:
             health.silent_since = sent_at
+        in_flight = health.in_flight
         try:
             done = conn.exchange(calls, timeout_s, setting)
         finally:
             health.in_flight -= 1
+            pool.own.serve_line()
         now = self._clock.now()
         if isinstance(done, Success):
             health.on_answer(now, done.unwrap()[-1].position)
             health.on_served(now - sent_at, now)
+            pool.on_replies(conn, done.unwrap(), in_flight)
         return done
 
     def run(
--- a/packages/node/src/trefoilpulley_node/proxy/member_access.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_access.py
@@ -9,12 +9,15 @@
 from trefoilpulley_node.proxy.member_pool import PooledSession
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from returns.result import Result
 
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.proxy.connection_holders import Holders
     from trefoilpulley_core.proxy.group_state import MemberHealth
     from trefoilpulley_core.proxy.session_state import SessionState
+    from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_node.proxy.lent_session import LentSession
     from trefoilpulley_node.proxy.member_pool import MemberPool
     from trefoilpulley_node.proxy.relayed_session import RelayedAccess
@@ -55,16 +58,28 @@
     def update(self, max_connections: int, holders: Holders) -> None:
         """Take the member's limit and the hosts that share it."""
         self.own.share.update(max_connections, holders.sharing)
+        self.own.flight.update(self.own.share.most)
         if self._relayed is not None:
             self._relayed.update(holders)
 
     def acquire(
-        self, priority: int, deadline: float, session: SessionState
+        self,
+        priority: int,
+        deadline: float,
+        session: SessionState,
+        admit_by: float | None = None,
     ) -> Result[LentSession, Failure]:
         """Lend a session, or say why none can be had in time."""
         if self.is_relayed:
-            return Success(self._relayed.open(priority))
-        return self.own.acquire(priority, deadline, session)
+            return Success(self._relayed.open(priority, admit_by))
+        return self.own.acquire(priority, deadline, session, admit_by)
+
+    def on_replies(
+        self, conn: LentSession, replies: Sequence[Reply], in_flight: int
+    ) -> None:
+        """Learn from the replies on a session whether the member is full."""
+        if isinstance(conn, PooledSession):
+            self.own.on_replies(replies, in_flight)
 
     def release(self, conn: LentSession) -> None:
         """Take a session back for the next work."""
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -16,6 +16,7 @@
 from trefoilpulley_core.failure import Overloaded
 from trefoilpulley_core.proxy.connection_share import ConnectionShare
 from trefoilpulley_core.proxy.connection_share import SURPLUS_IDLE_S
+from trefoilpulley_core.proxy.flight_limit import FlightLimit
 from trefoilpulley_core.proxy.session_state import ConnectionState
 from trefoilpulley_core.proxy.session_state import plan_setup
 from trefoilpulley_core.proxy.upstream_session import ConnectionLimitReached
@@ -37,6 +38,7 @@
     from trefoilpulley_core.proxy.upstream_session import Reply
     from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
     from trefoilpulley_core.proxy.upstream_session import UpstreamSession
+    from trefoilpulley_core.proxy.waiting_line import WaitingWork
     from trefoilpulley_node.proxy.lent_session import SessionSetting
 
 DIAL_TIMEOUT_S = 0.4
@@ -111,6 +113,9 @@
         self.share = ConnectionShare()
         """Connections that this host may open."""
 
+        self.flight = FlightLimit()
+        """Statements that may be at the member at once."""
+
         self.is_kept = True
         """Whether idle connections are kept at all."""
 
@@ -119,6 +124,7 @@
         self._idle: list[PooledSession] = []
         self._line = WaitingLine()
         self._open = 0
+        self._handed = 0
         self._is_closed = False
 
     @property
@@ -137,35 +143,52 @@
         return bool(self._idle)
 
     def acquire(
-        self, priority: int, deadline: float, session: SessionState
+        self,
+        priority: int,
+        deadline: float,
+        session: SessionState,
+        admit_by: float | None = None,
     ) -> Result[PooledSession, Failure]:
-        """Lend a connection, or say why none can be had in time."""
+        """Lend a connection, or say why none can be had in time.
+
+        Parameters
+        ----------
+        priority : int
+            Importance of the work; 0 is the highest of a route's.
+        deadline : float
+            Time by which the work must be done, in seconds.
+        session : SessionState
+            Values that the work needs; a connection that has them is
+            preferred.
+        admit_by : float, optional
+            Time by which its turn must come, in seconds; the deadline
+            without it.
+        """
+        turn_by = deadline if admit_by is None else min(admit_by, deadline)
         while not self._is_closed:
-            conn = self._take_idle(session)
-            if conn is not None:
-                return Success(conn)
             now = self._clock.now()
-            if now >= deadline:
-                break
-            limit = self.share.limit(now)
-            if self._open < limit:
-                dialled = self._dial(deadline)
-                failure = _failure_of(dialled)
-                if not isinstance(failure, ConnectionLimitReached):
-                    return dialled
-                self.share.on_refused(now)
-                if self._open == 0:
-                    wait_s = min(LIMIT_RETRY_S, deadline - now)
-                    conn = self._wait(priority, deadline, wait_s)
-                    if conn is not None:
-                        return Success(conn)
-                    continue
-            work = self._line.join(
-                priority, deadline, now, self._open, AsyncResult()
-            )
+            if self._has_room:
+                conn = self._take_idle(session)
+                if conn is not None:
+                    return Success(conn)
+                if now >= deadline:
+                    break
+                if self._open < self.share.limit(now):
+                    dialled = self._dial(deadline)
+                    failure = _failure_of(dialled)
+                    if not isinstance(failure, ConnectionLimitReached):
+                        return dialled
+                    self.share.on_refused(now)
+                    if self._open == 0:
+                        wait_s = min(LIMIT_RETRY_S, deadline - now)
+                        conn = self._wait(priority, deadline, wait_s)
+                        if conn is not None:
+                            return Success(conn)
+                        continue
+            work = self._join(priority, turn_by, now)
             if work is None:
                 return Failed(Overloaded('line for connections is too long'))
-            conn = self._await(work, deadline - now)
+            conn = self._await(work, turn_by - now)
             if conn is not None:
                 return Success(conn)
         if self._is_closed:
@@ -183,11 +206,35 @@
             self._drop(conn)
             return
         conn.since = now
-        work = self._line.take(now)
-        if work is not None:
+        self._idle.append(conn)
+        self.serve_line()
+
+    def serve_line(self) -> None:
+        """Let waiting work go on where there is room for it."""
+        now = self._clock.now()
+        while len(self._line) and self._has_room:
+            can_dial = self._open < self.share.limit(now)
+            if not self._idle and not can_dial:
+                return
+            work = self._line.take(now)
+            if work is None:
+                return
+            conn = self._idle.pop() if self._idle else None
+            if conn is not None:
+                conn.since = now
+            self._handed += 1
             work.handle.set(conn)
+            if conn is None:
+                # It looks for itself; more may not fit.
+                return
+
+    def on_replies(self, replies: Sequence[Reply], in_flight: int) -> None:
+        """Learn from the replies whether the member is full."""
+        now = self._clock.now()
+        if any(isinstance(r.failure, Overloaded) for r in replies):
+            self.flight.on_busy(in_flight, now)
         else:
-            self._idle.append(conn)
+            self.flight.on_served(self.health.expected_s(now), now)
 
     def discard(self, conn: PooledSession) -> None:
         """Close a connection; its transaction is rolled back."""
@@ -215,6 +262,7 @@
             self._open -= 1
         self._idle.clear()
         for work in self._line.drain():
+            self._handed += 1
             work.handle.set(None)
 
     @property
@@ -266,30 +314,55 @@
         if self._open:
             return
         for work in self._line.drain():
+            self._handed += 1
             work.handle.set(None)
 
+    @property
+    def _has_room(self) -> bool:
+        """Whether one statement more may be sent to the member."""
+        return self.health.in_flight + self._handed < self.flight.value
+
+    def _join(
+        self, priority: int, turn_by: float, now: float
+    ) -> WaitingWork | None:
+        """Wait for a turn; ``None`` where it would come too late."""
+        if self._has_room:
+            servers, hold_s = self._open, self._line.hold_s
+        else:
+            servers = self.flight.value
+            hold_s = self.health.expected_s(now)
+        return self._line.join(
+            priority, turn_by, now, servers, hold_s, AsyncResult()
+        )
+
     def _wait(
         self, priority: int, deadline: float, wait_s: float
     ) -> PooledSession | None:
         now = self._clock.now()
-        work = self._line.join(priority, deadline, now, 1, AsyncResult())
+        work = self._line.join(
+            priority, deadline, now, 1, self._line.hold_s, AsyncResult()
+        )
         if work is None:
             return None
         return self._await(work, wait_s)
 
-    def _await(self, work, wait_s: float) -> PooledSession | None:
+    def _await(self, work: WaitingWork, wait_s: float) -> PooledSession | None:
         try:
-            return work.handle.get(timeout=wait_s)
+            conn = work.handle.get(timeout=wait_s)
         except Timeout:
-            self._line.leave(work)
-            return None
+            if work.is_done:
+                # Its turn came in the same moment.
+                conn = work.handle.get()
+            else:
+                self._line.leave(work)
+                return None
+        self._handed -= 1
+        return conn
 
     def _drop(self, conn: PooledSession) -> None:
         conn.close()
         self._open -= 1
-        work = self._line.take(self._clock.now())
-        if work is not None:
-            work.handle.set(None)
+        self.serve_line()
 
 
 def _failure_of(result: Result) -> Failure | None:
--- a/packages/node/src/trefoilpulley_node/proxy/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/proxy/relayed_session.py
@@ -121,9 +121,9 @@
         member = self._health.record.member
         self._holders = order_holders(member, self._host, holders)
 
-    def open(self, priority: int) -> RelayedSession:
+    def open(self, priority: int, admit_by: float | None) -> RelayedSession:
         """Return a session; it takes a connection with its first use."""
-        return RelayedSession(self, next(self._leases), priority)
+        return RelayedSession(self, next(self._leases), priority, admit_by)
 
     def find_channel(self, holder: str) -> Result[Channel, Failure]:
         """Return the channel to a holder."""
@@ -173,14 +173,22 @@
         Number of the session, unique on this host.
     priority : int
         Importance of its work.
+    admit_by : float | None
+        Time by which its turn must come, in seconds; ``None`` for the
+        deadline of its first request.
     """
 
     def __init__(
-        self, access: RelayedAccess, lease: int, priority: int
+        self,
+        access: RelayedAccess,
+        lease: int,
+        priority: int,
+        admit_by: float | None,
     ) -> None:
         self._access = access
         self._lease = lease
         self._priority = priority
+        self._admit_by = admit_by
         self._holder: str | None = None
         self._channel: Channel | None = None
         self._is_pinned = False
@@ -252,6 +260,7 @@
         """Ask the holder; a refusal says that nothing was sent."""
         asked_at = self._access.now()
         remaining_s = max(0.001, until - asked_at)
+        admit_by = until if self._admit_by is None else self._admit_by
         record = self._access.record
         message = RelayedCalls(
             record.group,
@@ -259,6 +268,7 @@
             self._lease,
             self._priority,
             round(1000 * remaining_s),
+            round(1000 * max(0.0, min(admit_by, until) - asked_at)),
             tuple(calls),
             dict(setting.session.values) if setting else None,
             setting.prepared if setting else None,
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -218,7 +218,9 @@
         pool = work.group.pool_of(place.member)
         if pool is None:
             return Failed(NoUpstream('member has left'))
-        lent = pool.acquire(work.route.priority, work.deadline, work.session)
+        lent = pool.acquire(
+            work.route.priority, work.deadline, work.session, work.admit_by
+        )
         if not isinstance(lent, Success):
             return lent
         conn = lent.unwrap()
@@ -261,7 +263,9 @@
         return done
 
     def _try_write(self, work: Work, pool) -> Result[Reply, Failure]:
-        lent = pool.acquire(work.route.priority, work.deadline, work.session)
+        lent = pool.acquire(
+            work.route.priority, work.deadline, work.session, work.admit_by
+        )
         if not isinstance(lent, Success):
             return lent
         conn = lent.unwrap()
--- a/packages/node/src/trefoilpulley_node/proxy/work.py
+++ b/packages/node/src/trefoilpulley_node/proxy/work.py
@@ -13,6 +13,13 @@
     from trefoilpulley_core.proxy.session_state import SessionState
     from trefoilpulley_node.proxy.directory import Group
 
+ADMIT_SHARE = 0.5
+"""Part of a route's goal in which a statement's turn must come.
+
+What waits longer hardly meets the goal; it is refused at once, so that its
+caller may try another host.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -41,3 +48,8 @@
 
     deadline: float
     """Time at which it must have been answered, in seconds."""
+
+    @property
+    def admit_by(self) -> float:
+        """Time by which its turn must come, in seconds."""
+        return self.arrived_at + ADMIT_SHARE * self.route.goal_s
