Refuse at once what every member has refused

Cause: a read or transaction that its primary refused for load and its replicas for lag waited for a change of primary that was not coming, up to 85% of its time.

Change: only a primary that does not answer is waited for. The scenario hung for reads, reads of the present and transactions without it.

--- a/features/proxy_overload.feature
+++ b/features/proxy_overload.feature
@@ -48,3 +48,13 @@
     Given a member that serves one statement at a time
     When work "a" of priority 2 is at it and "b" of priority 2 and "c" of priority 2 wait
     Then a statement of an open transaction is sent without a wait
+
+  Scenario Outline: what every member refuses is refused at once
+    Given a group whose primary is full and whose replica is far behind
+    Then <work> is refused at once as not run
+
+    Examples:
+      | work                    |
+      | a read                  |
+      | a read of the present   |
+      | a transaction           |
--- a/features/steps/proxy_overload_steps.py
+++ b/features/steps/proxy_overload_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from behave import given
@@ -11,22 +12,36 @@
 from gevent.event import Event
 from returns.result import Success
 
+from features.fakes.asking import HANG_S
 from features.fakes.asking import until
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import Overloaded
+from trefoilpulley_core.failure import ReplicaBehind
+from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.proxy.commands import Run
+from trefoilpulley_core.proxy.evidence import SessionFloor
 from trefoilpulley_core.proxy.flight_limit import FlightLimit
 from trefoilpulley_core.proxy.group_state import MemberHealth
 from trefoilpulley_core.proxy.group_state import MemberRecord
+from trefoilpulley_core.proxy.routes import ReadFreshness
+from trefoilpulley_core.proxy.routes import Route
 from trefoilpulley_core.proxy.session_state import SessionState
 from trefoilpulley_core.proxy.upstream_session import Reply
 from trefoilpulley_core.proxy.upstream_session import RunStatement
 from trefoilpulley_core.proxy.upstream_session import UpstreamDialer
 from trefoilpulley_core.proxy.upstream_session import UpstreamSession
 from trefoilpulley_node.clock import BoottimeClock
+from trefoilpulley_node.proxy.caller_transaction import CallerTransaction
+from trefoilpulley_node.proxy.directory import Group
 from trefoilpulley_node.proxy.exchange import Exchanger
 from trefoilpulley_node.proxy.member_access import MemberAccess
 from trefoilpulley_node.proxy.member_pool import MemberPool
+from trefoilpulley_node.proxy.primary_wait import PrimaryWait
 from trefoilpulley_node.proxy.proxy_metrics import ProxyMetrics
+from trefoilpulley_node.proxy.statement_runner import StatementRunner
+from trefoilpulley_node.proxy.work import Work
 
 FAR_S = 3600.0
 """Time that no scenario takes, in seconds."""
@@ -240,3 +255,105 @@
             (RunStatement(name, 'READ a'),),
             context.clock.now() + FAR_S,
         )
+
+
+class _RefusingUpstream(UpstreamSession):
+    """Connection of a member that refuses everything."""
+
+    def __init__(self, failure: Failure) -> None:
+        self._failure = failure
+
+    @property
+    def is_usable(self) -> bool:
+        return True
+
+    def exchange(self, calls: Any, timeout_s: float) -> Any:
+        return Success(tuple(Reply(failure=self._failure) for _ in calls))
+
+    def close(self) -> None:
+        pass
+
+
+class _RefusingDialer(UpstreamDialer):
+    """Opens connections to a full primary and a replica that lags."""
+
+    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+        if member.member == 'p':
+            return Success(_RefusingUpstream(Overloaded('full')))
+        return Success(_RefusingUpstream(ReplicaBehind('lags')))
+
+
+class RefusingGroupSteps:
+    """Steps on a group that can serve nothing."""
+
+    @staticmethod
+    @given('a group whose primary is full and whose replica is far behind')
+    def make(context: Any) -> None:
+        """Make the group; its primary answers and is not lost."""
+        clock = context.clock = BoottimeClock()
+        group = context.group = Group('ledger')
+        group.state.update(
+            MemberRecord(
+                name, 'ledger', Endpoint('127.0.0.1', 1), 'a', lead, False
+            )
+            for name, lead in (('p', True), ('r', False))
+        )
+        for name, health in group.state.members.items():
+            pool = MemberPool(health, _RefusingDialer(), clock)
+            group.pools[name] = MemberAccess(pool)
+        group.state.evidence.record(clock.now() - 1.0, Position(1, 5))
+        context.exchanger = Exchanger(clock, ProxyMetrics())
+
+    @staticmethod
+    @then('a read is refused at once as not run')
+    def check_read(context: Any) -> None:
+        """Check a read that a replica may serve."""
+        RefusingGroupSteps._check_read(context, ReadFreshness.BOUNDED)
+
+    @staticmethod
+    @then('a read of the present is refused at once as not run')
+    def check_present(context: Any) -> None:
+        """Check a read that only the primary may serve."""
+        RefusingGroupSteps._check_read(context, ReadFreshness.PRIMARY)
+
+    @staticmethod
+    @then('a transaction is refused at once as not run')
+    def check_transaction(context: Any) -> None:
+        """Check the first statement of a transaction."""
+        clock = context.clock
+        transaction = CallerTransaction(
+            False, 'a', context.exchanger, PrimaryWait(clock), clock
+        )
+        work = RefusingGroupSteps._work(context, ReadFreshness.BOUNDED)
+        RefusingGroupSteps._check(lambda: transaction.run(work))
+
+    @staticmethod
+    def _check_read(context: Any, freshness: ReadFreshness) -> None:
+        clock = context.clock
+        runner = StatementRunner(
+            'a', context.exchanger, PrimaryWait(clock), clock, ProxyMetrics()
+        )
+        work = RefusingGroupSteps._work(context, freshness)
+        RefusingGroupSteps._check(lambda: runner.read(work))
+
+    @staticmethod
+    def _check(run: Callable[[], Any]) -> None:
+        """Check the refusal; a wait for a primary would hang."""
+        with gevent.Timeout(HANG_S, AssertionError('hung')):
+            done = run()
+        assert done.failure().run_state is RunState.NOT_RUN, done
+
+    @staticmethod
+    def _work(context: Any, freshness: ReadFreshness) -> Work:
+        now = context.clock.now()
+        route = Route('db', 'ledger', freshness, FAR_S, 0.2, 1, 8.0)
+        return Work(
+            Run('q', 'READ a', False),
+            None,
+            route,
+            context.group,
+            SessionState(),
+            SessionFloor(),
+            now,
+            now + route.timeout_s,
+        )
--- a/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/proxy/caller_transaction.py
@@ -191,6 +191,9 @@
                 break
             place = self._place(work, frozenset(excluded))
             if place is None:
+                if self._primary_wait.is_serving(work.group):
+                    # Every member has refused, for load or for lag.
+                    break
                 if not self._primary_wait.wait(work):
                     break
                 excluded.clear()
--- a/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/proxy/primary_wait.py
@@ -62,6 +62,14 @@
         failing = health.failing_since
         return failing is not None and now - failing > LOST_AFTER_S
 
+    def is_serving(self, group: Group) -> bool:
+        """Return whether the primary answers, so that no other comes."""
+        state = group.state
+        health = state.members.get(state.primary or '')
+        if health is None or health.failing_since is not None:
+            return False
+        return not self.is_lost(group)
+
     def wait(self, work: Work) -> bool:
         """Wait for a primary; false where it would come too late."""
         now = self._clock.now()
--- a/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/proxy/statement_runner.py
@@ -123,6 +123,9 @@
         for _ in range(READ_TRIES):
             place = self._place(work, frozenset(excluded))
             if place is None and running == 0:
+                if self._primary_wait.is_serving(work.group):
+                    # Every member has refused, for load or for lag.
+                    break
                 if not self._primary_wait.wait(work):
                     break
                 excluded.clear()
