--- a/features/proxy_reads.feature
+++ b/features/proxy_reads.feature
@@ -49,6 +49,13 @@
     When "r" was behind a floor of 900 ms
     Then a bounded read goes to "s"
 
+  Scenario: replicas that are far behind are not pressed by every read
+    Given a group with the primary "p" and replicas "r s" in zone "a"
+    When "r" was behind a floor of 2000 ms
+    And "s" was behind a floor of 2000 ms
+    And "p" refuses a read
+    Then a bounded read goes nowhere
+
   Scenario: a replica that lagged is asked again after a while
     Given a group with the primary "p" and replicas "r s" in zone "a"
     And "r" takes 10 ms and "s" takes 30 ms
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -138,6 +138,12 @@
         """Let a member refuse a floor."""
         context.state.members[name].on_behind(age / 1000, NOW)
 
+    @staticmethod
+    @when('"{name}" refuses a read')
+    def refuse(context: Any, name: str) -> None:
+        """Let a member refuse the read that is placed next."""
+        context.refused = frozenset({name})
+
     @staticmethod
     @when('{passed:d} s have passed')
     def wait(context: Any, passed: int) -> None:
@@ -164,7 +170,8 @@
     def _place(context: Any) -> Any:
         now = getattr(context, 'now', NOW)
         floor = Evidence(now - 1.0, Position(1, 10))
-        return place_read(context.state, floor, context.zone, frozenset(), now)
+        refused = getattr(context, 'refused', frozenset())
+        return place_read(context.state, floor, context.zone, refused, now)
 
     @staticmethod
     def _list(context: Any, leaving: str) -> None:
--- a/packages/core/src/trefoilpulley_core/proxy/placement.py
+++ b/packages/core/src/trefoilpulley_core/proxy/placement.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.proxy.group_state import BEHIND_PAUSE_S
+
 if TYPE_CHECKING:
     from trefoilpulley_core.proxy.evidence import Evidence
     from trefoilpulley_core.proxy.group_state import GroupState
@@ -76,6 +78,9 @@
         if is_primary:
             cost_s *= PRIMARY_FACTOR
         elif _may_lack(health, floor, now):
+            if now - health.behind_at < BEHIND_PAUSE_S:
+                # It has just refused such a floor to another read.
+                continue
             cost_s += AVOIDED_S
         if cost_s < best_s:
             best = Placement(name, None if is_primary else floor)
