--- a/features/proxy_overload.feature
+++ b/features/proxy_overload.feature
@@ -49,6 +49,11 @@
     When work "a" of priority 2 is at it and "b" of priority 2 and "c" of priority 2 wait
     Then a statement of an open transaction is sent without a wait
 
+  Scenario: work that ends while it waits loses no connection
+    Given a member with one connection for which two pieces of work wait
+    When the connection comes free and the first of them is ended
+    Then the second one has the connection
+
   Scenario Outline: what every member refuses is refused at once
     Given a group whose primary is full and whose replica is far behind
     Then <work> is refused at once as not run
--- a/features/steps/proxy_overload_steps.py
+++ b/features/steps/proxy_overload_steps.py
@@ -257,6 +257,42 @@
         )
 
 
+class EndedWorkSteps:
+    """Steps on work that is ended while it waits."""
+
+    @staticmethod
+    @given('a member with one connection for which two pieces of work wait')
+    def make(context: Any) -> None:
+        """Lend the only connection, and let others wait for it."""
+        FullMemberSteps.make(context)
+        pool = context.access.own
+        pool.share.update(1, 1)
+        pool.share.on_refused(context.clock.now() + FAR_S)
+        deadline = context.clock.now() + FAR_S
+        context.lent = pool.acquire(1, deadline, SessionState()).unwrap()
+        context.waiting = [
+            gevent.spawn(pool.acquire, 1, deadline, SessionState())
+            for _ in range(2)
+        ]
+        until(lambda: pool.waiting == 2)
+
+    @staticmethod
+    @when('the connection comes free and the first of them is ended')
+    def end(context: Any) -> None:
+        """End work that has been handed the connection and has not run."""
+        # The end takes effect once this greenlet rests, before the turn.
+        context.waiting[0].kill(block=False)
+        context.access.own.release(context.lent)
+
+    @staticmethod
+    @then('the second one has the connection')
+    def check(context: Any) -> None:
+        """Check that the connection was not lost."""
+        with gevent.Timeout(HANG_S, AssertionError('hung')):
+            lent = context.waiting[1].get()
+        assert lent.unwrap() is context.lent
+
+
 class _RefusingUpstream(UpstreamSession):
     """Connection of a member that refuses everything."""
 
--- a/packages/node/src/trefoilpulley_node/proxy/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/proxy/member_pool.py
@@ -350,15 +350,29 @@
         try:
             conn = work.handle.get(timeout=wait_s)
         except Timeout:
-            if work.is_done:
-                # Its turn came in the same moment.
-                conn = work.handle.get()
-            else:
+            if not work.is_done:
                 self._line.leave(work)
                 return None
+            # Its turn came in the same moment.
+            conn = work.handle.get()
+        except gevent.GreenletExit:
+            self._give_up(work)
+            raise
         self._handed -= 1
         return conn
 
+    def _give_up(self, work: WaitingWork) -> None:
+        """Let nothing be lost that was handed to work that has ended."""
+        if not work.is_done:
+            self._line.leave(work)
+            return
+        self._handed -= 1
+        conn = work.handle.get()
+        if conn is None:
+            self.serve_line()
+        else:
+            self.release(conn)
+
     def _drop(self, conn: PooledSession) -> None:
         conn.close()
         self._open -= 1
