--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,3 +47,4 @@
       | seed | hosts | connections | length | cause                                                           |
       | 1    | 5     | 16          | 6      | the checker took a session closed between requests for a cut    |
       | 8    | 3     | 16          | 6      | the emulated member went back behind what it had applied        |
+      | 1007 | 5     | 4           | 5      | a host stopped while it still imports ends with the signal      |
