Log answers that can't be sent and what a drain leaves open

Change: event 1706 answer-undelivered with the error and whether the host was stopping; event 1005 drain-ended with connections, requests in work and leases; host-stopped tells the connections. No logic is changed.

--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -180,6 +180,17 @@
         if self._greenlet is not None:
             self._greenlet.kill(StatementInterrupted(), block=False)
 
+    def on_undelivered(
+        self, command: Command, is_draining: bool, error: str
+    ) -> None:
+        """Log that the answer to a command could not be sent."""
+        events.ANSWER_UNDELIVERED.log(
+            request=getattr(command, 'request_id', ''),
+            database=self._database,
+            is_draining=is_draining,
+            error=error,
+        )
+
     def abort(self) -> None:
         """Roll back an open transaction and mark it as failed."""
         if self._transaction is None or self._transaction.is_failed:
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -149,11 +149,19 @@
         events.HOST_DRAINING.log(
             host=self._cfg.host, sessions=len(self.sessions)
         )
+        began_at = self._clock.now()
         leave = gevent.spawn(self._membership.leave)
         self.sessions.drain(
             self._cfg.grace_s, lambda: self.relay_server.lease_count
         )
         leave.join(timeout=0)
+        events.DRAIN_ENDED.log(
+            host=self._cfg.host,
+            connections=self.sessions.connection_count,
+            busy=self.sessions.busy_count,
+            leases=self.relay_server.lease_count,
+            took_ms=round(1000 * (self._clock.now() - began_at)),
+        )
         self.stop()
 
     def stop(self) -> None:
@@ -166,7 +174,9 @@
             self._maintenance.kill(block=False)
         self._membership.stop()
         self._peers.close()
-        events.HOST_STOPPED.log(host=self._cfg.host)
+        events.HOST_STOPPED.log(
+            host=self._cfg.host, connections=self.sessions.connection_count
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -88,6 +88,11 @@
         """Number of sessions whose request is being handled."""
         return sum(1 for s in self._sessions if s.is_busy)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections, with or without a session."""
+        return self._connections
+
     def add_connection(self) -> None:
         """Count a new connection, with or without a session."""
         self._connections += 1
