Answer a request that is read while its session is closed

Cause: the drain looked whether a session was idle and then shut its connection down in both directions, while another greenlet still read it. gevent ends that greenlet's wait by a callback; a host that closes some thirty sessions at once has many of them, the event loop polls in between, and what has arrived meanwhile is read and passed on, although no answer can be sent any more. The class: one part looks whether work is left and closes, while another still takes work in.

Change: only the reader ends a connection. The drain asks it to receive no more; it takes what has arrived at its last look, answers all of that, and then closes.

--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -54,8 +54,11 @@
         """Whether the caller has sent data that is not read yet."""
 
     @abc.abstractmethod
-    def close(self) -> None:
-        """Close the connection."""
+    def stop_receiving(self) -> None:
+        """Receive no further request and let the session end.
+
+        Requests that have already arrived are still answered.
+        """
 
 
 class SessionRegistry:
@@ -179,4 +182,4 @@
             return
         if session.has_transaction and not is_transaction_time_over:
             return
-        conn.close()
+        conn.stop_receiving()
