Stop accepting before a planned stop looks for the last time

Cause: the drain ended when no connection had been open for 0.6 s, but the host went on to accept, read and pass on until the process was gone: while the lease was revoked, the other parts stopped and the log was flushed.

Change: the steps of a drain are decided by DrainPolicy in core. The drain ends only after the host has stopped accepting and nothing is open at a later look. Whoever drains must say how the intake is stopped.

Tests: on the code before, "no request is taken after the drain has ended" fails: a new connection is greeted with READY. The moment between the last look and the end of the intake is forced by "a caller that connects as the host stops accepting is answered".

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -20,3 +20,17 @@
     When host 0 reaches the last phase of its planned stop
     And the caller sends "WRITE p 1" and "READ p" and "READ q" in one write
     Then the caller gets 3 answers "BUSY" and then the end of its session
+
+  Scenario: a caller that connects as the host stops accepting is answered
+    When host 0 drains its sessions and a caller sends "READ a" on a connection that was not accepted yet
+    Then that caller got "DONE" before the drain ended
+
+  Scenario: no request is taken after the drain has ended
+    When host 0 drains its sessions without callers
+    Then no connection to host 0 is possible
+
+  Scenario: a drain ends only at a look after the host has stopped accepting
+    Given a drain with a grace period of 6 s that looks every 0.05 s
+    When nothing is open from 2.2 s on and 1 connection is open right after the host has stopped accepting
+    Then the host stops accepting before the drain ends
+    And the drain does not end while that connection is open
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -11,11 +11,18 @@
 import gevent
 from gevent import monkey
 
+from trefoilpulley_core.direct.drain import DrainPolicy
+from trefoilpulley_core.direct.drain import DrainStep
 from trefoilpulley_node.direct.session_registry import CallerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from trefoilpulley_emulator.deployment import EmulatedHost
+
+
+GRACE_S = 4.0
+"""Grace period of the drains, in seconds."""
 
 DELAYING_CALLBACKS = 100
 """Callbacks of the event loop that run before the end of a wait.
@@ -114,3 +121,121 @@
         codes = [context.caller.read_answer().code for _ in range(count)]
         assert codes == [code] * count, codes
         assert context.caller.read_answer().code == ''
+
+
+class AcceptSteps:
+    """Steps for callers that connect at the end of a drain."""
+
+    @staticmethod
+    @when(
+        'host {host:d} drains its sessions and a caller sends "{text}" on a '
+        'connection that was not accepted yet'
+    )
+    def drain_with_late_caller(context: Any, host: int, text: str) -> None:
+        """Connect when the drain has found nothing that is open."""
+        emulated_host = context.deployment.hosts[host]
+        endpoint = emulated_host.endpoint
+        make_socket = monkey.get_original('socket', 'socket')
+        context.late_socket = make_socket()
+        context.cleanups.append(context.late_socket.close)
+
+        def stop_accepting() -> None:
+            # This socket doesn't let the event loop accept the connection.
+            context.late_socket.connect((endpoint.address, endpoint.port))
+            context.late_socket.sendall(
+                f'START orders caller\r\nQUERY q1 {text}\r\n'.encode()
+            )
+            emulated_host.stop_accepting()
+
+        AcceptSteps._drain(context, emulated_host, stop_accepting)
+
+    @staticmethod
+    @then('that caller got "{code}" before the drain ended')
+    def check_late_caller(context: Any, code: str) -> None:
+        """Compare the answer of the late caller."""
+        assert context.is_complete
+        assert context.open_connections == 0, context.open_connections
+        received = context.late_socket.recv(1 << 16).decode()
+        codes = [line.split(' ')[0] for line in received.splitlines()]
+        assert code in codes, received
+
+    @staticmethod
+    @when('host {host:d} drains its sessions without callers')
+    def drain_without_callers(context: Any, host: int) -> None:
+        """Drain a host that has no session."""
+        emulated_host = context.deployment.hosts[host]
+        AcceptSteps._drain(
+            context, emulated_host, emulated_host.stop_accepting
+        )
+        assert context.is_complete
+
+    @staticmethod
+    @then('no connection to host {host:d} is possible')
+    def check_not_accepting(context: Any, host: int) -> None:
+        """Connect to the host, which must be refused."""
+        try:
+            caller = context.deployment.hosts[host].connect('orders')
+        except ConnectionRefusedError:
+            return
+        caller.close()
+        raise AssertionError(caller.greeting)
+
+    @staticmethod
+    def _drain(
+        context: Any,
+        emulated_host: EmulatedHost,
+        stop_accepting: Callable[[], None],
+    ) -> None:
+        registry = emulated_host.proxy.sessions
+        context.is_complete = registry.drain(
+            GRACE_S, lambda: 0, stop_accepting
+        )
+        context.open_connections = registry.connection_count
+
+
+class PolicySteps:
+    """Steps for the decisions of a drain."""
+
+    @staticmethod
+    @given(
+        'a drain with a grace period of {grace_s:d} s that looks every '
+        '{interval_s:g} s'
+    )
+    def make_policy(context: Any, grace_s: int, interval_s: float) -> None:
+        """Create the policy of a drain."""
+        context.policy = DrainPolicy(grace_s)
+        context.interval_s = interval_s
+        context.steps = []
+
+    @staticmethod
+    @when(
+        'nothing is open from {since_s:g} s on and {count:d} connection is '
+        'open right after the host has stopped accepting'
+    )
+    def look(context: Any, since_s: float, count: int) -> None:
+        """Look until the host has stopped accepting, and three times more."""
+        elapsed_s = since_s
+        while DrainStep.STOP_ACCEPTING not in context.steps:
+            context.steps.append(context.policy.next_step(elapsed_s, 0))
+            elapsed_s += context.interval_s
+        context.open_steps = [
+            context.policy.next_step(elapsed_s, count),
+            context.policy.next_step(elapsed_s + context.interval_s, count),
+        ]
+        context.last_step = context.policy.next_step(
+            elapsed_s + 2 * context.interval_s, 0
+        )
+
+    @staticmethod
+    @then('the host stops accepting before the drain ends')
+    def check_order(context: Any) -> None:
+        """Check that the end comes at a look after the last intake."""
+        assert DrainStep.END not in context.steps, context.steps
+        assert context.last_step is DrainStep.END, context.last_step
+
+    @staticmethod
+    @then('the drain does not end while that connection is open')
+    def check_open(context: Any) -> None:
+        """Check the steps while a connection is open."""
+        expected = [DrainStep.CLOSE_IDLE] * 2
+        assert context.open_steps == expected, context.open_steps
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -503,8 +503,7 @@
     )
     def start_drain(context: Any, host: int) -> None:
         """Start to drain a host."""
-        proxy = context.deployment.hosts[host].proxy
-        context.drain = gevent.spawn(proxy.drain)
+        context.drain = gevent.spawn(context.deployment.hosts[host].drain)
 
     @staticmethod
     @then(
@@ -534,12 +533,14 @@
     )
     def drain_busy_session(context: Any, host: int) -> None:
         """Drain the sessions while a caller reads without a pause."""
-        proxy = context.deployment.hosts[host].proxy
+        emulated_host = context.deployment.hosts[host]
         context.answers = []
         reading = gevent.spawn(
             _read_until_closed, context.caller, context.answers
         )
-        context.is_complete = proxy.sessions.drain(4.0, lambda: 0)
+        context.is_complete = emulated_host.proxy.sessions.drain(
+            4.0, lambda: 0, emulated_host.stop_accepting
+        )
         reading.join()
 
     @staticmethod
@@ -557,10 +558,11 @@
     )
     def drain_during_request(context: Any, host: int, verb: str) -> None:
         """Drain the sessions while a request of the caller is handled."""
-        registry = context.deployment.hosts[host].proxy.sessions
+        emulated_host = context.deployment.hosts[host]
+        registry = emulated_host.proxy.sessions
         context.caller.send({'write': 'WRITE a 1', 'read': 'READ a'}[verb])
         wait_until(lambda: registry.busy_count > 0)
-        registry.drain(1.0, lambda: 0)
+        registry.drain(1.0, lambda: 0, emulated_host.stop_accepting)
         # The process would exit now.
         context.unanswered = registry.busy_count
 
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -264,7 +264,7 @@
         """Drain the holder while the caller writes without a pause."""
         deployment = context.deployment
         number = int(context.holder.rpartition('-')[2])
-        drain = gevent.spawn(deployment.hosts[number].proxy.drain)
+        drain = gevent.spawn(deployment.hosts[number].drain)
         context.answers = []
         while not drain.ready() or len(context.answers) < 20:
             item = len(context.answers)
@@ -516,7 +516,7 @@
     def _drain(context: Any, lease_count: int) -> None:
         registry = SessionRegistry(context.clock)
         context.is_complete = registry.drain(
-            DrainSteps.GRACE_S, lambda: lease_count
+            DrainSteps.GRACE_S, lambda: lease_count, lambda: None
         )
 
 
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/direct/drain.py
@@ -0,0 +1,104 @@
+"""Steps of a host's planned stop, decided from time and open work."""
+
+from __future__ import annotations
+
+import enum
+
+BALANCER_DETECTION_S = 2.2
+"""Time until the balancer detects that this host is not ready, in seconds.
+
+The balancer checks once a second and removes a host after two failed checks.
+"""
+
+EXIT_MARGIN_S = 0.7
+"""Part of the grace period reserved for the exit, in seconds."""
+
+QUIET_PERIOD_S = 0.6
+"""Time without open work after which the host stops accepting, in seconds.
+
+Covers the connections that the balancer sent to this host before the balancer
+detected the stop.
+"""
+
+REFUSE_FACTOR = 0.3
+"""Fraction of the grace period, at its end, in which requests are refused.
+
+With a grace period of 6 s, this part is longer than the exit margin plus the
+duration of most statements.
+"""
+
+TRANSACTION_FACTOR = 0.5
+"""Fraction of the grace period in which open transactions may finish."""
+
+
+class DrainStep(enum.Enum):
+    """Next step of a planned stop."""
+
+    CLOSE_IDLE = 'close-idle'
+    """Close the idle sessions, then look again."""
+
+    STOP_ACCEPTING = 'stop-accepting'
+    """Take no new work, then look again at once."""
+
+    INTERRUPT = 'interrupt'
+    """Answer what would outlast the process, then end."""
+
+    END = 'end'
+    """End: nothing is open, and nothing new can arrive."""
+
+
+class DrainPolicy:
+    """Decides the steps of one planned stop.
+
+    The stop ends only after the host has stopped accepting and nothing is open
+    at a later look. Work that arrives between a look and the end of the
+    acceptance is therefore still served.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time from the begin of the stop until the process is killed, in
+        seconds.
+    """
+
+    def __init__(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._quiet_since_s: float | None = None
+        self._is_accepting = True
+
+    @property
+    def detection_s(self) -> float:
+        """Time to wait before sessions are closed, in seconds."""
+        return min(BALANCER_DETECTION_S, self._grace_s / 2)
+
+    def is_refusing(self, elapsed_s: float) -> bool:
+        """Return whether a new request might end too late."""
+        return elapsed_s > (1 - REFUSE_FACTOR) * self._grace_s
+
+    def is_transaction_time_over(self, elapsed_s: float) -> bool:
+        """Return whether idle transactions are to be closed."""
+        return elapsed_s > TRANSACTION_FACTOR * self._grace_s
+
+    def next_step(self, elapsed_s: float, open_count: int) -> DrainStep:
+        """Return the next step.
+
+        Parameters
+        ----------
+        elapsed_s : float
+            Time since the begin of the stop, in seconds.
+        open_count : int
+            Number of connections and leases that are open now.
+        """
+        if elapsed_s > self._grace_s - EXIT_MARGIN_S:
+            return DrainStep.INTERRUPT
+        if open_count:
+            self._quiet_since_s = None
+            return DrainStep.CLOSE_IDLE
+        if not self._is_accepting:
+            return DrainStep.END
+        if self._quiet_since_s is None:
+            self._quiet_since_s = elapsed_s
+        if elapsed_s - self._quiet_since_s <= QUIET_PERIOD_S:
+            return DrainStep.CLOSE_IDLE
+        self._is_accepting = False
+        return DrainStep.STOP_ACCEPTING
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -10,6 +10,7 @@
 import gevent
 
 from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.direct.drain import BALANCER_DETECTION_S
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
@@ -36,7 +37,6 @@
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
-from trefoilpulley_node.direct.session_registry import BALANCER_DETECTION_S
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
 from trefoilpulley_node import events
@@ -47,6 +47,8 @@
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
@@ -144,15 +146,23 @@
         """Log that changed settings take effect at the next start only."""
         events.SETTINGS_KEPT.log(host=self._cfg.host)
 
-    def drain(self) -> None:
-        """Drain the sessions, then stop."""
+    def drain(self, stop_accepting: Callable[[], None]) -> None:
+        """Drain the sessions, then stop.
+
+        Parameters
+        ----------
+        stop_accepting : Callable[[], None]
+            Ends the intake of callers; see `SessionRegistry.drain`.
+        """
         events.HOST_DRAINING.log(
             host=self._cfg.host, sessions=len(self.sessions)
         )
         began_at = self._clock.now()
         leave = gevent.spawn(self._membership.leave)
         self.sessions.drain(
-            self._cfg.grace_s, lambda: self.relay_server.lease_count
+            self._cfg.grace_s,
+            lambda: self.relay_server.lease_count,
+            stop_accepting,
         )
         leave.join(timeout=0)
         events.DRAIN_ENDED.log(
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -7,39 +7,19 @@
 
 import gevent
 
+from trefoilpulley_core.direct.drain import DrainPolicy
+from trefoilpulley_core.direct.drain import DrainStep
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.direct.caller_session import CallerSession
 
-BALANCER_DETECTION_S = 2.2
-"""Time until the balancer detects that this host is not ready, in seconds.
-
-The balancer checks once a second and removes a host after two failed checks.
-"""
-
-EXIT_MARGIN_S = 0.7
-"""Part of the grace period reserved for the exit, in seconds."""
-
 ANSWER_TIME_S = 0.3
 """Time to answer the requests interrupted before the exit, in seconds.
 
-Part of ``EXIT_MARGIN_S``.
-"""
-
-QUIET_PERIOD_S = 0.6
-"""Time without connections after which the drain is complete, in seconds.
-
-Covers the connections that the balancer sent to this host before the balancer
-detected the stop.
-"""
-
-REFUSE_FACTOR = 0.3
-"""Fraction of the grace period, at its end, in which requests are refused.
-
-With a grace period of 6 s, this part is longer than the exit margin plus the
-duration of most statements.
+Part of the exit margin of the drain policy.
 """
 
 POLL_INTERVAL_S = 0.05
@@ -123,7 +103,12 @@
         """Refuse all new requests."""
         self.is_draining = self.is_closing = self.is_refusing = True
 
-    def drain(self, grace_s: float, count_leases: Callable[[], int]) -> bool:
+    def drain(
+        self,
+        grace_s: float,
+        count_leases: Callable[[], int],
+        stop_accepting: Callable[[], None],
+    ) -> bool:
         """Close all sessions without interrupting a request.
 
         Sessions are closed once the balancer should send no new connections:
@@ -138,6 +123,9 @@
             Time until the process is killed, in seconds.
         count_leases : Callable[[], int]
             Returns the number of leases of other hosts.
+        stop_accepting : Callable[[], None]
+            Ends the intake of new work. Every connection and lease that was
+            taken in before is counted when the call returns.
 
         Returns
         -------
@@ -145,24 +133,30 @@
             Whether all sessions were closed in time.
         """
         self.is_draining = True
+        policy = DrainPolicy(grace_s)
         began_at = self._clock.now()
-        gevent.sleep(min(BALANCER_DETECTION_S, grace_s / 2))
+        gevent.sleep(policy.detection_s)
         self.is_closing = True
-        quiet_since = self._clock.now()
         while True:
-            now = self._clock.now()
-            elapsed_s = now - began_at
-            if elapsed_s > grace_s - EXIT_MARGIN_S:
+            elapsed_s = self._clock.now() - began_at
+            if policy.is_refusing(elapsed_s):
+                self.refuse()
+            step = policy.next_step(
+                elapsed_s, self._connections + count_leases()
+            )
+            if step is DrainStep.END:
+                return True
+            if step is DrainStep.INTERRUPT:
+                stop_accepting()
                 self._interrupt_busy()
                 return False
-            if elapsed_s > (1 - REFUSE_FACTOR) * grace_s:
-                self.refuse()
+            if step is DrainStep.STOP_ACCEPTING:
+                stop_accepting()
+                continue
             for session, conn in list(self._sessions.items()):
-                self._close_if_idle(session, conn, elapsed_s > grace_s / 2)
-            if self._connections or count_leases():
-                quiet_since = now
-            elif now - quiet_since > QUIET_PERIOD_S:
-                return True
+                self._close_if_idle(
+                    session, conn, policy.is_transaction_time_over(elapsed_s)
+                )
             gevent.sleep(POLL_INTERVAL_S)
 
     def _interrupt_busy(self) -> None:
