Interrupt only a statement that is still being handled

Cause: the interruption of a request that would outlast the process is delivered by the event loop later. If the handling has ended by then, it hit the sending of the reply, or the next read, and ended the connection without a log line.

Change: the interruption looks again, in the event loop, whether the same greenlet still handles a statement.

Tests: "a reply that is ready when its statement is interrupted is sent" fails on the code before: the greenlet ends with StatementInterrupted in place of its reply.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -34,3 +34,8 @@
     When nothing is open from 2.2 s on and 1 connection is open right after the host has stopped accepting
     Then the host stops accepting before the drain ends
     And the drain does not end while that connection is open
+
+  Scenario: a reply that is ready when its statement is interrupted is sent
+    Given a session of "orders" whose statement ends while it is interrupted
+    When the session handles "READ a" and its reply is sent to a slow caller
+    Then the reply is sent
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -10,15 +10,24 @@
 from behave import when
 import gevent
 from gevent import monkey
+from returns.result import Success
 
+from features.fakes.asking import HANG_TIMEOUT_S
+from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
+from trefoilpulley_core.direct.upstream_session import Reply
 from trefoilpulley_node.direct.session_registry import CallerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from returns.result import Result
+
+    from trefoilpulley_core.failure import Failure
     from trefoilpulley_emulator.deployment import EmulatedHost
+    from trefoilpulley_node.direct.caller_session import CallerSession
+    from trefoilpulley_node.direct.statement_request import StatementRequest
 
 
 GRACE_S = 4.0
@@ -239,3 +248,52 @@
         """Check the steps while a connection is open."""
         expected = [DrainStep.CLOSE_IDLE] * 2
         assert context.open_steps == expected, context.open_steps
+
+
+class _InterruptingRunner:
+    """Runner whose read is interrupted right before it ends."""
+
+    def __init__(self) -> None:
+        self.session: CallerSession | None = None
+
+    def read(self, request: StatementRequest) -> Result[Reply, Failure]:
+        """Interrupt the session and return a reply."""
+        self.session.interrupt()
+        return Success(Reply((b'1',), b'sig'))
+
+
+class InterruptSteps:
+    """Steps for requests that a drain interrupts."""
+
+    @staticmethod
+    @given(
+        'a session of "{database}" whose statement ends while it is '
+        'interrupted'
+    )
+    def open_session(context: Any, database: str) -> None:
+        """Open a session on a host with the interrupting runner."""
+        factory = context.deployment.hosts[0].proxy.factory
+        factory.runner = _InterruptingRunner()
+        context.session = factory.runner.session = factory.open(database)
+
+    @staticmethod
+    @when(
+        'the session handles "{text}" and its reply is sent to a slow caller'
+    )
+    def handle(context: Any, text: str) -> None:
+        """Handle a read; a slow caller makes the sender wait."""
+
+        def serve() -> Reply:
+            reply = context.session.handle(Run('q1', text, False))
+            gevent.sleep(0)
+            return reply
+
+        context.serving = gevent.spawn(serve)
+
+    @staticmethod
+    @then('the reply is sent')
+    def check_reply(context: Any) -> None:
+        """Check that the greenlet has returned the reply."""
+        reply = context.serving.get(timeout=HANG_TIMEOUT_S)
+        assert isinstance(reply, Reply), reply
+        assert reply.signature == b'sig', reply
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -178,7 +178,8 @@
     def interrupt(self) -> None:
         """End the command that is being handled with a failure reply."""
         if self._greenlet is not None:
-            self._greenlet.kill(StatementInterrupted(), block=False)
+            loop = gevent.get_hub().loop
+            loop.run_callback(self._throw_interrupt, self._greenlet)
 
     def on_undelivered(
         self, command: Command, is_draining: bool, error: str
@@ -204,6 +205,15 @@
             self._transaction.roll_back()
             self._transaction = None
 
+    def _throw_interrupt(self, handling: gevent.Greenlet) -> None:
+        """Interrupt the command; runs in the hub.
+
+        A command that has ended in the meantime has its reply, which must
+        still be sent.
+        """
+        if self._greenlet is handling:
+            handling.throw(StatementInterrupted())
+
     def _handle(self, command: Command) -> Reply:
         match command:
             case Run():
