Pass nothing on in the last moments of a planned stop

Cause: the last phase refused requests outside transactions only. A transaction that was between two statements at that look was neither interrupted nor ended.

Change: after its last look the host refuses every request. An open transaction fails; its member rolls it back when the connection ends, and no commit of it is sent, so that the refusal "not run" is true. The drain returns as soon as every connection has ended.

Tests: "a commit that arrives when the grace period is over is rejected" fails on the code before: the commit runs at a member (DONE) while the process is about to exit.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -39,3 +39,10 @@
     Given a session of "orders" whose statement ends while it is interrupted
     When the session handles "READ a" and its reply is sent to a slow caller
     Then the reply is sent
+
+  Scenario: a commit that arrives when the grace period is over is rejected
+    Given a caller of "orders" connected to host 0
+    And the caller has executed "BEGIN" and "WRITE t 1"
+    When host 0 drains its sessions and the caller sends "COMMIT" at the end of the grace period
+    Then the caller gets the answer "BUSY" and then the end of its session
+    And no member has received "COMMIT"
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -33,6 +33,9 @@
 GRACE_S = 4.0
 """Grace period of the drains, in seconds."""
 
+SHORT_GRACE_S = 1.0
+"""Grace period that is over when the balancer has noticed, in seconds."""
+
 DELAYING_CALLBACKS = 100
 """Callbacks of the event loop that run before the end of a wait.
 
@@ -297,3 +300,40 @@
         reply = context.serving.get(timeout=HANG_TIMEOUT_S)
         assert isinstance(reply, Reply), reply
         assert reply.signature == b'sig', reply
+
+
+class TransactionSteps:
+    """Steps for transactions that are open when a host stops."""
+
+    @staticmethod
+    @given('the caller has executed "{one}" and "{other}"')
+    def execute(context: Any, one: str, other: str) -> None:
+        """Execute two statements, which must succeed."""
+        for text in (one, other):
+            answer = context.caller.execute(text)
+            assert answer.code == 'DONE', (text, answer)
+
+    @staticmethod
+    @when(
+        'host {host:d} drains its sessions and the caller sends "{text}" at '
+        'the end of the grace period'
+    )
+    def drain(context: Any, host: int, text: str) -> None:
+        """Send a statement right before the host refuses all requests."""
+        emulated_host = context.deployment.hosts[host]
+
+        def stop_accepting() -> None:
+            emulated_host.stop_accepting()
+            context.caller.send(text)
+
+        emulated_host.proxy.sessions.drain(
+            SHORT_GRACE_S, lambda: 0, stop_accepting
+        )
+
+    @staticmethod
+    @then('no member has received "{text}"')
+    def check_not_received(context: Any, text: str) -> None:
+        """Check the statements that the members have received."""
+        servers = context.deployment.group.servers.values()
+        texts = [t for s in servers for _, t in s.received_requests]
+        assert text not in texts, texts
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -175,6 +175,16 @@
             self._log_served(command, reply, duration_s)
         return reply
 
+    def refuse(self) -> Reply:
+        """Return the reply to a command that a stopping host refuses.
+
+        An open transaction fails; the member rolls it back when the session
+        ends.
+        """
+        if self._transaction is not None:
+            self._transaction.is_failed = True
+        return self._make_failure_reply(Draining('host is stopping'))
+
     def interrupt(self) -> None:
         """End the command that is being handled with a failure reply."""
         if self._greenlet is not None:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -61,7 +61,13 @@
         """Whether each session is closed after its next reply."""
 
         self.is_refusing = False
-        """Whether new requests are refused, since they might end too late."""
+        """Whether new requests are refused, since they might end too late.
+
+        Requests of open transactions are still served.
+        """
+
+        self.is_stopped = False
+        """Whether every request is refused, since the process exits."""
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -148,7 +154,7 @@
                 return True
             if step is DrainStep.INTERRUPT:
                 stop_accepting()
-                self._interrupt_busy()
+                self._answer_rest()
                 return False
             if step is DrainStep.STOP_ACCEPTING:
                 stop_accepting()
@@ -159,12 +165,20 @@
                 )
             gevent.sleep(POLL_INTERVAL_S)
 
-    def _interrupt_busy(self) -> None:
-        """Answer the requests that would outlast the process."""
-        for session in tuple(self._sessions):
+    def _answer_rest(self) -> None:
+        """Answer the requests that would outlast the process, then wait.
+
+        Whatever is read from now on is refused and not passed on.
+        """
+        self.refuse()
+        self.is_stopped = True
+        for session, conn in tuple(self._sessions.items()):
             if session.is_busy:
                 session.interrupt()
-        gevent.sleep(ANSWER_TIME_S)
+            conn.stop_receiving()
+        deadline = self._clock.now() + ANSWER_TIME_S
+        while self._connections and self._clock.now() < deadline:
+            gevent.sleep(POLL_INTERVAL_S)
 
     def _close_if_idle(
         self,
