Let a stopping holder take no request of another host

Cause: the drain looked whether leases were open and ended, while the relay still opened leases; at the end of the grace period a lease that waited for a connection could still get one.

Change: the intake of a stopping host ends for other hosts as well as for callers. A new lease is refused as not sent, so that the next holder is asked; a lease that waits for a connection sends nothing.

Tests: "a relayed read that arrives while its holder exits is not sent" and "a relayed read that waits while its holder exits is not sent" fail without the refusal (the read was relayed).

--- a/features/proxy_relay.feature
+++ b/features/proxy_relay.feature
@@ -51,6 +51,17 @@
     When a relayed read is served after the end of its lease
     Then the member was sent no relayed request
 
+  Scenario: a relayed read that arrives while its holder exits is not sent
+    Given a holder with a free connection
+    When the holder takes no new work and another host relays a read
+    Then the member was sent no relayed request
+
+  Scenario: a relayed read that waits while its holder exits is not sent
+    Given a holder without a free connection
+    When another host relays a read and the holder takes no new work
+    And a connection is released
+    Then the member was sent no relayed request
+
   Scenario: the transaction of a host that is lost is rolled back
     Given a holder with a free connection
     When another host opens a transaction and then loses its connection to the holder
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -369,6 +369,29 @@
         context.relay_server.on_end(EndLease(1), RelayServerSteps.PEER)
         context.relayed = relayed
 
+    @staticmethod
+    @when('another host relays a read and the holder takes no new work')
+    def relay_and_stop(context: Any) -> None:
+        """Relay a read and stop while no connection is free."""
+        relayed = gevent.spawn(
+            context.relay_server.on_calls,
+            _relayed_read(),
+            RelayServerSteps.PEER,
+        )
+        wait_until(lambda: context.pool.waiting == 1)
+        context.relay_server.refuse()
+        context.relayed = relayed
+
+    @staticmethod
+    @when('the holder takes no new work and another host relays a read')
+    def stop_and_relay(context: Any) -> None:
+        """Relay a read to a holder that stops; it must be refused."""
+        context.relay_server.refuse()
+        answer = context.relay_server.on_calls(
+            _relayed_read(), RelayServerSteps.PEER
+        )
+        assert isinstance(answer, RelayRefused), answer
+
     @staticmethod
     @when('a connection is released')
     def release(context: Any) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -157,12 +157,17 @@
         events.HOST_DRAINING.log(
             host=self._cfg.host, sessions=len(self.sessions)
         )
+
+        def stop_intake() -> None:
+            self.relay_server.refuse()
+            stop_accepting()
+
         began_at = self._clock.now()
         leave = gevent.spawn(self._membership.leave)
         self.sessions.drain(
             self._cfg.grace_s,
             lambda: self.relay_server.lease_count,
-            stop_accepting,
+            stop_intake,
         )
         leave.join(timeout=0)
         events.DRAIN_ENDED.log(
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -100,12 +100,24 @@
         self._clock = clock
         self._leases: dict[tuple[int, int], _Lease] = {}
         self._ended_leases: dict[tuple[int, int], float] = {}
+        self._is_refusing = False
 
     @property
     def lease_count(self) -> int:
         """Number of active requests and open transactions of other hosts."""
         return len(self._leases)
 
+    def refuse(self) -> None:
+        """Open no further lease, so that the host can stop.
+
+        Requests that wait for a connection are refused; the requests of other
+        leases are served.
+        """
+        self._is_refusing = True
+        for lease in self._leases.values():
+            if lease.conn is None:
+                lease.is_abandoned = True
+
     def on_calls(
         self, message: RelayedCalls, peer: PeerIdentity
     ) -> RelayedReplies | RelayRefused | PooledFailure:
@@ -120,6 +132,8 @@
         if lease is None:
             if message.is_pinned:
                 return make_failure_reply(TransactionLost('lease has ended'))
+            if self._is_refusing:
+                return _make_refusal(NoUpstream('host is stopping'))
             refusal = self._open_lease(key, message, deadline)
             if refusal is not None:
                 return refusal
