Serve the first request of a session that opens during a drain

Cause: while a host closes its sessions the balancer may have no other host. The host greets the new session, finds it idle within 50 ms, and closes it before its first request has arrived.

Change: a session is expected to send its first command within 0.5 s and is not idle until then.

Tests: "a session that has just been opened is not closed as idle" fails on the code before: the connection ends without an answer. 9 scenarios of planned_stop pass.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -6,9 +6,17 @@
 
   Scenario: a request that arrives while its idle session is closed is answered
     Given a caller of "orders" that sends "READ a" when its session was found idle
+    And the caller has executed "WRITE a 1" and "READ a"
     When host 0 closes its idle sessions
     Then the caller gets the answer "DONE" and then the end of its session
 
+  Scenario: a session that has just been opened is not closed as idle
+    Given a caller of "orders" connected to host 0
+    And host 0 is closing its sessions
+    When host 0 closes its idle sessions
+    And the caller sends "WRITE p 1" and "READ p" and "READ q" in one write
+    Then the caller gets the answers "", "1" and "-"
+
   Scenario: requests sent together before a planned stop are all answered
     Given a caller of "orders" connected to host 0
     And host 0 is closing its sessions
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from features.fakes.asking import HANG_TIMEOUT_S
+from features.fakes.asking import POLL_INTERVAL_S
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
@@ -106,8 +107,9 @@
     @staticmethod
     @when('host {host:d} closes its idle sessions')
     def close_idle(context: Any, host: int) -> None:
-        """Close the idle sessions once."""
+        """Close the idle sessions once and let them end."""
         context.deployment.hosts[host].proxy.sessions.close_idle()
+        gevent.sleep(POLL_INTERVAL_S)
 
     @staticmethod
     @given('host {host:d} is closing its sessions')
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -53,6 +53,9 @@
 SERVED_REQUESTS_PER_EVENT = 200
 """Served requests of a session for each one that is logged."""
 
+FIRST_COMMAND_TIMEOUT_S = 0.5
+"""Time in which a new session is expected to send a command, in seconds."""
+
 MAX_SESSION_VALUES = 256
 """Maximum number of values and prepared statements of one session."""
 
@@ -132,6 +135,8 @@
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
         self._greenlet: gevent.Greenlet | None = None
+        self._opened_at = factory.clock.now()
+        self._has_handled = False
         self.is_busy = False
         """Whether a command is being handled."""
 
@@ -140,6 +145,14 @@
         """Whether a transaction is open or failed."""
         return self._transaction is not None
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the first command is still expected."""
+        if self._has_handled:
+            return False
+        age_s = self._factory.clock.now() - self._opened_at
+        return age_s < FIRST_COMMAND_TIMEOUT_S
+
     @property
     def transaction_state(self) -> TransactionState:
         """Transaction state that is reported to the caller."""
@@ -156,7 +169,7 @@
 
     def handle(self, command: Command) -> Reply:
         """Handle one command and return its reply."""
-        self.is_busy = True
+        self.is_busy = self._has_handled = True
         began_at = self._factory.clock.now()
         self._greenlet = gevent.getcurrent()
         try:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -186,7 +186,7 @@
         conn: CallerConnection,
         is_transaction_time_over: bool,
     ) -> None:
-        if session.is_busy or conn.has_input():
+        if session.is_busy or session.is_starting or conn.has_input():
             return
         if session.has_transaction and not is_transaction_time_over:
             return
