Keep an answer that arrives together with the end of the connection

Seen: a server that answers a request and then closes gracefully, as a host does at the end of a planned stop, left its client with "peer-unreachable", unknown, although the answer had arrived. An entry host then looked up the outcome of a write that had been answered, or refused the caller.

Cause: the answer and the close frame are read in one piece. The channel sets the answer on the waiter and goes on to the close frame before the waiting greenlet runs; `close` then set "connection was lost" on the same waiter. An `AsyncResult` keeps the value set last.

Change: `close` fails only the waiters that have no reply.

Test: the server closes right after its answer, in one turn of the event loop, so that the client reads both at once.

--- a/features/channel.feature
+++ b/features/channel.feature
@@ -37,6 +37,11 @@
     When one request is sent over the channel
     Then the request on the channel fails as "peer-unreachable", unknown
 
+  Scenario: an answer that arrived together with the end of the connection was lost
+    Given a channel to a server that answers and then closes
+    When one request is sent over the channel
+    Then the request on the channel has the identifier "1" in its answer
+
   Scenario: a request before the greeting is refused
     Given a channel to an entry host before the greeting
     When one request is sent over the channel
--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -74,11 +74,21 @@
         return Answer()
 
 
+class LastAnswerHandler(EchoHandler):
+    """Handler that closes the connection right after its answer."""
+
+    def on_request(self, channel: Channel, message: Any) -> Any:
+        """Answer before the other greenlet closes the connection."""
+        gevent.spawn(channel.close_gracefully)
+        return super().on_request(channel, message)
+
+
 HANDLERS = {
     'answers the later request first': ReversingHandler,
     'answers at once': EchoHandler,
     'sends answers over the size limit': LargeAnswerHandler,
     'closes on each request': ClosingHandler,
+    'answers and then closes': LastAnswerHandler,
 }
 
 
@@ -184,6 +194,14 @@
         assert failure.code == code, failure
         assert str(failure.run_state) == state
 
+    @staticmethod
+    @then(
+        'the request on the channel has the identifier "{name}" in its answer'
+    )
+    def check_answer(context: Any, name: str) -> None:
+        """Compare the identifier in the answer."""
+        assert context.reply.unwrap().rows == ((name,),)
+
     @staticmethod
     @then('the channel is still open')
     def check_open(context: Any) -> None:
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -185,7 +185,9 @@
             pass
         failed = Failed(PeerUnreachable('connection was lost'))
         for waiter in list(self._waiters.values()):
-            waiter.set(failed)
+            # A reply may have arrived just before the end.
+            if not waiter.ready():
+                waiter.set(failed)
         if self._handler:
             self._handler.on_close(self)
 
