Answer callers whose requests outlast a channel

Seen: when `drain_s` was over, requests in progress were cut; their callers saw the connection end without an answer or a refusal.

Cause: nothing replied to requests whose handlers had not returned when the channel closed.

Change: `Channel.close_gracefully` asks the handler for the reply to each request that outlasts the wait (`on_cut`) and sends it before the close frame; the reply of the handler that still runs is dropped. The entry role decides by the message alone: "outcome-unknown" for statements, commits and look-ups, which a caller may look up elsewhere; "transaction-lost", not run, for what belongs to a transaction that ends with the connection; "draining", not run, for the rest. Poolers stay as they were: a host whose pooler ends looks the outcome up.

Test: the server closes without waiting while a request of each kind is in progress.

--- a/features/channel_close.feature
+++ b/features/channel_close.feature
@@ -25,6 +25,20 @@
     And another request arrives at the closing channel
     Then the late request is refused without being handled
 
+  Scenario Outline: a request that outlasted the close had no answer
+    Given a channel to a server that holds its answers
+    When the server closes the channel without waiting for a "<request>"
+    Then the request in progress is refused as "<code>", <state>
+
+    Examples:
+      | request                    | code             | state   |
+      | statement                  | outcome-unknown  | unknown |
+      | statement in a transaction | transaction-lost | not-run |
+      | begin                      | draining         | not-run |
+      | commit                     | outcome-unknown  | unknown |
+      | rollback                   | transaction-lost | not-run |
+      | look-up                    | outcome-unknown  | unknown |
+
   Scenario: work that arrived at a closing pooler had an unknown outcome
     When work arrives at a pooler whose channel is closing
     Then the pooler refuses the work as "no-upstream", for another attempt
--- a/features/steps/channel_close_steps.py
+++ b/features/steps/channel_close_steps.py
@@ -12,7 +12,11 @@
 from gevent.event import Event
 
 from trefoilpulley_core.caller import Answer
+from trefoilpulley_core.caller import Begin
+from trefoilpulley_core.caller import Commit
 from trefoilpulley_core.caller import Execute
+from trefoilpulley_core.caller import LookUp
+from trefoilpulley_core.caller import Rollback
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.peer import GetDigest
@@ -31,6 +35,18 @@
 """Sequence number of the malformed request."""
 
 
+REQUESTS = {
+    'statement': Execute('r', 'lookup', 'ledger/0', 'select 1'),
+    'statement in a transaction': Execute(
+        'r', 'lookup', 'ledger/0', 'select 1', transaction='e1'
+    ),
+    'begin': Begin('lookup', 'ledger/0'),
+    'commit': Commit('e1', 'r'),
+    'rollback': Rollback('e1'),
+    'look-up': LookUp('r', 'lookup', 'ledger/0'),
+}
+
+
 class HoldingServer(CallerServer):
     """Entry role that holds its answers until the test releases them."""
 
@@ -47,10 +63,10 @@
 
     def on_request(self, channel: Channel, message: Any) -> Any:
         """Answer after the release."""
-        self.handled.append(message.request_id)
+        self.handled.append(getattr(message, 'request_id', ''))
         self.is_read.set()
         self.released.wait()
-        return Answer(rows=((message.request_id,),))
+        return Answer(rows=((self.handled[-1],),))
 
     def on_late(self, channel: Channel, message: Any) -> Any:
         """Refuse the request as an entry host does."""
@@ -85,9 +101,16 @@
     @when('the server closes the channel while a request is in progress')
     def close_in_progress(context: Any) -> None:
         """Begin to close after the request was read."""
-        context.call = _send(context, 'first')
+        context.call = _send(context, _make_request('first'))
         _begin_close(context)
 
+    @staticmethod
+    @when('the server closes the channel without waiting for a "{kind}"')
+    def close_without_waiting(context: Any, kind: str) -> None:
+        """Close after the request was read."""
+        context.call = _send(context, REQUESTS[kind])
+        _wait_for_channel(context).close_gracefully()
+
     @staticmethod
     @when(
         'the server closes the channel while the refusal of a malformed '
@@ -116,7 +139,7 @@
     @when('another request arrives at the closing channel')
     def send_late(context: Any) -> None:
         """Send a request, then release everything that is held."""
-        context.late_call = _send(context, 'late')
+        context.late_call = _send(context, _make_request('late'))
         if 'served' in context:
             context.served._send_lock.release()
         context.handler.released.set()
@@ -128,6 +151,13 @@
         context.handler.released.set()
         assert context.call.get().unwrap().rows == (('first',),)
 
+    @staticmethod
+    @then('the request in progress is refused as "{code}", {state}')
+    def check_cut(context: Any, code: str, state: str) -> None:
+        """Compare the refusal."""
+        refusal = context.call.get().unwrap()
+        assert (refusal.code, refusal.run_state) == (code, state), refusal
+
     @staticmethod
     @then('the malformed request is refused')
     def check_malformed(context: Any) -> None:
@@ -158,9 +188,12 @@
         assert context.reply.code == code
 
 
-def _send(context: Any, request_id: str) -> gevent.Greenlet:
+def _make_request(request_id: str) -> Execute:
+    return Execute(request_id, 'lookup', 'ledger/0', 'select 1')
+
+
+def _send(context: Any, message: Any) -> gevent.Greenlet:
     context.handler.is_read.clear()
-    message = Execute(request_id, 'lookup', 'ledger/0', 'select 1')
     call = gevent.spawn(context.channel.call, message)
     # A request over a closed connection is never read.
     gevent.wait([context.handler.is_read, call], LONG_TIMEOUT_S, count=1)
--- a/packages/node/src/trefoilpulley_node/entry/caller_server.py
+++ b/packages/node/src/trefoilpulley_node/entry/caller_server.py
@@ -17,6 +17,7 @@
 from trefoilpulley_core.failure import NotAuthenticated
 from trefoilpulley_core.failure import NotRun
 from trefoilpulley_core.failure import OutcomeUnknown
+from trefoilpulley_core.failure import TransactionLost
 from trefoilpulley_core.token import SessionToken
 from trefoilpulley_node import events
 from trefoilpulley_node.pipeline.request import PipelineRequest
@@ -138,6 +139,14 @@
         """Refuse a request, so that the caller turns to another host."""
         return make_refusal(Draining('connection is closing'))
 
+    def on_cut(self, channel: Channel, message: Any) -> Any:
+        """Refuse a request that outlasts the process.
+
+        The request may have been sent to a member, unless it belongs to a
+        transaction that ends with the connection.
+        """
+        return make_refusal(_cut_failure(message))
+
     def on_close(self, channel: Channel) -> None:
         """Roll back the open transactions of the caller."""
         if channel.context is not None:
@@ -281,6 +290,18 @@
         return self._components.answers.make(result.unwrap())
 
 
+def _cut_failure(message: Any) -> Failure:
+    if isinstance(message, messages.Rollback) or (
+        isinstance(message, messages.Execute) and message.transaction
+    ):
+        return TransactionLost('connection is closing')
+    if isinstance(
+        message, messages.Execute | messages.Commit | messages.LookUp
+    ):
+        return OutcomeUnknown('host stopped before the request had ended')
+    return Draining('connection is closing')
+
+
 def make_refusal(failure: Failure) -> messages.Refusal:
     """Return the refusal message for a failure."""
     return messages.Refusal(
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -67,6 +67,14 @@
         """
         return None
 
+    def on_cut(self, channel: Channel, message: Any) -> Any:
+        """Return the reply to a request that outlasts its channel.
+
+        The reply of the running handler is dropped. Without a reply the
+        request stays unanswered.
+        """
+        return None
+
     def on_notice(self, channel: Channel, message: Any) -> None:
         """Handle a one-way message, which gets no reply."""
 
@@ -222,12 +230,14 @@
         ----------
         timeout_s : float
             Longest wait for the requests that are being handled, in seconds.
+            The handler replies to the others with `on_cut`.
         """
         if not self.is_open or self._is_closing:
             return
         self._is_closing = True
         with gevent.Timeout(timeout_s + CLOSE_TIMEOUT_S, False):
             self._wait_for_requests(timeout_s)
+            self._cut_requests()
             self._send_close_frame()
         self.close()
 
@@ -238,6 +248,13 @@
             while self.is_open and self._requests:
                 self._wait_for_request_end()
 
+    def _cut_requests(self) -> None:
+        for req in list(self._requests):
+            reply = self._handler.on_cut(self, req.message)
+            if reply is not None:
+                self._requests.discard(req)
+                self._spawn_reply(req.sequence, reply)
+
     def _send_close_frame(self) -> None:
         try:
             while self.is_open and self._protocol.state is State.OPEN:
@@ -345,6 +362,8 @@
     def _serve_request(self, req: _Request) -> None:
         try:
             reply = self._handler.on_request(self, req.message)
+            if req not in self._requests:
+                return
             self._requests.discard(req)
             self._replies_in_transit += 1
             self._send_reply(req.sequence, reply)
