Close all channels of a stopped listener at the same time

Seen: after `Listener.stop`, a connection whose handshake was not complete became a channel that read and passed on requests until the process ended; their callers got no answer. While `stop` closed one channel, the others went on taking requests.

Cause: gevent's server keeps the greenlets of accepted connections when it stops, and `channels` holds only those with a complete handshake. `stop` closed the channels one after the other.

Change: a connection that completes its handshake after the stop is closed before anything is read from it, which its client knows as not run. All channels refuse new requests from the same moment and close side by side, also those to other hosts, so that a slow one delays none. `stop` takes the wait for requests in progress.

Ruled out: connections that the kernel has accepted and the process has not. A client sends nothing but the handshake before its answer, so that no request is lost with them (read in `dial` and in the client's transport, not tested).

Test: two scenarios in channel_close.feature.

--- a/features/channel_close.feature
+++ b/features/channel_close.feature
@@ -39,6 +39,17 @@
       | rollback                   | transaction-lost | not-run |
       | look-up                    | outcome-unknown  | unknown |
 
+  Scenario: a connection took requests while another one was closing
+    Given a channel to a server that holds its answers
+    And another channel to the same server
+    When the server stops while a request is in progress on each channel
+    Then a late request on each channel is refused without being handled
+
+  Scenario: a connection that completed its handshake after the stop was served
+    Given a server that is accepting a connection
+    When the server stops before the connection sends a request
+    Then the server handles no request of the connection
+
   Scenario: work that arrived at a closing pooler had an unknown outcome
     When work arrives at a pooler whose channel is closing
     Then the pooler refuses the work as "no-upstream", for another attempt
--- a/features/steps/channel_close_steps.py
+++ b/features/steps/channel_close_steps.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import AsyncResult
 from gevent.event import Event
+from returns.result import Success
 
 from trefoilpulley_core.caller import Answer
 from trefoilpulley_core.caller import Begin
@@ -79,6 +80,30 @@
         return super().on_malformed(channel, failure)
 
 
+class PausingListener(Listener):
+    """Listener that pauses before the handshake of a connection.
+
+    Parameters
+    ----------
+    handler : HoldingServer
+        Handles the requests of all channels.
+    """
+
+    def __init__(self, handler: HoldingServer) -> None:
+        super().__init__(Endpoint('127.0.0.1', 0), CALLER_CODEC, handler)
+        self.accepted = Event()
+        """Whether a connection was accepted."""
+
+        self.resumed = Event()
+        """Whether the handshake may go on."""
+
+    def admit(self) -> bool:
+        """Wait before the handshake."""
+        self.accepted.set()
+        self.resumed.wait()
+        return True
+
+
 class ChannelCloseSteps:
     """Steps that close the server side of a channel in use."""
 
@@ -92,10 +117,68 @@
         )
         context.listener.start()
         context.cleanups.append(context.listener.stop)
-        context.channel = dial(
-            Endpoint('127.0.0.1', context.listener.port), CALLER_CODEC
-        ).unwrap()
-        context.cleanups.append(context.channel.close)
+        context.channel = _dial(context)
+
+    @staticmethod
+    @given('another channel to the same server')
+    def open_other_channel(context: Any) -> None:
+        """Connect once more."""
+        context.other_channel = _dial(context)
+
+    @staticmethod
+    @given('a server that is accepting a connection')
+    def accept(context: Any) -> None:
+        """Connect to a listener that pauses before the handshake."""
+        context.handler = HoldingServer()
+        context.handler.released.set()
+        context.listener = PausingListener(context.handler)
+        context.listener.start()
+        context.cleanups.append(context.listener.stop)
+        endpoint = Endpoint('127.0.0.1', context.listener.port)
+        context.dialled = gevent.spawn(
+            dial, endpoint, CALLER_CODEC, timeout_s=LONG_TIMEOUT_S
+        )
+        assert context.listener.accepted.wait(LONG_TIMEOUT_S)
+
+    @staticmethod
+    @when('the server stops while a request is in progress on each channel')
+    def stop_in_progress(context: Any) -> None:
+        """Begin to stop after both requests were read."""
+        for channel in (context.channel, context.other_channel):
+            _send(context, _make_request('first'), channel)
+        gevent.spawn(context.listener.stop, LONG_TIMEOUT_S)
+        gevent.sleep(0)
+        gevent.sleep(0)
+
+    @staticmethod
+    @when('the server stops before the connection sends a request')
+    def stop_before_request(context: Any) -> None:
+        """Stop, then let the handshake and one request go on."""
+        context.listener.stop()
+        context.listener.resumed.set()
+        dialled = context.dialled.get()
+        if isinstance(dialled, Success):
+            context.cleanups.append(dialled.unwrap().close)
+            dialled.unwrap().call(_make_request('late'))
+
+    @staticmethod
+    @then('the server handles no request of the connection')
+    def check_unhandled(context: Any) -> None:
+        """Check that no request was handled."""
+        assert not context.handler.handled
+
+    @staticmethod
+    @then('a late request on each channel is refused without being handled')
+    def check_refusals(context: Any) -> None:
+        """Send a request on each channel and release the answers."""
+        calls = [
+            _send(context, _make_request('late'), channel)
+            for channel in (context.channel, context.other_channel)
+        ]
+        context.handler.released.set()
+        codes = [getattr(c.get().unwrap(), 'code', '') for c in calls]
+        assert codes == ['draining', 'draining'], codes
+        assert context.handler.handled == ['first', 'first']
 
     @staticmethod
     @when('the server closes the channel while a request is in progress')
@@ -192,9 +275,18 @@
     return Execute(request_id, 'lookup', 'ledger/0', 'select 1')
 
 
-def _send(context: Any, message: Any) -> gevent.Greenlet:
+def _dial(context: Any) -> Channel:
+    endpoint = Endpoint('127.0.0.1', context.listener.port)
+    channel = dial(endpoint, CALLER_CODEC).unwrap()
+    context.cleanups.append(channel.close)
+    return channel
+
+
+def _send(
+    context: Any, message: Any, channel: Channel | None = None
+) -> gevent.Greenlet:
     context.handler.is_read.clear()
-    call = gevent.spawn(context.channel.call, message)
+    call = gevent.spawn((channel or context.channel).call, message)
     # A request over a closed connection is never read.
     gevent.wait([context.handler.is_read, call], LONG_TIMEOUT_S, count=1)
     return call
--- a/packages/node/src/trefoilpulley_node/peers.py
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -20,6 +20,7 @@
 from trefoilpulley_core.peer import PooledFailure
 from trefoilpulley_node.coordination.deployment_view import PoolerCaller
 from trefoilpulley_node.peer_server import PeerIdentity
+from trefoilpulley_wire.channel import close_channels
 from trefoilpulley_wire.dial import dial
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
@@ -173,8 +174,7 @@
 
     def close(self) -> None:
         """Close every channel gracefully."""
-        for channel in list(self._channels.values()):
-            channel.close_gracefully()
+        close_channels(self._channels.values(), 0.0)
 
     def forget(self, host: str) -> None:
         """Close and remove the channel to a host."""
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -24,6 +24,8 @@
 from trefoilpulley_core.failure import ResultTooLarge
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from websockets.frames import Frame as WebSocketFrame
     from websockets.protocol import Protocol
 
@@ -385,3 +387,18 @@
         finally:
             self._replies_in_transit -= 1
             self._request_ended.set()
+
+
+def close_channels(channels: Iterable[Channel], timeout_s: float) -> None:
+    """Close channels gracefully, all at the same time.
+
+    Parameters
+    ----------
+    channels : Iterable[Channel]
+        Channels to close.
+    timeout_s : float
+        Longest wait for the requests that are being handled, in seconds.
+    """
+    gevent.joinall(
+        [gevent.spawn(c.close_gracefully, timeout_s) for c in channels]
+    )
--- a/packages/wire/src/trefoilpulley_wire/listener.py
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -12,6 +12,7 @@
 from websockets.server import ServerProtocol
 
 from trefoilpulley_wire.channel import Channel
+from trefoilpulley_wire.channel import close_channels
 from trefoilpulley_wire.channel import MAX_RECEIVED_BYTES
 from trefoilpulley_wire.channel import RECEIVE_BUFFER_BYTES
 
@@ -58,6 +59,7 @@
             self._accept,
             backlog=_ACCEPT_BACKLOG,
         )
+        self._is_stopped = False
         self.channels: set[Channel] = set()
         """Open channels."""
 
@@ -74,11 +76,24 @@
         """Stop accepting new connections; open channels are kept."""
         self._server.close()
 
-    def stop(self) -> None:
-        """Stop listening and close all channels gracefully."""
+    @property
+    def active_request_count(self) -> int:
+        """Number of requests that were read and not answered."""
+        return sum(c.active_request_count for c in self.channels)
+
+    def stop(self, timeout_s: float = 0.0) -> None:
+        """Stop listening and close all channels gracefully.
+
+        Connections whose handshake is not complete are closed, too.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for the requests that are being handled, in seconds.
+        """
+        self._is_stopped = True
         self._server.stop(timeout=0)
-        for channel in list(self.channels):
-            channel.close_gracefully()
+        close_channels(self.channels, timeout_s)
 
     def admit(self) -> bool:
         """Return whether to accept a new connection, before its handshake.
@@ -100,7 +115,7 @@
                 is_handshake_done = self._perform_handshake(sock, protocol)
         except OSError:
             is_handshake_done = False
-        if not is_handshake_done:
+        if not is_handshake_done or self._is_stopped:
             sock.close()
             return
         channel = Channel(sock, protocol, self._codec, self._handler)
