Drain a pooled host by the requests that its channels have read

Seen: in a planned stop of a host in the pooled mode, commits and rollbacks in progress were cut before `drain_s` was over, as was work of other hosts that had arrived and had no slot yet. Other hosts' work that arrived while the services stopped was still handled, and its answer lost.

Cause: `Node._has_work` counted admitted requests, open transactions and slots in use. A commit isn't admitted, and its transaction is no longer open when the commit is sent; work of other hosts counts only once it has a slot. `stop` closed the channels to callers, then all services, and the listener for other hosts only after them.

Change: the host waits until the channels of both listeners have answered every request that they have read. It stops both listeners, in this order, before any service, with a short wait for requests that arrived since the last look; the channels refuse what arrives later and answer what remains.

Tests: pooled_stop.feature, a node with real listeners whose roles hold their replies.

--- a/packages/node/src/trefoilpulley_node/node.py
+++ b/packages/node/src/trefoilpulley_node/node.py
@@ -27,6 +27,10 @@
 """Wait until all peers know that this host leaves, in seconds."""
 
 
+LAST_ANSWERS_TIMEOUT_S = 0.5
+"""Wait for requests in progress when the process stops, in seconds."""
+
+
 class Node:
     """Process of an entry host.
 
@@ -43,7 +47,7 @@
     peer_listener : Listener
         Accepts the connections of other hosts.
     admit : AdmissionFilter
-        Counts the running requests.
+        Refuses new requests while the host drains.
     pooler : Pooler
         Pooler role.
     peers : Peers
@@ -96,18 +100,23 @@
         self.stop()
 
     def stop(self) -> None:
-        """Stop all components without waiting for running work."""
-        self._caller_listener.stop()
+        """Stop all components.
+
+        Requests that do not end at once are refused. Both listeners stop
+        before the components that handle their requests.
+        """
+        self._caller_listener.stop(LAST_ANSWERS_TIMEOUT_S)
+        self._peer_listener.stop(LAST_ANSWERS_TIMEOUT_S)
         for service in reversed(self._services):
             service.stop()
-        self._peer_listener.stop()
         self._pooler.stop()
         self._peers.close()
         events.HOST_STOPPED.log(host=self._cfg.host)
 
     def _has_work(self) -> bool:
         return bool(
-            self._admit.running
+            self._caller_listener.active_request_count
+            or self._peer_listener.active_request_count
             or len(self._transactions)
             or len(self._pooler.transactions)
             or any(m.pool.slots_in_use for m in self._pooler.members.values())
