Write the last batch of log lines before the process exits

Seen: with a slow reader of the log, the last lines before the exit were missing, and the last line written could be cut off.

Cause: `LogSink.stop` waited while lines were queued. The writer takes a whole batch, up to 32 KiB, out of the queue before it writes, so that `stop` returned while the last batch waited for the pipe.

Change: `stop` waits for the bytes that were accepted and not written.

Ruled out: the pooled mode's log. `trefoilpulleyd` writes each line to the file or to stderr with a flush before the event's `log` returns (read in eliot's `FileDestination`, not tested), so that nothing waits at its exit.

Test: a sink that stops while 33 lines have filled the pipe. It failed on the code before in 3 of 3 runs (bytes left when `stop` had returned) and passes in 3 of 3 runs now. With 40 lines, whose third batch stays queued, it passed on the code before, too.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -41,6 +41,12 @@
     When the pipe is read and a line is logged
     Then the log states how many lines were dropped
 
+  Scenario: the last lines were lost when the reader of the log was slow
+    Given a log sink on a pipe that is not read
+    When 33 lines of one event and 1 line of another are logged
+    And the log sink stops while the pipe is full
+    Then the log ends with the last line
+
   Scenario: the page of metrics lists exactly the metrics of the proxy
     When the page of metrics is compared with the proxy's metrics
     Then both list the same metrics
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -24,6 +24,12 @@
 from trefoilpulley_node.log_sink import LogSink
 from trefoilpulley_node.log_sink import MAX_QUEUED_BYTES
 
+LONG_TIMEOUT_S = 30.0
+"""Limit of a wait that ends on an event, in seconds."""
+
+SHORT_WAIT_S = 0.05
+"""Time in which a sink that does not wait has stopped, in seconds."""
+
 METRICS_PAGE = Path('docs/METRICS.md')
 
 
@@ -129,6 +135,26 @@
         assert found == context.sink.dropped['flood'], found
         assert text.rstrip().endswith('{"event": "after"}'), text[-80:]
 
+    @staticmethod
+    @when('the log sink stops while the pipe is full')
+    def stop_while_full(context: Any) -> None:
+        """Stop the sink, and read the pipe only after that has begun."""
+        os.set_blocking(context.reader, False)
+        context.read = b''
+        stopping = gevent.spawn(context.sink.stop, LONG_TIMEOUT_S)
+        stopping.join(SHORT_WAIT_S)
+        while not stopping.ready():
+            LogSinkSteps._read_all(context)
+        context.bytes_lost = context.sink.queued_bytes
+
+    @staticmethod
+    @then('the log ends with the last line')
+    def check_last_line(context: Any) -> None:
+        """Check that the sink waited for its last line."""
+        assert not context.bytes_lost, context.bytes_lost
+        text = context.read.decode()
+        assert text.endswith('{"event": "rare"}\n'), text[-80:]
+
     @staticmethod
     def _read_all(context: Any) -> None:
         while True:
--- a/packages/node/src/trefoilpulley_node/log_sink.py
+++ b/packages/node/src/trefoilpulley_node/log_sink.py
@@ -75,11 +75,14 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self, timeout_s: float) -> None:
-        """Write the queued lines, for a limited time."""
+        """Write all lines that were accepted, for a limited time."""
         with gevent.Timeout(timeout_s, False):
-            while self._queue and self._greenlet and not self._greenlet.dead:
+            while self._queued_bytes and self._is_writing():
                 gevent.sleep(0.01)
 
+    def _is_writing(self) -> bool:
+        return self._greenlet is not None and not self._greenlet.dead
+
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Accept or drop one message of `eliot`."""
         event = str(message.get('event', message.get('message_type', '')))
