Complete the closing handshake before a channel's socket closes

Seen: an answer that had been sent before the close did not arrive whole at a client that takes its data slowly, when another request of the same connection was in transit.

Cause: `close_gracefully` closed the socket right after the close frame.

Change: the channel goes on reading after its close frame until the peer's close frame or the end of the connection arrives, within the time of the closing handshake. Requests that arrive after the close frame are not handled.

Test: the server sends an answer of 300 kB and closes while the client has paused and a request is unread.

--- a/features/channel_close.feature
+++ b/features/channel_close.feature
@@ -50,6 +50,11 @@
     When the server stops before the connection sends a request
     Then the server handles no request of the connection
 
+  Scenario: a close with an unread request discarded an answer that was sent
+    Given a channel to a server that holds its answers
+    When the server answers and closes while a request is unread
+    Then the client receives the complete answer
+
   Scenario: work that arrived at a closing pooler had an unknown outcome
     When work arrives at a pooler whose channel is closing
     Then the pooler refuses the work as "no-upstream", for another attempt
--- a/features/steps/channel_close_steps.py
+++ b/features/steps/channel_close_steps.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import AsyncResult
 from gevent.event import Event
+from gevent import socket
 from returns.result import Success
 
 from trefoilpulley_core.caller import Answer
@@ -32,6 +33,9 @@
 LONG_TIMEOUT_S = 30.0
 """Limit of a wait that ends on an event, in seconds."""
 
+SHORT_WAIT_S = 0.05
+"""Time in which a server that waits for nothing has closed, in seconds."""
+
 RAW_SEQUENCE = 999
 """Sequence number of the malformed request."""
 
@@ -48,6 +52,10 @@
 }
 
 
+LARGE_ANSWER_BYTES = 300_000
+"""Size of an answer that the receiver's buffer can't hold."""
+
+
 class HoldingServer(CallerServer):
     """Entry role that holds its answers until the test releases them."""
 
@@ -256,6 +264,32 @@
         assert (refusal.code, refusal.run_state) == ('draining', 'not-run')
         assert 'late' not in context.handler.handled
 
+    @staticmethod
+    @when('the server answers and closes while a request is unread')
+    def close_with_unread(context: Any) -> None:
+        """Close while the client takes the answer slowly."""
+        served = _wait_for_channel(context)
+        served._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LARGE_ANSWER_BYTES
+        )
+        channel = context.channel
+        context.reply = channel._waiters[RAW_SEQUENCE] = AsyncResult()
+        served._send(
+            -RAW_SEQUENCE, Answer(rows=(('x' * LARGE_ANSWER_BYTES,),))
+        )
+        channel._send(1, _make_request('late'))
+        with channel._send_lock:  # pauses the client after its first read
+            closing = gevent.spawn(served.close_gracefully, LONG_TIMEOUT_S)
+            # A server that does not wait for the client has closed by then.
+            closing.join(SHORT_WAIT_S)
+
+    @staticmethod
+    @then('the client receives the complete answer')
+    def check_large_answer(context: Any) -> None:
+        """Check that the answer arrived."""
+        reply = context.reply.get(timeout=LONG_TIMEOUT_S)
+        assert isinstance(reply, Success), reply
+
     @staticmethod
     @when('work arrives at a pooler whose channel is closing')
     def send_late_work(context: Any) -> None:
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -45,7 +45,7 @@
 """
 
 CLOSE_TIMEOUT_S = 0.5
-"""Longest wait to send the last replies and the close frame, in seconds."""
+"""Longest wait for the last replies and the closing handshake, in seconds."""
 
 
 class Handler(abc.ABC):
@@ -126,7 +126,7 @@
         self._fragments: list[bytes] = []
         self._requests: set[_Request] = set()
         self._replies_in_transit = 0
-        self._request_ended = Event()
+        self._changed = Event()
         self._is_closing = False
         self.is_open = True
         """Whether the connection is open, so that requests can be sent."""
@@ -209,7 +209,7 @@
         if not self.is_open:
             return
         self.is_open = False
-        self._request_ended.set()
+        self._changed.set()
         try:
             self._sock.close()
         except OSError:
@@ -226,7 +226,7 @@
         """Answer the requests that were read, then close the connection.
 
         Requests that arrive meanwhile are refused. The last message is a
-        WebSocket close frame.
+        WebSocket close frame, which the peer is given time to confirm.
 
         Parameters
         ----------
@@ -241,6 +241,9 @@
             self._wait_for_requests(timeout_s)
             self._cut_requests()
             self._send_close_frame()
+            # Closing a socket with unread data discards what was sent.
+            while self.is_open:
+                self._wait_for_change()
         self.close()
 
     def _wait_for_requests(self, timeout_s: float) -> None:
@@ -248,7 +251,7 @@
             return
         with gevent.Timeout(timeout_s, False):
             while self.is_open and self._requests:
-                self._wait_for_request_end()
+                self._wait_for_change()
 
     def _cut_requests(self) -> None:
         for req in list(self._requests):
@@ -261,7 +264,7 @@
         try:
             while self.is_open and self._protocol.state is State.OPEN:
                 while self.is_open and self._replies_in_transit:
-                    self._wait_for_request_end()
+                    self._wait_for_change()
                 with self._send_lock:
                     # A reply may have begun to wait for the lock as well.
                     if not self._replies_in_transit:
@@ -270,9 +273,9 @@
         except OSError:
             pass
 
-    def _wait_for_request_end(self) -> None:
-        self._request_ended.clear()
-        self._request_ended.wait()
+    def _wait_for_change(self) -> None:
+        self._changed.clear()
+        self._changed.wait()
 
     def _send(self, sequence: int, message: Any) -> None:
         data = self._codec.encode(sequence, message)
@@ -293,7 +296,9 @@
             self._on_websocket_frame(event)
         with self._send_lock:
             self._flush()
-        if self._protocol.state is not State.OPEN:
+        if self._protocol.state is State.OPEN:
+            return
+        if not self._is_closing or self._protocol.close_rcvd is not None:
             self.close()
 
     def _on_websocket_frame(self, frame: WebSocketFrame) -> None:
@@ -373,7 +378,7 @@
             self.close()
         finally:
             self._requests.discard(req)
-            self._request_ended.set()
+            self._changed.set()
 
     def _spawn_reply(self, sequence: int, reply: Any) -> None:
         self._replies_in_transit += 1
@@ -386,7 +391,7 @@
             self.close()
         finally:
             self._replies_in_transit -= 1
-            self._request_ended.set()
+            self._changed.set()
 
 
 def close_channels(channels: Iterable[Channel], timeout_s: float) -> None:
