End requests that wait for a member when a pooled host stops

Seen: a request that had found no member when the drain time was over was answered "outcome-unknown" at the end of the planned stop, although nothing of it had been sent. Its caller then looked up an outcome that can't exist.

Cause: the entry role answers requests that outlast the process by their message alone, and the delivery goes on looking for a member until the deadline of the class.

Change: when the host stops, a request without a usable member and the look-up of an outcome end at once, as they do at a host whose zone is cut off. Where nothing was sent the caller gets "no-upstream", not run. What a member may have received stays "outcome-unknown".

Test: a statement waits in the real delivery filter, with a router that finds no member, when the drain time ends. That the composition passes this condition was read, not tested.

--- a/features/pooled_stop.feature
+++ b/features/pooled_stop.feature
@@ -21,3 +21,8 @@
     Given a host in the pooled mode
     When the drain time of the host ends while a caller's "commit" is in progress
     Then the caller's request is refused as "outcome-unknown" and the host stops
+
+  Scenario: a request without a member had an unknown outcome after a planned stop
+    Given a host in the pooled mode
+    When the drain time of the host ends while a statement waits for a member
+    Then the caller's request is refused as "no-upstream" and the host stops
--- a/features/steps/pooled_stop_steps.py
+++ b/features/steps/pooled_stop_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
@@ -11,17 +12,26 @@
 from behave import when
 import gevent
 from gevent.event import Event
+from returns.result import Failure as Failed
 from returns.result import Success
 
 from trefoilpulley_core.caller import Answer
 from trefoilpulley_core.caller import Commit
+from trefoilpulley_core.caller import Execute
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.declarations import WorkKind
+from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.peer import Digests
 from trefoilpulley_core.peer import GetDigest
+from trefoilpulley_core.retry_budget import RetryBudget
+from trefoilpulley_node.clock import MonotonicClock
 from trefoilpulley_node.entry.caller_server import CallerServer
+from trefoilpulley_node.entry.caller_server import make_refusal
 from trefoilpulley_node import node
 from trefoilpulley_node.node import Node
 from trefoilpulley_node.peer_server import PeerServer
+from trefoilpulley_node.pipeline.deliver import DeliveryFilter
+from trefoilpulley_node.pipeline.request import PipelineRequest
 from trefoilpulley_node.service import Service
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.channel import Channel
@@ -72,6 +82,49 @@
         return Answer()
 
 
+class WaitingEntry(CallerServer):
+    """Entry role whose requests find no member.
+
+    Parameters
+    ----------
+    held : HeldReplies
+        Records the requests.
+    admit : Any
+        States whether the host is stopping.
+    """
+
+    def __init__(self, held: HeldReplies, admit: Any) -> None:
+        super().__init__(None)
+        self._held = held
+        self._clock = MonotonicClock()
+        self._deliver = DeliveryFilter(
+            SimpleNamespace(choose=lambda *args: Failed(NoUpstream())),
+            None,
+            None,
+            SimpleNamespace(
+                wait_for_primary_change=lambda db, wait_s: gevent.sleep(wait_s)
+            ),
+            RetryBudget(),
+            lambda: admit.is_stopping,
+            self._clock,
+        )
+
+    def on_request(self, channel: Channel, message: Any) -> Any:
+        """Deliver a write of a class with a late deadline."""
+        self._held.is_read.set()
+        now = self._clock.now()
+        req = PipelineRequest('north', message, now)
+        delivered = self._deliver.apply(
+            replace(
+                req,
+                work_class=SimpleNamespace(work=WorkKind.WRITE),
+                database='ledger/0',
+                deadline=now + 2 * LONG_TIMEOUT_S,
+            )
+        )
+        return make_refusal(delivered.failure())
+
+
 class HoldingPooler(PeerServer):
     """Pooler role whose replies wait.
 
@@ -126,6 +179,7 @@
             endpoint, PEER_CODEC, HoldingPooler(context.held)
         )
         context.service = ScriptedService()
+        context.admit = SimpleNamespace(is_draining=False, is_stopping=False)
         context.settings = SimpleNamespace(
             host='host-1', zone='a', drain_s=LONG_TIMEOUT_S
         )
@@ -159,6 +213,24 @@
         context.call = _send(context, context.caller, Commit('e1', 'r'))
         context.drain = gevent.spawn(context.node.drain)
 
+    @staticmethod
+    @when(
+        'the drain time of the host ends while a statement waits for a member'
+    )
+    def end_drain_without_member(context: Any) -> None:
+        """Drain for a moment only, and wait for the last answers."""
+        patched = mock.patch.object(
+            node, 'LAST_ANSWERS_TIMEOUT_S', LONG_TIMEOUT_S
+        )
+        patched.start()
+        context.cleanups.append(patched.stop)
+        context.settings.drain_s = node.DRAIN_POLL_INTERVAL_S
+        context.entry._handler = WaitingEntry(context.held, context.admit)
+        caller = _dial(context, context.entry, CALLER_CODEC)
+        message = Execute('r', 'filing', 'ledger/0', 'insert')
+        context.call = _send(context, caller, message)
+        context.drain = gevent.spawn(context.node.drain)
+
     @staticmethod
     @when('the host is drained and a peer sends work while the services stop')
     def send_at_stop(context: Any) -> None:
@@ -207,7 +279,7 @@
         SimpleNamespace(leave=lambda: None),
         context.entry,
         context.pooler,
-        SimpleNamespace(is_draining=False),
+        context.admit,
         SimpleNamespace(transactions=(), members={}, stop=lambda: None),
         SimpleNamespace(close=lambda: None),
         (),
--- a/packages/node/src/trefoilpulley_node/composition.py
+++ b/packages/node/src/trefoilpulley_node/composition.py
@@ -217,7 +217,7 @@
             self._router,
             self._executor,
             self._views,
-            self._directory.is_cut_off,
+            self._is_giving_up,
             self._clock,
         )
 
@@ -265,7 +265,7 @@
             self._outcome_resolver,
             self._views,
             RetryBudget(),
-            self._directory.is_cut_off,
+            self._is_giving_up,
             self._clock,
         )
         return Pipeline((deliver,))
@@ -302,6 +302,9 @@
             make_peer_server_context(self._cfg.tls),
         )
 
+    def _is_giving_up(self) -> bool:
+        return self._admit.is_stopping or self._directory.is_cut_off()
+
     def _get_declarations(self) -> Declarations:
         return self._documents.configuration.declarations
 
--- a/packages/node/src/trefoilpulley_node/node.py
+++ b/packages/node/src/trefoilpulley_node/node.py
@@ -105,6 +105,7 @@
         Requests that do not end at once are refused. Both listeners stop
         before the components that handle their requests.
         """
+        self._admit.is_stopping = True
         self._caller_listener.stop(LAST_ANSWERS_TIMEOUT_S)
         self._peer_listener.stop(LAST_ANSWERS_TIMEOUT_S)
         for service in reversed(self._services):
--- a/packages/node/src/trefoilpulley_node/pipeline/admit.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/admit.py
@@ -42,6 +42,9 @@
         self.is_draining = False
         """Whether the host is draining and refuses new requests."""
 
+        self.is_stopping = False
+        """Whether the drain is over, so that no request may wait longer."""
+
     @property
     def running(self) -> int:
         """Number of admitted requests that have not finished."""
--- a/packages/node/src/trefoilpulley_node/pipeline/deliver.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/deliver.py
@@ -69,10 +69,10 @@
         Reports changes of primary.
     retries : RetryBudget
         Limits the attempts after the first.
-    is_cut_off : Callable[[], bool]
-        Returns whether this host's zone is cut off from all other zones.
-        If so, a request without a usable member is refused at once, so
-        that the caller turns to another host.
+    is_giving_up : Callable[[], bool]
+        Returns whether this host's zone is cut off from all other zones,
+        or the host is stopping. If so, a request without a usable member is
+        refused at once, so that the caller turns to another host.
     clock : Clock
         Monotonic time.
     """
@@ -84,7 +84,7 @@
         outcome_resolver: OutcomeResolver,
         views: DatabaseViews,
         retries: RetryBudget,
-        is_cut_off: Callable[[], bool],
+        is_giving_up: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._router = router
@@ -92,7 +92,7 @@
         self._outcome_resolver = outcome_resolver
         self._views = views
         self._retries = retries
-        self._is_cut_off = is_cut_off
+        self._is_giving_up = is_giving_up
         self._clock = clock
 
     def apply(self, req: PipelineRequest) -> Result[PipelineRequest, Failure]:
@@ -117,7 +117,7 @@
         while self._clock.now() < req.deadline:
             route = self._router.choose(req, excluded)
             if not isinstance(route, Success):
-                if self._is_cut_off():
+                if self._is_giving_up():
                     break
                 excluded = frozenset()
                 self._wait(req)
@@ -135,7 +135,7 @@
                 is_uncertain = True
             elif not isinstance(failure, _RETRYABLE_FAILURES):
                 break
-            if route.unwrap().is_primary and self._is_cut_off():
+            if route.unwrap().is_primary and self._is_giving_up():
                 break
             excluded = self._updated_exclusions(req, excluded, route.unwrap())
         return self._finish_failed(req, failure, is_uncertain)
--- a/packages/node/src/trefoilpulley_node/pipeline/outcome_resolver.py
+++ b/packages/node/src/trefoilpulley_node/pipeline/outcome_resolver.py
@@ -43,10 +43,10 @@
         Sends the look-ups to the primary.
     views : DatabaseViews
         Reports changes of primary.
-    is_cut_off : Callable[[], bool]
-        Returns whether this host's zone is cut off from all other zones.
-        If so, the look-up ends early, because the caller can look up the
-        outcome sooner through a host of another zone.
+    is_giving_up : Callable[[], bool]
+        Returns whether this host's zone is cut off from all other zones,
+        or the host is stopping. If so, the look-up ends early, because the
+        caller can look up the outcome sooner through another host.
     clock : Clock
         Monotonic time.
     """
@@ -56,13 +56,13 @@
         router: Router,
         executor: Executor,
         views: DatabaseViews,
-        is_cut_off: Callable[[], bool],
+        is_giving_up: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._router = router
         self._executor = executor
         self._views = views
-        self._is_cut_off = is_cut_off
+        self._is_giving_up = is_giving_up
         self._clock = clock
 
     def resolve_outcome(
@@ -93,7 +93,7 @@
                 return Failed(_as_not_run(refusal))
             if isinstance(failure, RequestIdReused):
                 return result
-            if self._is_cut_off():
+            if self._is_giving_up():
                 break
             self._views.wait_for_primary_change(
                 req.database, LOOKUP_RETRY_INTERVAL_S
