Answer other hosts before a stopped host exits

Cause: a lease ends before its reply is sent, and a host that had stopped went on to read requests of other hosts until the process was gone.

Change: the stop closes the listener for other hosts first: requests that were read are answered, later ones are refused as not run, then the channels close (Listener.stop, from the pooled mode's part).

Tests: "no request of another host is taken after the planned stop" fails on the code before (the connection is accepted).

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -54,3 +54,8 @@
     When host 0 drains its sessions and the caller sends "COMMIT" at the end of the grace period
     Then the caller gets the answer "BUSY" and then the end of its session
     And no member has received "COMMIT"
+
+  Scenario: no request of another host is taken after the planned stop
+    Given a caller of "orders" connected to host 0
+    When host 0 stops as planned
+    Then another host can't connect to host 0
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -339,3 +341,23 @@
         servers = context.deployment.group.servers.values()
         texts = [t for s in servers for _, t in s.received_requests]
         assert text not in texts, texts
+
+
+class PeerSteps:
+    """Steps for other hosts that use a stopping host."""
+
+    @staticmethod
+    @when('host {host:d} stops as planned')
+    def stop(context: Any, host: int) -> None:
+        """Drain the host to its end."""
+        context.deployment.hosts[host].drain()
+
+    @staticmethod
+    @then("another host can't connect to host {host:d}")
+    def check_refused(context: Any, host: int) -> None:
+        """Connect to the address for other hosts, which must fail."""
+        endpoint = context.deployment.hosts[host].peer_endpoint
+        sock = socket.socket()
+        context.cleanups.append(sock.close)
+        error = sock.connect_ex((endpoint.address, endpoint.port))
+        assert error == errno.ECONNREFUSED, error
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -61,6 +61,9 @@
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.member_access import MemberAccess
 
+PEER_ANSWERS_TIMEOUT_S = 0.1
+"""Wait for the requests of other hosts in progress at a stop, in seconds."""
+
 MAINTENANCE_INTERVAL_S = 0.25
 """Time between two maintenance runs, in seconds."""
 
@@ -180,7 +183,8 @@
         self.stop()
 
     def stop(self) -> None:
-        """Stop every component."""
+        """Stop every component; answers to other hosts are sent first."""
+        self._peer_listener.stop(PEER_ANSWERS_TIMEOUT_S)
         self._registration.stop()
         for watch in self._watches:
             watch.stop()
