Close only sessions that have paused while a host drains

Cause: from 2.2 s after the SIGTERM on, each session was closed right after its next reply. A caller that sends one request after the other has sent the next one before it sees the close.

Change: a session is closed when no command has come for 0.1 s after its last reply. Only from 0.6 of the grace period on it is closed after any reply, and when requests are refused the host stops accepting at once and ends as soon as nothing is open, so that it serves again sooner.

Tests: "a session whose caller sends one request after the other is not closed as idle" and "a host that refuses requests accepts no further connection" fail on the code before.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -7,7 +7,8 @@
   Scenario: a request that arrives while its idle session is closed is answered
     Given a caller of "orders" that sends "READ a" when its session was found idle
     And the caller has executed "WRITE a 1" and "READ a"
-    When host 0 closes its idle sessions
+    When the sessions of host 0 have been idle for some time
+    And host 0 closes its idle sessions
     Then the caller gets the answer "DONE" and then the end of its session
 
   Scenario: a session that has just been opened is not closed as idle
@@ -17,6 +18,15 @@
     And the caller sends "WRITE p 1" and "READ p" and "READ q" in one write
     Then the caller gets the answers "", "1" and "-"
 
+  Scenario: a session whose caller sends one request after the other is not closed as idle
+    Given a caller of "orders" connected to host 0
+    And the caller has executed "WRITE a 1" and "READ a"
+    When host 0 closes its idle sessions
+    And the caller executes "READ a"
+    And the sessions of host 0 have been idle for some time
+    And host 0 closes its idle sessions
+    Then the caller's session has ended
+
   Scenario: requests sent together before a planned stop are all answered
     Given a caller of "orders" connected to host 0
     And host 0 is closing its sessions
@@ -37,6 +47,10 @@
     When host 0 drains its sessions without callers
     Then no connection to host 0 is possible
 
+  Scenario: a host that refuses requests accepts no further connection
+    Given a drain with a grace period of 6 s that looks every 0.05 s
+    Then the host stops accepting at 4.22 s while 3 connections are open
+
   Scenario: a drain ends only at a look after the host has stopped accepting
     Given a drain with a grace period of 6 s that looks every 0.05 s
     When nothing is open from 2.2 s on and 1 connection is open right after the host has stopped accepting
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -16,6 +16,7 @@
 
 from features.fakes.asking import HANG_TIMEOUT_S
 from features.fakes.asking import POLL_INTERVAL_S
+from features.fakes.asking import wait_until
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
@@ -110,15 +111,29 @@
     @when('host {host:d} closes its idle sessions')
     def close_idle(context: Any, host: int) -> None:
         """Close the idle sessions once and let them end."""
-        context.deployment.hosts[host].proxy.sessions.close_idle()
+        registry = context.deployment.hosts[host].proxy.sessions
+        registry.close_idle()
         gevent.sleep(POLL_INTERVAL_S)
 
+    @staticmethod
+    @when('the sessions of host {host:d} have been idle for some time')
+    def wait_idle(context: Any, host: int) -> None:
+        """Wait until no further command is expected soon."""
+        registry = context.deployment.hosts[host].proxy.sessions
+        wait_until(lambda: not registry.in_use_count)
+
     @staticmethod
     @given('host {host:d} is closing its sessions')
     def begin_closing(context: Any, host: int) -> None:
         """Let the host close each session after its next answers."""
         context.deployment.hosts[host].proxy.sessions.is_closing = True
 
+    @staticmethod
+    @then("the caller's session has ended")
+    def check_ended(context: Any) -> None:
+        """Check that the host has closed the connection."""
+        assert context.caller.read_answer().code == ''
+
     @staticmethod
     @then(
         'the caller gets the answer "{code}" and then the end of its session'
@@ -242,6 +257,24 @@
             elapsed_s + 2 * context.interval_s, 0
         )
 
+    @staticmethod
+    @then(
+        'the host stops accepting at {at_s:g} s while {count:d} connections '
+        'are open'
+    )
+    def check_refusing(context: Any, at_s: float, count: int) -> None:
+        """Compare the steps before, at and after a time."""
+        before_s, after_s = at_s - context.interval_s, at_s + 0.1
+        steps = [
+            context.policy.next_step(s, count)
+            for s in (before_s, at_s, after_s)
+        ]
+        assert steps == [
+            DrainStep.CLOSE_IDLE,
+            DrainStep.STOP_ACCEPTING,
+            DrainStep.CLOSE_IDLE,
+        ], steps
+
     @staticmethod
     @then('the host stops accepting before the drain ends')
     def check_order(context: Any) -> None:
--- a/packages/core/src/trefoilpulley_core/direct/drain.py
+++ b/packages/core/src/trefoilpulley_core/direct/drain.py
@@ -27,6 +27,13 @@
 duration of most statements.
 """
 
+SERVE_FACTOR = 0.6
+"""Fraction of the grace period in which sessions in use are served.
+
+A session that is closed right after a reply may lose the next request, which
+its caller sends before it sees the close.
+"""
+
 TRANSACTION_FACTOR = 0.5
 """Fraction of the grace period in which open transactions may finish."""
 
@@ -75,6 +82,10 @@
         """Return whether a new request might end too late."""
         return elapsed_s > (1 - REFUSE_FACTOR) * self._grace_s
 
+    def is_closing(self, elapsed_s: float) -> bool:
+        """Return whether a session is closed after its next reply."""
+        return elapsed_s > SERVE_FACTOR * self._grace_s
+
     def is_transaction_time_over(self, elapsed_s: float) -> bool:
         """Return whether idle transactions are to be closed."""
         return elapsed_s > TRANSACTION_FACTOR * self._grace_s
@@ -91,6 +102,10 @@
         """
         if elapsed_s > self._grace_s - EXIT_MARGIN_S:
             return DrainStep.INTERRUPT
+        if self._is_accepting and self.is_refusing(elapsed_s):
+            # The sooner the process is restarted, the sooner it serves again.
+            self._is_accepting = False
+            return DrainStep.STOP_ACCEPTING
         if open_count:
             self._quiet_since_s = None
             return DrainStep.CLOSE_IDLE
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -56,6 +56,12 @@
 FIRST_COMMAND_TIMEOUT_S = 0.5
 """Time in which a new session is expected to send a command, in seconds."""
 
+NEXT_COMMAND_TIMEOUT_S = 0.1
+"""Time after a reply in which a caller may send its next command, in seconds.
+
+Callers that send commands one after the other send the next one at once.
+"""
+
 MAX_SESSION_VALUES = 256
 """Maximum number of values and prepared statements of one session."""
 
@@ -135,7 +141,7 @@
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
         self._greenlet: gevent.Greenlet | None = None
-        self._opened_at = factory.clock.now()
+        self._idle_since = factory.clock.now()
         self._has_handled = False
         self.is_busy = False
         """Whether a command is being handled."""
@@ -146,12 +152,14 @@
         return self._transaction is not None
 
     @property
-    def is_starting(self) -> bool:
-        """Whether the first command is still expected."""
+    def is_in_use(self) -> bool:
+        """Whether a command is being handled or another one may follow."""
+        if self.is_busy:
+            return True
+        timeout_s = FIRST_COMMAND_TIMEOUT_S
         if self._has_handled:
-            return False
-        age_s = self._factory.clock.now() - self._opened_at
-        return age_s < FIRST_COMMAND_TIMEOUT_S
+            timeout_s = NEXT_COMMAND_TIMEOUT_S
+        return self._factory.clock.now() - self._idle_since < timeout_s
 
     @property
     def transaction_state(self) -> TransactionState:
@@ -179,7 +187,8 @@
         finally:
             self._greenlet = None
             self.is_busy = False
-        duration_s = self._factory.clock.now() - began_at
+        self._idle_since = self._factory.clock.now()
+        duration_s = self._idle_since - began_at
         if isinstance(command, Run | Commit):
             self._count(reply, duration_s)
         if reply.failure is not None:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -77,6 +77,11 @@
         """Number of sessions whose request is being handled."""
         return sum(1 for s in self._sessions if s.is_busy)
 
+    @property
+    def in_use_count(self) -> int:
+        """Number of sessions that are busy or expect a request soon."""
+        return sum(1 for s in self._sessions if s.is_in_use)
+
     @property
     def connection_count(self) -> int:
         """Number of open connections, with or without a session."""
@@ -142,9 +147,10 @@
         policy = DrainPolicy(grace_s)
         began_at = self._clock.now()
         gevent.sleep(policy.detection_s)
-        self.is_closing = True
         while True:
             elapsed_s = self._clock.now() - began_at
+            if policy.is_closing(elapsed_s):
+                self.is_closing = True
             if policy.is_refusing(elapsed_s):
                 self.refuse()
             step = policy.next_step(
@@ -186,7 +192,7 @@
         conn: CallerConnection,
         is_transaction_time_over: bool,
     ) -> None:
-        if session.is_busy or session.is_starting or conn.has_input():
+        if session.is_in_use or conn.has_input():
             return
         if session.has_transaction and not is_transaction_time_over:
             return
