Report a request that crosses the close frame as not run

Seen: in one trial with real processes, 24 raw connections went on sending to a host in its planned stop, in spite of its refusals. 19 of them had neither an answer nor a refusal for a request, which crossed the close frame as far as can be read from the code.

Cause: after its close frame a WebSocket peer can't reply any more, so that requests which cross it can't be refused. The client counted them as unknown, although the host hadn't handled them.

Change: the close frame of a channel that has answered every request it has read says so in its reason. The client's transport takes such an end of the connection as "draining", not run, and goes on at another host at once. A channel on which a handler ended without a reply, or whose handler leaves requests unanswered, sends no such reason, and the outcome stays unknown. The connections between hosts don't use the reason; they look the outcome up.

Tests: the client's transport sends after the close frame was sent.

--- a/features/channel_close.feature
+++ b/features/channel_close.feature
@@ -55,6 +55,16 @@
     When the server answers and closes while a request is unread
     Then the client receives the complete answer
 
+  Scenario: a caller's request that crossed the close frame had an unknown outcome
+    Given a channel to a server that holds its answers
+    When a caller sends a request after the server's close frame
+    Then the caller's request fails as "draining", not-run
+
+  Scenario: a caller's request was taken for not run after its handler had crashed
+    Given a channel to a server that holds its answers
+    When a caller sends a request whose handler crashes before the close
+    Then the caller's request fails as "peer-unreachable", unknown
+
   Scenario: work that arrived at a closing pooler had an unknown outcome
     When work arrives at a pooler whose channel is closing
     Then the pooler refuses the work as "no-upstream", for another attempt
--- a/features/steps/channel_close_steps.py
+++ b/features/steps/channel_close_steps.py
@@ -13,6 +13,8 @@
 from gevent import socket
 from returns.result import Success
 
+from trefoilpulley_client.transport import Transport
+from trefoilpulley_client.websocket_transport import WebSocketDialer
 from trefoilpulley_core.caller import Answer
 from trefoilpulley_core.caller import Begin
 from trefoilpulley_core.caller import Commit
@@ -70,10 +72,15 @@
         self.released = Event()
         """Whether the answers are released."""
 
+        self.is_crashing = False
+        """Whether the handler ends without a reply."""
+
     def on_request(self, channel: Channel, message: Any) -> Any:
         """Answer after the release."""
         self.handled.append(getattr(message, 'request_id', ''))
         self.is_read.set()
+        if self.is_crashing:
+            raise gevent.GreenletExit()
         self.released.wait()
         return Answer(rows=((self.handled[-1],),))
 
@@ -290,6 +297,35 @@
         reply = context.reply.get(timeout=LONG_TIMEOUT_S)
         assert isinstance(reply, Success), reply
 
+    @staticmethod
+    @when("a caller sends a request after the server's close frame")
+    def send_across_close(context: Any) -> None:
+        """Send with the client's transport while the close is in transit."""
+        transport, served = _connect_caller(context)
+        gevent.spawn(served.close_gracefully, LONG_TIMEOUT_S)
+        gevent.sleep(0)
+        message = _make_request('late')
+        context.result = transport.call(message, LONG_TIMEOUT_S)
+
+    @staticmethod
+    @when('a caller sends a request whose handler crashes before the close')
+    def send_to_crash(context: Any) -> None:
+        """Close once the handler has ended without a reply."""
+        transport, served = _connect_caller(context)
+        context.handler.is_crashing = True
+        message = _make_request('first')
+        call = gevent.spawn(transport.call, message, LONG_TIMEOUT_S)
+        assert context.handler.is_read.wait(LONG_TIMEOUT_S)
+        served.close_gracefully(LONG_TIMEOUT_S)
+        context.result = call.get()
+
+    @staticmethod
+    @then('the caller\'s request fails as "{code}", {state}')
+    def check_failure(context: Any, code: str, state: str) -> None:
+        """Compare the failure that the client's transport returns."""
+        failure = context.result.failure()
+        assert (failure.code, failure.run_state) == (code, state), failure
+
     @staticmethod
     @when('work arrives at a pooler whose channel is closing')
     def send_late_work(context: Any) -> None:
@@ -305,6 +341,16 @@
         assert context.reply.code == code
 
 
+def _connect_caller(context: Any) -> tuple[Transport, Channel]:
+    known = {_wait_for_channel(context)}
+    endpoint = Endpoint('127.0.0.1', context.listener.port)
+    transport = WebSocketDialer().dial(endpoint, LONG_TIMEOUT_S).unwrap()
+    context.cleanups.append(transport.close)
+    while context.listener.channels <= known:
+        gevent.sleep(0)
+    return transport, (context.listener.channels - known).pop()
+
+
 def _make_request(request_id: str) -> Execute:
     return Execute(request_id, 'lookup', 'ledger/0', 'select 1')
 
--- a/packages/client/src/trefoilpulley_client/websocket_transport.py
+++ b/packages/client/src/trefoilpulley_client/websocket_transport.py
@@ -8,15 +8,18 @@
 from returns.result import Failure as Failed
 from returns.result import Result
 from returns.result import Success
+from websockets.exceptions import ConnectionClosed
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect as connect_websocket
 
 from trefoilpulley_client.endpoints import format_endpoint
 from trefoilpulley_client.transport import Dialer
 from trefoilpulley_client.transport import Transport
+from trefoilpulley_core.failure import Draining
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
+from trefoilpulley_wire.codec import ALL_ANSWERED
 
 if TYPE_CHECKING:
     import ssl
@@ -84,6 +87,8 @@
         try:
             self._conn.send(CALLER_CODEC.encode(self._last_sequence, message))
             data = self._conn.recv(timeout=timeout_s, decode=False)
+        except ConnectionClosed as exc:
+            return self._fail(_closed_failure(exc))
         except (OSError, WebSocketException) as exc:
             return self._fail(PeerUnreachable(type(exc).__name__))
         return self._decode_answer(data)
@@ -106,3 +111,9 @@
     def _fail(self, failure: Failure) -> Result[Any, Failure]:
         self.close()
         return Failed(failure)
+
+
+def _closed_failure(exc: ConnectionClosed) -> Failure:
+    if exc.rcvd is not None and exc.rcvd.reason == ALL_ANSWERED:
+        return Draining('host closed the connection before the request')
+    return PeerUnreachable(type(exc).__name__)
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -22,6 +22,7 @@
 from trefoilpulley_core.failure import MessageTooLarge
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.failure import ResultTooLarge
+from trefoilpulley_wire.codec import ALL_ANSWERED
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -128,6 +129,7 @@
         self._replies_in_transit = 0
         self._changed = Event()
         self._is_closing = False
+        self._has_lost_reply = False
         self.is_open = True
         """Whether the connection is open, so that requests can be sent."""
 
@@ -268,11 +270,15 @@
                 with self._send_lock:
                     # A reply may have begun to wait for the lock as well.
                     if not self._replies_in_transit:
-                        self._protocol.send_close(1001)
+                        self._protocol.send_close(1001, self._close_reason())
                         self._flush()
         except OSError:
             pass
 
+    def _close_reason(self) -> str:
+        is_complete = not self._requests and not self._has_lost_reply
+        return ALL_ANSWERED if is_complete else ''
+
     def _wait_for_change(self) -> None:
         self._changed.clear()
         self._changed.wait()
@@ -367,16 +373,20 @@
             self._spawn_reply(sequence, reply)
 
     def _serve_request(self, req: _Request) -> None:
+        has_reply = False
         try:
             reply = self._handler.on_request(self, req.message)
-            if req not in self._requests:
+            has_reply = req not in self._requests
+            if has_reply:
                 return
             self._requests.discard(req)
             self._replies_in_transit += 1
             self._send_reply(req.sequence, reply)
+            has_reply = True
         except OSError:
             self.close()
         finally:
+            self._has_lost_reply |= not has_reply
             self._requests.discard(req)
             self._changed.set()
 
--- a/packages/wire/src/trefoilpulley_wire/codec.py
+++ b/packages/wire/src/trefoilpulley_wire/codec.py
@@ -32,6 +32,9 @@
 FRAME_PREFIX_BYTES = 64
 """Length of a frame prefix that always contains sequence number and tag."""
 
+ALL_ANSWERED = 'all requests that were read are answered'
+"""Reason in a close frame; a request without a reply has not run."""
+
 
 @dataclass(frozen=True, slots=True)
 class Frame:
