Log when the platform's service comes back from an older copy

Nothing in the logs told that the service had lost writes: its return looked like the end of any outage. The client reads the era in every answer and logs event 1410 with both eras and revisions when the era rises; the gauge service_era holds the newest one. No decision uses the era yet.

--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -16,3 +16,10 @@
     Then a watch from the lost revision is refused
     When the service has grown past the lost revision
     Then a watch from the lost revision reports later keys
+
+  Scenario: the return from an older copy is logged with both revisions
+    Given an emulated service
+    And a host's client of the service
+    When a key is written and a lease is granted
+    And the client reads the service before and after its return from a copy
+    Then the client has logged era 2 with the lost revision and the new one
--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -7,10 +7,14 @@
 from behave import given
 from behave import then
 from behave import when
+import eliot
 
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_emulator.kv_server import KvServer
+from trefoilpulley_node.direct.direct_metrics import DirectMetrics
+from trefoilpulley_node import events
 from trefoilpulley_platform.json_client import JsonClient
+from trefoilpulley_platform.kv_store import KvStore
 
 
 class EmulatedServiceSteps:
@@ -24,8 +28,7 @@
         context.store.start()
         context.cleanups.append(context.store.stop)
         context.store.put('servers/first', {})
-        address, _, port = context.store.address.partition(':')
-        context.client = JsonClient(Endpoint(address, int(port)))
+        context.client = JsonClient(_endpoint(context))
 
     @staticmethod
     @when('a key is written and a lease is granted')
@@ -85,3 +88,46 @@
         written = call('POST', '/v1/kv-txn', body).unwrap()
         lease = call('POST', '/v1/kv-lease', {'ttl_ms': 10_000}).unwrap()
         return written.body['revision'], lease.body['lease']
+
+
+class EraSteps:
+    """Steps on the client that follows the eras of the service."""
+
+    @staticmethod
+    @given("a host's client of the service")
+    def make_client(context: Any) -> None:
+        """Create the client and collect what it logs."""
+        context.kv = KvStore(_endpoint(context), DirectMetrics())
+        context.logged = []
+        eliot.add_destinations(context.logged.append)
+        context.cleanups.append(
+            lambda: eliot.remove_destination(context.logged.append)
+        )
+
+    @staticmethod
+    @when(
+        'the client reads the service before and after its return from a copy'
+    )
+    def read_twice(context: Any) -> None:
+        """Read each of the two states of the service."""
+        context.lost = context.kv.get_prefix('').unwrap().revision
+        context.store.restore(context.copy)
+        context.found = context.kv.get_prefix('').unwrap().revision
+
+    @staticmethod
+    @then(
+        'the client has logged era {era:d} with the lost revision and the new '
+        'one'
+    )
+    def check_logged(context: Any, era: int) -> None:
+        """Check the event that tells of the return."""
+        name = events.PLATFORM_RESTORED.name
+        (event,) = [m for m in context.logged if m.get('event') == name]
+        assert event['era'] == era == context.kv.era, event
+        assert event['last_revision'] == context.lost, event
+        assert event['revision'] == context.found < context.lost, event
+
+
+def _endpoint(context: Any) -> Endpoint:
+    address, _, port = context.store.address.partition(':')
+    return Endpoint(address, int(port))
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -115,6 +115,16 @@
 class Platform(abc.ABC):
     """Client of the platform's key-value service."""
 
+    @property
+    def era(self) -> int:
+        """Newest era that an answer of the service has named.
+
+        The era rises when the service comes back from an older copy, so that
+        what it has acknowledged since is lost. It is 0 where the service
+        names no era.
+        """
+        return 0
+
     @abc.abstractmethod
     def get(self, key: str) -> Result[KeyValue | None, Failure]:
         """Return a key and its value, or ``None`` if the key is absent."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -407,6 +407,7 @@
         )
         register('configuration_version', lambda: self.directory.table.version)
         register('service_followed', lambda: self._follower.is_following)
+        register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
         register('live_hosts', lambda: len(self._live_hosts()))
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -68,6 +68,7 @@
     'groups_lost': 'Groups whose primary does not answer.',
     'configuration_version': 'Version of the configuration in force.',
     'service_followed': 'Whether a watch on the service is in force.',
+    'service_era': 'Era of the service in its answers.',
     'lease_age_seconds': "Time since this host's lease was renewed.",
     'live_hosts': 'Hosts that answer, this one included.',
     'log_bytes': 'Bytes of log that reached the reader.',
