Compare the service's revisions within one era only

Cause: the follower drops an entry whose revision is not above the newest one that it knows of the key. After the return the service gives revisions out again.

Changes are ordered by era and revision. After a read in a new era, keys that it doesn't list are absent whatever their old revision was. An answer to any call that names a new era ends the watch, so that everything is read again; an answer of an older era counts as lost, a read with pages of two eras fails, and nothing of a watch's answer from another era is applied.

--- a/features/fakes/fake_platform.py
+++ b/features/fakes/fake_platform.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 from trefoilpulley_core.platform import PrefixRead
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_core.platform import Watch
+from trefoilpulley_core.platform import WatchExpired
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,6 +70,15 @@
             self.platform.watches.remove(self)
 
 
+@dataclass(frozen=True)
+class FakeCopy:
+    """Copy of the simulated service."""
+
+    values: dict[str, KeyValue]
+    revision: int
+    leases: dict[int, FakeLease]
+
+
 @dataclass
 class FakePlatform(Platform):
     """Simulated service with a virtual clock.
@@ -102,6 +113,14 @@
     leases: dict[int, FakeLease] = field(default_factory=dict)
     """Leases that have not expired."""
 
+    newest_era: int = 1
+    """Era of the service."""
+
+    @property
+    def era(self) -> int:
+        """Era of the service."""
+        return self.newest_era
+
     def get(self, key: str) -> Result[KeyValue | None, Failure]:
         """Return the value of a key, or ``None`` if the key does not exist."""
         if not self._begin('get'):
@@ -114,7 +133,7 @@
             return Failed(PlatformDown())
         keys = sorted(k for k in self.values if k.startswith(prefix))
         entries = tuple(self.values[k] for k in keys)
-        return Success(PrefixRead(entries, self.revision))
+        return Success(PrefixRead(entries, self.revision, self.newest_era))
 
     def compare_and_swap(
         self,
@@ -174,6 +193,22 @@
         for watch in watches:
             watch.on_failure(PlatformDown())
 
+    def take_copy(self) -> FakeCopy:
+        """Return a copy of the present state."""
+        return FakeCopy(dict(self.values), self.revision, dict(self.leases))
+
+    def restore(self, copy: FakeCopy) -> None:
+        """Come back from a copy in a new era; end all watches."""
+        self.newest_era += 1
+        self.values = {
+            k: replace(v, era=self.newest_era) for k, v in copy.values.items()
+        }
+        self.revision = copy.revision
+        self.leases = dict(copy.leases)
+        watches, self.watches = self.watches, []
+        for watch in watches:
+            watch.on_failure(WatchExpired())
+
     def bring_up(self) -> None:
         """End the outage."""
         self.is_down = False
@@ -224,7 +259,7 @@
 
     def _store(self, key: str, value: bytes, lease_id: int) -> int:
         self.revision += 1
-        entry = KeyValue(key, value, self.revision, lease_id)
+        entry = KeyValue(key, value, self.revision, lease_id, self.newest_era)
         if value:
             self.values[key] = entry
         else:
--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -23,3 +23,48 @@
     When a key is written and a lease is granted
     And the client reads the service before and after its return from a copy
     Then the client has logged era 2 with the lost revision and the new one
+
+  Scenario: a silent watch of a lost era is ended by the answer to another call
+    Given an emulated service
+    And a host's client of the service
+    When the client watches the service
+    And the service comes back from a copy of its newest state
+    And the client reads the service
+    Then the watch has expired
+
+  Scenario: a watch is not continued in an era in which its revision means another change
+    Given an emulated service
+    And a host's client of the service
+    When the client watches the service
+    And the watch is broken while the service comes back from a copy
+    And the client reads the service
+    And the client watches the service
+    Then the watch has expired
+
+  Scenario Outline: an answer of another era is not applied
+    Given a service whose answers are of the eras <eras>
+    Then <call> of the client fails with "<code>"
+
+    Examples:
+      | eras  | call           | code                 |
+      | 2 1   | a second read  | platform-answer-lost |
+      | 2 1   | a second write | platform-answer-lost |
+      | 1 2   | a paged read   | era-changed          |
+
+  Scenario: the changes in a watch's answer of a new era are not applied
+    Given a service whose answers are of the eras 1 2
+    When the client watches the service
+    Then the watch has expired without a change
+
+  Scenario: a configuration acknowledged after the return is in force on every host
+    Given an emulated deployment of 2 hosts
+    When the service loses a configuration by its return from a copy
+    And the configuration has only the databases "filings" and "extra"
+    Then a caller of "extra" is eventually served at host 0
+    And a caller of "extra" is eventually served at host 1
+
+  Scenario: hosts learn of a member that leaves after the return
+    Given an emulated deployment of 2 hosts
+    When the service loses changes of members by its return from a copy
+    And a replica announces that it will stop
+    Then every host eventually knows that the replica leaves
--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -31,6 +31,12 @@
     And the service has lost its history
     Then after the grace period the host has no member
 
+  Scenario: a member that joined in the lost time of the service is removed
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the entry of "m2" by its return from a copy
+    Then after the grace period the host has the members "m1"
+
   Scenario: an entry that can't be applied does not end the watch
     Given a service that lists member "m1"
     And a host that has read the service
--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
 import eliot
+from gevent.pywsgi import WSGIServer
 
+from features.fakes.asking import wait_until
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.platform import WatchExpired
+from trefoilpulley_emulator.deployment import EmulatedDeployment
 from trefoilpulley_emulator.kv_server import KvServer
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node import events
@@ -127,6 +132,164 @@
         assert event['last_revision'] == context.lost, event
         assert event['revision'] == context.found < context.lost, event
 
+    @staticmethod
+    @given('a service whose answers are of the eras {eras}')
+    def serve(context: Any, eras: str) -> None:
+        """Start a service with a scripted era in each answer."""
+        remaining = eras.split()
+        body = {
+            **_item('servers/a'),
+            'items': [_item('servers/a')],
+            'events': [_item('servers/b')],
+            'has_more': True,
+            'store_revision': 5,
+        }
+
+        def answer(environ: Any, start_response: Any) -> list[bytes]:
+            headers = [('Store-Era', remaining.pop(0))]
+            start_response('200 OK', headers)
+            return [json.dumps(body).encode()]
+
+        server = WSGIServer(('127.0.0.1', 0), answer, log=None)
+        server.start()
+        context.cleanups.append(server.stop)
+        endpoint = Endpoint('127.0.0.1', server.server_port)
+        context.kv = KvStore(endpoint, DirectMetrics())
+
+    @staticmethod
+    @then('a {call} of the client fails with "{code}"')
+    def check_call(context: Any, call: str, code: str) -> None:
+        """Make a call whose last answer is of another era."""
+        kv = context.kv
+        if call != 'paged read':
+            kv.get('servers/a').unwrap()
+        result = {
+            'second read': lambda: kv.get('servers/a'),
+            'second write': lambda: kv.delete('servers/a', 5),
+            'paged read': lambda: kv.get_prefix(''),
+        }[call]()
+        assert result.failure().code == code, result
+
+    @staticmethod
+    @when('the client watches the service')
+    def watch(context: Any) -> None:
+        """Start a watch and collect what it reports."""
+        context.changes, context.failures = [], []
+        context.watch = context.kv.watch(
+            '', context.changes.append, context.failures.append
+        )
+        context.cleanups.append(context.watch.cancel)
+
+    @staticmethod
+    @when('the service comes back from a copy of its newest state')
+    def restore_newest(context: Any) -> None:
+        """Restore without the loss of a revision while the watch waits."""
+        wait_until(lambda: '/v1/kv-watch' in context.store.calls)
+        context.store.restore(context.store.take_copy())
+
+    @staticmethod
+    @when('the watch is broken while the service comes back from a copy')
+    def restore_unwatched(context: Any) -> None:
+        """Restore a copy and let the service grow past the watch."""
+        wait_until(lambda: '/v1/kv-watch' in context.store.calls)
+        context.watch.cancel()
+        context.store.restore(context.store.take_copy())
+        context.store.put('servers/later', {})
+
+    @staticmethod
+    @when('the client reads the service')
+    def read(context: Any) -> None:
+        """Learn the era of the service by another call than the watch."""
+        context.kv.get_prefix('').unwrap()
+
+    @staticmethod
+    @then('the watch has expired')
+    def check_expired(context: Any) -> None:
+        """Check that the failure was reported at once."""
+        assert context.failures == [WatchExpired()], context.failures
+
+    @staticmethod
+    @then('the watch has expired without a change')
+    def check_nothing_applied(context: Any) -> None:
+        """Wait for the end of the watch; it must not report a change."""
+        wait_until(lambda: context.failures or context.changes)
+        assert context.failures == [WatchExpired()], context.failures
+        assert not context.changes, context.changes
+
+
+class RestoredDeploymentSteps:
+    """Steps on hosts whose service comes back from an older copy."""
+
+    @staticmethod
+    @when('the service loses a configuration by its return from a copy')
+    def lose_configuration(context: Any) -> None:
+        """Restore a copy from before the configuration in force."""
+        deployment = context.deployment
+        copy = deployment.store.take_copy()
+        _write_other_keys(deployment)
+        deployment.configure({'filings': 'primary', 'orders': 'session'})
+        for host in deployment.hosts:
+            directory = host.proxy.directory
+            wait_until(
+                lambda d=directory: d.table.version == deployment.version
+            )
+        deployment.restore(copy)
+
+    @staticmethod
+    @when('the service loses changes of members by its return from a copy')
+    def lose_members(context: Any) -> None:
+        """Restore a copy from before changes that the hosts know."""
+        deployment = context.deployment
+        group = deployment.group
+        copy = deployment.store.take_copy()
+        _write_other_keys(deployment)
+        for member in group.servers:
+            group.announce_stop(member)
+        _wait_until_leaving(deployment, tuple(group.servers))
+        for member in group.servers:
+            group.withdraw_stop(member)
+        _wait_until_leaving(deployment, tuple(group.servers), False)
+        deployment.restore(copy)
+
+    @staticmethod
+    @when('a replica announces that it will stop')
+    def announce(context: Any) -> None:
+        """Announce the stop of a member that does not lead."""
+        group = context.deployment.group
+        primary = group.primary.state.member
+        context.replica = next(m for m in group.servers if m != primary)
+        group.announce_stop(context.replica)
+
+    @staticmethod
+    @then('every host eventually knows that the replica leaves')
+    def check_leaving(context: Any) -> None:
+        """Wait until the newest entry is in use everywhere."""
+        _wait_until_leaving(context.deployment, (context.replica,))
+
+
+def _wait_until_leaving(
+    deployment: EmulatedDeployment,
+    members: tuple[str, ...],
+    is_leaving: bool = True,
+) -> None:
+    for host in deployment.hosts:
+        state = host.proxy.directory.groups['ledger'].state
+        wait_until(
+            lambda s=state: all(
+                s.members[m].record.is_leaving is is_leaving for m in members
+            )
+        )
+
+
+def _write_other_keys(deployment: EmulatedDeployment) -> None:
+    """Let the revisions grow by more than what is written again."""
+    for number in range(40):
+        deployment.store.put(f'other/{number}', {})
+
+
+def _item(key: str) -> dict[str, Any]:
+    return {'key': key, 'value': '', 'revision': 4}
+
 
 def _endpoint(context: Any) -> Endpoint:
     address, _, port = context.store.address.partition(':')
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -121,6 +121,20 @@
             watch.on_failure(WatchExpired())
         wait_until(lambda: context.service.calls['get'] > reads)
 
+    @staticmethod
+    @when(
+        'the service loses the entry of "{member}" by its return from a copy'
+    )
+    def lose_entry(context: Any, member: str) -> None:
+        """Add a member and other keys after a copy, and restore the copy."""
+        copy = context.service.take_copy()
+        for _ in range(5):
+            context.service.put('other', b'x')
+        _put(context, member, 'ready')
+        reads = context.service.calls['get']
+        context.service.restore(copy)
+        wait_until(lambda: context.service.calls['get'] > reads)
+
     @staticmethod
     @when('member "{member}" reports that it is leaving')
     def leave(context: Any, member: str) -> None:
--- a/packages/core/src/trefoilpulley_core/direct/entry_revisions.py
+++ b/packages/core/src/trefoilpulley_core/direct/entry_revisions.py
@@ -4,6 +4,8 @@
 page may be older than a reported deletion, and a key may be created after the
 page that would have listed it. The revisions decide what is newer, so that a
 member that has left is not taken for a new one, and a new one is kept.
+Revisions compare only within one era of the service: any change of a newer
+era is newer.
 """
 
 from __future__ import annotations
@@ -23,9 +25,10 @@
     """
 
     def __init__(self) -> None:
-        self._revisions: dict[str, int] = {}
+        self._versions: dict[str, tuple[int, int]] = {}
         self._deleted: set[str] = set()
         self._is_reading = False
+        self._era = 0
 
     def accept(self, entry: KeyValue) -> bool:
         """Return whether an entry is newer than what is known of its key.
@@ -35,16 +38,19 @@
         entry : KeyValue
             Entry of a watch or a read; its value is empty for a deletion.
         """
-        if entry.mod_revision <= self._revisions.get(entry.key, 0):
+        if entry.era < self._era:
             return False
+        if entry.version <= self._versions.get(entry.key, (0, 0)):
+            return False
+        self._era = entry.era
         if entry.value:
             self._deleted.discard(entry.key)
         elif self._is_reading:
             self._deleted.add(entry.key)
         else:
-            self._revisions.pop(entry.key, None)
+            self._versions.pop(entry.key, None)
             return True
-        self._revisions[entry.key] = entry.mod_revision
+        self._versions[entry.key] = entry.version
         return True
 
     def begin_read(self) -> None:
@@ -62,16 +68,16 @@
         """
         self._is_reading = False
         for key in self._deleted:
-            del self._revisions[key]
+            del self._versions[key]
         self._deleted.clear()
         if read is None:
             return ()
         listed = {e.key for e in read.entries}
         absent = tuple(
             key
-            for key, revision in self._revisions.items()
-            if key not in listed and revision <= read.revision
+            for key, version in self._versions.items()
+            if key not in listed and version <= (read.era, read.revision)
         )
         for key in absent:
-            del self._revisions[key]
+            del self._versions[key]
         return absent
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -58,6 +58,17 @@
     run_state = RunState.NOT_RUN
 
 
+@dataclass(frozen=True, slots=True)
+class EraChanged(Failure):
+    """The service has come back from an older copy in a new era.
+
+    What the caller expected belongs to another era, and the call may have
+    taken effect.
+    """
+
+    code = 'era-changed'
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """One key and its value."""
@@ -74,6 +85,14 @@
     lease_id: int = 0
     """Identifier of the lease that the key is bound to, or 0."""
 
+    era: int = 0
+    """Era of the revision; 0 where the service names no era."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Era and revision of the last change, in the order of changes."""
+        return self.era, self.mod_revision
+
 
 @dataclass(frozen=True, slots=True)
 class PrefixRead:
@@ -92,6 +111,9 @@
     The read shows every change up to this revision.
     """
 
+    era: int = 0
+    """Era of every entry; 0 where the service names no era."""
+
 
 @dataclass(frozen=True, slots=True)
 class Lease:
@@ -198,5 +220,6 @@
         so that a subsequent read misses no change. A watch that is
         started after a broken one may continue where the broken watch
         ended. Such a watch fails with `WatchExpired` if changes in between
-        are no longer available.
+        are no longer available. Any watch fails with `WatchExpired` as soon
+        as an answer to any call names a new era.
         """
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -174,7 +174,7 @@
         for entry in read.entries:
             self._on_change(entry)
         for key in self._revisions.end_read(read):
-            self._apply(KeyValue(key, b'', read.revision))
+            self._apply(KeyValue(key, b'', read.revision, era=read.era))
         return True
 
     def _on_change(self, entry: KeyValue) -> None:
