Bind conditional writes and renewals to the era of their condition

A revision or a lease number that was learnt before the service came back from an older copy may have been given out again: a claim could replace the claim of another host, and a renewal could keep the lease of another host alive while this host counts as registered.

Writes with an expected revision and renewals name the era of their condition. They fail with EraChanged where the answer is of another era, unsent where the new era is known already. A host whose claim fails so waits as after a claim of another host; it doesn't go on without the service. A claim that is read back in a later era is not taken for the confirmation of the one that was sent.

With the checks taken out, the rows of "a condition of a lost era ...", "a host does not rely on its own claim ..." and "a host does not claim by a revision of a lost era" failed.

--- a/features/fakes/fake_platform.py
+++ b/features/fakes/fake_platform.py
@@ -13,6 +13,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import KeyValue
 from trefoilpulley_core.platform import Lease
 from trefoilpulley_core.platform import LeaseExpired
@@ -141,28 +142,32 @@
         expected_revision: int,
         value: bytes,
         lease_id: int = 0,
+        era: int = 0,
     ) -> Result[int, Failure]:
         """Write a key if its revision is the expected one."""
         return self._write(
             'compare_and_swap',
             lambda: self._swap(key, expected_revision, value, lease_id),
+            era,
         )
 
     def delete(
-        self, key: str, expected_revision: int
+        self, key: str, expected_revision: int, era: int = 0
     ) -> Result[None, Failure]:
         """Delete a key if its revision is the expected one."""
         return self._write(
-            'delete', lambda: self._swap(key, expected_revision, b'', 0)
+            'delete', lambda: self._swap(key, expected_revision, b'', 0), era
         ).map(lambda revision: None)
 
     def grant_lease(self, ttl_s: int) -> Result[Lease, Failure]:
         """Grant a lease."""
         return self._write('grant_lease', lambda: self._grant(ttl_s))
 
-    def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
+    def keep_alive(
+        self, lease_id: int, era: int = 0
+    ) -> Result[Lease, Failure]:
         """Renew a lease."""
-        return self._write('keep_alive', lambda: self._renew(lease_id))
+        return self._write('keep_alive', lambda: self._renew(lease_id), era)
 
     def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
         """End a lease and delete the keys bound to it."""
@@ -232,7 +237,9 @@
         self.expire_due_leases()
         return not self.is_down
 
-    def _write(self, name: str, effect: Callable[[], Result]) -> Result:
+    def _write(
+        self, name: str, effect: Callable[[], Result], era: int | None = None
+    ) -> Result:
         if not self._begin(name):
             return Failed(PlatformDown())
         fault = self.faults.pop(0) if self.faults else None
@@ -243,6 +250,8 @@
         if fault is Fault.CONFLICT:
             return Failed(RevisionConflict())
         result = effect()
+        if era not in (None, 0, self.newest_era):
+            return Failed(EraChanged())
         if fault is Fault.LOST_AFTER:
             return Failed(PlatformAnswerLost())
         return result
@@ -274,14 +283,14 @@
         lease_id = self.revision
         expires_at = self.now + ttl_s
         self.leases[lease_id] = FakeLease(lease_id, ttl_s, expires_at)
-        return Success(Lease(lease_id, ttl_s))
+        return Success(Lease(lease_id, ttl_s, self.newest_era))
 
     def _renew(self, lease_id: int) -> Result[Lease, Failure]:
         lease = self.leases.get(lease_id)
         if lease is None:
             return Failed(LeaseExpired())
         lease.expires_at = self.now + lease.ttl_s
-        return Success(Lease(lease_id, lease.ttl_s))
+        return Success(Lease(lease_id, lease.ttl_s, self.newest_era))
 
     def _revoke(self, lease_id: int) -> Result[None, Failure]:
         if lease_id not in self.leases:
--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -56,6 +56,21 @@
     When the client watches the service
     Then the watch has expired without a change
 
+  Scenario Outline: a condition of a lost era is not taken for one of the new era
+    Given an emulated service
+    And a host's client of the service
+    When the client writes a key with a lease
+    And the service gives out the same revision and lease to others
+    Then the client's <call> fails, as the era has changed
+    When the client reads the service
+    Then the client's <call> fails and nothing is sent
+
+    Examples:
+      | call    |
+      | write   |
+      | delete  |
+      | renewal |
+
   Scenario: a configuration acknowledged after the return is in force on every host
     Given an emulated deployment of 2 hosts
     When the service loses a configuration by its return from a copy
--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -61,6 +61,16 @@
     When the second host claims round 2 and the answer to the next claim is lost
     Then the first host does not know whether it holds round 2
 
+  Scenario: a host does not rely on its own claim in a later era of the service
+    Given two hosts that know round 1 of a group
+    When the answer to the next claim is lost and the service comes back from a copy
+    Then the first host does not know whether it holds round 2
+
+  Scenario: a host does not claim by a revision of a lost era
+    Given two hosts that know round 1 of a group
+    When the service comes back from a copy of its state
+    Then the first host cannot claim round 2, as the era has changed
+
   Scenario: a host cannot claim if another host has claimed since its decision
     Given two hosts that know round 1 of a group
     When the second host decides after round 1 and then learns of the first host's claim
--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -165,11 +165,55 @@
             kv.get('servers/a').unwrap()
         result = {
             'second read': lambda: kv.get('servers/a'),
-            'second write': lambda: kv.delete('servers/a', 5),
+            'second write': lambda: kv.delete('servers/a', 5, era=2),
             'paged read': lambda: kv.get_prefix(''),
         }[call]()
         assert result.failure().code == code, result
 
+    @staticmethod
+    @when('the client writes a key with a lease')
+    def write_with_lease(context: Any) -> None:
+        """Write a key that the service is about to lose."""
+        context.copy = context.store.take_copy()
+        context.lease = context.kv.grant_lease(10).unwrap()
+        lease_id, era = context.lease.lease_id, context.lease.era
+        context.revision = context.kv.compare_and_swap(
+            'x', 0, b'lost', lease_id, era
+        ).unwrap()
+
+    @staticmethod
+    @when('the service gives out the same revision and lease to others')
+    def give_out_again(context: Any) -> None:
+        """Restore a copy from before; another host takes the numbers."""
+        context.store.restore(context.copy)
+        other = KvStore(_endpoint(context), DirectMetrics())
+        lease = other.grant_lease(10).unwrap()
+        assert lease.lease_id == context.lease.lease_id, lease
+        revision = other.compare_and_swap(
+            'x', 0, b'other', lease.lease_id, lease.era
+        ).unwrap()
+        assert revision == context.revision, revision
+
+    @staticmethod
+    @then("the client's {call} fails, as the era has changed")
+    def check_condition(context: Any, call: str) -> None:
+        """Use what was learnt in the lost era."""
+        kv, revision, era = context.kv, context.revision, context.lease.era
+        result = {
+            'write': lambda: kv.compare_and_swap('x', revision, b'y', era=era),
+            'delete': lambda: kv.delete('x', revision, era),
+            'renewal': lambda: kv.keep_alive(context.lease.lease_id, era),
+        }[call]()
+        assert result.failure().code == 'era-changed', result
+
+    @staticmethod
+    @then("the client's {call} fails and nothing is sent")
+    def check_unsent(context: Any, call: str) -> None:
+        """Use what was learnt in the lost era; the service must not see it."""
+        count = len(context.store.calls)
+        EraSteps.check_condition(context, call)
+        assert len(context.store.calls) == count, context.store.calls
+
     @staticmethod
     @when('the client watches the service')
     def watch(context: Any) -> None:
--- a/features/steps/proxy_succession_steps.py
+++ b/features/steps/proxy_succession_steps.py
@@ -22,6 +22,7 @@
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.direct.upstream_session import LogStatus
+from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_core.position import Position
@@ -230,6 +231,37 @@
         assert context.second.try_claim('ledger', 1, 'x') == Success(2)
         context.kv.faults.append(Fault.LOST_BEFORE)
 
+    @staticmethod
+    @when(
+        'the answer to the next claim is lost and the service comes back from '
+        'a copy'
+    )
+    def lose_answer_and_era(context: Any) -> None:
+        """Restore a copy that holds the claim before it is read back."""
+        kv = context.kv
+        kv.faults.append(Fault.LOST_AFTER)
+        get = kv.get
+
+        def restore_and_get(key: str) -> Any:
+            kv.restore(kv.take_copy())
+            return get(key)
+
+        kv.get = restore_and_get
+
+    @staticmethod
+    @when('the service comes back from a copy of its state')
+    def restore(context: Any) -> None:
+        """Start a new era; the hosts have not read it."""
+        context.kv.restore(context.kv.take_copy())
+
+    @staticmethod
+    @then('the first host cannot claim round 2, as the era has changed')
+    def check_era_changed(context: Any) -> None:
+        """Claim by what the host knows of the lost era."""
+        result = context.first.try_claim('ledger', 1, 'y')
+        assert isinstance(result.failure(), EraChanged), result
+        assert context.first.last_round('ledger') == 1
+
     @staticmethod
     @then('the first host holds round 2')
     def check_claim_held(context: Any) -> None:
@@ -283,7 +315,7 @@
     def _record_stored_claim(store: ClaimStore, kv: FakePlatform) -> None:
         entry = kv.get(claim_key('ledger')).unwrap()
         claim: Claim = read_claim(entry).unwrap()
-        store.record_claim('ledger', claim, entry.mod_revision)
+        store.record_claim('ledger', claim, entry.mod_revision, entry.era)
 
 
 def _status(received: str) -> LogStatus:
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -125,6 +125,9 @@
     ttl_s: float
     """Time to live in seconds, measured from the sending of the request."""
 
+    era: int = 0
+    """Era in which the number is valid; 0 where the service names no era."""
+
 
 class Watch(abc.ABC):
     """Active watch on a prefix."""
@@ -166,6 +169,7 @@
         expected_revision: int,
         value: bytes,
         lease_id: int = 0,
+        era: int = 0,
     ) -> Result[int, Failure]:
         """Write a key if it has the expected revision.
 
@@ -179,27 +183,32 @@
             New value.
         lease_id : int
             Identifier of the lease to bind the key to, or 0 for none.
+        era : int
+            Era in which the revision and the lease were learnt; 0 where the
+            service names no era.
 
         Returns
         -------
         Result[int, Failure]
             The new revision, or `RevisionConflict`, `PlatformDown`,
-            `PlatformAnswerLost` or `LeaseExpired`.
+            `PlatformAnswerLost`, `LeaseExpired` or `EraChanged`.
         """
 
     @abc.abstractmethod
     def delete(
-        self, key: str, expected_revision: int
+        self, key: str, expected_revision: int, era: int = 0
     ) -> Result[None, Failure]:
-        """Delete a key if it has the expected revision."""
+        """Delete a key if it has the revision expected in an era."""
 
     @abc.abstractmethod
     def grant_lease(self, ttl_s: int) -> Result[Lease, Failure]:
         """Request a new lease."""
 
     @abc.abstractmethod
-    def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
-        """Renew a lease once."""
+    def keep_alive(
+        self, lease_id: int, era: int = 0
+    ) -> Result[Lease, Failure]:
+        """Renew a lease of an era once."""
 
     @abc.abstractmethod
     def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -4,6 +4,7 @@
 
 from dataclasses import asdict
 from dataclasses import dataclass
+from dataclasses import replace
 import json
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -44,7 +45,15 @@
     """Claim."""
 
     revision: int
-    """Revision of the claim's key in the service."""
+    """Revision of the claim's key in the service; 0 where it is absent."""
+
+    era: int
+    """Era of the revision."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Era and revision, in the order of changes."""
+        return self.era, self.revision
 
 
 class ClaimStore:
@@ -69,27 +78,30 @@
         newest = self._newest_claims.get(group)
         return newest.claim.round if newest else 0
 
-    def record_claim(self, group: str, claim: Claim, revision: int) -> bool:
+    def record_claim(
+        self, group: str, claim: Claim, revision: int, era: int
+    ) -> bool:
         """Record a claim; return whether the claim is newer than the last."""
         newest = self._newest_claims.get(group)
-        if newest is not None and newest.revision >= revision:
+        if newest is not None and newest.version >= (era, revision):
             return False
         if newest is not None and newest.claim.round > claim.round:
             # A round used while the service was unavailable is higher than
             # the stored round.
-            self._newest_claims[group] = KnownClaim(newest.claim, revision)
+            self._newest_claims[group] = KnownClaim(
+                newest.claim, revision, era
+            )
             self._unpublished.add(group)
             return False
-        self._newest_claims[group] = KnownClaim(claim, revision)
+        self._newest_claims[group] = KnownClaim(claim, revision, era)
         return True
 
     def advance_round(self, group: str, round_number: int) -> None:
         """Record a round that was used without a claim in the service."""
-        newest = self._newest_claims.get(group)
-        revision = newest.revision if newest else 0
         if round_number > self.last_round(group):
-            claim = Claim(self._host, round_number, '')
-            self._newest_claims[group] = KnownClaim(claim, revision)
+            self._newest_claims[group] = replace(
+                self._known(group), claim=Claim(self._host, round_number, '')
+            )
             self._unpublished.add(group)
 
     def publish(self) -> None:
@@ -102,11 +114,11 @@
             newest = self._newest_claims[group]
             value = json.dumps(asdict(newest.claim)).encode()
             result = self._platform.compare_and_swap(
-                claim_key(group), newest.revision, value
+                claim_key(group), newest.revision, value, era=newest.era
             )
             if isinstance(result, Success):
                 self._newest_claims[group] = KnownClaim(
-                    newest.claim, result.unwrap()
+                    newest.claim, result.unwrap(), newest.era
                 )
                 self._unpublished.discard(group)
             elif isinstance(result.failure(), RevisionConflict):
@@ -123,39 +135,52 @@
         Result[int, Failure]
             Round of the claim; `RevisionConflict` where another host claimed
             first; `PlatformDown` or `PlatformAnswerLost` where the service
-            can't confirm the claim.
+            can't confirm the claim; `EraChanged` where the service has lost
+            writes since the claims were read.
         """
         if self.last_round(group) != after_round:
             return Failed(RevisionConflict(group))
-        newest = self._newest_claims.get(group)
+        known = self._known(group)
         claim = Claim(self._host, after_round + 1, target)
         value = json.dumps(asdict(claim)).encode()
         result = self._call(
             lambda: self._platform.compare_and_swap(
-                claim_key(group), newest.revision if newest else 0, value
+                claim_key(group), known.revision, value, era=known.era
             )
         )
         if isinstance(result, Success):
             revision = result.unwrap()
         elif isinstance(result.failure(), PlatformAnswerLost):
-            found = self._find_own_claim(group, claim)
+            found = self._find_own_claim(group, claim, known.era)
             if found is None:
                 return result
             revision = found
         else:
             return result
-        self.record_claim(group, claim, revision)
+        self.record_claim(group, claim, revision, known.era)
         return Success(claim.round)
 
-    def _find_own_claim(self, group: str, claim: Claim) -> int | None:
+    def _known(self, group: str) -> KnownClaim:
+        """Return the newest claim of a group, or an absent one of round 0."""
+        newest = self._newest_claims.get(group)
+        if newest is not None:
+            return newest
+        return KnownClaim(Claim('', 0, ''), 0, self._platform.era)
+
+    def _find_own_claim(
+        self, group: str, claim: Claim, era: int
+    ) -> int | None:
         """Return the revision of a claim whose answer was lost.
 
-        ``None`` if the claim is not in the service. Only this host writes
-        claims with its name, and a round is claimed once.
+        ``None`` if the claim is not in the service, or if the service has
+        lost writes since, so that it may have lost the claim. Only this host
+        writes claims with its name, and a round is claimed once.
         """
         fetched = self._call(lambda: self._platform.get(claim_key(group)))
         entry = fetched.value_or(None)
-        if entry is None or read_claim(entry).value_or(None) != claim:
+        if entry is None or entry.era != era:
+            return None
+        if read_claim(entry).value_or(None) != claim:
             return None
         return entry.mod_revision
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -53,6 +53,7 @@
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
     from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.direct_settings import DirectSettings
@@ -365,8 +366,10 @@
     def _on_live_hosts(self, live: LiveHosts) -> None:
         self.directory.set_hosts(self._live_zones())
 
-    def _on_claim(self, name: str, claim: Claim, revision: int) -> None:
-        if not self._claims.record_claim(name, claim, revision):
+    def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
+        if not self._claims.record_claim(
+            name, claim, entry.mod_revision, entry.era
+        ):
             return
         group = self.directory.groups.get(name)
         if group is None or claim.holder == self._cfg.host:
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -13,6 +13,7 @@
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import LeaseExpired
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node.service import Service
@@ -23,6 +24,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Lease
     from trefoilpulley_core.platform import Platform
 
 LEASE_TTL_S = 30
@@ -59,6 +61,7 @@
         self._host_entry = host_entry
         self._platform = platform
         self._lease_id = 0
+        self._lease_era = 0
         self._holder_id: int | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -100,17 +103,20 @@
         granted = self._platform.grant_lease(LEASE_TTL_S)
         if not isinstance(granted, Success):
             return False
-        lease_id = granted.unwrap().lease_id
-        self._holder_id = self._holder_id or lease_id
-        if isinstance(self._put(lease_id), Success):
-            self._lease_id = lease_id
+        lease = granted.unwrap()
+        self._holder_id = self._holder_id or lease.lease_id
+        if isinstance(self._put(lease), Success):
+            self._lease_id = lease.lease_id
+            self._lease_era = lease.era
             self._renewed_at = self._clock.now()
         return bool(self._lease_id)
 
-    def _put(self, lease_id: int) -> Result[int, Failure]:
+    def _put(self, lease: Lease) -> Result[int, Failure]:
         key = f'{HOST_PREFIX}{self._host_entry.name}'
         value = write_host(self._host_entry)
-        result = self._platform.compare_and_swap(key, 0, value, lease_id)
+        result = self._platform.compare_and_swap(
+            key, 0, value, lease.lease_id, lease.era
+        )
         if isinstance(result, Success):
             return result
         if not isinstance(result.failure(), RevisionConflict):
@@ -119,15 +125,19 @@
         if not isinstance(current, Success):
             return current
         entry = current.unwrap()
+        if entry is not None and entry.era != lease.era:
+            return Failed(EraChanged(key))
         revision = entry.mod_revision if entry else 0
-        return self._platform.compare_and_swap(key, revision, value, lease_id)
+        return self._platform.compare_and_swap(
+            key, revision, value, lease.lease_id, lease.era
+        )
 
     def _renew(self) -> bool:
-        result = self._platform.keep_alive(self._lease_id)
+        result = self._platform.keep_alive(self._lease_id, self._lease_era)
         if isinstance(result, Success):
             self._renewed_at = self._clock.now()
             return True
-        if isinstance(result.failure(), LeaseExpired):
+        if isinstance(result.failure(), LeaseExpired | EraChanged):
             self._lease_id = 0
             return self._register()
         return False
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -63,8 +63,8 @@
         Receives routes and members.
     on_hosts : Callable[[tuple[HostEntry, ...]], None]
         Called with the hosts that hold a lease.
-    on_claim : Callable[[str, Claim, int], None]
-        Called with a group, its claim and the claim's revision.
+    on_claim : Callable[[str, Claim, KeyValue], None]
+        Called with a group, its claim and the claim's entry.
     clock : Clock
         Monotonic time.
     """
@@ -75,7 +75,7 @@
         documents: PlatformDocuments,
         directory: GroupDirectory,
         on_hosts: Callable[[tuple[HostEntry, ...]], None],
-        on_claim: Callable[[str, Claim, int], None],
+        on_claim: Callable[[str, Claim, KeyValue], None],
         clock: Clock,
     ) -> None:
         self._platform = platform
@@ -234,7 +234,7 @@
         result = read_claim(entry)
         if isinstance(result, Success):
             group = entry.key.removeprefix(CLAIM_PREFIX)
-            self._on_claim(group, result.unwrap(), entry.mod_revision)
+            self._on_claim(group, result.unwrap(), entry)
         else:
             self._log_unreadable(entry, result.failure())
 
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.direct.failover import has_every_commit
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
 from trefoilpulley_core.direct.lag_relief import RECEIPT_DELAY_S
+from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node import events
 
@@ -339,8 +340,9 @@
         )
         if failure is None:
             return claimed.unwrap()
-        if isinstance(failure, RevisionConflict):
-            # Another host holds the claim and needs time to finish the change.
+        if isinstance(failure, RevisionConflict | EraChanged):
+            # Another host holds the claim and needs time to finish the change;
+            # in a new era, one may hold it.
             group.state.primary_change_due_at = (
                 self._clock.now() + CLAIM_HOLDER_TIMEOUT_S
             )
--- a/packages/node/src/trefoilpulley_node/etcd_platform.py
+++ b/packages/node/src/trefoilpulley_node/etcd_platform.py
@@ -70,6 +70,7 @@
         expected_revision: int,
         value: bytes,
         lease_id: int = 0,
+        era: int = 0,
     ) -> Result[int, Failure]:
         """Write a key if its revision is the expected one.
 
@@ -84,7 +85,7 @@
         return answer.map(lambda doc: int(doc['header']['revision']))
 
     def delete(
-        self, key: str, expected_revision: int
+        self, key: str, expected_revision: int, era: int = 0
     ) -> Result[None, Failure]:
         """Delete a key if its revision is the expected one."""
         operation = delete_operation(key)
@@ -102,7 +103,9 @@
         answer = self._gateway.call(CallKind.LEASE, 'lease/grant', body)
         return answer.bind(lambda doc: _to_lease(doc, started_at))
 
-    def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
+    def keep_alive(
+        self, lease_id: int, era: int = 0
+    ) -> Result[Lease, Failure]:
         """Renew a lease once.
 
         The duration of the call is subtracted from the lease's remaining
