Ignore members' entries from an older copy of the service

After its return the service lists what the members wrote before the copy: a member that is leaving as ready, a former primary as the primary, a member that has left as present. A host took these entries, being of a newer era, for changes, and gave the members work until they had written again or their entries had ended.

An entry of a later era is compared with the last one of its member by the start of the member and its count: a lower count of the same start is ignored, and so is an equal one of a member that has left. Within one era the service orders the entries, as before.

With the comparison taken out, two rows of "an entry is compared with ..." and one more, "an outdated entry ...", "a leaving member gets no new work ..." and "a member that left gets no work ..." failed.

--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -37,6 +37,20 @@
     When the service loses the entry of "m2" by its return from a copy
     Then after the grace period the host has the members "m1"
 
+  Scenario: a leaving member gets no new work from an older copy of the service
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses by its return from a copy that "m1" leaves
+    Then the host knows that "m1" is leaving
+
+  Scenario: a member that left gets no work from an older copy of the service
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses by its return from a copy that "m1" was deleted
+    Then the host has no member
+    When member "m1" writes its entry again
+    Then after the grace period the host has the members "m1"
+
   Scenario: an entry that can't be applied does not end the watch
     Given a service that lists member "m1"
     And a host that has read the service
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import itertools
 import json
 from typing import Any
 
@@ -15,6 +16,7 @@
 
 from features.fakes.asking import wait_until
 from features.fakes.fake_entry_parts import FakeClock
+from features.fakes.fake_platform import FakeCopy
 from features.fakes.fake_platform import FakePlatform
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.failure import Failure
@@ -70,6 +72,7 @@
         context.service = _PagedPlatform()
         context.directory = _RecordedDirectory()
         context.clock = FakeClock()
+        context.sequence = itertools.count(1)
         context.follower = PlatformFollower(
             context.service,
             KvDocuments(),
@@ -131,9 +134,39 @@
         for _ in range(5):
             context.service.put('other', b'x')
         _put(context, member, 'ready')
-        reads = context.service.calls['get']
-        context.service.restore(copy)
-        wait_until(lambda: context.service.calls['get'] > reads)
+        _restore(context, copy)
+
+    @staticmethod
+    @when('the service loses by its return from a copy that "{member}" leaves')
+    def lose_leaving(context: Any, member: str) -> None:
+        """Let a member announce its stop, and restore an older copy."""
+        copy = context.service.take_copy()
+        _put(context, member, 'draining')
+        _restore(context, copy)
+
+    @staticmethod
+    @when(
+        'the service loses by its return from a copy that "{member}" was '
+        'deleted'
+    )
+    def lose_deletion(context: Any, member: str) -> None:
+        """Let a member leave, and restore an older copy."""
+        copy = context.service.take_copy()
+        context.service.put(f'servers/{member}', b'')
+        _pass_grace(context)
+        _restore(context, copy)
+
+    @staticmethod
+    @when('member "{member}" writes its entry again')
+    def write_again(context: Any, member: str) -> None:
+        """Write the next entry of a member that is alive."""
+        _put(context, member, 'ready')
+
+    @staticmethod
+    @then('the host has no member')
+    def check_none(context: Any) -> None:
+        """Check that no member is in use."""
+        assert not context.directory.members, context.directory.members
 
     @staticmethod
     @when('member "{member}" reports that it is leaving')
@@ -177,11 +210,19 @@
         'zone': 'a',
         'db_role': 'primary',
         'state': state,
-        'sequence': 1,
+        'sequence': next(context.sequence),
+        'born': 1,
     }
     context.service.put(f'servers/{member}', json.dumps(entry).encode())
 
 
+def _restore(context: Any, copy: FakeCopy) -> None:
+    """Restore a copy and wait until the host has read it."""
+    reads = context.service.calls['get']
+    context.service.restore(copy)
+    wait_until(lambda: context.service.calls['get'] > reads)
+
+
 def _pass_grace(context: Any) -> None:
     """Let the grace period of removed members pass."""
     context.clock.at += REMOVAL_GRACE_S
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.direct.evidence import EvidenceLog
@@ -70,6 +71,9 @@
     incarnation: int = 0
     """Start time of the member; changes at each restart."""
 
+    sequence: int = field(default=0, compare=False)
+    """Count of the entry since the member's start."""
+
 
 class MemberHealth:
     """Latency, lag and failures of one member as seen by this host.
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.entry_revisions import EntryRevisions
+from trefoilpulley_core.direct.member_versions import MemberVersions
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import KeyValue
@@ -24,6 +25,7 @@
     from trefoilpulley_core.catalog import HostEntry
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import Claim
+    from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import Platform
@@ -85,6 +87,7 @@
         self._on_claim = on_claim
         self._clock = clock
         self._revisions = EntryRevisions()
+        self._members = MemberVersions()
         self._hosts: dict[str, HostEntry] = {}
         self._removals_due: dict[str, float] = {}
         self._unreadable: set[str] = set()
@@ -211,14 +214,23 @@
         if entry.value:
             result = self._documents.decode_member(entry.key, entry.value)
             if isinstance(result, Success):
-                self._removals_due.pop(member, None)
-                self._directory.set_member(result.unwrap())
+                self._set_member(result.unwrap(), entry.era)
                 return
             self._log_unreadable(entry, result.failure())
+        self._members.remove(member, entry.era)
         self._removals_due.setdefault(
             member, self._clock.now() + REMOVAL_GRACE_S
         )
 
+    def _set_member(self, record: MemberRecord, era: int) -> None:
+        if self._members.accept(record, era):
+            self._removals_due.pop(record.member, None)
+            self._directory.set_member(record)
+        else:
+            events.MEMBER_OUTDATED.log(
+                member=record.member, era=era, sequence=record.sequence
+            )
+
     def _on_host(self, entry: KeyValue) -> None:
         name = entry.key.removeprefix(HOST_PREFIX)
         result = read_host(entry) if entry.value else None
