Write claims again that the service has lost

After the service has come back from an older copy, a claim is missing or of an earlier round. A host that starts then, or was cut off, claims a round that has been used: two hosts order a promotion in one round. The hosts that know the claim kept the round, but wrote it again only where the old claim was still listed, and all of them at once.

After a read in a new era, a known claim that the read doesn't list is written with the condition that its key is absent, and a listed one of an earlier round is replaced. The hosts take turns by rank for it. A claim of the same round that is written again isn't taken for a new change of primary, which would hold up the next one.

On the code without begin_era, "a claim that the service loses ..." failed; without turns and with each write taken for a change, both rows of "a round that the service has lost ..." failed.

--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -78,6 +78,11 @@
     Then a caller of "extra" is eventually served at host 0
     And a caller of "extra" is eventually served at host 1
 
+  Scenario: a claim that the service loses by its return from a copy is written again
+    Given an emulated deployment of 2 hosts
+    When the service loses a claim by its return from a copy
+    Then the service eventually holds the claim again
+
   Scenario: hosts learn of a member that leaves after the return
     Given an emulated deployment of 2 hosts
     When the service loses changes of members by its return from a copy
--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -71,6 +71,22 @@
     When the service comes back from a copy of its state
     Then the first host cannot claim round 2, as the era has changed
 
+  Scenario Outline: a round that the service has lost is written again by one host
+    Given two hosts that know a round which the service has lost <claim>
+    When the first host in rank writes the claim again
+    Then the service holds round 2 after a single write
+    And the second host claims round 3 and not round 2
+
+    Examples:
+      | claim       |
+      | to round 1  |
+      | with its key |
+
+  Scenario: a round that the service has lost is written again by the next host
+    Given two hosts that know a round which the service has lost to round 1
+    When the first host in rank does not write the claim again
+    Then the service holds round 2 after a single write
+
   Scenario: a host cannot claim if another host has claimed since its decision
     Given two hosts that know round 1 of a group
     When the second host decides after round 1 and then learns of the first host's claim
--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -16,6 +16,7 @@
 from trefoilpulley_core.platform import WatchExpired
 from trefoilpulley_emulator.deployment import EmulatedDeployment
 from trefoilpulley_emulator.kv_server import KvServer
+from trefoilpulley_node.direct.claim_store import claim_key
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node import events
 from trefoilpulley_platform.json_client import JsonClient
@@ -271,13 +272,30 @@
         deployment = context.deployment
         copy = deployment.store.take_copy()
         _write_other_keys(deployment)
-        deployment.configure({'filings': 'primary', 'orders': 'session'})
-        for host in deployment.hosts:
-            directory = host.proxy.directory
-            wait_until(
-                lambda d=directory: d.table.version == deployment.version
-            )
+        _configure(deployment)
+        deployment.restore(copy)
+
+    @staticmethod
+    @when('the service loses a claim by its return from a copy')
+    def lose_claim(context: Any) -> None:
+        """Restore a copy from before a change of primary."""
+        deployment = context.deployment
+        group = deployment.group
+        copy = deployment.store.take_copy()
+        primary = group.primary.state.member
+        group.announce_stop(primary)
+        wait_until(lambda: group.primary.state.member != primary)
+        context.round = _stored_round(context)
+        # The hosts read the changes in order, the claim first.
+        _configure(deployment)
         deployment.restore(copy)
+        assert _stored_round(context) == 0
+
+    @staticmethod
+    @then('the service eventually holds the claim again')
+    def check_claim(context: Any) -> None:
+        """Wait until a host has written the round of the lost claim."""
+        wait_until(lambda: _stored_round(context) == context.round)
 
     @staticmethod
     @when('the service loses changes of members by its return from a copy')
@@ -325,6 +343,19 @@
         )
 
 
+def _configure(deployment: EmulatedDeployment) -> None:
+    """Change the configuration and wait until every host has read it."""
+    deployment.configure({'filings': 'primary', 'orders': 'session'})
+    for host in deployment.hosts:
+        directory = host.proxy.directory
+        wait_until(lambda d=directory: d.table.version == deployment.version)
+
+
+def _stored_round(context: Any) -> int:
+    value = context.deployment.store.find(claim_key('ledger'))
+    return json.loads(value)['round'] if value else 0
+
+
 def _write_other_keys(deployment: EmulatedDeployment) -> None:
     """Let the revisions grow by more than what is written again."""
     for number in range(40):
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -78,7 +78,8 @@
             KvDocuments(),
             context.directory,
             lambda hosts: None,
-            lambda group, claim, revision: None,
+            lambda group, claim, entry: None,
+            lambda era: None,
             context.clock,
         )
         _put(context, member, 'ready')
--- a/features/steps/proxy_succession_steps.py
+++ b/features/steps/proxy_succession_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 from returns.result import Success
 
+from fakes.fake_entry_parts import FakeClock
 from fakes.fake_platform import FakePlatform
 from fakes.fake_platform import Fault
 from trefoilpulley_core.catalog import Endpoint
@@ -18,6 +19,7 @@
 from trefoilpulley_core.direct.failover import fencing_token
 from trefoilpulley_core.direct.failover import has_every_commit
 from trefoilpulley_core.direct.failover import has_loss_quorum
+from trefoilpulley_core.direct.failover import PUBLICATION_RANK_DELAY_S
 from trefoilpulley_core.direct.failover import ReachReport
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.group_state import MemberRecord
@@ -26,11 +28,16 @@
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_core.position import Position
+from trefoilpulley_core.rendezvous import rank_hosts
 from trefoilpulley_node.direct.claim_store import claim_key
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.claim_store import read_claim
 
 
+HOSTS = rank_hosts('ledger', ('one', 'two'))
+"""Hosts with claims, in their rank for the group."""
+
+
 def _reports(losing: str, reaching: str = '') -> tuple[ReachReport, ...]:
     return (
         *(ReachReport(h, False) for h in losing.split()),
@@ -197,11 +204,14 @@
 
     @staticmethod
     @given('two hosts that know round 1 of a group')
-    def make_stores(context: Any) -> None:
+    def make_stores(context: Any, kv: FakePlatform | None = None) -> None:
         """Store a claim that both hosts have recorded."""
-        context.kv = FakePlatform()
-        context.first = ClaimStore('first', context.kv)
-        context.second = ClaimStore('second', context.kv)
+        context.kv = kv or FakePlatform()
+        context.clock = FakeClock()
+        context.first, context.second = (
+            ClaimStore(name, context.kv, lambda: HOSTS, context.clock)
+            for name in HOSTS
+        )
         assert context.first.try_claim('ledger', 0, 'x') == Success(1)
         ClaimSteps._record_stored_claim(context.second, context.kv)
 
@@ -287,6 +297,63 @@
         assert context.first.try_claim('ledger', 1, 'y') == Success(2)
         ClaimSteps._record_stored_claim(context.second, context.kv)
 
+    @staticmethod
+    @given('two hosts that know a round which the service has lost {claim}')
+    def lose_claim(context: Any, claim: str) -> None:
+        """Restore a copy from before round 2, or from before round 1."""
+        kv = context.kv = FakePlatform()
+        copy = kv.take_copy()
+        ClaimSteps.make_stores(context, kv)
+        if claim == 'to round 1':
+            copy = kv.take_copy()
+        kv.put('other', b'x')
+        assert context.second.try_claim('ledger', 1, 'y') == Success(2)
+        assert ClaimSteps._record_stored_claim(context.first, kv)
+        kv.restore(copy)
+        for store in (context.first, context.second):
+            if claim == 'to round 1':
+                assert not ClaimSteps._record_stored_claim(store, kv)
+            store.begin_era(kv.era)
+
+    @staticmethod
+    @when('the first host in rank writes the claim again')
+    def write_again(context: Any) -> None:
+        """Let both hosts publish when it is the turn of the first."""
+        context.writes = context.kv.calls['compare_and_swap']
+        context.second.publish()
+        context.first.publish()
+
+    @staticmethod
+    @then('the service holds round 2 after a single write')
+    def check_round(context: Any) -> None:
+        """Check the stored claim, also after the turn of the second host."""
+        is_new_change = ClaimSteps._record_stored_claim(
+            context.second, context.kv
+        )
+        assert not is_new_change
+        context.clock.at += 10
+        context.second.publish()
+        entry = context.kv.get(claim_key('ledger')).unwrap()
+        claim = read_claim(entry).unwrap()
+        assert (claim.holder, claim.round) == (HOSTS[1], 2), claim
+        writes = context.kv.calls['compare_and_swap'] - context.writes
+        assert writes == 1, writes
+
+    @staticmethod
+    @when('the first host in rank does not write the claim again')
+    def pass_turn(context: Any) -> None:
+        """Let the turn of the first host pass."""
+        context.writes = context.kv.calls['compare_and_swap']
+        context.clock.at += PUBLICATION_RANK_DELAY_S
+        context.second.publish()
+
+    @staticmethod
+    @then('the second host claims round 3 and not round 2')
+    def check_next_round(context: Any) -> None:
+        """Claim the round that follows the lost one."""
+        assert context.second.last_round('ledger') == 2
+        assert context.second.try_claim('ledger', 2, 'z') == Success(3)
+
     @staticmethod
     @then('the second host cannot claim round 2 after round 1')
     @then("the second host's claim is refused")
@@ -312,10 +379,12 @@
             assert max(row) < min(later)
 
     @staticmethod
-    def _record_stored_claim(store: ClaimStore, kv: FakePlatform) -> None:
+    def _record_stored_claim(store: ClaimStore, kv: FakePlatform) -> bool:
         entry = kv.get(claim_key('ledger')).unwrap()
         claim: Claim = read_claim(entry).unwrap()
-        store.record_claim('ledger', claim, entry.mod_revision, entry.era)
+        return store.record_claim(
+            'ledger', claim, entry.mod_revision, entry.era
+        )
 
 
 def _status(received: str) -> LogStatus:
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -27,6 +27,12 @@
 Without the service, a host cannot see the claims of other hosts.
 """
 
+PUBLICATION_RANK_DELAY_S = 0.6
+"""Delay per rank before a claim that the service has lost is written again.
+
+In seconds. A host sees the write of the host before it within that time.
+"""
+
 VOTERS_PER_ZONE = 4
 """Hosts of each availability zone that vote on the loss of a primary.
 
@@ -151,6 +157,18 @@
     return (len(voters) + others.index(host)) * rank_delay_s
 
 
+def publication_delay_s(
+    group: str, host: str, registered: Iterable[str]
+) -> float:
+    """Return how long a host waits before it writes a claim again.
+
+    The delay is in seconds. Every host knows the claim, and one write is
+    enough.
+    """
+    ranked = rank_hosts(group, sorted({*registered, host}))
+    return ranked.index(host) * PUBLICATION_RANK_DELAY_S
+
+
 def has_loss_quorum(
     reports: Iterable[ReachReport],
     registered: Mapping[str, str],
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.failover import Claim
+from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -21,9 +22,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from returns.result import Result
 
+    from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
@@ -65,13 +68,25 @@
         Name of this host.
     platform : Platform
         The platform's service.
+    registered_hosts : Callable[[], Iterable[str]]
+        Names of the registered hosts.
+    clock : Clock
+        Monotonic time.
     """
 
-    def __init__(self, host: str, platform: Platform) -> None:
+    def __init__(
+        self,
+        host: str,
+        platform: Platform,
+        registered_hosts: Callable[[], Iterable[str]],
+        clock: Clock,
+    ) -> None:
         self._host = host
         self._platform = platform
+        self._registered_hosts = registered_hosts
+        self._clock = clock
         self._newest_claims: dict[str, KnownClaim] = {}
-        self._unpublished: set[str] = set()
+        self._publications_due: dict[str, float] = {}
 
     def last_round(self, group: str) -> int:
         """Return the round of a group's newest claim, or 0."""
@@ -81,20 +96,42 @@
     def record_claim(
         self, group: str, claim: Claim, revision: int, era: int
     ) -> bool:
-        """Record a claim; return whether the claim is newer than the last."""
+        """Record a claim; return whether it announces a new change.
+
+        A claim that was written again announces none.
+        """
         newest = self._newest_claims.get(group)
-        if newest is not None and newest.version >= (era, revision):
+        if newest is None:
+            self._newest_claims[group] = KnownClaim(claim, revision, era)
+            return True
+        if newest.version >= (era, revision):
             return False
-        if newest is not None and newest.claim.round > claim.round:
-            # A round used while the service was unavailable is higher than
-            # the stored round.
+        if newest.claim.round > claim.round:
+            # A round used while the service was unavailable, or lost by the
+            # service, is higher than the stored round.
             self._newest_claims[group] = KnownClaim(
                 newest.claim, revision, era
             )
-            self._unpublished.add(group)
+            self._publish_in_turn(group)
             return False
         self._newest_claims[group] = KnownClaim(claim, revision, era)
-        return True
+        self._publications_due.pop(group, None)
+        if newest.claim.round < claim.round:
+            return True
+        return bool(claim.target) and claim != newest.claim
+
+    def begin_era(self, era: int) -> None:
+        """Prepare to write again the claims that the service has lost.
+
+        Parameters
+        ----------
+        era : int
+            Era of a read whose claims have been recorded.
+        """
+        for group, newest in self._newest_claims.items():
+            if newest.era < era:
+                self._newest_claims[group] = KnownClaim(newest.claim, 0, era)
+                self._publish_in_turn(group)
 
     def advance_round(self, group: str, round_number: int) -> None:
         """Record a round that was used without a claim in the service."""
@@ -102,15 +139,17 @@
             self._newest_claims[group] = replace(
                 self._known(group), claim=Claim(self._host, round_number, '')
             )
-            self._unpublished.add(group)
+            self._publications_due[group] = self._clock.now()
 
     def publish(self) -> None:
-        """Write the rounds that were used without the service.
+        """Write the rounds that the service does not know.
 
-        A host that was cut off in the meantime then can't claim one of these
+        A host that does not know them either then can't claim one of these
         rounds.
         """
-        for group in tuple(self._unpublished):
+        for group, due_at in tuple(self._publications_due.items()):
+            if self._clock.now() < due_at:
+                continue
             newest = self._newest_claims[group]
             value = json.dumps(asdict(newest.claim)).encode()
             result = self._platform.compare_and_swap(
@@ -120,10 +159,10 @@
                 self._newest_claims[group] = KnownClaim(
                     newest.claim, result.unwrap(), newest.era
                 )
-                self._unpublished.discard(group)
+                self._publications_due.pop(group, None)
             elif isinstance(result.failure(), RevisionConflict):
                 # Another host has published the same or a later round.
-                self._unpublished.discard(group)
+                self._publications_due.pop(group, None)
 
     def try_claim(
         self, group: str, after_round: int, target: str
@@ -160,6 +199,13 @@
         self.record_claim(group, claim, revision, known.era)
         return Success(claim.round)
 
+    def _publish_in_turn(self, group: str) -> None:
+        """Let the first host in rank write a claim that every host knows."""
+        delay_s = publication_delay_s(
+            group, self._host, self._registered_hosts()
+        )
+        self._publications_due.setdefault(group, self._clock.now() + delay_s)
+
     def _known(self, group: str) -> KnownClaim:
         """Return the newest claim of a group, or an absent one of round 0."""
         newest = self._newest_claims.get(group)
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -262,7 +262,12 @@
 
     @cached_property
     def _claims(self) -> ClaimStore:
-        return ClaimStore(self._cfg.host, self._platform)
+        return ClaimStore(
+            self._cfg.host,
+            self._platform,
+            self._registered_hosts,
+            self._clock,
+        )
 
     @cached_property
     def _prober(self) -> MemberProber:
@@ -331,6 +336,7 @@
             self.directory,
             self._membership.set_host_list,
             self._on_claim,
+            self._claims.begin_era,
             self._clock,
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -67,6 +67,8 @@
         Called with the hosts that hold a lease.
     on_claim : Callable[[str, Claim, KeyValue], None]
         Called with a group, its claim and the claim's entry.
+    on_read : Callable[[int], None]
+        Called with the era of a read after its entries have been applied.
     clock : Clock
         Monotonic time.
     """
@@ -78,6 +80,7 @@
         directory: GroupDirectory,
         on_hosts: Callable[[tuple[HostEntry, ...]], None],
         on_claim: Callable[[str, Claim, KeyValue], None],
+        on_read: Callable[[int], None],
         clock: Clock,
     ) -> None:
         self._platform = platform
@@ -85,6 +88,7 @@
         self._directory = directory
         self._on_hosts = on_hosts
         self._on_claim = on_claim
+        self._on_read = on_read
         self._clock = clock
         self._revisions = EntryRevisions()
         self._members = MemberVersions()
@@ -178,6 +182,7 @@
             self._on_change(entry)
         for key in self._revisions.end_read(read):
             self._apply(KeyValue(key, b'', read.revision, era=read.era))
+        self._on_read(read.era)
         return True
 
     def _on_change(self, entry: KeyValue) -> None:
