Order fencing tokens by the era of the service

A token was made of the round and of the number of the holder's lease. After the service has come back from an older copy, both may be given out again, so that two hosts could order promotions with one token.

A token begins with the era in which the round was claimed, and the holder is told by the era of its first lease as well as by its number. This leaves 20 bits for the round, 4 for the era of the lease and 20 for its number, so that 512 eras fit into the 53 bits that every JSON reader keeps. Tokens of hosts on the code before are lower: while both run, the platform refuses their orders once a new host has ordered a promotion of the same group.

With the old token, "fencing tokens are unique and increase with the era and the round" failed.

--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -92,7 +92,7 @@
     When the second host decides after round 1 and then learns of the first host's claim
     Then the second host's claim is refused
 
-  Scenario: fencing tokens are unique and increase with the round
+  Scenario: fencing tokens are unique and increase with the era and the round
     Then the tokens of 200 rounds and 50 holders are unique and increase
 
   Scenario Outline: the answering replicas include one with every commit
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -13,6 +13,7 @@
 
     from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.platform import Lease
 
 RANK_DELAY_S = 0.04
 """Delay of each host relative to the host before it in rank, in seconds.
@@ -40,11 +41,14 @@
 the voters are some of the hosts that hold connections to the group's members.
 """
 
-FENCING_TOKENS_PER_ROUND = 1 << 20
-"""Number of fencing tokens in one round.
+HOLDER_LEASE_BITS = 20
+"""Bits of a fencing token for the number of the holder's lease."""
 
-Each claim holder has its own token, derived from the number of its lease.
-"""
+HOLDER_ERA_BITS = 4
+"""Bits of a fencing token for the era of the holder's lease."""
+
+ROUND_BITS = 20
+"""Bits of a fencing token for the number of the round."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +65,17 @@
     """Member to promote."""
 
 
+@dataclass(frozen=True, slots=True)
+class Round:
+    """Round that a host may use for a change."""
+
+    number: int
+    """Number of the change."""
+
+    era: int
+    """Era of the service in which the round was claimed."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReachQuestion:
     """Request to another host whether it reaches a member."""
@@ -97,16 +112,29 @@
     """Whether the member answers the reporting host."""
 
 
-def fencing_token(round_number: int, holder_id: int) -> int:
+def fencing_token(claimed: Round, holder: Lease) -> int:
     """Return the fencing token of a claim holder in a round.
 
     Two holders have different tokens even if neither can see the other's
-    claim.
+    claim. The tokens of a later era are higher, whatever the service has
+    lost, and the holder is told by the era of its lease as well, since lease
+    numbers may be given out again.
+
+    Parameters
+    ----------
+    claimed : Round
+        Round of the change.
+    holder : Lease
+        First lease of the holder.
     """
-    return (
-        round_number * FENCING_TOKENS_PER_ROUND
-        + holder_id % FENCING_TOKENS_PER_ROUND
-    )
+    token = claimed.era
+    for value, bits in (
+        (claimed.number, ROUND_BITS),
+        (holder.era, HOLDER_ERA_BITS),
+        (holder.lease_id, HOLDER_LEASE_BITS),
+    ):
+        token = (token << bits) + value % (1 << bits)
+    return token
 
 
 def choose_voters(group: str, registered: Mapping[str, str]) -> dict[str, str]:
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -15,6 +15,7 @@
 
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import publication_delay_s
+from trefoilpulley_core.direct.failover import Round
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -120,6 +121,11 @@
             return True
         return bool(claim.target) and claim != newest.claim
 
+    def use_round(self, group: str, round_number: int) -> Round:
+        """Return a round that this host uses without a claim."""
+        self.advance_round(group, round_number)
+        return Round(round_number, self._known(group).era)
+
     def begin_era(self, era: int) -> None:
         """Prepare to write again the claims that the service has lost.
 
@@ -166,12 +172,12 @@
 
     def try_claim(
         self, group: str, after_round: int, target: str
-    ) -> Result[int, Failure]:
+    ) -> Result[Round, Failure]:
         """Claim the change of a group that follows a round.
 
         Returns
         -------
-        Result[int, Failure]
+        Result[Round, Failure]
             Round of the claim; `RevisionConflict` where another host claimed
             first; `PlatformDown` or `PlatformAnswerLost` where the service
             can't confirm the claim; `EraChanged` where the service has lost
@@ -197,7 +203,7 @@
         else:
             return result
         self.record_claim(group, claim, revision, known.era)
-        return Success(claim.round)
+        return Success(Round(claim.round, known.era))
 
     def _publish_in_turn(self, group: str) -> None:
         """Let the first host in rank write a claim that every host knows."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -323,7 +323,7 @@
             self._promotions,
             self._peers,
             self._registered_hosts,
-            lambda: self._registration.holder_id,
+            lambda: self._registration.first_lease,
             self._clock,
             self.metrics,
         )
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -62,16 +62,16 @@
         self._platform = platform
         self._lease_id = 0
         self._lease_era = 0
-        self._holder_id: int | None = None
+        self._first_lease: Lease | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     @property
-    def holder_id(self) -> int | None:
-        """Number that is unique among the running hosts.
+    def first_lease(self) -> Lease | None:
+        """First lease, unique among the running hosts by number and era.
 
-        ``None`` before the first lease is granted.
+        ``None`` before it is granted.
         """
-        return self._holder_id
+        return self._first_lease
 
     @property
     def lease_age_s(self) -> float:
@@ -104,7 +104,7 @@
         if not isinstance(granted, Success):
             return False
         lease = granted.unwrap()
-        self._holder_id = self._holder_id or lease.lease_id
+        self._first_lease = self._first_lease or lease
         if isinstance(self._put(lease), Success):
             self._lease_id = lease.lease_id
             self._lease_era = lease.era
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -26,6 +26,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import LeaderNotice
     from trefoilpulley_core.direct.failover import ReachReport
+    from trefoilpulley_core.direct.failover import Round
     from trefoilpulley_core.direct.upstream_session import LogStatus
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.directory import Group
@@ -141,19 +142,19 @@
         target = choose_target(state, statuses)
         if target is None:
             return
-        round_number = self._claim_round(group, after_round, target)
-        if round_number is None:
-            round_number = self._claim_without_service(
+        claimed = self._claim_round(group, after_round, target)
+        if claimed is None:
+            claimed = self._claim_without_service(
                 group, after_round, target, lost_primary, reports
             )
-        if round_number is not None and group.synchronous_replicas:
+        if claimed is not None and group.synchronous_replicas:
             target = self._choose_complete_replica(
                 group, lost_primary, statuses
             )
-        if round_number is None or target is None:
+        if claimed is None or target is None:
             self._back_off(group)
         else:
-            self._promotions.promote(group, target, round_number, None)
+            self._promotions.promote(group, target, claimed, None)
 
     def hand_over(self, group: Group, leaving: str) -> None:
         """Promote another member before the present primary stops."""
@@ -215,13 +216,13 @@
         """Promote a member while the old primary still answers."""
         if target is None:
             return
-        round_number = self._claim_round(group, after_round, target)
-        if round_number is None:
+        claimed = self._claim_round(group, after_round, target)
+        if claimed is None:
             return
         if not group.synchronous_replicas:
-            self._promotions.promote(group, target, round_number, old, cause)
+            self._promotions.promote(group, target, claimed, old, cause)
         elif self._demote_and_catch_up(group, *old, target):
-            self._promotions.promote(group, target, round_number, None, cause)
+            self._promotions.promote(group, target, claimed, None, cause)
 
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Check whether the announced member leads; return the notice."""
@@ -323,7 +324,7 @@
 
     def _claim_round(
         self, group: Group, after_round: int, target: str
-    ) -> int | None:
+    ) -> Round | None:
         """Claim the change; return its round, or ``None`` where that failed.
 
         The attempt fails where another host holds the claim or the platform's
@@ -355,7 +356,7 @@
         target: str,
         lost_primary: str | None,
         reports: Sequence[ReachReport],
-    ) -> int | None:
+    ) -> Round | None:
         """Return a round to use while the platform's service is unavailable.
 
         Only a host on the side of a network partition that has a majority of
@@ -378,11 +379,11 @@
         ) or self._has_leading_member(group):
             return None
         name = group.state.group
-        self._claims.advance_round(name, after_round + 1)
+        claimed = self._claims.use_round(name, after_round + 1)
         events.CHANGE_CLAIMED.log(
             group=name, target=target, round=after_round + 1, failure='alone'
         )
-        return after_round + 1
+        return claimed
 
     def _has_leading_member(self, group: Group) -> bool:
         return any(
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -18,8 +18,10 @@
     from collections.abc import Mapping
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.failover import Round
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.platform import Lease
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import Group
@@ -70,9 +72,9 @@
         Connections to the other hosts.
     registered_hosts : Callable[[], Mapping[str, str]]
         Availability zone of each registered host, this one included.
-    holder_id : Callable[[], int | None]
-        Number that is unique among the running hosts; ``None`` before the
-        number is known.
+    first_lease : Callable[[], Lease | None]
+        First lease of this host, which is unique among the running hosts;
+        ``None`` before it is granted.
     clock : Clock
         Monotonic time.
     metrics : DirectMetrics
@@ -87,7 +89,7 @@
         service: PromotionService,
         peers: Peers,
         registered_hosts: Callable[[], Mapping[str, str]],
-        holder_id: Callable[[], int | None],
+        first_lease: Callable[[], Lease | None],
         clock: Clock,
         metrics: DirectMetrics,
     ) -> None:
@@ -97,7 +99,7 @@
         self._service = service
         self._peers = peers
         self._registered_hosts = registered_hosts
-        self._holder_id = holder_id
+        self._first_lease = first_lease
         self._clock = clock
         self._metrics = metrics
 
@@ -105,7 +107,7 @@
         self,
         group: Group,
         target: str,
-        round_number: int,
+        claimed: Round,
         old_status: tuple[str, LogStatus] | None,
         cause: str = 'lost',
     ) -> None:
@@ -116,7 +118,7 @@
         """
         state = group.state
         began_at = self._clock.now()
-        if not self._order(group, target, round_number):
+        if not self._order(group, target, claimed):
             return
         state.primary_change_due_at = self._clock.now() + EXPECTED_PROMOTION_S
         if old_status is not None:
@@ -131,7 +133,7 @@
                 member=target,
                 took_ms=round(1000 * duration_s),
             )
-            self._announce_leader(group, target, round_number)
+            self._announce_leader(group, target, claimed.number)
         state.primary_change_due_at = float('-inf')
 
     def demote(
@@ -148,13 +150,13 @@
         )
         return demoted
 
-    def _order(self, group: Group, target: str, round_number: int) -> bool:
+    def _order(self, group: Group, target: str, claimed: Round) -> bool:
         """Order a promotion; return whether it may have been accepted."""
-        holder_id = self._holder_id()
-        if holder_id is None:
+        holder = self._first_lease()
+        if holder is None:
             return False
         name = group.state.group
-        token = fencing_token(round_number, holder_id)
+        token = fencing_token(claimed, holder)
         for _ in range(MAX_ORDER_ATTEMPTS):
             # Repeating the order is safe: once the promotion is carried out, a
             # late repetition is rejected, since the member leads already or
@@ -171,7 +173,7 @@
             detail=failure.detail if failure else None,
         )
         if isinstance(failure, PromotionRefused):
-            self._claims.advance_round(name, round_number)
+            self._claims.advance_round(name, claimed.number)
         return failure is None or isinstance(failure, PlatformAnswerLost)
 
     def _demote_after_delay(
