Register a host again when the service has lost its registration

After the service has come back from an older copy, the number of a host's lease may belong to another host.

A lease of an older era is void as soon as the service has been read in the new era, and the host registers at once. A stopping host deletes its own key by its revision and lets the lease lapse.

--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -336,7 +336,7 @@
             self.directory,
             self._membership.set_host_list,
             self._on_claim,
-            self._claims.begin_era,
+            self._on_read,
             self._clock,
         )
 
@@ -389,6 +389,10 @@
             group.state.no_primary_change_until = float('-inf')
             group.check_requested.set()
 
+    def _on_read(self, era: int) -> None:
+        self._claims.begin_era(era)
+        self._registration.begin_era(era)
+
     def _register_gauges(self) -> None:
         register = self.metrics.register_gauge
         groups = self.directory.groups
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 from returns.result import Failure as Failed
 from returns.result import Success
 
@@ -60,8 +61,9 @@
         self._renewed_at = clock.now()
         self._host_entry = host_entry
         self._platform = platform
-        self._lease_id = 0
-        self._lease_era = 0
+        self._lease: Lease | None = None
+        self._revision = 0
+        self._era_began = Event()
         self._first_lease: Lease | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -82,20 +84,39 @@
         """Start to register the host and to renew its lease."""
         self._greenlet = gevent.spawn(self._run)
 
+    def begin_era(self, era: int) -> None:
+        """Register again if the lease is of an older era.
+
+        The service may have given the number of that lease to another host.
+        """
+        if self._lease is not None and self._lease.era < era:
+            self._lease = None
+            self._era_began.set()
+
     def stop(self) -> None:
-        """Revoke the lease, which removes the entry."""
+        """Remove the entry, unless it is no longer the one of this host.
+
+        The lease lapses. Its number may belong to another host by now, if the
+        service has come back from an older copy.
+        """
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
-        if self._lease_id:
+        if self._lease is not None:
             with gevent.Timeout(RETRY_INTERVAL_S / 2, False):
-                self._platform.revoke_lease(self._lease_id)
+                self._platform.delete(
+                    self._key, self._revision, self._lease.era
+                )
+
+    @property
+    def _key(self) -> str:
+        return f'{HOST_PREFIX}{self._host_entry.name}'
 
     def _run(self) -> None:
         while True:
-            is_registered = (
-                self._renew() if self._lease_id else self._register()
-            )
-            gevent.sleep(
+            self._era_began.clear()
+            lease = self._lease
+            is_registered = self._renew(lease) if lease else self._register()
+            self._era_began.wait(
                 RENEW_INTERVAL_S if is_registered else RETRY_INTERVAL_S
             )
 
@@ -105,40 +126,41 @@
             return False
         lease = granted.unwrap()
         self._first_lease = self._first_lease or lease
-        if isinstance(self._put(lease), Success):
-            self._lease_id = lease.lease_id
-            self._lease_era = lease.era
-            self._renewed_at = self._clock.now()
-        return bool(self._lease_id)
+        written = self._put(lease)
+        if not isinstance(written, Success):
+            return False
+        self._lease = lease
+        self._revision = written.unwrap()
+        self._renewed_at = self._clock.now()
+        return True
 
     def _put(self, lease: Lease) -> Result[int, Failure]:
-        key = f'{HOST_PREFIX}{self._host_entry.name}'
         value = write_host(self._host_entry)
         result = self._platform.compare_and_swap(
-            key, 0, value, lease.lease_id, lease.era
+            self._key, 0, value, lease.lease_id, lease.era
         )
         if isinstance(result, Success):
             return result
         if not isinstance(result.failure(), RevisionConflict):
             return result
-        current = self._platform.get(key)
+        current = self._platform.get(self._key)
         if not isinstance(current, Success):
             return current
         entry = current.unwrap()
         if entry is not None and entry.era != lease.era:
-            return Failed(EraChanged(key))
+            return Failed(EraChanged(self._key))
         revision = entry.mod_revision if entry else 0
         return self._platform.compare_and_swap(
-            key, revision, value, lease.lease_id, lease.era
+            self._key, revision, value, lease.lease_id, lease.era
         )
 
-    def _renew(self) -> bool:
-        result = self._platform.keep_alive(self._lease_id, self._lease_era)
+    def _renew(self, lease: Lease) -> bool:
+        result = self._platform.keep_alive(lease.lease_id, lease.era)
         if isinstance(result, Success):
             self._renewed_at = self._clock.now()
             return True
         if isinstance(result.failure(), LeaseExpired | EraChanged):
-            self._lease_id = 0
+            self._lease = None
             return self._register()
         return False
 
