Keep hosts whose registration the service has lost for a moment

After a read in a new era, hosts that had registered after the copy were forgotten at once, though they were alive and about to register again. A loss of a primary was then judged by the votes of the remaining hosts, and a majority of them may be a minority of all.

A host whose entry is absent only in a later era is kept for the grace period of members. An entry that is deleted within an era is removed at once, as before.

On the code before, "a host whose registration the service has lost is kept for a moment" failed.

--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -51,6 +51,19 @@
     When member "m1" writes its entry again
     Then after the grace period the host has the members "m1"
 
+  Scenario: a host whose registration the service has lost is kept for a moment
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the registration of "h1" by its return from a copy
+    Then the host knows the hosts "h1"
+    And after the grace period it knows no host
+
+  Scenario: a host whose registration ended is removed at once
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When "h1" registers and stops
+    Then the host knows no host
+
   Scenario: an entry that can't be applied does not end the watch
     Given a service that lists member "m1"
     And a host that has read the service
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -18,10 +18,14 @@
 from features.fakes.fake_entry_parts import FakeClock
 from features.fakes.fake_platform import FakeCopy
 from features.fakes.fake_platform import FakePlatform
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import PrefixRead
 from trefoilpulley_core.platform import WatchExpired
+from trefoilpulley_node.direct.host_registration import write_host
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
 from trefoilpulley_node.direct.platform_follower import REMOVAL_GRACE_S
 from trefoilpulley_platform.documents import KvDocuments
@@ -157,6 +161,45 @@
         _pass_grace(context)
         _restore(context, copy)
 
+    @staticmethod
+    @when(
+        'the service loses the registration of "{name}" by its return from a '
+        'copy'
+    )
+    def lose_host(context: Any, name: str) -> None:
+        """Register a host, and restore a copy from before."""
+        copy = context.service.take_copy()
+        _register(context, name)
+        _restore(context, copy)
+        wait_until(lambda: context.follower.is_following)
+
+    @staticmethod
+    @when('"{name}" registers and stops')
+    def stop_host(context: Any, name: str) -> None:
+        """Register a host and delete its entry."""
+        _register(context, name)
+        context.service.put(f'{HOST_PREFIX}{name}', b'')
+
+    @staticmethod
+    @then('the host knows the hosts "{names}"')
+    def check_hosts(context: Any, names: str) -> None:
+        """Check which hosts are known."""
+        found = [h.name for h in context.follower.hosts]
+        assert found == names.split(), found
+
+    @staticmethod
+    @then('the host knows no host')
+    def check_no_host(context: Any) -> None:
+        """Check that no host is known."""
+        assert not context.follower.hosts, context.follower.hosts
+
+    @staticmethod
+    @then('after the grace period it knows no host')
+    def check_no_host_later(context: Any) -> None:
+        """Let the grace period pass and check the hosts."""
+        _pass_grace(context)
+        FollowingSteps.check_no_host(context)
+
     @staticmethod
     @when('member "{member}" writes its entry again')
     def write_again(context: Any, member: str) -> None:
@@ -217,6 +260,14 @@
     context.service.put(f'servers/{member}', json.dumps(entry).encode())
 
 
+def _register(context: Any, name: str) -> None:
+    """Write the entry of a host; the host must have read it."""
+    endpoint = Endpoint('127.0.0.1', 1)
+    entry = HostEntry(name, 'here', 'a', endpoint, endpoint)
+    context.service.put(f'{HOST_PREFIX}{name}', write_host(entry))
+    assert [h.name for h in context.follower.hosts] == [name]
+
+
 def _restore(context: Any, copy: FakeCopy) -> None:
     """Restore a copy and wait until the host has read it."""
     reads = context.service.calls['get']
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -35,6 +35,8 @@
 REMOVAL_GRACE_S = 3.0
 """Time for which a member without an entry is kept, in seconds.
 
+A host whose entry the service has lost is kept as long.
+
 Entries that expired during an outage of the service are registered again about
 two seconds after the outage.
 """
@@ -93,6 +95,8 @@
         self._revisions = EntryRevisions()
         self._members = MemberVersions()
         self._hosts: dict[str, HostEntry] = {}
+        self._host_eras: dict[str, int] = {}
+        self._host_removals_due: dict[str, float] = {}
         self._removals_due: dict[str, float] = {}
         self._unreadable: set[str] = set()
         self._greenlet: gevent.Greenlet | None = None
@@ -122,8 +126,13 @@
             self._watch.cancel()
 
     def remove_expired(self) -> None:
-        """Remove the members without an entry whose grace period is over."""
+        """Remove members and hosts without an entry after a grace period."""
         now = self._clock.now()
+        hosts = [n for n, at in self._host_removals_due.items() if now >= at]
+        for name in hosts:
+            self._remove_host(name)
+        if hosts:
+            self._on_hosts(tuple(self._hosts.values()))
         for member, at in list(self._removals_due.items()):
             if now >= at:
                 del self._removals_due[member]
@@ -241,12 +250,24 @@
         result = read_host(entry) if entry.value else None
         if isinstance(result, Success):
             self._hosts[name] = result.unwrap()
+            self._host_eras[name] = entry.era
+            self._host_removals_due.pop(name, None)
+        elif result is None and entry.era > self._host_eras.get(name, 0):
+            # The service has lost the entry; the host registers again.
+            self._host_removals_due.setdefault(
+                name, self._clock.now() + REMOVAL_GRACE_S
+            )
         else:
-            self._hosts.pop(name, None)
+            self._remove_host(name)
             if result is not None:
                 self._log_unreadable(entry, result.failure())
         self._on_hosts(tuple(self._hosts.values()))
 
+    def _remove_host(self, name: str) -> None:
+        self._hosts.pop(name, None)
+        self._host_eras.pop(name, None)
+        self._host_removals_due.pop(name, None)
+
     def _on_claim_entry(self, entry: KeyValue) -> None:
         result = read_claim(entry)
         if isinstance(result, Success):
