Keep a round that is used while another one is written

A host writes a used round to the service; a notice of a later round may arrive before the answer. The answer then replaced the later round by the written one, and the host could claim a round that had been used. Found by reading, while looking for places where the newest round can go back.

On the code before, "a round that is used while another one is written is not forgotten" failed.

--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -45,6 +45,11 @@
     When the first host uses round 2 without the service and then publishes it
     Then the second host cannot claim round 2 after round 1
 
+  Scenario: a round that is used while another one is written is not forgotten
+    Given two hosts that know round 1 of a group
+    When the first host uses round 3 while it writes round 2
+    Then the first host knows round 3 and writes it as well
+
   Scenario: a host recognizes its claim after the answer was lost
     Given two hosts that know round 1 of a group
     When the answer to the next claim is lost after the claim took effect
--- a/features/steps/proxy_succession_steps.py
+++ b/features/steps/proxy_succession_steps.py
@@ -228,6 +228,32 @@
         context.first.advance_round('ledger', 2)
         context.first.publish()
 
+    @staticmethod
+    @when('the first host uses round 3 while it writes round 2')
+    def advance_during_write(context: Any) -> None:
+        """Let a notice of round 3 arrive before the answer to the write."""
+        store, kv = context.first, context.kv
+        write = kv.compare_and_swap
+
+        def write_and_advance(*args: Any, **kwargs: Any) -> Any:
+            result = write(*args, **kwargs)
+            kv.compare_and_swap = write
+            store.advance_round('ledger', 3)
+            return result
+
+        store.advance_round('ledger', 2)
+        kv.compare_and_swap = write_and_advance
+        store.publish()
+
+    @staticmethod
+    @then('the first host knows round 3 and writes it as well')
+    def check_both_rounds(context: Any) -> None:
+        """Check the known and, after another write, the stored round."""
+        assert context.first.last_round('ledger') == 3
+        context.first.publish()
+        entry = context.kv.get(claim_key('ledger')).unwrap()
+        assert read_claim(entry).unwrap().round == 3, entry
+
     @staticmethod
     @when('the answer to the next claim is lost {order} the claim took effect')
     def lose_answer(context: Any, order: str) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -162,14 +162,21 @@
                 claim_key(group), newest.revision, value, era=newest.era
             )
             if isinstance(result, Success):
-                self._newest_claims[group] = KnownClaim(
-                    newest.claim, result.unwrap(), newest.era
-                )
-                self._publications_due.pop(group, None)
+                self._on_published(group, newest, result.unwrap())
             elif isinstance(result.failure(), RevisionConflict):
                 # Another host has published the same or a later round.
                 self._publications_due.pop(group, None)
 
+    def _on_published(
+        self, group: str, written: KnownClaim, revision: int
+    ) -> None:
+        newest = self._newest_claims[group]
+        if newest.claim == written.claim:
+            self._publications_due.pop(group, None)
+        if newest.version == written.version:
+            # A later round may have been used during the write.
+            self._newest_claims[group] = replace(newest, revision=revision)
+
     def try_claim(
         self, group: str, after_round: int, target: str
     ) -> Result[Round, Failure]:
