Notice the first return of a service that counts its eras from 0

Era 0 was taken for no era: the first return, to era 1, neither ended the watch nor was logged, where another call than the watch's own showed it. An answer without an era is now told from one of era 0.

On the code before, "a silent watch is ended by the first return of a service of era 0" failed.

--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -32,6 +32,15 @@
     And the client reads the service
     Then the watch has expired
 
+  Scenario: a silent watch is ended by the first return of a service of era 0
+    Given an emulated service
+    And the service is of era 0
+    And a host's client of the service
+    When the client watches the service
+    And the service comes back from a copy of its newest state
+    And the client reads the service
+    Then the watch has expired
+
   Scenario: a watch is not continued in an era in which its revision means another change
     Given an emulated service
     And a host's client of the service
--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -36,6 +36,12 @@
         context.store.put('servers/first', {})
         context.client = JsonClient(_endpoint(context))
 
+    @staticmethod
+    @given('the service is of era 0')
+    def set_era(context: Any) -> None:
+        """Let the service count its eras from 0."""
+        context.store.era = 0
+
     @staticmethod
     @when('a key is written and a lease is granted')
     def write(context: Any) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/service_era.py
+++ b/packages/node/src/trefoilpulley_node/direct/service_era.py
@@ -12,6 +12,7 @@
         self.newest = 0
         """Newest era; 0 before the first answer that names one."""
 
+        self._is_named = False
         self._revision = 0
 
     def observe(self, era: int, revision: int | None) -> bool:
@@ -26,7 +27,7 @@
         """
         if era < self.newest:
             return False
-        is_restored = 0 < self.newest < era
+        is_restored = self._is_named and era > self.newest
         if is_restored:
             events.PLATFORM_RESTORED.log(
                 era=era,
@@ -34,6 +35,7 @@
                 last_era=self.newest,
                 last_revision=self._revision,
             )
+        self._is_named = True
         if era > self.newest:
             self.newest, self._revision = era, 0
         self._revision = max(self._revision, revision or 0)
