--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -31,6 +31,39 @@
     And the service has lost its history
     Then after the grace period the host has no member
 
+  Scenario: a member that joined in the lost time of the service is removed
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the entry of "m2" by its return from a copy
+    Then after the grace period the host has the members "m1"
+
+  Scenario: a leaving member gets no new work from an older copy of the service
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses by its return from a copy that "m1" leaves
+    Then the host knows that "m1" is leaving
+
+  Scenario: a member that left gets no work from an older copy of the service
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses by its return from a copy that "m1" was deleted
+    Then the host has no member
+    When member "m1" writes its entry again
+    Then after the grace period the host has the members "m1"
+
+  Scenario: a host whose registration the service has lost is kept for a moment
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the registration of "h1" by its return from a copy
+    Then the host knows the hosts "h1"
+    And after the grace period it knows no host
+
+  Scenario: a host whose registration ended is removed at once
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When "h1" registers and stops
+    Then the host knows no host
+
   Scenario: an entry that can't be applied does not end the watch
     Given a service that lists member "m1"
     And a host that has read the service
--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -45,6 +45,11 @@
     When the first host uses round 2 without the service and then publishes it
     Then the second host cannot claim round 2 after round 1
 
+  Scenario: a round that is used while another one is written is not forgotten
+    Given two hosts that know round 1 of a group
+    When the first host uses round 3 while it writes round 2
+    Then the first host knows round 3 and writes it as well
+
   Scenario: a host recognizes its claim after the answer was lost
     Given two hosts that know round 1 of a group
     When the answer to the next claim is lost after the claim took effect
@@ -61,12 +66,38 @@
     When the second host claims round 2 and the answer to the next claim is lost
     Then the first host does not know whether it holds round 2
 
+  Scenario: a host does not rely on its own claim in a later era of the service
+    Given two hosts that know round 1 of a group
+    When the answer to the next claim is lost and the service comes back from a copy
+    Then the first host does not know whether it holds round 2
+
+  Scenario: a host does not claim by a revision of a lost era
+    Given two hosts that know round 1 of a group
+    When the service comes back from a copy of its state
+    Then the first host cannot claim round 2, as the era has changed
+
+  Scenario Outline: a round that the service has lost is written again by one host
+    Given two hosts that know a round which the service has lost <claim>
+    When the first host in rank writes the claim again
+    Then the service holds round 2 after a single write
+    And the second host claims round 3 and not round 2
+
+    Examples:
+      | claim       |
+      | to round 1  |
+      | with its key |
+
+  Scenario: a round that the service has lost is written again by the next host
+    Given two hosts that know a round which the service has lost to round 1
+    When the first host in rank does not write the claim again
+    Then the service holds round 2 after a single write
+
   Scenario: a host cannot claim if another host has claimed since its decision
     Given two hosts that know round 1 of a group
     When the second host decides after round 1 and then learns of the first host's claim
     Then the second host's claim is refused
 
-  Scenario: fencing tokens are unique and increase with the round
+  Scenario: fencing tokens are unique and increase with the era and the round
     Then the tokens of 200 rounds and 50 holders are unique and increase
 
   Scenario Outline: the answering replicas include one with every commit
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -13,6 +13,7 @@
 
     from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.platform import Lease
 
 RANK_DELAY_S = 0.04
 """Delay of each host relative to the host before it in rank, in seconds.
@@ -27,6 +28,12 @@
 Without the service, a host cannot see the claims of other hosts.
 """
 
+PUBLICATION_RANK_DELAY_S = 0.6
+"""Delay per rank before a claim that the service has lost is written again.
+
+In seconds. A host sees the write of the host before it within that time.
+"""
+
 VOTERS_PER_ZONE = 4
 """Hosts of each availability zone that vote on the loss of a primary.
 
@@ -34,11 +41,14 @@
 the voters are some of the hosts that hold connections to the group's members.
 """
 
-FENCING_TOKENS_PER_ROUND = 1 << 20
-"""Number of fencing tokens in one round.
+HOLDER_LEASE_BITS = 20
+"""Bits of a fencing token for the number of the holder's lease."""
 
-Each claim holder has its own token, derived from the number of its lease.
-"""
+HOLDER_ERA_BITS = 4
+"""Bits of a fencing token for the era of the holder's lease."""
+
+ROUND_BITS = 20
+"""Bits of a fencing token for the number of the round."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +65,17 @@
     """Member to promote."""
 
 
+@dataclass(frozen=True, slots=True)
+class Round:
+    """Round that a host may use for a change."""
+
+    number: int
+    """Number of the change."""
+
+    era: int
+    """Era of the service in which the round was claimed."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReachQuestion:
     """Request to another host whether it reaches a member."""
@@ -91,16 +112,29 @@
     """Whether the member answers the reporting host."""
 
 
-def fencing_token(round_number: int, holder_id: int) -> int:
+def fencing_token(claimed: Round, holder: Lease) -> int:
     """Return the fencing token of a claim holder in a round.
 
     Two holders have different tokens even if neither can see the other's
-    claim.
+    claim. The tokens of a later era are higher, whatever the service has
+    lost, and the holder is told by the era of its lease as well, since lease
+    numbers may be given out again.
+
+    Parameters
+    ----------
+    claimed : Round
+        Round of the change.
+    holder : Lease
+        First lease of the holder.
     """
-    return (
-        round_number * FENCING_TOKENS_PER_ROUND
-        + holder_id % FENCING_TOKENS_PER_ROUND
-    )
+    token = claimed.era
+    for value, bits in (
+        (claimed.number, ROUND_BITS),
+        (holder.era, HOLDER_ERA_BITS),
+        (holder.lease_id, HOLDER_LEASE_BITS),
+    ):
+        token = (token << bits) + value % (1 << bits)
+    return token
 
 
 def choose_voters(group: str, registered: Mapping[str, str]) -> dict[str, str]:
@@ -151,6 +185,18 @@
     return (len(voters) + others.index(host)) * rank_delay_s
 
 
+def publication_delay_s(
+    group: str, host: str, registered: Iterable[str]
+) -> float:
+    """Return how long a host waits before it writes a claim again.
+
+    The delay is in seconds. Every host knows the claim, and one write is
+    enough.
+    """
+    ranked = rank_hosts(group, sorted({*registered, host}))
+    return ranked.index(host) * PUBLICATION_RANK_DELAY_S
+
+
 def has_loss_quorum(
     reports: Iterable[ReachReport],
     registered: Mapping[str, str],
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -58,6 +58,17 @@
     run_state = RunState.NOT_RUN
 
 
+@dataclass(frozen=True, slots=True)
+class EraChanged(Failure):
+    """The service has come back from an older copy in a new era.
+
+    What the caller expected belongs to another era, and the call may have
+    taken effect.
+    """
+
+    code = 'era-changed'
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """One key and its value."""
@@ -74,6 +85,14 @@
     lease_id: int = 0
     """Identifier of the lease that the key is bound to, or 0."""
 
+    era: int = 0
+    """Era of the revision; 0 where the service names no era."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Era and revision of the last change, in the order of changes."""
+        return self.era, self.mod_revision
+
 
 @dataclass(frozen=True, slots=True)
 class PrefixRead:
@@ -92,6 +111,9 @@
     The read shows every change up to this revision.
     """
 
+    era: int = 0
+    """Era of every entry; 0 where the service names no era."""
+
 
 @dataclass(frozen=True, slots=True)
 class Lease:
@@ -103,6 +125,9 @@
     ttl_s: float
     """Time to live in seconds, measured from the sending of the request."""
 
+    era: int = 0
+    """Era in which the number is valid; 0 where the service names no era."""
+
 
 class Watch(abc.ABC):
     """Active watch on a prefix."""
@@ -115,6 +140,16 @@
 class Platform(abc.ABC):
     """Client of the platform's key-value service."""
 
+    @property
+    def era(self) -> int:
+        """Newest era that an answer of the service has named.
+
+        The era rises when the service comes back from an older copy, so that
+        what it has acknowledged since is lost. It is 0 where the service
+        names no era.
+        """
+        return 0
+
     @abc.abstractmethod
     def get(self, key: str) -> Result[KeyValue | None, Failure]:
         """Return a key and its value, or ``None`` if the key is absent."""
@@ -134,6 +169,7 @@
         expected_revision: int,
         value: bytes,
         lease_id: int = 0,
+        era: int = 0,
     ) -> Result[int, Failure]:
         """Write a key if it has the expected revision.
 
@@ -147,27 +183,32 @@
             New value.
         lease_id : int
             Identifier of the lease to bind the key to, or 0 for none.
+        era : int
+            Era in which the revision and the lease were learnt; 0 where the
+            service names no era.
 
         Returns
         -------
         Result[int, Failure]
             The new revision, or `RevisionConflict`, `PlatformDown`,
-            `PlatformAnswerLost` or `LeaseExpired`.
+            `PlatformAnswerLost`, `LeaseExpired` or `EraChanged`.
         """
 
     @abc.abstractmethod
     def delete(
-        self, key: str, expected_revision: int
+        self, key: str, expected_revision: int, era: int = 0
     ) -> Result[None, Failure]:
-        """Delete a key if it has the expected revision."""
+        """Delete a key if it has the revision expected in an era."""
 
     @abc.abstractmethod
     def grant_lease(self, ttl_s: int) -> Result[Lease, Failure]:
         """Request a new lease."""
 
     @abc.abstractmethod
-    def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
-        """Renew a lease once."""
+    def keep_alive(
+        self, lease_id: int, era: int = 0
+    ) -> Result[Lease, Failure]:
+        """Renew a lease of an era once."""
 
     @abc.abstractmethod
     def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
@@ -188,5 +229,6 @@
         so that a subsequent read misses no change. A watch that is
         started after a broken one may continue where the broken watch
         ended. Such a watch fails with `WatchExpired` if changes in between
-        are no longer available.
+        are no longer available. Any watch fails with `WatchExpired` as soon
+        as an answer to any call names a new era.
         """
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -4,6 +4,7 @@
 
 from dataclasses import asdict
 from dataclasses import dataclass
+from dataclasses import replace
 import json
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -13,6 +14,8 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.failover import Claim
+from trefoilpulley_core.direct.failover import publication_delay_s
+from trefoilpulley_core.direct.failover import Round
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -20,9 +23,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from returns.result import Result
 
+    from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
@@ -44,7 +49,15 @@
     """Claim."""
 
     revision: int
-    """Revision of the claim's key in the service."""
+    """Revision of the claim's key in the service; 0 where it is absent."""
+
+    era: int
+    """Era of the revision."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Era and revision, in the order of changes."""
+        return self.era, self.revision
 
 
 class ClaimStore:
@@ -56,106 +69,177 @@
         Name of this host.
     platform : Platform
         The platform's service.
+    registered_hosts : Callable[[], Iterable[str]]
+        Names of the registered hosts.
+    clock : Clock
+        Monotonic time.
     """
 
-    def __init__(self, host: str, platform: Platform) -> None:
+    def __init__(
+        self,
+        host: str,
+        platform: Platform,
+        registered_hosts: Callable[[], Iterable[str]],
+        clock: Clock,
+    ) -> None:
         self._host = host
         self._platform = platform
+        self._registered_hosts = registered_hosts
+        self._clock = clock
         self._newest_claims: dict[str, KnownClaim] = {}
-        self._unpublished: set[str] = set()
+        self._publications_due: dict[str, float] = {}
 
     def last_round(self, group: str) -> int:
         """Return the round of a group's newest claim, or 0."""
         newest = self._newest_claims.get(group)
         return newest.claim.round if newest else 0
 
-    def record_claim(self, group: str, claim: Claim, revision: int) -> bool:
-        """Record a claim; return whether the claim is newer than the last."""
+    def record_claim(
+        self, group: str, claim: Claim, revision: int, era: int
+    ) -> bool:
+        """Record a claim; return whether it announces a new change.
+
+        A claim that was written again announces none.
+        """
         newest = self._newest_claims.get(group)
-        if newest is not None and newest.revision >= revision:
+        if newest is None:
+            self._newest_claims[group] = KnownClaim(claim, revision, era)
+            return True
+        if newest.version >= (era, revision):
             return False
-        if newest is not None and newest.claim.round > claim.round:
-            # A round used while the service was unavailable is higher than
-            # the stored round.
-            self._newest_claims[group] = KnownClaim(newest.claim, revision)
-            self._unpublished.add(group)
+        if newest.claim.round > claim.round:
+            # A round used while the service was unavailable, or lost by the
+            # service, is higher than the stored round.
+            self._newest_claims[group] = KnownClaim(
+                newest.claim, revision, era
+            )
+            self._publish_in_turn(group)
             return False
-        self._newest_claims[group] = KnownClaim(claim, revision)
-        return True
+        self._newest_claims[group] = KnownClaim(claim, revision, era)
+        self._publications_due.pop(group, None)
+        if newest.claim.round < claim.round:
+            return True
+        return bool(claim.target) and claim != newest.claim
+
+    def use_round(self, group: str, round_number: int) -> Round:
+        """Return a round that this host uses without a claim."""
+        self.advance_round(group, round_number)
+        return Round(round_number, self._known(group).era)
+
+    def begin_era(self, era: int) -> None:
+        """Prepare to write again the claims that the service has lost.
+
+        Parameters
+        ----------
+        era : int
+            Era of a read whose claims have been recorded.
+        """
+        for group, newest in self._newest_claims.items():
+            if newest.era < era:
+                self._newest_claims[group] = KnownClaim(newest.claim, 0, era)
+                self._publish_in_turn(group)
 
     def advance_round(self, group: str, round_number: int) -> None:
         """Record a round that was used without a claim in the service."""
-        newest = self._newest_claims.get(group)
-        revision = newest.revision if newest else 0
         if round_number > self.last_round(group):
-            claim = Claim(self._host, round_number, '')
-            self._newest_claims[group] = KnownClaim(claim, revision)
-            self._unpublished.add(group)
+            self._newest_claims[group] = replace(
+                self._known(group), claim=Claim(self._host, round_number, '')
+            )
+            self._publications_due[group] = self._clock.now()
 
     def publish(self) -> None:
-        """Write the rounds that were used without the service.
+        """Write the rounds that the service does not know.
 
-        A host that was cut off in the meantime then can't claim one of these
+        A host that does not know them either then can't claim one of these
         rounds.
         """
-        for group in tuple(self._unpublished):
+        for group, due_at in tuple(self._publications_due.items()):
+            if self._clock.now() < due_at:
+                continue
             newest = self._newest_claims[group]
             value = json.dumps(asdict(newest.claim)).encode()
             result = self._platform.compare_and_swap(
-                claim_key(group), newest.revision, value
+                claim_key(group), newest.revision, value, era=newest.era
             )
             if isinstance(result, Success):
-                self._newest_claims[group] = KnownClaim(
-                    newest.claim, result.unwrap()
-                )
-                self._unpublished.discard(group)
+                self._on_published(group, newest, result.unwrap())
             elif isinstance(result.failure(), RevisionConflict):
                 # Another host has published the same or a later round.
-                self._unpublished.discard(group)
+                self._publications_due.pop(group, None)
+
+    def _on_published(
+        self, group: str, written: KnownClaim, revision: int
+    ) -> None:
+        newest = self._newest_claims[group]
+        if newest.claim == written.claim:
+            self._publications_due.pop(group, None)
+        if newest.version == written.version:
+            # A later round may have been used during the write.
+            self._newest_claims[group] = replace(newest, revision=revision)
 
     def try_claim(
         self, group: str, after_round: int, target: str
-    ) -> Result[int, Failure]:
+    ) -> Result[Round, Failure]:
         """Claim the change of a group that follows a round.
 
         Returns
         -------
-        Result[int, Failure]
+        Result[Round, Failure]
             Round of the claim; `RevisionConflict` where another host claimed
             first; `PlatformDown` or `PlatformAnswerLost` where the service
-            can't confirm the claim.
+            can't confirm the claim; `EraChanged` where the service has lost
+            writes since the claims were read.
         """
         if self.last_round(group) != after_round:
             return Failed(RevisionConflict(group))
-        newest = self._newest_claims.get(group)
+        known = self._known(group)
         claim = Claim(self._host, after_round + 1, target)
         value = json.dumps(asdict(claim)).encode()
         result = self._call(
             lambda: self._platform.compare_and_swap(
-                claim_key(group), newest.revision if newest else 0, value
+                claim_key(group), known.revision, value, era=known.era
             )
         )
         if isinstance(result, Success):
             revision = result.unwrap()
         elif isinstance(result.failure(), PlatformAnswerLost):
-            found = self._find_own_claim(group, claim)
+            found = self._find_own_claim(group, claim, known.era)
             if found is None:
                 return result
             revision = found
         else:
             return result
-        self.record_claim(group, claim, revision)
-        return Success(claim.round)
+        self.record_claim(group, claim, revision, known.era)
+        return Success(Round(claim.round, known.era))
+
+    def _publish_in_turn(self, group: str) -> None:
+        """Let the first host in rank write a claim that every host knows."""
+        delay_s = publication_delay_s(
+            group, self._host, self._registered_hosts()
+        )
+        self._publications_due.setdefault(group, self._clock.now() + delay_s)
 
-    def _find_own_claim(self, group: str, claim: Claim) -> int | None:
+    def _known(self, group: str) -> KnownClaim:
+        """Return the newest claim of a group, or an absent one of round 0."""
+        newest = self._newest_claims.get(group)
+        if newest is not None:
+            return newest
+        return KnownClaim(Claim('', 0, ''), 0, self._platform.era)
+
+    def _find_own_claim(
+        self, group: str, claim: Claim, era: int
+    ) -> int | None:
         """Return the revision of a claim whose answer was lost.
 
-        ``None`` if the claim is not in the service. Only this host writes
-        claims with its name, and a round is claimed once.
+        ``None`` if the claim is not in the service, or if the service has
+        lost writes since, so that it may have lost the claim. Only this host
+        writes claims with its name, and a round is claimed once.
         """
         fetched = self._call(lambda: self._platform.get(claim_key(group)))
         entry = fetched.value_or(None)
-        if entry is None or read_claim(entry).value_or(None) != claim:
+        if entry is None or entry.era != era:
+            return None
+        if read_claim(entry).value_or(None) != claim:
             return None
         return entry.mod_revision
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -55,6 +55,7 @@
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
     from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.direct_settings import DirectSettings
@@ -290,7 +291,12 @@
 
     @cached_property
     def _claims(self) -> ClaimStore:
-        return ClaimStore(self._cfg.host, self._platform)
+        return ClaimStore(
+            self._cfg.host,
+            self._platform,
+            self._registered_hosts,
+            self._clock,
+        )
 
     @cached_property
     def _prober(self) -> MemberProber:
@@ -346,7 +352,7 @@
             self._promotions,
             self._peers,
             self._registered_hosts,
-            lambda: self._registration.holder_id,
+            lambda: self._registration.first_lease,
             self._clock,
             self.metrics,
         )
@@ -359,6 +365,7 @@
             self.directory,
             self._membership.set_host_list,
             self._on_claim,
+            self._on_read,
             self._clock,
         )
 
@@ -394,8 +401,10 @@
     def _on_live_hosts(self, live: LiveHosts) -> None:
         self.directory.set_hosts(self._live_zones())
 
-    def _on_claim(self, name: str, claim: Claim, revision: int) -> None:
-        if not self._claims.record_claim(name, claim, revision):
+    def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
+        if not self._claims.record_claim(
+            name, claim, entry.mod_revision, entry.era
+        ):
             return
         group = self.directory.groups.get(name)
         if group is None or claim.holder == self._cfg.host:
@@ -409,6 +418,10 @@
             group.state.no_primary_change_until = float('-inf')
             group.check_requested.set()
 
+    def _on_read(self, era: int) -> None:
+        self._claims.begin_era(era)
+        self._registration.begin_era(era)
+
     def _register_gauges(self) -> None:
         register = self.metrics.register_gauge
         groups = self.directory.groups
@@ -436,6 +449,7 @@
         )
         register('configuration_version', lambda: self.directory.table.version)
         register('service_followed', lambda: self._follower.is_following)
+        register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
         register('live_hosts', lambda: len(self._live_hosts()))
 
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 from returns.result import Failure as Failed
 from returns.result import Success
 
@@ -13,6 +14,7 @@
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import LeaseExpired
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node.service import Service
@@ -23,6 +25,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
+    from trefoilpulley_core.platform import Lease
     from trefoilpulley_core.platform import Platform
 
 LEASE_TTL_S = 30
@@ -58,17 +61,19 @@
         self._renewed_at = clock.now()
         self._host_entry = host_entry
         self._platform = platform
-        self._lease_id = 0
-        self._holder_id: int | None = None
+        self._lease: Lease | None = None
+        self._revision = 0
+        self._era_began = Event()
+        self._first_lease: Lease | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     @property
-    def holder_id(self) -> int | None:
-        """Number that is unique among the running hosts.
+    def first_lease(self) -> Lease | None:
+        """First lease, unique among the running hosts by number and era.
 
-        ``None`` before the first lease is granted.
+        ``None`` before it is granted.
         """
-        return self._holder_id
+        return self._first_lease
 
     @property
     def lease_age_s(self) -> float:
@@ -79,20 +84,39 @@
         """Start to register the host and to renew its lease."""
         self._greenlet = gevent.spawn(self._run)
 
+    def begin_era(self, era: int) -> None:
+        """Register again if the lease is of an older era.
+
+        The service may have given the number of that lease to another host.
+        """
+        if self._lease is not None and self._lease.era < era:
+            self._lease = None
+            self._era_began.set()
+
     def stop(self) -> None:
-        """Revoke the lease, which removes the entry."""
+        """Remove the entry, unless it is no longer the one of this host.
+
+        The lease lapses. Its number may belong to another host by now, if the
+        service has come back from an older copy.
+        """
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
-        if self._lease_id:
+        if self._lease is not None:
             with gevent.Timeout(RETRY_INTERVAL_S / 2, False):
-                self._platform.revoke_lease(self._lease_id)
+                self._platform.delete(
+                    self._key, self._revision, self._lease.era
+                )
+
+    @property
+    def _key(self) -> str:
+        return f'{HOST_PREFIX}{self._host_entry.name}'
 
     def _run(self) -> None:
         while True:
-            is_registered = (
-                self._renew() if self._lease_id else self._register()
-            )
-            gevent.sleep(
+            self._era_began.clear()
+            lease = self._lease
+            is_registered = self._renew(lease) if lease else self._register()
+            self._era_began.wait(
                 RENEW_INTERVAL_S if is_registered else RETRY_INTERVAL_S
             )
 
@@ -100,35 +124,43 @@
         granted = self._platform.grant_lease(LEASE_TTL_S)
         if not isinstance(granted, Success):
             return False
-        lease_id = granted.unwrap().lease_id
-        self._holder_id = self._holder_id or lease_id
-        if isinstance(self._put(lease_id), Success):
-            self._lease_id = lease_id
-            self._renewed_at = self._clock.now()
-        return bool(self._lease_id)
+        lease = granted.unwrap()
+        self._first_lease = self._first_lease or lease
+        written = self._put(lease)
+        if not isinstance(written, Success):
+            return False
+        self._lease = lease
+        self._revision = written.unwrap()
+        self._renewed_at = self._clock.now()
+        return True
 
-    def _put(self, lease_id: int) -> Result[int, Failure]:
-        key = f'{HOST_PREFIX}{self._host_entry.name}'
+    def _put(self, lease: Lease) -> Result[int, Failure]:
         value = write_host(self._host_entry)
-        result = self._platform.compare_and_swap(key, 0, value, lease_id)
+        result = self._platform.compare_and_swap(
+            self._key, 0, value, lease.lease_id, lease.era
+        )
         if isinstance(result, Success):
             return result
         if not isinstance(result.failure(), RevisionConflict):
             return result
-        current = self._platform.get(key)
+        current = self._platform.get(self._key)
         if not isinstance(current, Success):
             return current
         entry = current.unwrap()
+        if entry is not None and entry.era != lease.era:
+            return Failed(EraChanged(self._key))
         revision = entry.mod_revision if entry else 0
-        return self._platform.compare_and_swap(key, revision, value, lease_id)
+        return self._platform.compare_and_swap(
+            self._key, revision, value, lease.lease_id, lease.era
+        )
 
-    def _renew(self) -> bool:
-        result = self._platform.keep_alive(self._lease_id)
+    def _renew(self, lease: Lease) -> bool:
+        result = self._platform.keep_alive(lease.lease_id, lease.era)
         if isinstance(result, Success):
             self._renewed_at = self._clock.now()
             return True
-        if isinstance(result.failure(), LeaseExpired):
-            self._lease_id = 0
+        if isinstance(result.failure(), LeaseExpired | EraChanged):
+            self._lease = None
             return self._register()
         return False
 
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.entry_revisions import EntryRevisions
+from trefoilpulley_core.direct.member_versions import MemberVersions
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import KeyValue
@@ -24,6 +25,7 @@
     from trefoilpulley_core.catalog import HostEntry
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import Claim
+    from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import Platform
@@ -33,6 +35,8 @@
 REMOVAL_GRACE_S = 3.0
 """Time for which a member without an entry is kept, in seconds.
 
+A host whose entry the service has lost is kept as long.
+
 Entries that expired during an outage of the service are registered again about
 two seconds after the outage.
 """
@@ -63,8 +67,10 @@
         Receives routes and members.
     on_hosts : Callable[[tuple[HostEntry, ...]], None]
         Called with the hosts that hold a lease.
-    on_claim : Callable[[str, Claim, int], None]
-        Called with a group, its claim and the claim's revision.
+    on_claim : Callable[[str, Claim, KeyValue], None]
+        Called with a group, its claim and the claim's entry.
+    on_read : Callable[[int], None]
+        Called with the era of a read after its entries have been applied.
     clock : Clock
         Monotonic time.
     """
@@ -75,7 +81,8 @@
         documents: PlatformDocuments,
         directory: GroupDirectory,
         on_hosts: Callable[[tuple[HostEntry, ...]], None],
-        on_claim: Callable[[str, Claim, int], None],
+        on_claim: Callable[[str, Claim, KeyValue], None],
+        on_read: Callable[[int], None],
         clock: Clock,
     ) -> None:
         self._platform = platform
@@ -83,9 +90,13 @@
         self._directory = directory
         self._on_hosts = on_hosts
         self._on_claim = on_claim
+        self._on_read = on_read
         self._clock = clock
         self._revisions = EntryRevisions()
+        self._members = MemberVersions()
         self._hosts: dict[str, HostEntry] = {}
+        self._host_eras: dict[str, int] = {}
+        self._host_removals_due: dict[str, float] = {}
         self._removals_due: dict[str, float] = {}
         self._unreadable: set[str] = set()
         self._greenlet: gevent.Greenlet | None = None
@@ -115,8 +126,13 @@
             self._watch.cancel()
 
     def remove_expired(self) -> None:
-        """Remove the members without an entry whose grace period is over."""
+        """Remove members and hosts without an entry after a grace period."""
         now = self._clock.now()
+        hosts = [n for n, at in self._host_removals_due.items() if now >= at]
+        for name in hosts:
+            self._remove_host(name)
+        if hosts:
+            self._on_hosts(tuple(self._hosts.values()))
         for member, at in list(self._removals_due.items()):
             if now >= at:
                 del self._removals_due[member]
@@ -174,7 +190,8 @@
         for entry in read.entries:
             self._on_change(entry)
         for key in self._revisions.end_read(read):
-            self._apply(KeyValue(key, b'', read.revision))
+            self._apply(KeyValue(key, b'', read.revision, era=read.era))
+        self._on_read(read.era)
         return True
 
     def _on_change(self, entry: KeyValue) -> None:
@@ -211,30 +228,51 @@
         if entry.value:
             result = self._documents.decode_member(entry.key, entry.value)
             if isinstance(result, Success):
-                self._removals_due.pop(member, None)
-                self._directory.set_member(result.unwrap())
+                self._set_member(result.unwrap(), entry.era)
                 return
             self._log_unreadable(entry, result.failure())
+        self._members.remove(member, entry.era)
         self._removals_due.setdefault(
             member, self._clock.now() + REMOVAL_GRACE_S
         )
 
+    def _set_member(self, record: MemberRecord, era: int) -> None:
+        if self._members.accept(record, era):
+            self._removals_due.pop(record.member, None)
+            self._directory.set_member(record)
+        else:
+            events.MEMBER_OUTDATED.log(
+                member=record.member, era=era, sequence=record.sequence
+            )
+
     def _on_host(self, entry: KeyValue) -> None:
         name = entry.key.removeprefix(HOST_PREFIX)
         result = read_host(entry) if entry.value else None
         if isinstance(result, Success):
             self._hosts[name] = result.unwrap()
+            self._host_eras[name] = entry.era
+            self._host_removals_due.pop(name, None)
+        elif result is None and entry.era > self._host_eras.get(name, 0):
+            # The service has lost the entry; the host registers again.
+            self._host_removals_due.setdefault(
+                name, self._clock.now() + REMOVAL_GRACE_S
+            )
         else:
-            self._hosts.pop(name, None)
+            self._remove_host(name)
             if result is not None:
                 self._log_unreadable(entry, result.failure())
         self._on_hosts(tuple(self._hosts.values()))
 
+    def _remove_host(self, name: str) -> None:
+        self._hosts.pop(name, None)
+        self._host_eras.pop(name, None)
+        self._host_removals_due.pop(name, None)
+
     def _on_claim_entry(self, entry: KeyValue) -> None:
         result = read_claim(entry)
         if isinstance(result, Success):
             group = entry.key.removeprefix(CLAIM_PREFIX)
-            self._on_claim(group, result.unwrap(), entry.mod_revision)
+            self._on_claim(group, result.unwrap(), entry)
         else:
             self._log_unreadable(entry, result.failure())
 
