Let the soak's requests meet the moments of a host's stop

Its callers ignored readiness and connected all the time, so that no host ever ended its drain before the end of the grace period; they paused for 20 ms at most, so that few sessions were idle; one seed in five had planned work alone, and an unplanned fault excused every cut for 3 s; a read that a member had received counted only if it had taken 0.2 s, since reads were matched by their texts.

The new profile 'rolls' stops the hosts in turn, overlapping, with SIGHUP and changes of the configuration beside it, and no unplanned fault. A balancer follows the readiness; callers keep their sessions until the host closes them, pause, pipeline and hold transactions open; others connect to stopping hosts only. Requests are matched by their ids. A violation names the request, the times after the SIGTERM and the host's log lines. A caller's failure now fails the run; before it only ended the caller.

On the unchanged code the seeds 205, 301 and 305 fail, for example 301: sent 3.531 s after the SIGTERM, host-stopped at 3.542, reached a member at 3.547, cut at 3.567, process gone at 3.569.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,16 +5,18 @@
     Then the checker reports a violation of "<guarantee>" alone
 
     Examples:
-      | observation                                              | guarantee       |
-      | an acknowledged write is missing                         | kept            |
-      | a write took effect twice                                | at-most-once    |
-      | a write that was reported as not run took effect         | not-run-is-true |
-      | half of a transaction took effect                        | whole           |
-      | a read at primary freshness missed an acknowledged write | fresh           |
-      | a session did not read its own write                     | fresh           |
-      | a read was answered with the data of another item        | own-answer      |
-      | a planned stop cut a write that a member had received    | planned-stop    |
-      | a planned stop cut a read that had waited for 1 s        | planned-stop    |
+      | observation                                                        | guarantee       |
+      | an acknowledged write is missing                                   | kept            |
+      | a write took effect twice                                          | at-most-once    |
+      | a write that was reported as not run took effect                   | not-run-is-true |
+      | half of a transaction took effect                                  | whole           |
+      | a read at primary freshness missed an acknowledged write           | fresh           |
+      | a session did not read its own write                               | fresh           |
+      | a read was answered with the data of another item                  | own-answer      |
+      | a planned stop cut a write that a member had received              | planned-stop    |
+      | a planned stop cut a read that a member had received               | planned-stop    |
+      | a caller noticed the cut of a received request only after the exit | planned-stop    |
+      | a planned stop cut a read that had waited for 1 s                  | planned-stop    |
 
   Scenario Outline: the checker accepts allowed behavior
     Given a soak run in which <observation>
@@ -26,10 +28,14 @@
       | a bounded read returned data within its maximum age       |
       | a planned stop closed a session with a request in transit |
       | a planned stop cut a request during an unplanned fault    |
+      | a planned stop cut a request that had reached its timeout |
 
   Scenario: the faults depend on the seed alone
     Then seed 7 generates the same faults twice and seed 8 generates others
 
+  Scenario: the planned stops depend on the seed alone
+    Then seed 7 stops every host in turn, and the same way each time
+
   Scenario: a replica keeps its applied commits when its lag increases
     Given a replica that has applied 3 commits
     When the lag of the replica increases to 60 s
@@ -48,3 +54,13 @@
       | 1    | 5     | 16          | 6      | the checker reported a session that closed between requests |
       | 8    | 3     | 16          | 6      | the emulated member undid commits that it had applied       |
       | 1007 | 5     | 4           | 5      | SIGTERM ends a host that is still importing its modules     |
+
+  Scenario Outline: hosts that stop in turn answer every request they read
+    When the soak test stops <hosts> hosts in turn with seed <seed>, <connections> connections and <length> s
+    Then the checker reports no violation
+
+    Examples: seeds that failed before
+      | seed | hosts | connections | length | cause                                                        |
+      | 205  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
+      | 301  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
+      | 305  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,6 +13,10 @@
 from trefoilpulley_emulator.member_log import GroupLog
 from trefoilpulley_emulator.member_log import Record
 from trefoilpulley_emulator.soak.faults import draw_faults
+from trefoilpulley_emulator.soak.faults import draw_rolls
+from trefoilpulley_emulator.soak.faults import FaultKind
+from trefoilpulley_emulator.soak.faults import PLANNED_KINDS
+from trefoilpulley_emulator.soak.faults import Profile
 from trefoilpulley_emulator.soak.guarantees import FaultInterval
 from trefoilpulley_emulator.soak.guarantees import History
 from trefoilpulley_emulator.soak.guarantees import InterruptedRequest
@@ -24,6 +28,9 @@
 FIRST_COMMIT = Record(1, (('a', 'a.1'),), 0.0)
 """Log record of the first write to an item."""
 
+RECEIVED_ID = 'q1'
+"""Identifier of the request that a member received."""
+
 FIRST_WRITE = (('a', 1),)
 """Item and number of the first write."""
 
@@ -114,7 +121,57 @@
             context,
             [],
             [],
-            interrupted=InterruptedRequest('h', 'WRITE a a.1', 9.99, 10.0),
+            interrupted=InterruptedRequest(
+                'h', RECEIVED_ID, 'WRITE a a.1', 9.99, 10.0
+            ),
+        )
+
+    @staticmethod
+    @given(
+        'a soak run in which a planned stop cut a read that a '
+        'member had received'
+    )
+    def cut_received_read(context: Any) -> None:
+        """Cut a read that the host had sent to a member."""
+        CheckerSteps._run_checker(
+            context,
+            [],
+            [],
+            interrupted=InterruptedRequest(
+                'h', RECEIVED_ID, 'READ a', 9.99, 10.0
+            ),
+        )
+
+    @staticmethod
+    @given(
+        'a soak run in which a caller noticed the cut of a received request '
+        'only after the exit'
+    )
+    def notice_cut_after_exit(context: Any) -> None:
+        """Report the cut shortly after the end of the stop."""
+        CheckerSteps._run_checker(
+            context,
+            [],
+            [],
+            interrupted=InterruptedRequest(
+                'h', RECEIVED_ID, 'READ a', 11.99, 12.01
+            ),
+        )
+
+    @staticmethod
+    @given(
+        'a soak run in which a planned stop cut a request that had reached '
+        'its timeout'
+    )
+    def cut_timed_out_request(context: Any) -> None:
+        """Cut a request that had taken longer than its route allows."""
+        CheckerSteps._run_checker(
+            context,
+            [],
+            [],
+            interrupted=InterruptedRequest(
+                'h', RECEIVED_ID, 'READ a', 5.0, 10.0
+            ),
         )
 
     @staticmethod
@@ -127,7 +184,7 @@
             context,
             [],
             [],
-            interrupted=InterruptedRequest('h', 'READ a', 9.0, 10.0),
+            interrupted=InterruptedRequest('h', 'q2', 'READ a', 9.0, 10.0),
         )
 
     @staticmethod
@@ -141,7 +198,7 @@
             context,
             [],
             [],
-            interrupted=InterruptedRequest('h', 'READ a', 9.999, 10.0),
+            interrupted=InterruptedRequest('h', 'q2', 'READ a', 9.999, 10.0),
         )
 
     @staticmethod
@@ -155,7 +212,7 @@
             context,
             [],
             [],
-            interrupted=InterruptedRequest('h', 'READ a', 9.0, 10.0),
+            interrupted=InterruptedRequest('h', 'q2', 'READ a', 9.0, 10.0),
             fault=FaultInterval(8.0, 9.5),
         )
 
@@ -221,7 +278,7 @@
         history.planned_stops = [FaultInterval(8.0, 12.0, 'h')]
         history.unplanned_faults = [fault] if fault else []
         context.violations = history.find_violations(
-            log, rolled_back or [], {'WRITE a a.1'}
+            log, rolled_back or [], {RECEIVED_ID: 9.995}
         )
 
 
@@ -240,6 +297,17 @@
         assert faults == draw_faults(seed, hosts, members, 6.0)
         assert faults != draw_faults(other, hosts, members, 6.0)
 
+    @staticmethod
+    @then('seed {seed:d} stops every host in turn, and the same way each time')
+    def check_rolls_by_seed(context: Any, seed: int) -> None:
+        """Check the planned work of a seed."""
+        hosts = ('h0', 'h1', 'h2')
+        faults = draw_rolls(seed, hosts, 6.0)
+        assert faults == draw_rolls(seed, hosts, 6.0)
+        stopped = [f.target for f in faults if f.kind is FaultKind.STOP_HOST]
+        assert set(stopped[: len(hosts)]) == set(hosts), faults
+        assert {f.kind for f in faults} <= PLANNED_KINDS, faults
+
     @staticmethod
     @given('a replica that has applied {count:d} commits')
     def make_replica(context: Any, count: int) -> None:
@@ -275,7 +343,24 @@
         context: Any, seed: int, hosts: int, connections: int, length: int
     ) -> None:
         """Run a seed with host processes; keep the logs of a failure."""
-        soak = Soak(seed, hosts, float(length), connections)
+        SoakSteps._run(context, Soak(seed, hosts, float(length), connections))
+
+    @staticmethod
+    @when(
+        'the soak test stops {hosts:d} hosts in turn with seed {seed:d}, '
+        '{connections:d} connections and {length:d} s'
+    )
+    def run_rolls(
+        context: Any, hosts: int, seed: int, connections: int, length: int
+    ) -> None:
+        """Run a seed of planned stops; keep the logs of a failure."""
+        SoakSteps._run(
+            context,
+            Soak(seed, hosts, float(length), connections, Profile.ROLLS),
+        )
+
+    @staticmethod
+    def _run(context: Any, soak: Soak) -> None:
         context.violations = soak.run()
         if not context.violations:
             shutil.rmtree(soak.directory)
