Restore the store from an older copy in the soak

The profile 'restores' takes a copy of the store, lets the operator, members and hosts change it, and brings the copy back. After the return the configuration changes twice and a member announces its stop. A monitor asks each host for the database that the newest configuration adds: it must be served within 3 s once the store has been stable for 4 s, and a process that has served it must not refuse it again. The member must get no request 4 s after its announcement or the stable time, whichever is later.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,29 @@
   Scenario: the planned stops depend on the seed alone
     Then seed 7 stops every host in turn, and the same way each time
 
+  Scenario: the restore depends on the seed alone
+    Then seed 7 restores the store once, and the same way each time
+
+  Scenario Outline: the monitor reports a configuration that is not in force
+    Given a soak run whose hosts have a configuration in force
+    When a host refuses the database <when>
+    Then the checker reports a violation of "<guarantee>" alone
+
+    Examples:
+      | when                                   | guarantee  |
+      | of the same configuration              | reverted   |
+      | of a new configuration after the bound | configured |
+
+  Scenario Outline: the monitor accepts a configuration before its bound
+    Given a soak run whose hosts have a configuration in force
+    When a host refuses the database <when>
+    Then the checker reports no violation
+
+    Examples:
+      | when                                    |
+      | after its restart and before the bound  |
+      | of a new configuration before the bound |
+
   Scenario: a replica keeps its applied commits when its lag increases
     Given a replica that has applied 3 commits
     When the lag of the replica increases to 60 s
@@ -64,3 +87,11 @@
       | 205  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
       | 301  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
       | 305  | 5     | 16          | 6      | a host that had ended its drain took requests until its exit |
+
+  Scenario Outline: hosts follow the store after it comes back from an older copy
+    When the store is restored with seed <seed>, <hosts> hosts and <connections> connections
+    Then the checker reports no violation
+
+    Examples: seeds that failed before
+      | seed | hosts | connections | cause                                             |
+      | 10   | 3     | 4           | hosts ignored revisions that were given out again |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,6 +13,7 @@
 from trefoilpulley_emulator.member_log import GroupLog
 from trefoilpulley_emulator.member_log import Record
 from trefoilpulley_emulator.soak.faults import draw_faults
+from trefoilpulley_emulator.soak.faults import draw_restores
 from trefoilpulley_emulator.soak.faults import draw_rolls
 from trefoilpulley_emulator.soak.faults import FaultKind
 from trefoilpulley_emulator.soak.faults import PLANNED_KINDS
@@ -23,6 +24,7 @@
 from trefoilpulley_emulator.soak.guarantees import ObservedRead
 from trefoilpulley_emulator.soak.guarantees import ObservedWrite
 from trefoilpulley_emulator.soak.guarantees import Outcome
+from trefoilpulley_emulator.soak.monitor import ConfigurationMonitor
 from trefoilpulley_emulator.soak.soak import Soak
 
 FIRST_COMMIT = Record(1, (('a', 'a.1'),), 0.0)
@@ -359,6 +361,53 @@
             Soak(seed, hosts, float(length), connections, Profile.ROLLS),
         )
 
+    @staticmethod
+    @then('seed {seed:d} restores the store once, and the same way each time')
+    def check_restores_by_seed(context: Any, seed: int) -> None:
+        """Check the faults of a seed."""
+        hosts, members = ('h0', 'h1'), ('m0', 'm1')
+        faults = draw_restores(seed, hosts, members)
+        assert faults == draw_restores(seed, hosts, members)
+        kinds = [f.kind for f in faults]
+        assert kinds.count(FaultKind.RESTORE_STORE) == 1, faults
+        assert kinds[-1] in PLANNED_KINDS, faults
+
+    @staticmethod
+    @given('a soak run whose hosts have a configuration in force')
+    def observe_configuration(context: Any) -> None:
+        """Let a monitor observe the database of the newest configuration."""
+        context.monitor = ConfigurationMonitor(())
+        context.monitor.on_acknowledged(1, 0.0)
+        context.monitor.on_greeting('h', 1, 1, 'READY I -', 0.0)
+
+    @staticmethod
+    @when('a host refuses the database {when}')
+    def refuse_database(context: Any, when: str) -> None:
+        """Refuse a database that the newest configuration has."""
+        asked_at, pid, number = {
+            'of the same configuration': (0.0, 1, 1),
+            'after its restart and before the bound': (0.0, 2, 1),
+            'of a new configuration before the bound': (0.0, 1, 2),
+            'of a new configuration after the bound': (float('inf'), 1, 2),
+        }[when]
+        if number > 1:
+            context.monitor.on_acknowledged(number, 0.0)
+        context.monitor.on_greeting('h', pid, number, 'ERR NODB x', asked_at)
+        context.violations = context.monitor.violations
+
+    @staticmethod
+    @when(
+        'the store is restored with seed {seed:d}, {hosts:d} hosts and '
+        '{connections:d} connections'
+    )
+    def run_restores(
+        context: Any, seed: int, hosts: int, connections: int
+    ) -> None:
+        """Run a seed that restores the store; keep the logs of a failure."""
+        SoakSteps._run(
+            context, Soak(seed, hosts, 0.0, connections, Profile.RESTORES)
+        )
+
     @staticmethod
     def _run(context: Any, soak: Soak) -> None:
         context.violations = soak.run()
