--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -123,10 +123,10 @@
         """Close all sessions without interrupting a request.
 
         Sessions are closed once the balancer should send no new connections:
-        each session when it is idle or after its next reply. Open transactions
-        may finish in the first half of the grace period. Where the balancer
-        has no other host, new connections still arrive; their sessions are
-        served until a request might not finish in time.
+        each session when its caller pauses, later after its next reply. Open
+        transactions may finish in the first half of the grace period. Where
+        the balancer has no other host, new connections still arrive; their
+        sessions are served until a request might not finish in time.
 
         Parameters
         ----------
