Go on with a planned stop when accepting fails

Cause: an error of accept in the last look at the backlog ended the drain, and with it the process, with sessions at work.

Test: "a drain goes on when waiting connections can't be accepted" fails on the code before (OSError ends the drain).

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -43,6 +43,12 @@
     When host 0 drains its sessions and a caller sends "READ a" on a connection that was not accepted yet
     Then that caller got "DONE" before the drain ended
 
+  Scenario: a drain goes on when waiting connections can't be accepted
+    Given a caller of "orders" connected to host 0
+    When host 0 drains its sessions and accepting fails for lack of descriptors
+    Then the caller's session has ended
+    And no connection to host 0 is possible
+
   Scenario: no request is taken after the drain has ended
     When host 0 drains its sessions without callers
     Then no connection to host 0 is possible
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -6,12 +6,14 @@
 import socket
 from typing import Any
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import gevent
 from gevent import monkey
+from gevent.server import StreamServer
 from returns.result import Success
 
 from features.fakes.asking import HANG_TIMEOUT_S
@@ -190,6 +192,25 @@
         codes = [line.split(' ')[0] for line in received.splitlines()]
         assert code in codes, received
 
+    @staticmethod
+    @when(
+        'host {host:d} drains its sessions and accepting fails for lack of '
+        'descriptors'
+    )
+    def drain_without_descriptors(context: Any, host: int) -> None:
+        """Drain a host whose listening socket fails to accept."""
+        emulated_host = context.deployment.hosts[host]
+
+        def fail() -> None:
+            raise OSError(errno.EMFILE, 'no descriptor is left')
+
+        def stop_accepting() -> None:
+            with mock.patch.object(StreamServer, 'do_read', side_effect=fail):
+                emulated_host.stop_accepting()
+
+        AcceptSteps._drain(context, emulated_host, stop_accepting)
+        assert context.is_complete
+
     @staticmethod
     @when('host {host:d} drains its sessions without callers')
     def drain_without_callers(context: Any, host: int) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -9,6 +9,7 @@
 
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
+from trefoilpulley_node import events
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,6 +106,12 @@
         """Remove a closed session."""
         self._sessions.pop(session, None)
 
+    def on_accept_failed(self, error: str) -> None:
+        """Log that waiting connections could not be accepted at a stop."""
+        events.CALLERS_NOT_ACCEPTED.log(
+            connections=self._connections, error=error
+        )
+
     def close_idle(self) -> None:
         """Close the idle sessions, so that their callers use other hosts."""
         for session, conn in list(self._sessions.items()):
