Reject a transaction that a stopping host would cut

Cause: the host closes idle transactions from half of the grace period on, and refused new ones only with all other requests.

Change: a begin is refused as not run from the moment on at which idle transactions are closed; single statements are served until requests are refused.

Test: "a transaction that a stopping host would cut is rejected at its begin" fails on the code before (DONE).

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -68,6 +68,12 @@
     When the session handles "READ a" and its reply is sent to a slow caller
     Then the reply is sent
 
+  Scenario: a transaction that a stopping host would cut is rejected at its begin
+    Given a caller of "orders" connected to host 0
+    When host 0 no longer waits for idle transactions
+    Then the caller gets "BUSY" to "BEGIN"
+    And the caller gets "DONE" to "READ a"
+
   Scenario: a commit that arrives when the grace period is over is rejected
     Given a caller of "orders" connected to host 0
     And the caller has executed "BEGIN" and "WRITE t 1"
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -201,11 +201,13 @@
         """Drain a host whose listening socket fails to accept."""
         emulated_host = context.deployment.hosts[host]
 
-        def fail() -> None:
+        def fail(server: StreamServer) -> None:
             raise OSError(errno.EMFILE, 'no descriptor is left')
 
         def stop_accepting() -> None:
-            with mock.patch.object(StreamServer, 'do_read', side_effect=fail):
+            with mock.patch.object(
+                StreamServer, 'do_read', autospec=True, side_effect=fail
+            ):
                 emulated_host.stop_accepting()
 
         AcceptSteps._drain(context, emulated_host, stop_accepting)
@@ -388,6 +390,20 @@
             SHORT_GRACE_S, lambda: 0, stop_accepting
         )
 
+    @staticmethod
+    @when('host {host:d} no longer waits for idle transactions')
+    def refuse_transactions(context: Any, host: int) -> None:
+        """Let the host refuse new transactions."""
+        registry = context.deployment.hosts[host].proxy.sessions
+        registry.is_refusing_transactions = True
+
+    @staticmethod
+    @then('the caller gets "{code}" to "{text}"')
+    def check_code(context: Any, code: str, text: str) -> None:
+        """Compare the code of the answer to one statement."""
+        found = context.caller.execute(text).code
+        assert found == code, found
+
     @staticmethod
     @then('no member has received "{text}"')
     def check_not_received(context: Any, text: str) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -61,6 +61,9 @@
         self.is_closing = False
         """Whether each session is closed after its next reply."""
 
+        self.is_refusing_transactions = False
+        """Whether new transactions are refused, since they might be cut."""
+
         self.is_refusing = False
         """Whether new requests are refused, since they might end too late.
 
@@ -119,7 +122,8 @@
 
     def refuse(self) -> None:
         """Refuse all new requests."""
-        self.is_draining = self.is_closing = self.is_refusing = True
+        self.is_draining = self.is_closing = True
+        self.is_refusing = self.is_refusing_transactions = True
 
     def drain(
         self,
@@ -156,6 +160,8 @@
         gevent.sleep(policy.detection_s)
         while True:
             elapsed_s = self._clock.now() - began_at
+            if policy.is_transaction_time_over(elapsed_s):
+                self.is_refusing_transactions = True
             if policy.is_closing(elapsed_s):
                 self.is_closing = True
             if policy.is_refusing(elapsed_s):
@@ -174,7 +180,7 @@
                 continue
             for session, conn in list(self._sessions.items()):
                 self._close_if_idle(
-                    session, conn, policy.is_transaction_time_over(elapsed_s)
+                    session, conn, self.is_refusing_transactions
                 )
             gevent.sleep(POLL_INTERVAL_S)
 
