Keep the waits of a stop within the grace period

Operators would see (found by the review): a host that is killed before its last log lines, when the store or another host is silent while it stops.

Test: "the waits of a stop at the end of the grace period fit into its margin" adds the constants; on the code before they had 0.3 s for answers and no common limit for the components.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -85,3 +85,6 @@
     Given a caller of "orders" connected to host 0
     When host 0 stops as planned
     Then another host can't connect to host 0
+
+  Scenario: the waits of a stop at the end of the grace period fit into its margin
+    Then the waits for answers, components and the log fit into the exit margin
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -22,8 +22,12 @@
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
+from trefoilpulley_core.direct.drain import EXIT_MARGIN_S
 from trefoilpulley_core.direct.upstream_session import Reply
+from trefoilpulley_node.direct import direct_composition
+from trefoilpulley_node.direct import session_registry
 from trefoilpulley_node.direct.session_registry import CallerConnection
+from trefoilpulley_platform import main
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -280,6 +284,22 @@
             elapsed_s + 2 * context.interval_s, 0
         )
 
+    @staticmethod
+    @then(
+        'the waits for answers, components and the log fit into the exit '
+        'margin'
+    )
+    def check_margin(context: Any) -> None:
+        """Add the longest waits after the last look of a drain."""
+        # The drain and the wait for answers each end one poll late.
+        waits_s = (
+            2 * session_registry.POLL_INTERVAL_S
+            + session_registry.ANSWER_TIME_S
+            + direct_composition.STOP_TIMEOUT_S
+            + main.LOG_FLUSH_TIMEOUT_S
+        )
+        assert waits_s < EXIT_MARGIN_S + 1e-9, waits_s
+
     @staticmethod
     @then(
         'the host stops accepting at {at_s:g} s while {count:d} connections '
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -65,6 +65,12 @@
 PEER_ANSWERS_TIMEOUT_S = 0.1
 """Wait for the requests of other hosts in progress at a stop, in seconds."""
 
+STOP_TIMEOUT_S = 0.15
+"""Longest time in which the components stop, in seconds.
+
+Part of the exit margin of the drain policy.
+"""
+
 MAINTENANCE_INTERVAL_S = 0.25
 """Time between two maintenance runs, in seconds."""
 
@@ -184,16 +190,25 @@
         self.stop()
 
     def stop(self) -> None:
-        """Stop every component; answers to other hosts are sent first."""
-        self._peer_listener.stop(PEER_ANSWERS_TIMEOUT_S)
-        self._registration.stop()
+        """Stop every component within ``STOP_TIMEOUT_S``.
+
+        Answers to other hosts that are ready are sent. The waits run side by
+        side, so that they end within the grace period together.
+        """
         for watch in self._watches:
             watch.stop()
         self._follower.stop()
         if self._maintenance is not None:
             self._maintenance.kill(block=False)
         self._membership.stop()
-        self._peers.close()
+        gevent.joinall(
+            [
+                gevent.spawn(self._peer_listener.stop, PEER_ANSWERS_TIMEOUT_S),
+                gevent.spawn(self._registration.stop),
+                gevent.spawn(self._peers.close),
+            ],
+            timeout=STOP_TIMEOUT_S,
+        )
         events.HOST_STOPPED.log(
             host=self._cfg.host, connections=self.sessions.connection_count
         )
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -17,7 +17,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.direct.caller_session import CallerSession
 
-ANSWER_TIME_S = 0.3
+ANSWER_TIME_S = 0.25
 """Time to answer the requests interrupted before the exit, in seconds.
 
 Part of the exit margin of the drain policy.
