Tell entries of a member's earlier starts after a return of the service

Cause: after a return from an older copy, entries were compared by their count within the same start alone. The entry of an earlier start, from before the copy, replaced the entry of the start that had followed. Members that were only missing after a return could push the members that had left out of the memory.

Change: the last earlier starts of each member are remembered, and their entries are outdated in a later era. Starts are not compared as times, since clocks may jump. Members that are only missing leave the memory first.

Tests: three scenarios of member_versions fail on the code before.

--- a/features/member_versions.feature
+++ b/features/member_versions.feature
@@ -41,3 +41,24 @@
     When the entry is absent in era 1
     And as many other members leave as are remembered
     Then its entry 5 of start 100 in era 2 is accepted
+
+  Scenario: an entry of an earlier start does not replace the one of a later start
+    Given a member whose entry 5 of start 200 was read in era 1
+    Then its entry 1 of start 100 in era 1 is accepted
+    And its entry 50 of start 200 in era 2 is outdated
+    And its entry 1 of start 100 in era 2 is accepted
+    And its entry 1 of start 300 in era 2 is accepted
+    And its entry 2 of start 100 in era 2 is accepted
+    And its entry 9 of start 300 in era 3 is outdated
+
+  Scenario: an entry of an earlier start does not bring back a member that has left
+    Given a member whose entry 5 of start 100 was read in era 1
+    Then its entry 1 of start 200 in era 1 is accepted
+    When the entry is absent in era 1
+    Then its entry 5 of start 100 in era 2 is outdated
+
+  Scenario: members that are missing after a return don't push out those that left
+    Given a member whose entry 5 of start 100 was read in era 1
+    When the entry is absent in era 1
+    And as many other members as are remembered are missing in era 2
+    Then its entry 5 of start 100 in era 2 is outdated
--- a/features/steps/member_versions_steps.py
+++ b/features/steps/member_versions_steps.py
@@ -41,6 +41,15 @@
             assert context.versions.accept(_record(name, 1, 1), 1)
             context.versions.remove(name, 1)
 
+    @staticmethod
+    @when('as many other members as are remembered are missing in era {era:d}')
+    def lose_others(context: Any, era: int) -> None:
+        """Let other members come in era 1 and be absent in another one."""
+        for number in range(MAX_ABSENT_MEMBERS):
+            name = f'other-{number}'
+            assert context.versions.accept(_record(name, 1, 1), 1)
+            context.versions.remove(name, era)
+
     @staticmethod
     @then(
         'its entry {entry:d} of start {start:d} in era {era:d} is {verdict:w}'
--- a/packages/core/src/trefoilpulley_core/direct/member_versions.py
+++ b/packages/core/src/trefoilpulley_core/direct/member_versions.py
@@ -18,6 +18,9 @@
 MAX_ABSENT_MEMBERS = 1000
 """Number of absent members whose last version is kept."""
 
+MAX_FORMER_INCARNATIONS = 4
+"""Number of earlier starts that are kept for each member."""
+
 
 @dataclass(frozen=True, slots=True)
 class MemberVersion:
@@ -32,6 +35,9 @@
     era: int
     """Era of the service in which the entry was read."""
 
+    former_incarnations: tuple[int, ...] = ()
+    """Earlier starts of the member, the latest last."""
+
     is_removed: bool = False
     """Whether this very entry was deleted, so that the member has left."""
 
@@ -47,8 +53,10 @@
         """Return whether an entry is not older than what is known.
 
         Within one era, the service itself orders the entries. In a later
-        era, the entry of the same start must not be of a lower count, and
-        must be of a higher one if the member has left.
+        era, the entry must not be of an earlier start that is known; the
+        entry of the same start must not be of a lower count, and must be of a
+        higher one if the member has left. Starts are not compared as times,
+        since the clocks of machines may jump.
 
         Parameters
         ----------
@@ -59,16 +67,14 @@
         """
         member = record.member
         known = self._listed.get(member) or self._absent.get(member)
-        if (
-            known is not None
-            and era > known.era
-            and record.incarnation == known.incarnation
-            and record.sequence < known.sequence + known.is_removed
-        ):
+        if known is not None and _is_outdated(record, known, era):
             return False
         self._absent.pop(member, None)
         self._listed[member] = MemberVersion(
-            record.incarnation, record.sequence, era
+            record.incarnation,
+            record.sequence,
+            era,
+            _former_incarnations(record, known),
         )
         return True
 
@@ -83,4 +89,26 @@
             return
         self._absent[member] = replace(known, is_removed=era == known.era)
         if len(self._absent) > MAX_ABSENT_MEMBERS:
-            del self._absent[next(iter(self._absent))]
+            # Members that are only missing in a new era come back soon.
+            missing = (m for m, v in self._absent.items() if not v.is_removed)
+            oldest = next(iter(self._absent))
+            del self._absent[next(missing, oldest)]
+
+
+def _is_outdated(record: MemberRecord, known: MemberVersion, era: int) -> bool:
+    if era <= known.era:
+        return False
+    if record.incarnation != known.incarnation:
+        return record.incarnation in known.former_incarnations
+    return record.sequence < known.sequence + known.is_removed
+
+
+def _former_incarnations(
+    record: MemberRecord, known: MemberVersion | None
+) -> tuple[int, ...]:
+    if known is None:
+        return ()
+    former = (*known.former_incarnations, known.incarnation)
+    return tuple(i for i in former if i != record.incarnation)[
+        -MAX_FORMER_INCARNATIONS:
+    ]
