Count the grace of missing entries only while the service is followed

Change: the period counts only while the service is followed, and begins anew with each era.

Tests: "a host is kept while the service that lost its registration is down" and "the grace period begins anew when the service returns a second time" fail on the code before: the host is gone.

--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -58,6 +58,23 @@
     Then the host knows the hosts "h1"
     And after the grace period it knows no host
 
+  Scenario: a host is kept while the service that lost its registration is down
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the registration of "h1" by its return from a copy
+    And the service is down during the grace period
+    Then the host knows the hosts "h1"
+    When the service is followed again
+    Then after the grace period it knows no host
+
+  Scenario: the grace period begins anew when the service returns a second time
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When the service loses the registration of "h1" by its return from a copy
+    And the service returns from a copy once more within the grace period
+    Then the host knows the hosts "h1"
+    And after the grace period it knows no host
+
   Scenario: a host whose registration ended is removed at once
     Given a service that lists member "m1"
     And a host that has read the service
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -173,6 +173,31 @@
         _restore(context, copy)
         wait_until(lambda: context.follower.is_following)
 
+    @staticmethod
+    @when('the service is down during the grace period')
+    def take_down(context: Any) -> None:
+        """Let the grace period pass while nothing can be followed."""
+        context.service.take_down()
+        wait_until(lambda: not context.follower.is_following)
+        _pass_grace(context)
+
+    @staticmethod
+    @when('the service is followed again')
+    def bring_up(context: Any) -> None:
+        """End the outage and wait until the host follows the service."""
+        context.service.is_down = False
+        wait_until(lambda: context.follower.is_following)
+
+    @staticmethod
+    @when('the service returns from a copy once more within the grace period')
+    def restore_again(context: Any) -> None:
+        """Return half-way, and let the rest of the first period pass."""
+        context.clock.at += REMOVAL_GRACE_S / 2
+        _restore(context, context.service.take_copy())
+        wait_until(lambda: context.follower.is_following)
+        context.clock.at += REMOVAL_GRACE_S / 2
+        context.follower.remove_expired()
+
     @staticmethod
     @when('"{name}" registers and stops')
     def stop_host(context: Any, name: str) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -99,6 +99,7 @@
         self._host_removals_due: dict[str, float] = {}
         self._removals_due: dict[str, float] = {}
         self._unreadable: set[str] = set()
+        self._era = 0
         self._greenlet: gevent.Greenlet | None = None
         self._watch: Watch | None = None
         self._watch_failed = Event()
@@ -126,8 +127,14 @@
             self._watch.cancel()
 
     def remove_expired(self) -> None:
-        """Remove members and hosts without an entry after a grace period."""
+        """Remove members and hosts without an entry after a grace period.
+
+        Time in which the service can't be followed does not count, since an
+        entry that is written again would not be seen.
+        """
         now = self._clock.now()
+        if not self.is_following:
+            self._restart_grace_periods()
         hosts = [n for n, at in self._host_removals_due.items() if now >= at]
         for name in hosts:
             self._remove_host(name)
@@ -138,6 +145,13 @@
                 del self._removals_due[member]
                 self._directory.remove_member(member)
 
+    def _restart_grace_periods(self) -> None:
+        due_at = self._clock.now() + REMOVAL_GRACE_S
+        self._removals_due = dict.fromkeys(self._removals_due, due_at)
+        self._host_removals_due = dict.fromkeys(
+            self._host_removals_due, due_at
+        )
+
     def _run(self) -> None:
         backoff_s = MIN_BACKOFF_S
         is_synchronized = False
@@ -187,6 +201,10 @@
             self._revisions.end_read(None)
             return False
         read = result.unwrap()
+        if read.era != self._era:
+            self._era = read.era
+            # What was written again in the last era may be lost once more.
+            self._restart_grace_periods()
         for entry in read.entries:
             self._on_change(entry)
         for key in self._revisions.end_read(read):
