Let no host overrule the claim of one that knows a lower round

Cause: after a return, a host that has started since claims a round that the others have used before. They kept their higher round and took the claim for an old one, so that a decision made before could still claim on top of it.

Change: a claim that is written after the read of its era, and is not a repeat, counts as the round that follows the known one. It announces a change, and a decision after an earlier round conflicts.

--- a/features/proxy_succession.feature
+++ b/features/proxy_succession.feature
@@ -92,6 +92,17 @@
     When the first host in rank does not write the claim again
     Then the service holds round 2 after a single write
 
+  Scenario Outline: a claim by a host that does not know a lost round is not overruled
+    Given two hosts that know a round which the service has lost <claim>
+    When a host that has started since claims the round after the stored one
+    Then the second host learns of a new change
+    And the second host cannot claim round 3 after its decision
+
+    Examples:
+      | claim        |
+      | to round 1   |
+      | with its key |
+
   Scenario: a host cannot claim if another host has claimed since its decision
     Given two hosts that know round 1 of a group
     When the second host decides after round 1 and then learns of the first host's claim
--- a/features/steps/proxy_succession_steps.py
+++ b/features/steps/proxy_succession_steps.py
@@ -353,6 +353,34 @@
                 assert not ClaimSteps._record_stored_claim(store, kv)
             store.begin_era(kv.era)
 
+    @staticmethod
+    @when(
+        'a host that has started since claims the round after the stored one'
+    )
+    def claim_lost_round(context: Any) -> None:
+        """Claim by what the service holds in the new era."""
+        kv = context.kv
+        store = ClaimStore('newcomer', kv, lambda: HOSTS, context.clock)
+        if kv.get(claim_key('ledger')).unwrap() is not None:
+            ClaimSteps._record_stored_claim(store, kv)
+        store.begin_era(kv.era)
+        after_round = store.last_round('ledger')
+        result = store.try_claim('ledger', after_round, 'z')
+        assert isinstance(result, Success), result
+
+    @staticmethod
+    @then('the second host learns of a new change')
+    def check_announced(context: Any) -> None:
+        """Record the stored claim, which must announce a change."""
+        assert ClaimSteps._record_stored_claim(context.second, context.kv)
+
+    @staticmethod
+    @then('the second host cannot claim round 3 after its decision')
+    def check_decision_outdated(context: Any) -> None:
+        """Claim after round 2, as decided before."""
+        result = context.second.try_claim('ledger', 2, 'z')
+        assert isinstance(result.failure(), RevisionConflict), result
+
     @staticmethod
     @when('the first host in rank writes the claim again')
     def write_again(context: Any) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -107,7 +107,16 @@
             return True
         if newest.version >= (era, revision):
             return False
-        if newest.claim.round > claim.round:
+        is_repeated = claim == newest.claim
+        is_lower = claim.round <= newest.claim.round
+        if is_lower and not is_repeated and self._is_new(claim, era, newest):
+            # The holder does not know the higher round. Its change follows
+            # that round, so that decisions made before are out of date.
+            claim = replace(claim, round=newest.claim.round + 1)
+            self._newest_claims[group] = KnownClaim(claim, revision, era)
+            self._publish_in_turn(group)
+            return True
+        if claim.round < newest.claim.round:
             # A round used while the service was unavailable, or lost by the
             # service, is higher than the stored round.
             self._newest_claims[group] = KnownClaim(
@@ -117,9 +126,7 @@
             return False
         self._newest_claims[group] = KnownClaim(claim, revision, era)
         self._publications_due.pop(group, None)
-        if newest.claim.round < claim.round:
-            return True
-        return bool(claim.target) and claim != newest.claim
+        return not is_repeated and (not is_lower or bool(claim.target))
 
     def use_round(self, group: str, round_number: int) -> Round:
         """Return a round that this host uses without a claim."""
@@ -212,6 +219,10 @@
         self.record_claim(group, claim, revision, known.era)
         return Success(Round(claim.round, known.era))
 
+    def _is_new(self, claim: Claim, era: int, newest: KnownClaim) -> bool:
+        """Return whether a claim was written after the read of its era."""
+        return newest.era == era and bool(claim.target)
+
     def _publish_in_turn(self, group: str) -> None:
         """Let the first host in rank write a claim that every host knows."""
         delay_s = publication_delay_s(
