--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -107,9 +107,9 @@
             return True
         if newest.version >= (era, revision):
             return False
-        is_repeated = claim == newest.claim
-        is_lower = claim.round <= newest.claim.round
-        if is_lower and not is_repeated and self._is_new(claim, era, newest):
+        is_higher = claim.round > newest.claim.round
+        is_other = claim != newest.claim
+        if not is_higher and is_other and self._is_new(claim, era, newest):
             # The holder does not know the higher round. Its change follows
             # that round, so that decisions made before are out of date.
             claim = replace(claim, round=newest.claim.round + 1)
@@ -126,7 +126,7 @@
             return False
         self._newest_claims[group] = KnownClaim(claim, revision, era)
         self._publications_due.pop(group, None)
-        return not is_repeated and (not is_lower or bool(claim.target))
+        return is_higher or (is_other and bool(claim.target))
 
     def use_round(self, group: str, round_number: int) -> Round:
         """Return a round that this host uses without a claim."""
