Let the sessions of the stop's tests have a clock of their own

Three scenarios of planned_stop relied on two steps following each other within 0.1 s or 0.5 s of real time, so that a busy machine could change their verdict. Their sessions now have a clock that only the steps advance. The checks are the same, and the idle sessions are checked to be out of use.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -5,25 +5,28 @@
     Given an emulated deployment of 1 hosts
 
   Scenario: a request that arrives while its idle session is closed is answered
-    Given a caller of "orders" that sends "READ a" when its session was found idle
+    Given the sessions of host 0 have a clock that stands still
+    And a caller of "orders" that sends "READ a" when its session was found idle
     And the caller has executed "WRITE a 1" and "READ a"
-    When the sessions of host 0 have been idle for some time
+    When the sessions of host 0 have been idle for 1 s
     And host 0 closes its idle sessions
     Then the caller gets the answer "DONE" and then the end of its session
 
   Scenario: a session that has just been opened is not closed as idle
-    Given a caller of "orders" connected to host 0
+    Given the sessions of host 0 have a clock that stands still
+    And a caller of "orders" connected to host 0
     And host 0 is closing its sessions
     When host 0 closes its idle sessions
     And the caller sends "WRITE p 1" and "READ p" and "READ q" in one write
     Then the caller gets the answers "", "1" and "-"
 
   Scenario: a session whose caller sends one request after the other is not closed as idle
-    Given a caller of "orders" connected to host 0
+    Given the sessions of host 0 have a clock that stands still
+    And a caller of "orders" connected to host 0
     And the caller has executed "WRITE a 1" and "READ a"
     When host 0 closes its idle sessions
     And the caller executes "READ a"
-    And the sessions of host 0 have been idle for some time
+    And the sessions of host 0 have been idle for 1 s
     And host 0 closes its idle sessions
     Then the caller's session has ended
 
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -18,7 +18,7 @@
 
 from features.fakes.asking import HANG_TIMEOUT_S
 from features.fakes.asking import POLL_INTERVAL_S
-from features.fakes.asking import wait_until
+from features.fakes.fake_entry_parts import FakeClock
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.drain import DrainPolicy
 from trefoilpulley_core.direct.drain import DrainStep
@@ -122,11 +122,21 @@
         gevent.sleep(POLL_INTERVAL_S)
 
     @staticmethod
-    @when('the sessions of host {host:d} have been idle for some time')
-    def wait_idle(context: Any, host: int) -> None:
-        """Wait until no further command is expected soon."""
+    @given('the sessions of host {host:d} have a clock that stands still')
+    def stop_clock(context: Any, host: int) -> None:
+        """Let time pass for the sessions by steps alone."""
+        factory = context.deployment.hosts[host].proxy.factory
+        context.clock = FakeClock()
+        context.clock.at = factory.clock.now()
+        factory.clock = context.clock
+
+    @staticmethod
+    @when('the sessions of host {host:d} have been idle for {idle_s:d} s')
+    def pass_time(context: Any, host: int, idle_s: int) -> None:
+        """Let time pass without a request."""
+        context.clock.at += idle_s
         registry = context.deployment.hosts[host].proxy.sessions
-        wait_until(lambda: not registry.in_use_count)
+        assert not registry.in_use_count
 
     @staticmethod
     @given('host {host:d} is closing its sessions')
