Give sessions, connections and handlers modules of their own

Change: SessionFactory, PooledSession and Handler move to modules named after them; nothing else changes.

Evidence: 112 scenarios of channel, channel_close, pooled_stop, proxy_overload, planned_stop, proxy_relay, standins_member and proxy_sessions pass.

--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -22,7 +22,6 @@
 from trefoilpulley_core.direct.upstream_session import TransactionState
 from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.failure import Draining
-from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import OutcomeUnknown
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_core.failure import UnknownDatabase
@@ -34,21 +33,10 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.commands import Command
     from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.failure import Failure
-    from trefoilpulley_node.direct.direct_metrics import DirectMetrics
-    from trefoilpulley_node.direct.directory import GroupDirectory
-    from trefoilpulley_node.direct.exchange import Exchanger
-    from trefoilpulley_node.direct.primary_wait import PrimaryWait
-    from trefoilpulley_node.direct.statement_runner import StatementRunner
-
-CONFIGURATION_TIMEOUT_S = 1.5
-"""Timeout of a new session for the first configuration, in seconds.
-
-Callers give up a connection that sends no greeting within two seconds.
-"""
+    from trefoilpulley_node.direct.session_factory import SessionFactory
 
 SERVED_REQUESTS_PER_EVENT = 200
 """Served requests of a session for each one that is logged."""
@@ -66,62 +54,6 @@
 """Maximum number of values and prepared statements of one session."""
 
 
-class SessionFactory:
-    """Creates the callers' sessions and holds the objects they share.
-
-    Parameters
-    ----------
-    zone : str
-        Availability zone of this host.
-    directory : GroupDirectory
-        Routes and groups.
-    runner : StatementRunner
-        Runs statements outside of transactions.
-    exchanger : Exchanger
-        Sends requests on connections.
-    primary_wait : PrimaryWait
-        Waits until a new primary is known.
-    clock : Clock
-        Monotonic time.
-    metrics : DirectMetrics
-        Counts requests.
-    """
-
-    def __init__(
-        self,
-        zone: str,
-        directory: GroupDirectory,
-        runner: StatementRunner,
-        exchanger: Exchanger,
-        primary_wait: PrimaryWait,
-        clock: Clock,
-        metrics: DirectMetrics,
-    ) -> None:
-        self.metrics = metrics
-        self.zone = zone
-        self.directory = directory
-        self.runner = runner
-        self.exchanger = exchanger
-        self.primary_wait = primary_wait
-        self.clock = clock
-
-    def open(self, database: str) -> CallerSession:
-        """Return a new session for a database name."""
-        return CallerSession(self, database)
-
-    def find_failure(self, database: str) -> Failure | None:
-        """Return why no session can be opened, or ``None``.
-
-        A host that has just started waits for its first configuration, since
-        without it every database would be refused as unknown.
-        """
-        if not self.directory.wait_loaded(CONFIGURATION_TIMEOUT_S):
-            return NoUpstream('configuration is not loaded yet')
-        if self.directory.find_route(database) is None:
-            return UnknownDatabase(database)
-        return None
-
-
 class CallerSession:
     """One session; its commands are handled one after the other.
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -20,7 +20,6 @@
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
-from trefoilpulley_node.direct.caller_session import SessionFactory
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.direct_state import make_state
 from trefoilpulley_node.direct.direct_state import ProxyState
@@ -37,6 +36,7 @@
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
+from trefoilpulley_node.direct.session_factory import SessionFactory
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
 from trefoilpulley_node import events
--- a/packages/node/src/trefoilpulley_node/direct/member_access.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_access.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from trefoilpulley_node.direct.member_pool import PooledSession
+from trefoilpulley_node.direct.pooled_session import PooledSession
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 import gevent
@@ -16,14 +14,10 @@
 from trefoilpulley_core.direct.connection_queue import ConnectionQueue
 from trefoilpulley_core.direct.connection_share import ConnectionShare
 from trefoilpulley_core.direct.connection_share import EXCESS_IDLE_TIMEOUT_S
-from trefoilpulley_core.direct.session_state import ConnectionState
-from trefoilpulley_core.direct.session_state import plan_setup
 from trefoilpulley_core.direct.upstream_session import ConnectionLimitReached
-from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import Overloaded
-from trefoilpulley_node.direct.member_session import MemberSession
-from trefoilpulley_node.direct.member_session import SetupFailed
+from trefoilpulley_node.direct.pooled_session import PooledSession
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,12 +28,9 @@
     from trefoilpulley_core.direct.connection_queue import QueuedWork
     from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.session_state import SessionState
-    from trefoilpulley_core.direct.upstream_session import Call
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
-    from trefoilpulley_core.direct.upstream_session import UpstreamSession
     from trefoilpulley_core.failure import Failure
-    from trefoilpulley_node.direct.member_session import SessionSetting
 
 DIAL_TIMEOUT_S = 0.4
 """Timeout to open a connection, in seconds; a busy member takes tens of ms."""
@@ -52,51 +43,6 @@
 """
 
 
-@dataclass(eq=False, slots=True)
-class PooledSession(MemberSession):
-    """Pooled connection to a member, with its session state."""
-
-    upstream: UpstreamSession
-    """Connection."""
-
-    state: ConnectionState = field(default_factory=ConnectionState)
-    """Session values and prepared statements set on the connection."""
-
-    since: float = 0.0
-    """Time of the last acquisition or release, in seconds."""
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether the connection is open and no reply is outstanding."""
-        return self.upstream.is_usable
-
-    def exchange(
-        self,
-        calls: Sequence[Call],
-        timeout_s: float,
-        setting: SessionSetting | None = None,
-    ) -> Result[tuple[Reply, ...], Failure]:
-        """Send requests in one write and return the reply to each."""
-        setup: tuple[Call, ...] = ()
-        if setting is not None:
-            setup = plan_setup(self.state, setting.session, setting.prepared)
-        result = self.upstream.exchange((*setup, *calls), timeout_s)
-        if not isinstance(result, Success):
-            return result
-        replies = result.unwrap()
-        if any(r.failure is not None for r in replies[: len(setup)]):
-            self.upstream.close()
-            return Failed(SetupFailed('member refused the session values'))
-        replies = replies[len(setup) :]
-        if any(isinstance(r.failure, UnknownStatement) for r in replies):
-            self.state.aliases.clear()
-        return Success(replies)
-
-    def close(self) -> None:
-        """Close the connection; the member rolls back an open transaction."""
-        self.upstream.close()
-
-
 class MemberPool:
     """Opens, hands out and closes the connections to one member.
 
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -34,7 +34,7 @@
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.exchange import Exchanger
     from trefoilpulley_node.direct.member_access import MemberAccess
-    from trefoilpulley_node.direct.member_pool import PooledSession
+    from trefoilpulley_node.direct.pooled_session import PooledSession
     from trefoilpulley_node.peer_server import PeerIdentity
 
 LEASE_MARGIN_S = 1.0
--- a/packages/node/src/trefoilpulley_node/entry/caller_server.py
+++ b/packages/node/src/trefoilpulley_node/entry/caller_server.py
@@ -21,7 +21,7 @@
 from trefoilpulley_core.token import SessionToken
 from trefoilpulley_node import events
 from trefoilpulley_node.pipeline.request import PipelineRequest
-from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.handler import Handler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/node/src/trefoilpulley_node/peer_server.py
+++ b/packages/node/src/trefoilpulley_node/peer_server.py
@@ -16,7 +16,7 @@
 from trefoilpulley_core.peer import PeerWelcome
 from trefoilpulley_core.peer import PooledFailure
 from trefoilpulley_node import events
-from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.handler import Handler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/node/src/trefoilpulley_node/pooler/member_link.py
+++ b/packages/node/src/trefoilpulley_node/pooler/member_link.py
@@ -14,8 +14,8 @@
 from trefoilpulley_core.failure import failures_by_code
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.upstream import Upstream
-from trefoilpulley_wire.channel import Handler
 from trefoilpulley_wire.dial import dial
+from trefoilpulley_wire.handler import Handler
 from trefoilpulley_wire import member_codec
 
 if TYPE_CHECKING:
--- a/packages/standins/src/trefoilpulley_standins/member/_feed.py
+++ b/packages/standins/src/trefoilpulley_standins/member/_feed.py
@@ -15,7 +15,7 @@
 from trefoilpulley_standins.member.replication import Refused
 from trefoilpulley_standins.member.replication import SetLag
 from trefoilpulley_standins.member.replication import Subscribe
-from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.handler import Handler
 
 if TYPE_CHECKING:
     from trefoilpulley_core.failure import Failure
--- a/packages/standins/src/trefoilpulley_standins/member/_replicator.py
+++ b/packages/standins/src/trefoilpulley_standins/member/_replicator.py
@@ -16,8 +16,8 @@
 from trefoilpulley_standins.member.replication import REPLICATION_CODEC
 from trefoilpulley_standins.member.replication import Snapshot
 from trefoilpulley_standins.member.replication import Subscribed
-from trefoilpulley_wire.channel import Handler
 from trefoilpulley_wire.dial import dial
+from trefoilpulley_wire.handler import Handler
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/packages/standins/src/trefoilpulley_standins/member/server.py
+++ b/packages/standins/src/trefoilpulley_standins/member/server.py
@@ -21,7 +21,7 @@
 from trefoilpulley_standins.member._signal import Signal
 from trefoilpulley_standins.member.engine import MemberEngine
 from trefoilpulley_standins.member.replication import REPLICATION_CODEC
-from trefoilpulley_wire.channel import Handler
+from trefoilpulley_wire.handler import Handler
 from trefoilpulley_wire.listener import Listener
 from trefoilpulley_wire import member_codec as wire
 
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
@@ -31,6 +30,7 @@
     from websockets.protocol import Protocol
 
     from trefoilpulley_wire.codec import Codec
+    from trefoilpulley_wire.handler import Handler
 
 RECEIVE_BUFFER_BYTES = 65536
 """Maximum number of bytes that one call reads from a socket."""
@@ -49,42 +49,6 @@
 """Longest wait for the last replies and the closing handshake, in seconds."""
 
 
-class Handler(abc.ABC):
-    """Handles the messages that a channel receives."""
-
-    @abc.abstractmethod
-    def on_request(self, channel: Channel, message: Any) -> Any:
-        """Return the reply to a request.
-
-        The channel calls this method in a separate greenlet per request.
-        """
-
-    @abc.abstractmethod
-    def on_malformed(self, channel: Channel, failure: Failure) -> Any:
-        """Return the reply to a request that was too large or malformed."""
-
-    def on_late(self, channel: Channel, message: Any) -> Any:
-        """Return the reply to a request that arrives while closing.
-
-        The request is not handled. Without a reply it stays unanswered.
-        """
-        return None
-
-    def on_cut(self, channel: Channel, message: Any) -> Any:
-        """Return the reply to a request that outlasts its channel.
-
-        The reply of the running handler is dropped. Without a reply the
-        request stays unanswered.
-        """
-        return None
-
-    def on_notice(self, channel: Channel, message: Any) -> None:
-        """Handle a one-way message, which gets no reply."""
-
-    def on_close(self, channel: Channel) -> None:
-        """Release the resources that belong to the closed channel."""
-
-
 @dataclass(eq=False, frozen=True, slots=True)
 class _Request:
     sequence: int
--- a/packages/wire/src/trefoilpulley_wire/dial.py
+++ b/packages/wire/src/trefoilpulley_wire/dial.py
@@ -23,8 +23,8 @@
     import ssl
 
     from trefoilpulley_core.catalog import Endpoint
-    from trefoilpulley_wire.channel import Handler
     from trefoilpulley_wire.codec import Codec
+    from trefoilpulley_wire.handler import Handler
 
 
 def dial(
--- a/packages/wire/src/trefoilpulley_wire/listener.py
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -20,8 +20,8 @@
     import ssl
 
     from trefoilpulley_core.catalog import Endpoint
-    from trefoilpulley_wire.channel import Handler
     from trefoilpulley_wire.codec import Codec
+    from trefoilpulley_wire.handler import Handler
 
 HANDSHAKE_TIMEOUT_S = 5.0
 """Maximum time for the TLS and WebSocket handshakes, in seconds."""
