Leave the wiring to the composition of a host

Change: HostView, HostMaintenance, PrimaryChanger.on_claim and the directory's counts take these over; a join that waited for nothing is gone. What is left is wiring and the order of start, drain and stop.

--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -22,8 +22,8 @@
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.channel import Channel
 from trefoilpulley_wire.channel import MAX_MESSAGE_BYTES
-from trefoilpulley_wire.handler import Handler
 from trefoilpulley_wire.dial import dial
+from trefoilpulley_wire.handler import Handler
 from trefoilpulley_wire.listener import Listener
 
 RAW_SEQUENCE = 999
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -244,6 +244,11 @@
         self.last_request_at = float('-inf')
         """Time of the last request for the group, in seconds."""
 
+    def expect_change(self, due_at: float) -> None:
+        """Expect a change of primary until a time, in seconds."""
+        self.primary_change_due_at = due_at
+        self.no_primary_change_until = float('-inf')
+
     def update(self, records: Iterable[MemberRecord]) -> None:
         """Apply the platform's current entries of the group."""
         by_name = {r.member: r for r in records}
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -10,12 +10,9 @@
 import gevent
 
 from trefoilpulley_core.catalog import HostEntry
-from trefoilpulley_core.direct.drain import BALANCER_DETECTION_S
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
-from trefoilpulley_core.direct.isolation import IsolationDetector
-from trefoilpulley_core.direct.isolation import Reachability
 from trefoilpulley_core.direct.relay_messages import EndLease
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
 from trefoilpulley_core.membership.membership import Membership
@@ -26,11 +23,12 @@
 from trefoilpulley_node.direct.directory import GroupDirectory
 from trefoilpulley_node.direct.evidence_exchange import EvidenceExchange
 from trefoilpulley_node.direct.exchange import Exchanger
+from trefoilpulley_node.direct.host_maintenance import HostMaintenance
 from trefoilpulley_node.direct.host_registration import HostRegistration
+from trefoilpulley_node.direct.host_view import HostView
 from trefoilpulley_node.direct.host_vote import HostVote
 from trefoilpulley_node.direct.member_prober import MemberProber
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
-from trefoilpulley_node.direct.primary_changer import CLAIM_HOLDER_TIMEOUT_S
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
 from trefoilpulley_node.direct.primary_wait import PrimaryWait
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
@@ -60,7 +58,6 @@
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.direct_settings import DirectSettings
     from trefoilpulley_node.direct.directory import Group
-    from trefoilpulley_node.direct.member_access import MemberAccess
 
 PEER_ANSWERS_TIMEOUT_S = 0.1
 """Wait for the requests of other hosts in progress at a stop, in seconds."""
@@ -71,9 +68,6 @@
 Part of the exit margin of the drain policy.
 """
 
-MAINTENANCE_INTERVAL_S = 0.25
-"""Time between two maintenance runs, in seconds."""
-
 
 class DirectComposition:
     """Creates each component of a host once, at its first use.
@@ -120,9 +114,6 @@
         self._incarnation = time.time_ns()
         self._rng = random.Random(self._incarnation)
         self._watches: list[PrimaryWatch] = []
-        self._isolation = IsolationDetector()
-        self._is_isolated = False
-        self._maintenance: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Start the components that run in the background."""
@@ -149,7 +140,7 @@
         self._membership.start()
         self._follower.start()
         self._registration.start()
-        self._maintenance = gevent.spawn(self._run_maintenance)
+        self._maintenance.start()
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
 
     def on_settings_changed(self) -> None:
@@ -173,13 +164,12 @@
             stop_accepting()
 
         began_at = self._clock.now()
-        leave = gevent.spawn(self._membership.leave)
+        gevent.spawn(self._membership.leave)
         self.sessions.drain(
             self._cfg.grace_s,
             lambda: self.relay_server.lease_count,
             stop_intake,
         )
-        leave.join(timeout=0)
         events.DRAIN_ENDED.log(
             host=self._cfg.host,
             connections=self.sessions.connection_count,
@@ -198,8 +188,7 @@
         for watch in self._watches:
             watch.stop()
         self._follower.stop()
-        if self._maintenance is not None:
-            self._maintenance.kill(block=False)
+        self._maintenance.stop()
         self._membership.stop()
         gevent.joinall(
             [
@@ -218,7 +207,7 @@
         """Whether the balancer should send callers to this host."""
         if self.sessions.is_draining or not self.directory.is_loaded:
             return False
-        return self._isolation.duration_s(self._clock.now()) == 0
+        return self._maintenance.isolated_s == 0
 
     @cached_property
     def directory(self) -> GroupDirectory:
@@ -384,54 +373,43 @@
             self._clock,
         )
 
-    def _reachable_hosts(self, now: float) -> int:
-        """Return how many hosts answer.
+    @cached_property
+    def _hosts(self) -> HostView:
+        return HostView(
+            self._host_entry,
+            lambda: self._follower.hosts,
+            lambda: self._membership.live_hosts,
+            self._vote.recent_answer_rate,
+            self.sessions,
+        )
 
-        A recent vote shows lost hosts earlier than the membership does.
-        """
-        live = len(self._live_hosts())
-        answer_rate = self._vote.recent_answer_rate(now)
-        if answer_rate is None:
-            return live
-        return min(live, round(answer_rate * len(self._registered_hosts())))
+    @cached_property
+    def _maintenance(self) -> HostMaintenance:
+        return HostMaintenance(
+            self.directory,
+            self._follower,
+            self._claims,
+            self.relay_server,
+            self.sessions,
+            self._primary_wait,
+            self._hosts,
+            self._clock,
+        )
 
     def _registered_hosts(self) -> dict[str, str]:
-        hosts = {h.name: h.zone for h in self._follower.hosts}
-        return {**hosts, self._cfg.host: self._cfg.zone}
-
-    def _live_hosts(self) -> tuple[str, ...]:
-        hosts = {h for z in self._live_zones().values() for h in z}
-        return tuple(sorted(hosts))
-
-    def _live_zones(self) -> dict[str, tuple[str, ...]]:
-        """Return the live hosts by availability zone, this host included."""
-        zones = {z.zone: z.hosts for z in self._membership.live_hosts.zones}
-        local_hosts = {*zones.get(self._cfg.zone, ()), self._cfg.host}
-        if self.sessions.is_draining:
-            # This host is about to stop and could not finish new relayed
-            # requests.
-            local_hosts.discard(self._cfg.host)
-        return {**zones, self._cfg.zone: tuple(sorted(local_hosts))}
+        return self._hosts.registered
 
     def _on_live_hosts(self, live: LiveHosts) -> None:
-        self.directory.set_hosts(self._live_zones())
+        self.directory.set_hosts(self._hosts.live_zones)
 
     def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
-        if not self._claims.record_claim(
+        is_announced = self._claims.record_claim(
             name, claim, entry.mod_revision, entry.era
-        ):
-            return
-        group = self.directory.groups.get(name)
-        if group is None or claim.holder == self._cfg.host:
-            return
+        )
         # A claim from before the start of this host belongs to a change that
         # is over.
-        if self._follower.is_synchronized:
-            group.state.primary_change_due_at = (
-                self._clock.now() + CLAIM_HOLDER_TIMEOUT_S
-            )
-            group.state.no_primary_change_until = float('-inf')
-            group.check_requested.set()
+        if is_announced and self._follower.is_synchronized:
+            self.changer.on_claim(name, claim)
 
     def _on_read(self, era: int) -> None:
         self._claims.begin_era(era)
@@ -439,38 +417,18 @@
 
     def _register_gauges(self) -> None:
         register = self.metrics.register_gauge
-        groups = self.directory.groups
+        directory = self.directory
         register('sessions', lambda: len(self.sessions))
-        register(
-            'connections',
-            lambda: sum(
-                a.local_pool.open_connections for a in self._accesses()
-            ),
-        )
+        register('connections', lambda: directory.open_connections)
         register('leases', lambda: self.relay_server.lease_count)
-        register(
-            'waiting',
-            lambda: sum(a.local_pool.waiting for a in self._accesses()),
-        )
-        register(
-            'in_flight',
-            lambda: sum(a.health.in_flight for a in self._accesses()),
-        )
-        register(
-            'groups_lost',
-            lambda: sum(
-                self._primary_wait.is_lost(g) for g in groups.values()
-            ),
-        )
-        register('configuration_version', lambda: self.directory.table.version)
+        register('waiting', lambda: directory.waiting_requests)
+        register('in_flight', lambda: directory.in_flight_statements)
+        register('groups_lost', lambda: self._maintenance.lost_group_count)
+        register('configuration_version', lambda: directory.table.version)
         register('service_followed', lambda: self._follower.is_following)
         register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
-        register('live_hosts', lambda: len(self._live_hosts()))
-
-    def _accesses(self) -> list[MemberAccess]:
-        groups = self.directory.groups.values()
-        return [a for g in groups for a in g.accesses.values()]
+        register('live_hosts', lambda: len(self._hosts.live))
 
     def dump(self) -> ProxyState:
         """Return the state of the host."""
@@ -478,9 +436,9 @@
             self._cfg,
             self.directory,
             len(self.sessions),
-            self._live_hosts(),
-            self._registered_hosts(),
-            self._is_isolated,
+            self._hosts.live,
+            self._hosts.registered,
+            self._maintenance.is_isolated,
             self._clock.now(),
         )
 
@@ -496,43 +454,3 @@
         )
         self._watches.append(watch)
         watch.start()
-
-    def _run_maintenance(self) -> None:
-        while True:
-            gevent.sleep(MAINTENANCE_INTERVAL_S)
-            try:
-                self._maintain()
-            # An unexpected error must not end the maintenance.
-            except Exception as exc:
-                events.HANDLER_CRASHED.log(
-                    message='maintenance', error=repr(exc)
-                )
-
-    def _maintain(self) -> None:
-        self._follower.remove_expired()
-        self.directory.trim()
-        self.relay_server.end_idle(
-            self.directory.table.transaction_idle_timeout_s
-        )
-        self._update_isolation()
-        if self._follower.is_following:
-            self._claims.publish()
-
-    def _update_isolation(self) -> None:
-        now = self._clock.now()
-        groups = self.directory.groups.values()
-        self._isolation.update(
-            Reachability(
-                len(groups),
-                sum(1 for g in groups if self._primary_wait.is_lost(g)),
-                len(self._registered_hosts()),
-                self._reachable_hosts(now),
-            ),
-            now,
-        )
-        isolated_s = self._isolation.duration_s(now)
-        if self._is_isolated != (isolated_s > 0):
-            self._is_isolated = isolated_s > 0
-            events.ISOLATION_CHANGED.log(is_cut_off=isolated_s > 0)
-        if isolated_s > BALANCER_DETECTION_S:
-            self.sessions.close_idle()
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.group_state import MemberRecord
@@ -114,6 +115,21 @@
         """Live hosts by availability zone, this host included."""
         return self._live
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections to members that are open or being opened."""
+        return sum(a.local_pool.open_connections for a in self._accesses())
+
+    @property
+    def waiting_requests(self) -> int:
+        """Number of requests that wait for a connection to a member."""
+        return sum(a.local_pool.waiting for a in self._accesses())
+
+    @property
+    def in_flight_statements(self) -> int:
+        """Number of statements that members have not answered."""
+        return sum(a.health.in_flight for a in self._accesses())
+
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait for the first configuration; return whether one is in force."""
         return self._loaded.wait(timeout_s)
@@ -182,6 +198,9 @@
                     now, is_local_zone or member == group.state.primary
                 )
 
+    def _accesses(self) -> Iterator[MemberAccess]:
+        return (a for g in self.groups.values() for a in g.accesses.values())
+
     def _ensure_group(self, name: str) -> None:
         if name in self.groups:
             return
--- /dev/null
+++ b/packages/node/src/trefoilpulley_node/direct/host_view.py
@@ -0,0 +1,79 @@
+"""Registered, live and reachable hosts, as this host sees them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from trefoilpulley_core.catalog import HostEntry
+    from trefoilpulley_core.membership.live_hosts import LiveHosts
+    from trefoilpulley_node.direct.session_registry import SessionRegistry
+
+
+class HostView:
+    """Joins what the service and the membership tell of the hosts.
+
+    Parameters
+    ----------
+    host : HostEntry
+        Entry of this host.
+    listed_hosts : Callable[[], Iterable[HostEntry]]
+        Returns the hosts that the service lists.
+    live_hosts : Callable[[], LiveHosts]
+        Returns the hosts that the membership takes for live.
+    answer_rate : Callable[[float], float | None]
+        Returns the share of hosts that answered a recent vote, if any, at a
+        time in seconds.
+    sessions : SessionRegistry
+        Tells whether this host is about to stop.
+    """
+
+    def __init__(
+        self,
+        host: HostEntry,
+        listed_hosts: Callable[[], Iterable[HostEntry]],
+        live_hosts: Callable[[], LiveHosts],
+        answer_rate: Callable[[float], float | None],
+        sessions: SessionRegistry,
+    ) -> None:
+        self._host = host
+        self._listed_hosts = listed_hosts
+        self._live_hosts = live_hosts
+        self._answer_rate = answer_rate
+        self._sessions = sessions
+
+    @property
+    def registered(self) -> dict[str, str]:
+        """Availability zone of each registered host, this one included."""
+        hosts = {h.name: h.zone for h in self._listed_hosts()}
+        return {**hosts, self._host.name: self._host.zone}
+
+    @property
+    def live_zones(self) -> dict[str, tuple[str, ...]]:
+        """Live hosts by availability zone, this host included."""
+        zones = {z.zone: z.hosts for z in self._live_hosts().zones}
+        local_hosts = {*zones.get(self._host.zone, ()), self._host.name}
+        if self._sessions.is_draining:
+            # This host is about to stop and could not finish new relayed
+            # requests.
+            local_hosts.discard(self._host.name)
+        return {**zones, self._host.zone: tuple(sorted(local_hosts))}
+
+    @property
+    def live(self) -> tuple[str, ...]:
+        """Names of the live hosts in order."""
+        return tuple(sorted(h for z in self.live_zones.values() for h in z))
+
+    def count_reachable(self, now: float) -> int:
+        """Return how many hosts answer, at a time in seconds.
+
+        A recent vote shows lost hosts earlier than the membership does.
+        """
+        live = len(self.live)
+        answer_rate = self._answer_rate(now)
+        if answer_rate is None:
+            return live
+        return min(live, round(answer_rate * len(self.registered)))
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -24,6 +24,7 @@
     from collections.abc import Sequence
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.failover import LeaderNotice
     from trefoilpulley_core.direct.failover import ReachReport
     from trefoilpulley_core.direct.failover import Round
@@ -224,6 +225,14 @@
         elif self._demote_and_catch_up(group, *old, target):
             self._promotions.promote(group, target, claimed, None, cause)
 
+    def on_claim(self, name: str, claim: Claim) -> None:
+        """Leave the change of a group to the host that has claimed it."""
+        group = self._groups.get(name)
+        if group is None or claim.holder == self._host:
+            return
+        group.state.expect_change(self._clock.now() + CLAIM_HOLDER_TIMEOUT_S)
+        group.check_requested.set()
+
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Check whether the announced member leads; return the notice."""
         self._claims.advance_round(notice.group, notice.round)
