Keep a granted lease and a known entry between registrations

Cause: each attempt began anew with a grant, and wrote against an absent key first, though only the host itself writes its key; all hosts tried again after exactly 1 s.

Change: the granted lease is kept until it expires or its era ends, the known revision of the own key is tried first, and the attempts are spread over 0.5 to 1.5 s.

Tests: "a refused registration goes on with the lease that was granted" and "a host that an older copy lists registers again with few writes" fail on the code before (its constructor adapted): two grants, and three more calls.

--- a/features/host_registration.feature
+++ b/features/host_registration.feature
@@ -18,3 +18,12 @@
     When the first host registers
     And the first host stops
     Then the first host is not registered
+
+  Scenario: a refused registration goes on with the lease that was granted
+    When the service refuses the entry of the first host once
+    Then the first host has been granted 1 lease
+
+  Scenario: a host that an older copy lists registers again with few writes
+    When the first host registers
+    And the service returns from a copy with the entry of the first host
+    Then the first host has registered with a lease and one more write
--- a/features/steps/host_registration_steps.py
+++ b/features/steps/host_registration_steps.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+from returns.result import Failure as Failed
 
 from features.fakes.asking import wait_until
 from features.fakes.fake_entry_parts import FakeClock
@@ -14,6 +16,7 @@
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.platform import PlatformDown
 from trefoilpulley_node.direct.host_registration import HostRegistration
 
 
@@ -31,6 +34,7 @@
                 HostEntry(name, 'here', 'a', endpoint, endpoint),
                 context.kv,
                 FakeClock(),
+                random.Random(1),
             )
             for name in ('first', 'second')
         }
@@ -53,6 +57,41 @@
         context.kv.restore(copy)
         assert not _is_registered(context, name)
 
+    @staticmethod
+    @when('the service refuses the entry of the first host once')
+    def refuse_entry(context: Any) -> None:
+        """Grant the lease and refuse the first write of the entry."""
+        swap = context.kv.compare_and_swap
+        refused = [Failed(PlatformDown('status 429'))]
+        context.kv.compare_and_swap = lambda *call, **named: (
+            refused.pop() if refused else swap(*call, **named)
+        )
+        HostRegistrationSteps.register(context, 'first')
+
+    @staticmethod
+    @when('the service returns from a copy with the entry of the first host')
+    def restore_with_entry(context: Any) -> None:
+        """Restore a copy that holds the entry, and tell the host."""
+        context.kv.restore(context.kv.take_copy())
+        context.kv.calls.clear()
+        HostRegistrationSteps.begin_era(context)
+
+    @staticmethod
+    @then('the first host has been granted {count:d} lease')
+    def check_grants(context: Any, count: int) -> None:
+        """Count the calls for a lease."""
+        assert context.kv.calls['grant_lease'] == count, context.kv.calls
+
+    @staticmethod
+    @then('the first host has registered with a lease and one more write')
+    def check_writes(context: Any) -> None:
+        """Count the calls until the entry is of the new era."""
+        key = f'{HOST_PREFIX}first'
+        lease = context.hosts['first'].first_lease.lease_id
+        wait_until(lambda: context.kv.values[key].lease_id != lease)
+        expected = {'grant_lease': 1, 'compare_and_swap': 1}
+        assert context.kv.calls == expected, context.kv.calls
+
     @staticmethod
     @when('the second host registers with the same lease number')
     def register_again(context: Any) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -291,7 +291,9 @@
 
     @cached_property
     def _registration(self) -> HostRegistration:
-        return HostRegistration(self._host_entry, self._platform, self._clock)
+        return HostRegistration(
+            self._host_entry, self._platform, self._clock, self._rng
+        )
 
     @cached_property
     def _claims(self) -> ClaimStore:
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -20,6 +20,8 @@
 from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
+    import random
+
     from returns.result import Result
 
     from trefoilpulley_core.clock import Clock
@@ -52,15 +54,23 @@
         The platform's service.
     clock : Clock
         Monotonic time.
+    rng : random.Random
+        Spreads the attempts of the hosts over time.
     """
 
     def __init__(
-        self, host_entry: HostEntry, platform: Platform, clock: Clock
+        self,
+        host_entry: HostEntry,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._clock = clock
+        self._rng = rng
         self._renewed_at = clock.now()
         self._host_entry = host_entry
         self._platform = platform
+        self._granted: Lease | None = None
         self._lease: Lease | None = None
         self._revision = 0
         self._era_began = Event()
@@ -89,8 +99,8 @@
 
         The service may have given the number of that lease to another host.
         """
-        if self._lease is not None and self._lease.era < era:
-            self._lease = None
+        if self._granted is not None and self._granted.era < era:
+            self._granted = self._lease = None
             self._era_began.set()
 
     def stop(self) -> None:
@@ -116,18 +126,25 @@
             self._era_began.clear()
             lease = self._lease
             is_registered = self._renew(lease) if lease else self._register()
+            retry_s = RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.5)
             self._era_began.wait(
-                RENEW_INTERVAL_S if is_registered else RETRY_INTERVAL_S
+                RENEW_INTERVAL_S if is_registered else retry_s
             )
 
     def _register(self) -> bool:
-        granted = self._platform.grant_lease(LEASE_TTL_S)
-        if not isinstance(granted, Success):
+        """Write the entry under a lease that is kept between attempts."""
+        if self._granted is None:
+            self._granted = self._platform.grant_lease(LEASE_TTL_S).value_or(
+                None
+            )
+        lease = self._granted
+        if lease is None:
             return False
-        lease = granted.unwrap()
         self._first_lease = self._first_lease or lease
         written = self._put(lease)
         if not isinstance(written, Success):
+            if isinstance(written.failure(), LeaseExpired | EraChanged):
+                self._granted = None
             return False
         self._lease = lease
         self._revision = written.unwrap()
@@ -135,10 +152,12 @@
         return True
 
     def _put(self, lease: Lease) -> Result[int, Failure]:
-        value = write_host(self._host_entry)
-        result = self._platform.compare_and_swap(
-            self._key, 0, value, lease.lease_id, lease.era
-        )
+        """Write the entry over the one that this host knows or finds.
+
+        Only this host writes its key, so that a known revision is right in a
+        later era as well, unless the service has lost that write.
+        """
+        result = self._swap(self._revision, lease)
         if isinstance(result, Success):
             return result
         if not isinstance(result.failure(), RevisionConflict):
@@ -149,9 +168,15 @@
         entry = current.unwrap()
         if entry is not None and entry.era != lease.era:
             return Failed(EraChanged(self._key))
-        revision = entry.mod_revision if entry else 0
+        return self._swap(entry.mod_revision if entry else 0, lease)
+
+    def _swap(self, revision: int, lease: Lease) -> Result[int, Failure]:
         return self._platform.compare_and_swap(
-            self._key, revision, value, lease.lease_id, lease.era
+            self._key,
+            revision,
+            write_host(self._host_entry),
+            lease.lease_id,
+            lease.era,
         )
 
     def _renew(self, lease: Lease) -> bool:
@@ -160,7 +185,7 @@
             self._renewed_at = self._clock.now()
             return True
         if isinstance(result.failure(), LeaseExpired | EraChanged):
-            self._lease = None
+            self._granted = self._lease = None
             return self._register()
         return False
 
