Declare customers, and what work declares when it asks for a connection

Cause: the users' new deployments have customers, which the direct mode doesn't know, and a pool is told only a priority and a deadline of the work that asks, so that it can't tell what can still meet its goal.

Nothing uses the customers yet: the behaviour is the same.

--- a/features/steps/proxy_failing_member_steps.py
+++ b/features/steps/proxy_failing_member_steps.py
@@ -142,7 +142,9 @@
     def __init__(self, context: Any) -> None:
         self._context = context
 
-    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+    def dial(
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
+    ) -> Any:
         return Success(_FailingUpstream(self._context))
 
 
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -69,7 +69,7 @@
         self.sent: dict[str, list[Call]] = {}
 
     def dial(
-        self, member: MemberRecord, timeout_s: float
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
     ) -> Result[UpstreamSession, Failure]:
         if not self.gates[member.member].wait(30.0):
             return Failed(NoUpstream('the gate was not opened in time'))
@@ -171,7 +171,7 @@
     """Fails to connect to any member."""
 
     def dial(
-        self, member: MemberRecord, timeout_s: float
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
     ) -> Result[UpstreamSession, Failure]:
         return Failed(PeerUnreachable('timeout'))
 
--- a/features/steps/proxy_overload_steps.py
+++ b/features/steps/proxy_overload_steps.py
@@ -14,6 +14,7 @@
 
 from features.fakes.asking import HANG_TIMEOUT_S
 from features.fakes.asking import wait_until
+from features.fakes.connection_requests import make_request
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.concurrency_limit import ConcurrencyLimit
@@ -133,7 +134,9 @@
     def __init__(self, context: Any) -> None:
         self._context = context
 
-    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+    def dial(
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
+    ) -> Any:
         return Success(_GatedUpstream(self._context))
 
 
@@ -204,12 +207,10 @@
         """Check the refusal; a request that waits would never be served."""
         now = context.clock.now()
         context.access.health.latency_s = STATEMENT_LATENCY_S
-        result = context.access.acquire(
-            priority,
-            now + LONG_TIMEOUT_S,
-            SessionState(),
-            now + max_wait_ms / 1000,
+        work = make_request(
+            priority, now + LONG_TIMEOUT_S, now + max_wait_ms / 1000
         )
+        result = context.access.acquire(work, SessionState())
         assert isinstance(result.failure(), Overloaded), result
         assert 'too long' in result.failure().detail, result
 
@@ -225,10 +226,10 @@
         now = context.clock.now()
         gevent.spawn(
             context.access.acquire,
-            priority,
-            now + LONG_TIMEOUT_S,
+            make_request(
+                priority, now + LONG_TIMEOUT_S, now + max_wait_ms / 1000
+            ),
             SessionState(),
-            now + max_wait_ms / 1000,
         )
         wait_until(lambda: pool.waiting == before + 1)
 
@@ -237,7 +238,7 @@
     def check_transaction(context: Any) -> None:
         """Send a statement on a connection that is already acquired."""
         conn = context.access.local_pool._dial(
-            context.clock.now() + LONG_TIMEOUT_S
+            context.clock.now() + LONG_TIMEOUT_S, ''
         ).unwrap()
         QueuedRequestSteps._exchange(context, conn, 't')
         wait_until(lambda: 't' in context.served)
@@ -252,7 +253,9 @@
     @staticmethod
     def _run_statement(context: Any, name: str, priority: int) -> None:
         deadline = context.clock.now() + LONG_TIMEOUT_S
-        acquired = context.access.acquire(priority, deadline, SessionState())
+        acquired = context.access.acquire(
+            make_request(priority, deadline), SessionState()
+        )
         conn = acquired.unwrap()
         context.exchanger.exchange(
             context.access, conn, (RunStatement(name, 'READ a'),), deadline
@@ -283,10 +286,10 @@
         pool.share.update(1, 1)
         pool.share.on_refused(context.clock.now() + LONG_TIMEOUT_S)
         deadline = context.clock.now() + LONG_TIMEOUT_S
-        context.acquired = pool.acquire(1, deadline, SessionState()).unwrap()
+        work = make_request(1, deadline)
+        context.acquired = pool.acquire(work, SessionState()).unwrap()
         context.waiting = [
-            gevent.spawn(pool.acquire, 1, deadline, SessionState())
-            for _ in range(2)
+            gevent.spawn(pool.acquire, work, SessionState()) for _ in range(2)
         ]
         wait_until(lambda: pool.waiting == 2)
 
@@ -319,7 +322,9 @@
         self.pending = 0
         self.has_first = False
 
-    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+    def dial(
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
+    ) -> Any:
         if not self.has_first:
             self.has_first = True
             return super().dial(member, timeout_s)
@@ -349,7 +354,7 @@
         context.pool = pool
         context.deadline = clock.now() + LONG_TIMEOUT_S
         context.first = pool.acquire(
-            1, context.deadline, SessionState()
+            make_request(1, context.deadline), SessionState()
         ).unwrap()
 
     @staticmethod
@@ -358,7 +363,9 @@
         """Request connections concurrently."""
         context.requests = [
             gevent.spawn(
-                context.pool.acquire, 1, context.deadline, SessionState()
+                context.pool.acquire,
+                make_request(1, context.deadline),
+                SessionState(),
             )
             for _ in range(count)
         ]
@@ -421,7 +428,9 @@
 class _RefusingDialer(UpstreamDialer):
     """Connects to an overloaded primary and a replica that is behind."""
 
-    def dial(self, member: MemberRecord, timeout_s: float) -> Any:
+    def dial(
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
+    ) -> Any:
         if member.member == 'p':
             return Success(_RefusingUpstream(Overloaded('full')))
         return Success(_RefusingUpstream(ReplicaBehind('lags')))
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -15,6 +15,7 @@
 
 from features.fakes.asking import execute_once
 from features.fakes.asking import wait_until
+from features.fakes.connection_requests import make_request
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.connection_holders import choose_holders
 from trefoilpulley_core.direct.connection_holders import rank_holders
@@ -309,7 +310,7 @@
         self.upstream = _RecordingUpstream()
 
     def dial(
-        self, member: MemberRecord, timeout_s: float
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
     ) -> Result[UpstreamSession, Failure]:
         return Success(self.upstream)
 
@@ -353,7 +354,9 @@
         """Create a holder and acquire its only connection."""
         RelayServerSteps.make_holder(context)
         deadline = context.clock.now() + 60
-        result = context.pool.acquire(0, deadline, SessionState())
+        result = context.pool.acquire(
+            make_request(0, deadline), SessionState()
+        )
         context.acquired = result.unwrap()
 
     @staticmethod
--- a/packages/core/src/trefoilpulley_core/direct/relay_messages.py
+++ b/packages/core/src/trefoilpulley_core/direct/relay_messages.py
@@ -56,6 +56,24 @@
     is_pinned: bool = False
     """Whether the lease must have an open transaction."""
 
+    goal_ms: int | None = None
+    """Time left to meet the goal of the work, in milliseconds.
+
+    ``None`` for ``remaining_ms``. Negative if the goal is missed already.
+    """
+
+    kind: str = ''
+    """Kind of the work: the database name of its route."""
+
+    customer: str = ''
+    """Customer that the connection must belong to; empty for none."""
+
+    is_transaction: bool = False
+    """Whether the work is a transaction, which holds its connection."""
+
+    is_internal: bool = False
+    """Whether the work is a probe, which may use any connection."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayedReply:
--- a/packages/core/src/trefoilpulley_core/direct/routes.py
+++ b/packages/core/src/trefoilpulley_core/direct/routes.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from trefoilpulley_core.direct.customers import CustomerTable
+
 
 class ReadFreshness(StrEnum):
     """Commits that a read of a route must see."""
@@ -49,6 +51,9 @@
     max_age_s: float = 0.0
     """Maximum age of the data that a read accepts, in seconds."""
 
+    is_public: bool = False
+    """Whether callers need no key of a customer."""
+
 
 @dataclass(frozen=True, slots=True)
 class GroupLimits:
@@ -79,3 +84,6 @@
 
     max_message_bytes: int = 1 << 20
     """Maximum size of a caller's message, in bytes."""
+
+    customers: CustomerTable | None = None
+    """Customers, or ``None`` if the deployment has no customers."""
--- a/packages/core/src/trefoilpulley_core/direct/upstream_session.py
+++ b/packages/core/src/trefoilpulley_core/direct/upstream_session.py
@@ -270,10 +270,13 @@
 
     @abc.abstractmethod
     def dial(
-        self, member: MemberRecord, timeout_s: float
+        self, member: MemberRecord, timeout_s: float, customer: str = ''
     ) -> Result[UpstreamSession, Failure]:
         """Open a connection to a member.
 
+        The member is told the name of the customer that the connection
+        belongs to, or the name of this host where ``customer`` is empty.
+
         Returns ``PeerUnreachable``, ``ConnectionLimitReached`` or, if the
         address belongs to another member, ``WrongMember`` on failure.
         """
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -271,10 +271,7 @@
         if access is None:
             return Failed(NoUpstream('member has left the group'))
         acquired = access.acquire(
-            request.route.priority,
-            request.deadline,
-            request.session,
-            request.admit_by,
+            request.connection_request(is_transaction=True), request.session
         )
         if not isinstance(acquired, Success):
             return acquired
--- a/packages/node/src/trefoilpulley_node/direct/member_access.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_access.py
@@ -14,6 +14,7 @@
     from returns.result import Result
 
     from trefoilpulley_core.direct.connection_holders import ConnectionHolders
+    from trefoilpulley_core.direct.connection_request import ConnectionRequest
     from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_core.direct.upstream_session import Reply
@@ -67,16 +68,12 @@
             self._relay_client.update(holders)
 
     def acquire(
-        self,
-        priority: int,
-        deadline: float,
-        session: SessionState,
-        admit_by: float | None = None,
+        self, work: ConnectionRequest, session: SessionState
     ) -> Result[MemberSession, Failure]:
         """Return a session, or the reason why none is available in time."""
         if self.is_relayed:
-            return Success(self._relay_client.open(priority, admit_by))
-        return self.local_pool.acquire(priority, deadline, session, admit_by)
+            return Success(self._relay_client.open(work))
+        return self.local_pool.acquire(work, session)
 
     def on_replies(
         self, conn: MemberSession, replies: Sequence[Reply], in_flight: int
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -26,6 +26,7 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.connection_queue import QueuedWork
+    from trefoilpulley_core.direct.connection_request import ConnectionRequest
     from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_core.direct.upstream_session import Reply
@@ -94,30 +95,19 @@
         return bool(self._idle)
 
     def acquire(
-        self,
-        priority: int,
-        deadline: float,
-        session: SessionState,
-        admit_by: float | None = None,
+        self, work: ConnectionRequest, session: SessionState
     ) -> Result[PooledSession, Failure]:
         """Return a connection, or the reason why none is available in time.
 
         Parameters
         ----------
-        priority : int
-            Priority of the request; 0 is the highest priority of a route.
-        deadline : float
-            Time by which the request must be done, in seconds.
+        work : ConnectionRequest
+            What the request declares.
         session : SessionState
             Session values that the request needs; a connection that has these
             values already is preferred.
-        admit_by : float, optional
-            Time by which the request must get its connection, in seconds;
-            defaults to the deadline.
         """
-        admission_deadline = (
-            deadline if admit_by is None else min(admit_by, deadline)
-        )
+        deadline = work.deadline
         while not self._is_closed:
             now = self._clock.now()
             if self._has_room:
@@ -127,22 +117,22 @@
                 if now >= deadline:
                     break
                 if self._may_dial(now):
-                    dialled = self._dial(deadline)
+                    dialled = self._dial(deadline, work.customer)
                     failure = _failure_of(dialled)
                     if not isinstance(failure, ConnectionLimitReached):
                         return dialled
                     self.share.on_refused(now)
                     if self._open_count == 0:
                         wait_s = min(LIMIT_RETRY_INTERVAL_S, deadline - now)
-                        conn = self._wait_for_retry(priority, deadline, wait_s)
+                        conn = self._wait_for_retry(work, wait_s)
                         if conn is not None:
                             return Success(conn)
                         continue
-            waiter = self._enqueue(priority, admission_deadline, now)
+            waiter = self._enqueue(work, now)
             if waiter is None:
                 self.health.overload.on_refused(now)
                 return Failed(Overloaded('connection queue is too long'))
-            conn = self._wait_for_turn(waiter, admission_deadline - now)
+            conn = self._wait_for_turn(waiter, work.admit_by - now)
             if conn is not None:
                 return Success(conn)
         if self._is_closed:
@@ -243,13 +233,17 @@
                 return self._idle.pop(i)
         return self._idle.pop()
 
-    def _dial(self, deadline: float) -> Result[PooledSession, Failure]:
+    def _dial(
+        self, deadline: float, customer: str
+    ) -> Result[PooledSession, Failure]:
         self._open_count += 1
         self._dialing += 1
         now = self._clock.now()
         timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
         try:
-            dialled = self._dialer.dial(self.health.record, timeout_s)
+            dialled = self._dialer.dial(
+                self.health.record, timeout_s, customer
+            )
         except gevent.GreenletExit:
             self._open_count -= 1
             raise
@@ -272,7 +266,7 @@
         return Failed(NoUpstream(f'{failure.code} {failure.detail}'))
 
     def _open_ahead(self) -> None:
-        dialled = self._dial(self._clock.now() + DIAL_TIMEOUT_S)
+        dialled = self._dial(self._clock.now() + DIAL_TIMEOUT_S, '')
         if isinstance(dialled, Success):
             self.release(dialled.unwrap())
 
@@ -296,7 +290,7 @@
         return self.share.may_dial(self._open_count, self._dialing, now)
 
     def _enqueue(
-        self, priority: int, admission_deadline: float, now: float
+        self, work: ConnectionRequest, now: float
     ) -> QueuedWork | None:
         """Queue a request, or return ``None`` where it would wait too long."""
         if self._has_room:
@@ -308,8 +302,8 @@
             servers = self.in_flight_limit.value
             mean_hold_s = self.health.expected_latency_s(now)
         return self._queue.enqueue(
-            priority,
-            admission_deadline,
+            work.priority,
+            work.admit_by,
             now,
             servers,
             mean_hold_s,
@@ -317,11 +311,16 @@
         )
 
     def _wait_for_retry(
-        self, priority: int, deadline: float, wait_s: float
+        self, work: ConnectionRequest, wait_s: float
     ) -> PooledSession | None:
         now = self._clock.now()
         waiter = self._queue.enqueue(
-            priority, deadline, now, 1, self._queue.mean_hold_s, AsyncResult()
+            work.priority,
+            work.deadline,
+            now,
+            1,
+            self._queue.mean_hold_s,
+            AsyncResult(),
         )
         if waiter is None:
             return None
--- a/packages/node/src/trefoilpulley_node/direct/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_prober.py
@@ -7,6 +7,7 @@
 import gevent
 from returns.result import Success
 
+from trefoilpulley_core.direct.connection_request import ConnectionRequest
 from trefoilpulley_core.direct.session_state import SessionState
 from trefoilpulley_core.direct.upstream_session import AskStatus
 from trefoilpulley_core.direct.upstream_session import ConnectionLimitReached
@@ -178,7 +179,12 @@
         if access is None:
             return None
         deadline = self._clock.now() + PROBE_TIMEOUT_S
-        acquired = access.acquire(PROBE_PRIORITY, deadline, _NO_VALUES)
+        acquired = access.acquire(
+            ConnectionRequest(
+                PROBE_PRIORITY, deadline, deadline, deadline, is_internal=True
+            ),
+            _NO_VALUES,
+        )
         if not isinstance(acquired, Success):
             return None
         conn = acquired.unwrap()
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -7,6 +7,7 @@
 
 from returns.result import Success
 
+from trefoilpulley_core.direct.connection_request import ConnectionRequest
 from trefoilpulley_core.direct.evidence_messages import make_report
 from trefoilpulley_core.direct.relay_messages import pack_reply
 from trefoilpulley_core.direct.relay_messages import RelayedReplies
@@ -201,10 +202,8 @@
             return _make_refusal(NoUpstream('member is unknown to this host'))
         lease = self._leases[key] = _Lease(group, access, self._clock.now())
         values = SessionState(message.values or {})
-        admit_by = self._clock.now() + message.admit_ms / 1000
-        acquired = access.local_pool.acquire(
-            message.priority, deadline, values, admit_by
-        )
+        work = _work_of(message, deadline, self._clock.now())
+        acquired = access.local_pool.acquire(work, values)
         if not isinstance(acquired, Success):
             del self._leases[key]
             is_unreachable = access.health.failing_since is not None
@@ -244,6 +243,22 @@
     return RelayRefused(make_failure_reply(failure), is_member_missed)
 
 
+def _work_of(
+    message: RelayedCalls, deadline: float, now: float
+) -> ConnectionRequest:
+    goal_ms = message.goal_ms
+    return ConnectionRequest(
+        message.priority,
+        deadline,
+        min(now + message.admit_ms / 1000, deadline),
+        deadline if goal_ms is None else now + goal_ms / 1000,
+        message.kind,
+        message.customer,
+        message.is_transaction,
+        message.is_internal,
+    )
+
+
 def _setting_of(message: RelayedCalls) -> SessionSetting | None:
     if message.values is None:
         return None
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -34,6 +34,7 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.connection_holders import ConnectionHolders
+    from trefoilpulley_core.direct.connection_request import ConnectionRequest
     from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.group_state import MemberRecord
@@ -127,11 +128,9 @@
         member = self._health.record.member
         self._holders = rank_holders(member, self._host, holders)
 
-    def open(self, priority: int, admit_by: float | None) -> RelayedSession:
+    def open(self, work: ConnectionRequest) -> RelayedSession:
         """Return a session, which leases a connection at its first use."""
-        return RelayedSession(
-            self, next(self._lease_numbers), priority, admit_by
-        )
+        return RelayedSession(self, next(self._lease_numbers), work)
 
     def find_channel(self, holder: str) -> Result[Channel, Failure]:
         """Return the channel to a holder."""
@@ -185,24 +184,19 @@
         Client that opened the session.
     lease : int
         Number of the session, unique on this host.
-    priority : int
-        Priority of the session's requests.
-    admit_by : float | None
-        Time by which the session must get a connection, in seconds; ``None``
-        for the deadline of its first request.
+    work : ConnectionRequest
+        Work that the session is opened for.
     """
 
     def __init__(
         self,
         relay_client: RelayClient,
         lease: int,
-        priority: int,
-        admit_by: float | None,
+        work: ConnectionRequest,
     ) -> None:
         self._relay_client = relay_client
         self._lease = lease
-        self._priority = priority
-        self._admit_by = admit_by
+        self._work = work
         self._holder: str | None = None
         self._channel: Channel | None = None
         self._is_pinned = False
@@ -280,19 +274,25 @@
         """
         asked_at = self._relay_client.now()
         remaining_s = max(0.001, deadline - asked_at)
-        admit_by = deadline if self._admit_by is None else self._admit_by
+        work = self._work
+        admit_by = min(work.admit_by, deadline)
         record = self._relay_client.record
         message = RelayedCalls(
             record.group,
             record.member,
             self._lease,
-            self._priority,
+            work.priority,
             round(1000 * remaining_s),
-            round(1000 * max(0.0, min(admit_by, deadline) - asked_at)),
+            round(1000 * max(0.0, admit_by - asked_at)),
             tuple(calls),
             dict(setting.session.values) if setting else None,
             setting.prepared if setting else None,
             self._is_pinned,
+            round(1000 * (work.goal_at - asked_at)),
+            work.kind,
+            work.customer,
+            work.is_transaction,
+            work.is_internal,
         )
         answered = self._channel.call(message, remaining_s + REPLY_MARGIN_S)
         if not isinstance(answered, Success):
--- a/packages/node/src/trefoilpulley_node/direct/statement_request.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_request.py
@@ -7,6 +7,8 @@
 
 import gevent
 
+from trefoilpulley_core.direct.connection_request import ConnectionRequest
+
 if TYPE_CHECKING:
     from trefoilpulley_core.direct.commands import Prepare
     from trefoilpulley_core.direct.commands import Run
@@ -60,7 +62,30 @@
     deadline: float
     """Time by which the statement must be answered, in seconds."""
 
+    customer: str = ''
+    """Name of the customer; empty if the deployment has no customers."""
+
     @property
     def admit_by(self) -> float:
         """Time by which the statement must get a connection, in seconds."""
         return self.arrived_at + QUEUE_TIME_FACTOR * self.route.goal_s
+
+    def connection_request(
+        self, is_transaction: bool = False
+    ) -> ConnectionRequest:
+        """Return what the statement declares when it asks for a connection.
+
+        Parameters
+        ----------
+        is_transaction : bool
+            Whether the connection is for a transaction.
+        """
+        return ConnectionRequest(
+            self.route.priority,
+            self.deadline,
+            min(self.admit_by, self.deadline),
+            self.arrived_at + self.route.goal_s,
+            self.route.database,
+            self.customer,
+            is_transaction,
+        )
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -262,10 +262,7 @@
         if access is None:
             return Failed(NoUpstream('member has left the group'))
         acquired = access.acquire(
-            request.route.priority,
-            request.deadline,
-            request.session,
-            request.admit_by,
+            request.connection_request(), request.session
         )
         if not isinstance(acquired, Success):
             return acquired
@@ -313,10 +310,7 @@
         self, request: StatementRequest, access
     ) -> Result[Reply, Failure]:
         acquired = access.acquire(
-            request.route.priority,
-            request.deadline,
-            request.session,
-            request.admit_by,
+            request.connection_request(), request.session
         )
         if not isinstance(acquired, Success):
             return acquired
