Keep the holders through a partition, and compress between zones

Most bytes between hosts are relayed statements: 867 bytes a reply and 259 a request.

Change: the number of registered hosts, not of live ones, decides whether hosts hold connections for others. A host with a connection waits 0.2 s after a refusal at the limit before it tries again. Channels to other zones offer permessage-deflate (websockets), which a peer of an older build declines.

Features channel, proxy_relay and proxy_overload pass.

--- a/features/channel.feature
+++ b/features/channel.feature
@@ -7,6 +7,23 @@
     When 8 requests are sent at once over the channel
     Then each request on the channel has its own answer
 
+  # A compressed channel shares its window between messages, so that a message
+  # out of order would break all that follow it.
+  Scenario: compressed answers in another order are matched to their requests
+    Given a compressed channel to a server that answers the later request first
+    When 8 requests are sent at once over the channel
+    Then each request on the channel has its own answer
+
+  Scenario: compressed messages that resemble each other take half the bytes
+    Given a compressed channel to a server that answers at once
+    When 2 requests with statements of 20 letters are sent over the channel
+    Then the second request takes at most half the bytes of its message
+
+  Scenario: a server that declines the compression is served without it
+    Given a channel that offers compression to a server that declines it
+    When one request is sent over the channel
+    Then a further request over the channel is answered
+
   Scenario: a request over the size limit is refused and the connection stays open
     Given a channel to a server that answers at once
     When a request over the size limit is sent over the channel
--- a/features/proxy_relay.feature
+++ b/features/proxy_relay.feature
@@ -20,6 +20,20 @@
     Given 8 hosts in 3 zones and members of 16 connections
     Then every host has its own connections to a member
 
+  # Each side of a partition had few enough hosts to give up its holders, so
+  # that every host opened connections and members refused 5,000 of them.
+  Scenario: a network partition does not make every host open connections
+    Given 29 hosts in 3 zones and members of 46 connections
+    When a network partition leaves 13 of the registered hosts
+    Then at most 8 hosts hold the connections to a member
+
+  # A refused host tried again for each request that arrived, so that the
+  # attempts took slots of a member that had no connection left.
+  Scenario: a host waits between two connections that a full member refuses
+    Given a host with 2 of its 5 connections to a member open
+    When the member refuses a connection and 100 requests arrive in 1 s
+    Then the host tries to open at most 5 connections
+
   Scenario: hosts of other zones are holders if the member's zone has no host
     Given 75 hosts in 3 zones and members of 44 connections
     When the hosts of the member's zone are removed
--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import random
+import string
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -22,6 +25,7 @@
 from trefoilpulley_wire.caller_codec import CALLER_CODEC
 from trefoilpulley_wire.channel import Channel
 from trefoilpulley_wire.channel import MAX_MESSAGE_BYTES
+from trefoilpulley_wire import compression
 from trefoilpulley_wire.dial import dial
 from trefoilpulley_wire.handler import Handler
 from trefoilpulley_wire.listener import Listener
@@ -96,12 +100,16 @@
     return Execute(request_id, 'lookup', 'ledger/0', sql)
 
 
-def _open_channel(context: Any, handler: Handler) -> None:
+def _open_channel(
+    context: Any, handler: Handler, is_compressed: bool = False
+) -> None:
     listener = Listener(Endpoint('127.0.0.1', 0), CALLER_CODEC, handler)
     listener.start()
     context.cleanups.append(listener.stop)
     context.channel = dial(
-        Endpoint('127.0.0.1', listener.port), CALLER_CODEC
+        Endpoint('127.0.0.1', listener.port),
+        CALLER_CODEC,
+        is_compressed=is_compressed,
     ).unwrap()
     context.cleanups.append(context.channel.close)
 
@@ -115,6 +123,56 @@
         """Listen and connect over loopback."""
         _open_channel(context, HANDLERS[behaviour]())
 
+    @staticmethod
+    @given('a compressed channel to a server that {behaviour}')
+    def open_compressed(context: Any, behaviour: str) -> None:
+        """Connect with compression."""
+        _open_channel(context, HANDLERS[behaviour](), is_compressed=True)
+
+    @staticmethod
+    @given('a channel that offers compression to a server that declines it')
+    def open_declined(context: Any) -> None:
+        """Connect to a server without extensions, as older builds are."""
+        with mock.patch.object(compression, 'accept', lambda: None):
+            _open_channel(context, EchoHandler(), is_compressed=True)
+        assert not context.channel._protocol.extensions
+
+    @staticmethod
+    @when(
+        '{count:d} requests with statements of {length:d} letters are sent '
+        'over the channel'
+    )
+    def send_text(context: Any, count: int, length: int) -> None:
+        """Send requests one after the other and count the bytes on the wire.
+
+        The statements differ in their letters, as rows of different items do.
+        """
+        rng = random.Random(7)
+        channel = context.channel
+        context.sizes = []
+        flush = channel._protocol.data_to_send
+
+        def count_bytes() -> list[bytes]:
+            data = flush()
+            context.sent += sum(map(len, data))
+            return data
+
+        channel._protocol.data_to_send = count_bytes
+        for number in range(count):
+            sql = ''.join(rng.choices(string.ascii_lowercase, k=length))
+            context.sent = 0
+            request = _make_request(str(number), sql)
+            assert isinstance(channel.call(request), Success)
+            size = len(CALLER_CODEC.encode(number, request))
+            context.sizes.append((context.sent, size))
+
+    @staticmethod
+    @then('the second request takes at most half the bytes of its message')
+    def check_size(context: Any) -> None:
+        """Compare the bytes on the wire with the length of the message."""
+        sent, size = context.sizes[1]
+        assert 0 < sent <= size / 2, context.sizes
+
     @staticmethod
     @given('a channel to an entry host before the greeting')
     def open_entry_channel(context: Any) -> None:
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -19,6 +19,7 @@
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.connection_holders import choose_holders
 from trefoilpulley_core.direct.connection_holders import rank_holders
+from trefoilpulley_core.direct.connection_share import ConnectionShare
 from trefoilpulley_core.direct.failover import choose_voters
 from trefoilpulley_core.direct.failover import failover_delay_s
 from trefoilpulley_core.direct.group_state import MemberRecord
@@ -82,6 +83,55 @@
         """Remove all hosts of the member's zone."""
         context.live = {**context.live, 'a': ()}
 
+    @staticmethod
+    @when('a network partition leaves {count:d} of the registered hosts')
+    def partition(context: Any, count: int) -> None:
+        """Keep some hosts of each zone."""
+        shares = [len(range(i, count, len(ZONES))) for i in range(len(ZONES))]
+        context.live = {
+            zone: hosts[:share]
+            for (zone, hosts), share in zip(
+                context.live.items(), shares, strict=True
+            )
+        }
+
+    @staticmethod
+    @then('at most {count:d} hosts hold the connections to a member')
+    def check_holder_count(context: Any, count: int) -> None:
+        """Check that holders remain."""
+        for group in GROUPS:
+            found = HolderSteps._choose(context, group)
+            assert 1 <= len(found.hosts) <= count, found
+
+    @staticmethod
+    @given(
+        'a host with {count:d} of its {share:d} connections to a member open'
+    )
+    def make_share(context: Any, count: int, share: int) -> None:
+        """Create the share of a host."""
+        context.share = ConnectionShare()
+        context.share.update(share, 1)
+        context.open_count = count
+
+    @staticmethod
+    @when(
+        'the member refuses a connection and {count:d} requests arrive in 1 s'
+    )
+    def arrive_at_full_member(context: Any, count: int) -> None:
+        """Count the connections that the host tries to open."""
+        context.attempts = 0
+        for i in range(count):
+            now = i / count
+            if context.share.may_dial(context.open_count, 0, now):
+                context.attempts += 1
+                context.share.on_refused(now)
+
+    @staticmethod
+    @then('the host tries to open at most {count:d} connections')
+    def check_attempts(context: Any, count: int) -> None:
+        """Check the number of attempts."""
+        assert 1 <= context.attempts <= count, context.attempts
+
     @staticmethod
     @then("{count:d} hosts of the member's zone hold the connections to it")
     def check_holders_in_zone(context: Any, count: int) -> None:
@@ -165,7 +215,11 @@
         for group in GROUPS:
             for host, zone in choose_voters(group, context.registered).items():
                 holders = choose_holders(
-                    group, zone, context.live, context.connections
+                    group,
+                    zone,
+                    context.live,
+                    context.connections,
+                    len(context.registered),
                 )
                 assert host in holders.hosts, (host, holders)
 
@@ -190,7 +244,13 @@
 
     @staticmethod
     def _choose(context: Any, group: str) -> Any:
-        return choose_holders(group, 'a', context.live, context.connections)
+        return choose_holders(
+            group,
+            'a',
+            context.live,
+            context.connections,
+            len(context.registered),
+        )
 
 
 class RelayedPathSteps:
--- a/packages/core/src/trefoilpulley_core/direct/connection_holders.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_holders.py
@@ -6,6 +6,11 @@
 Instead, a few hosts in the member's availability zone hold the connections,
 each host enough of them to multiplex its statements. The other hosts forward
 their statements to these hosts.
+
+A network partition leaves each side with a part of the hosts. The choice
+between holders and connections of every host depends on the registered hosts,
+so that a partition does not make every host open connections of its own, which
+the members would refuse at their connection limit.
 """
 
 from __future__ import annotations
@@ -62,6 +67,7 @@
     zone: str,
     live: Mapping[str, Sequence[str]],
     max_connections: int,
+    registered_hosts: int = 0,
 ) -> ConnectionHolders:
     """Return the hosts that hold the connections to a member.
 
@@ -76,11 +82,14 @@
         Live hosts by availability zone.
     max_connections : int
         Connections that the member accepts.
+    registered_hosts : int
+        Number of registered hosts, live or not.
     """
-    total = sum(len(hosts) for hosts in live.values())
+    live_hosts = sum(len(hosts) for hosts in live.values())
+    total = max(live_hosts, registered_hosts)
     has_share = max_connections >= MIN_CONNECTIONS_PER_HOST * total
     if total <= MAX_DIRECT_HOSTS and has_share:
-        return ConnectionHolders((), max(1, total))
+        return ConnectionHolders((), max(1, live_hosts))
     candidates = live.get(zone) or [
         h for hosts in live.values() for h in hosts
     ]
--- a/packages/core/src/trefoilpulley_core/direct/connection_share.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_share.py
@@ -11,6 +11,13 @@
 The refusal is the member's rejection of a connection at its connection limit.
 """
 
+REFUSED_DIAL_INTERVAL_S = 0.2
+"""Time after a refusal in which a host with a connection opens no other.
+
+In seconds. A member at its connection limit has room only once another host
+has closed a connection. Requests meanwhile wait for the open connections.
+"""
+
 MAX_CONCURRENT_DIALS = 1
 """Connections that a host opens at the same time while others are open."""
 
@@ -38,6 +45,7 @@
     def __init__(self) -> None:
         self._share = 1
         self._refused_until = float('-inf')
+        self._next_dial_at = float('-inf')
 
     @property
     def equal_share(self) -> int:
@@ -69,6 +77,7 @@
     def on_refused(self, now: float) -> None:
         """Record that the member refused a connection at its limit."""
         self._refused_until = now + REFUSAL_BACKOFF_S
+        self._next_dial_at = now + REFUSED_DIAL_INTERVAL_S
 
     def limit(self, now: float) -> int:
         """Return the number of connections that may be open now."""
@@ -90,4 +99,6 @@
         """
         if open_count >= self.limit(now):
             return False
+        if open_count and now < self._next_dial_at:
+            return False
         return dialing < MAX_CONCURRENT_DIALS or open_count == dialing
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -283,6 +283,7 @@
             self._peer_server,
             self._membership.find_peer_endpoint,
             lambda member: None,
+            is_compressed=self._is_in_other_zone,
         )
 
     @cached_property
@@ -398,11 +399,16 @@
             self._clock,
         )
 
+    def _is_in_other_zone(self, host: str) -> bool:
+        return self._registered_hosts().get(host) != self._cfg.zone
+
     def _registered_hosts(self) -> dict[str, str]:
         return self._hosts.registered
 
     def _on_live_hosts(self, live: LiveHosts) -> None:
-        self.directory.set_hosts(self._hosts.live_zones)
+        self.directory.set_hosts(
+            self._hosts.live_zones, len(self._hosts.registered)
+        )
 
     def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
         is_announced = self._claims.record_claim(
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -96,6 +96,7 @@
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
         self._live: dict[str, tuple[str, ...]] = {zone: (host,)}
+        self._registered_hosts = 0
         self.table = RouteTable()
         """Routes in force."""
 
@@ -160,10 +161,21 @@
         )
         return True
 
-    def set_hosts(self, live: dict[str, tuple[str, ...]]) -> None:
-        """Set the live hosts by availability zone, this host included."""
-        if live != self._live:
+    def set_hosts(
+        self, live: dict[str, tuple[str, ...]], registered_hosts: int
+    ) -> None:
+        """Set the hosts of the deployment, this host included.
+
+        Parameters
+        ----------
+        live : dict[str, tuple[str, ...]]
+            Live hosts by availability zone.
+        registered_hosts : int
+            Number of registered hosts, live or not.
+        """
+        if (live, registered_hosts) != (self._live, self._registered_hosts):
             self._live = live
+            self._registered_hosts = registered_hosts
             self._update_shares()
 
     def set_member(self, record: MemberRecord) -> None:
@@ -253,5 +265,6 @@
                         access.health.record.zone,
                         self._live,
                         limits.max_connections,
+                        self._registered_hosts,
                     ),
                 )
--- a/packages/node/src/trefoilpulley_node/peers.py
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -58,6 +58,9 @@
         Returns the host that pools a member, by the member's name.
     tls : ssl.SSLContext, optional
         TLS client context for the connections.
+    is_compressed : Callable[[str], bool], optional
+        Returns whether the messages to a host are compressed; by default,
+        they are not.
     """
 
     def __init__(
@@ -67,12 +70,14 @@
         find_endpoint: Callable[[str], Endpoint | None],
         find_pooler: Callable[[str], str | None],
         tls: ssl.SSLContext | None = None,
+        is_compressed: Callable[[str], bool] = lambda host: False,
     ) -> None:
         self._hello = hello
         self._server = server
         self._find_endpoint = find_endpoint
         self._find_pooler = find_pooler
         self._tls = tls
+        self._is_compressed = is_compressed
         self._channels: dict[str, Channel] = {}
         self._dialling: dict[str, gevent.Greenlet] = {}
         self._own_identity = PeerIdentity(
@@ -187,7 +192,11 @@
         if endpoint is None:
             return Failed(PeerUnreachable('host has no known address'))
         dialled = dial(
-            endpoint, PEER_CODEC, timeout_s=DIAL_TIMEOUT_S, tls=self._tls
+            endpoint,
+            PEER_CODEC,
+            timeout_s=DIAL_TIMEOUT_S,
+            tls=self._tls,
+            is_compressed=self._is_compressed(host),
         )
         if not isinstance(dialled, Success):
             return dialled
--- a/packages/wire/src/trefoilpulley_wire/dial.py
+++ b/packages/wire/src/trefoilpulley_wire/dial.py
@@ -18,6 +18,7 @@
 from trefoilpulley_wire.channel import Channel
 from trefoilpulley_wire.channel import MAX_RECEIVED_BYTES
 from trefoilpulley_wire.channel import RECEIVE_BUFFER_BYTES
+from trefoilpulley_wire import compression
 
 if TYPE_CHECKING:
     import ssl
@@ -33,6 +34,7 @@
     handler: Handler | None = None,
     timeout_s: float = 1.0,
     tls: ssl.SSLContext | None = None,
+    is_compressed: bool = False,
 ) -> Result[Channel, Failure]:
     """Open a channel and start a greenlet that receives its messages.
 
@@ -48,6 +50,8 @@
         Maximum time to connect and complete the handshakes, in seconds.
     tls : ssl.SSLContext, optional
         TLS client context; plain TCP if omitted.
+    is_compressed : bool
+        Whether to offer compression of the messages.
 
     Returns
     -------
@@ -60,7 +64,7 @@
             sock = socket.create_connection((endpoint.address, endpoint.port))
             if tls is not None:
                 sock = tls.wrap_socket(sock, server_hostname=endpoint.address)
-            protocol = _perform_handshake(sock, endpoint)
+            protocol = _perform_handshake(sock, endpoint, is_compressed)
     except (OSError, TimeoutError) as exc:
         if sock is not None:
             sock.close()
@@ -71,11 +75,15 @@
 
 
 def _perform_handshake(
-    sock: socket.socket, endpoint: Endpoint
+    sock: socket.socket, endpoint: Endpoint, is_compressed: bool
 ) -> ClientProtocol:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     uri = parse_uri(f'ws://{endpoint.address}:{endpoint.port}/')
-    protocol = ClientProtocol(uri, max_size=MAX_RECEIVED_BYTES)
+    protocol = ClientProtocol(
+        uri,
+        max_size=MAX_RECEIVED_BYTES,
+        extensions=compression.offer() if is_compressed else None,
+    )
     protocol.send_request(protocol.connect())
     sock.sendall(b''.join(protocol.data_to_send()))
     while protocol.state is State.CONNECTING:
--- a/packages/wire/src/trefoilpulley_wire/listener.py
+++ b/packages/wire/src/trefoilpulley_wire/listener.py
@@ -15,6 +15,7 @@
 from trefoilpulley_wire.channel import close_channels
 from trefoilpulley_wire.channel import MAX_RECEIVED_BYTES
 from trefoilpulley_wire.channel import RECEIVE_BUFFER_BYTES
+from trefoilpulley_wire import compression
 
 if TYPE_CHECKING:
     import ssl
@@ -108,7 +109,9 @@
             sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        protocol = ServerProtocol(max_size=MAX_RECEIVED_BYTES)
+        protocol = ServerProtocol(
+            max_size=MAX_RECEIVED_BYTES, extensions=compression.accept()
+        )
         try:
             with gevent.Timeout(HANDSHAKE_TIMEOUT_S, TimeoutError):
                 sock = self._wrap_tls(sock)
