Identify callers by the keys of customers

Cause: in a deployment with customers, a caller's key decides whose work it is; until now the second word of START was ignored.

Change: the platform's documents decode the customers entry by entry, a session keeps the digest of its key and resolves it against the configuration in force for each statement outside of a transaction and each BEGIN, and hosts that do not follow the platform's service ask other hosts for a newer configuration. Hosts pass the configuration on with hashes of the keys.

--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -25,6 +25,7 @@
 from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import PrefixRead
 from trefoilpulley_core.platform import WatchExpired
+from trefoilpulley_node.direct.config_holder import ConfigHolder
 from trefoilpulley_node.direct.host_registration import write_host
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
 from trefoilpulley_node.direct.platform_follower import REMOVAL_GRACE_S
@@ -80,6 +81,7 @@
         context.follower = PlatformFollower(
             context.service,
             KvDocuments(),
+            ConfigHolder(KvDocuments(), context.directory),
             context.directory,
             lambda hosts: None,
             lambda group, claim, entry: None,
--- a/packages/core/src/trefoilpulley_core/direct/platform_documents.py
+++ b/packages/core/src/trefoilpulley_core/direct/platform_documents.py
@@ -30,6 +30,14 @@
     def decode_routes(self, value: bytes) -> Result[RouteTable, Failure]:
         """Return the decoded configuration, or ``MalformedMessage``."""
 
+    @abc.abstractmethod
+    def replace_keys(self, value: bytes) -> bytes:
+        """Return a configuration with hashes in the place of keys.
+
+        Hosts pass the configuration on in this form, which `decode_routes`
+        reads as well. The value is one that `decode_routes` accepts.
+        """
+
     @abc.abstractmethod
     def decode_member(
         self, key: str, value: bytes
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -7,6 +7,7 @@
 import gevent
 from returns.result import Success
 
+from trefoilpulley_core.direct.caller_identity import identify_caller
 from trefoilpulley_core.direct.commands import Begin
 from trefoilpulley_core.direct.commands import Commit
 from trefoilpulley_core.direct.commands import Deallocate
@@ -15,6 +16,7 @@
 from trefoilpulley_core.direct.commands import Rollback
 from trefoilpulley_core.direct.commands import Run
 from trefoilpulley_core.direct.commands import SetValue
+from trefoilpulley_core.direct.customers import KeyDigest
 from trefoilpulley_core.direct.evidence import SessionFloor
 from trefoilpulley_core.direct.session_state import SessionState
 from trefoilpulley_core.direct.upstream_session import CommandRefused
@@ -34,7 +36,9 @@
     from returns.result import Result
 
     from trefoilpulley_core.direct.commands import Command
+    from trefoilpulley_core.direct.customers import Customer
     from trefoilpulley_core.direct.routes import Route
+    from trefoilpulley_core.direct.routes import RouteTable
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_node.direct.session_factory import SessionFactory
 
@@ -63,15 +67,23 @@
         Objects that all sessions of a host share.
     database : str
         Database name that the caller gave.
+    key : str
+        Key that the caller gave; empty for none. Only its digest is kept.
     """
 
-    def __init__(self, factory: SessionFactory, database: str) -> None:
+    def __init__(
+        self, factory: SessionFactory, database: str, key: str = ''
+    ) -> None:
         self._factory = factory
         self._database = database
+        self._digest = KeyDigest.of_key(key)
+        self._identified_by: RouteTable | None = None
+        self._identity: Result[Customer | None, Failure] = Success(None)
         self._state = SessionState()
         self._floor = SessionFloor()
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
+        self._transaction_customer: Customer | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._idle_since = factory.clock.now()
         self._has_handled = False
@@ -208,6 +220,9 @@
             return self._make_failure_reply(
                 CommandRefused('transaction has failed')
             )
+        customer = self._customer()
+        if not isinstance(customer, Success):
+            return self._make_failure_reply(customer.failure())
         prepared = None
         if run.prepared:
             prepared = self._state.prepared.get(run.prepared)
@@ -216,7 +231,7 @@
             run = Run(
                 run.request_id, run.text, prepared.is_write, run.prepared
             )
-        request = self._make_request(run, prepared)
+        request = self._make_request(run, prepared, customer.unwrap())
         if request is None:
             return self._make_failure_reply(self._route_failure())
         if transaction is not None:
@@ -232,6 +247,10 @@
             )
         if self._route() is None:
             return self._make_failure_reply(self._route_failure())
+        customer = self._customer()
+        if not isinstance(customer, Success):
+            return self._make_failure_reply(customer.failure())
+        self._transaction_customer = customer.unwrap()
         factory = self._factory
         self._transaction = CallerTransaction(
             command.is_read_only,
@@ -252,7 +271,11 @@
             return self._make_failure_reply(
                 CommandRefused('transaction has failed')
             )
-        request = self._make_request(Run(command.request_id, '', False), None)
+        request = self._make_request(
+            Run(command.request_id, '', False),
+            None,
+            self._transaction_customer,
+        )
         if request is None:
             transaction.roll_back()
             self._transaction = None
@@ -278,6 +301,9 @@
             return self._make_failure_reply(
                 CommandRefused('transaction has failed')
             )
+        customer = self._customer()
+        if not isinstance(customer, Success):
+            return self._make_failure_reply(customer.failure())
         state = self._state
         if isinstance(command, Deallocate):
             if state.prepared.pop(command.name, None) is None:
@@ -293,7 +319,7 @@
         return Reply(state=self.transaction_state)
 
     def _make_request(
-        self, run: Run, prepared: Prepare | None
+        self, run: Run, prepared: Prepare | None, customer: Customer | None
     ) -> StatementRequest | None:
         route = self._route()
         group = self._factory.directory.find_group(route) if route else None
@@ -310,8 +336,25 @@
             self._floor,
             now,
             now + route.timeout_s,
+            customer.name if customer is not None else '',
         )
 
+    def _customer(self) -> Result[Customer | None, Failure]:
+        """Return the customer for which the next statement runs.
+
+        The key is resolved once for each configuration. An open transaction
+        goes on under the customer with which it began.
+        """
+        if self._transaction is not None:
+            return Success(self._transaction_customer)
+        table = self._factory.directory.table
+        if table is not self._identified_by:
+            self._identity = identify_caller(
+                table, self._database, self._digest
+            )
+            self._identified_by = table
+        return self._identity
+
     def _route(self) -> Route | None:
         return self._factory.directory.find_route(self._database)
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -10,6 +10,8 @@
 import gevent
 
 from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.direct.config_inquiry import ConfigInquiry
+from trefoilpulley_core.direct.config_messages import ConfigurationQuestion
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
@@ -18,6 +20,8 @@
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
 from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.config_exchange import ConfigExchange
+from trefoilpulley_node.direct.config_holder import ConfigHolder
 from trefoilpulley_node.direct.direct_state import make_state
 from trefoilpulley_node.direct.direct_state import ProxyState
 from trefoilpulley_node.direct.directory import GroupDirectory
@@ -120,6 +124,8 @@
         self.directory.subscribe_groups(self._watch_group)
         self._membership.register_handlers(self._peer_server, self._peers)
         self._membership.subscribe_live(self._on_live_hosts)
+        self._membership.subscribe_versions(self._config_exchange.on_versions)
+        self._configuration.subscribe(self._config_exchange.on_applied)
         self._peer_server.register(
             ReachQuestion,
             lambda question, _: self._vote.on_reach_question(question),
@@ -132,6 +138,10 @@
             EvidenceQuestion,
             lambda question, _: self._evidence.on_question(question),
         )
+        self._peer_server.register(
+            ConfigurationQuestion,
+            lambda question, _: self._configuration.on_question(question),
+        )
         self._peer_server.register(RelayedCalls, self.relay_server.on_calls)
         self._peer_server.register(EndLease, self.relay_server.on_end)
         self._peer_server.register_close(self.relay_server.on_peer_closed)
@@ -139,6 +149,7 @@
         self._peer_listener.start()
         self._membership.start()
         self._follower.start()
+        self._config_exchange.start()
         self._registration.start()
         self._maintenance.start()
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
@@ -188,6 +199,7 @@
         for watch in self._watches:
             watch.stop()
         self._follower.stop()
+        self._config_exchange.stop()
         self._maintenance.stop()
         self._membership.stop()
         gevent.joinall(
@@ -368,6 +380,7 @@
         return PlatformFollower(
             self._platform,
             self._documents,
+            self._configuration,
             self.directory,
             self._membership.set_host_list,
             self._on_claim,
@@ -375,6 +388,25 @@
             self._clock,
         )
 
+    @cached_property
+    def _configuration(self) -> ConfigHolder:
+        return ConfigHolder(self._documents, self.directory)
+
+    @cached_property
+    def _config_exchange(self) -> ConfigExchange:
+        return ConfigExchange(
+            ConfigInquiry(
+                self._cfg.host, self._cfg.zone, self._rng, self._clock.now()
+            ),
+            self._configuration,
+            self._peers,
+            lambda: self._follower.is_following,
+            lambda: self.directory.live_hosts,
+            self._membership.set_versions,
+            self._clock,
+            self.metrics,
+        )
+
     @cached_property
     def _hosts(self) -> HostView:
         return HostView(
@@ -427,6 +459,8 @@
         register('in_flight', lambda: directory.in_flight_statements)
         register('groups_lost', lambda: self._maintenance.lost_group_count)
         register('configuration_version', lambda: directory.table.version)
+        register('customers', lambda: self._configuration.customer_count)
+        register('customers_left_out', lambda: self._configuration.fault_count)
         register('service_followed', lambda: self._follower.is_following)
         register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
@@ -441,6 +475,7 @@
             self._hosts.live,
             self._hosts.registered,
             self._maintenance.is_isolated,
+            self._configuration.source,
             self._clock.now(),
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -36,6 +36,14 @@
         "Calls to the platform's service by outcome.",
         ('call', 'outcome'),
     ),
+    'sessions_refused': (
+        'Sessions refused at their start, by reason.',
+        ('reason',),
+    ),
+    'configuration_questions': (
+        'Questions to other hosts for a newer configuration, by outcome.',
+        ('outcome',),
+    ),
     'primary_changes': (
         'Changes of primary that this host ordered, by cause.',
         ('cause', 'outcome'),
@@ -67,6 +75,8 @@
     'in_flight': 'Statements at members.',
     'groups_lost': 'Groups whose primary does not answer.',
     'configuration_version': 'Version of the configuration in force.',
+    'customers': 'Customers in force.',
+    'customers_left_out': 'Entries of customers that are left out.',
     'service_followed': 'Whether a watch on the service is in force.',
     'service_era': 'Era of the service in its answers.',
     'lease_age_seconds': "Time since this host's lease was renewed.",
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -9,6 +9,8 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from trefoilpulley_core.direct.customers import CustomerFault
+    from trefoilpulley_core.direct.customers import CustomerTable
     from trefoilpulley_node.direct.direct_settings import DirectSettings
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.directory import GroupDirectory
@@ -76,6 +78,23 @@
     """Members of the group."""
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerDump:
+    """One customer in force."""
+
+    customer: str
+    """Name of the customer."""
+
+    priority: int
+    """Priority; 0 is the highest."""
+
+    rate_per_s: float | None
+    """Operations per second that are admitted; ``None`` without a limit."""
+
+    burst: float | None
+    """Operations that may be admitted at once; ``None`` without a limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class ProxyState:
     """State of one host."""
@@ -107,6 +126,15 @@
     groups: tuple[GroupDump, ...]
     """Groups that a route refers to."""
 
+    configuration_source: str = ''
+    """`service`, or the host that has sent the configuration in force."""
+
+    customers: tuple[CustomerDump, ...] | None = None
+    """Customers in force; ``None`` if the deployment has no customers."""
+
+    customers_left_out: tuple[CustomerFault, ...] = ()
+    """Entries of customers that are left out, and why."""
+
 
 def make_state(
     cfg: DirectSettings,
@@ -115,6 +143,7 @@
     live: Iterable[str],
     registered: Mapping[str, str],
     is_cut_off: bool,
+    source: str,
     now: float,
 ) -> ProxyState:
     """Return the state of a host."""
@@ -128,6 +157,25 @@
         tuple(live),
         tuple(sorted(registered)),
         tuple(_dump_group(g, now) for g in directory.groups.values()),
+        source,
+        _dump_customers(directory.table.customers),
+        directory.table.customers.faults if directory.table.customers else (),
+    )
+
+
+def _dump_customers(
+    table: CustomerTable | None,
+) -> tuple[CustomerDump, ...] | None:
+    if table is None:
+        return None
+    return tuple(
+        CustomerDump(
+            c.name,
+            c.priority,
+            c.limit.rate_per_s if c.limit else None,
+            c.limit.burst if c.limit else None,
+        )
+        for c in table.customers.values()
     )
 
 
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -156,7 +156,11 @@
         self._update_shares()
         self._loaded.set()
         events.ROUTES_IN_FORCE.log(
-            version=table.version, routes=len(table.routes)
+            version=table.version,
+            routes=len(table.routes),
+            customers=len(table.customers.customers)
+            if table.customers is not None
+            else None,
         )
         return True
 
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -15,6 +15,7 @@
 from trefoilpulley_core.platform import KeyValue
 from trefoilpulley_core.platform import WatchExpired
 from trefoilpulley_node.direct.claim_store import read_claim
+from trefoilpulley_node.direct.config_holder import SERVICE
 from trefoilpulley_node.direct.host_registration import read_host
 from trefoilpulley_node import events
 from trefoilpulley_node.service import Service
@@ -30,6 +31,7 @@
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import Platform
     from trefoilpulley_core.platform import Watch
+    from trefoilpulley_node.direct.config_holder import ConfigHolder
     from trefoilpulley_node.direct.directory import GroupDirectory
 
 REMOVAL_GRACE_S = 3.0
@@ -63,8 +65,10 @@
         The platform's service.
     documents : PlatformDocuments
         Format of the platform's routes and member entries.
+    configuration : ConfigHolder
+        Receives configurations.
     directory : GroupDirectory
-        Receives routes and members.
+        Receives members.
     on_hosts : Callable[[tuple[HostEntry, ...]], None]
         Called with the hosts that hold a lease.
     on_claim : Callable[[str, Claim, KeyValue], None]
@@ -79,6 +83,7 @@
         self,
         platform: Platform,
         documents: PlatformDocuments,
+        configuration: ConfigHolder,
         directory: GroupDirectory,
         on_hosts: Callable[[tuple[HostEntry, ...]], None],
         on_claim: Callable[[str, Claim, KeyValue], None],
@@ -87,6 +92,7 @@
     ) -> None:
         self._platform = platform
         self._documents = documents
+        self._configuration = configuration
         self._directory = directory
         self._on_hosts = on_hosts
         self._on_claim = on_claim
@@ -235,10 +241,8 @@
             self._on_claim_entry(entry)
 
     def _on_routes(self, entry: KeyValue) -> None:
-        result = self._documents.decode_routes(entry.value)
-        if isinstance(result, Success):
-            self._directory.set_routes(result.unwrap())
-        else:
+        result = self._configuration.apply(entry.value, SERVICE)
+        if not isinstance(result, Success):
             self._log_unreadable(entry, result.failure())
 
     def _on_member(self, entry: KeyValue) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/session_factory.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_factory.py
@@ -4,9 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from returns.result import Success
+
+from trefoilpulley_core.direct.caller_identity import identify_caller
+from trefoilpulley_core.direct.customers import KeyDigest
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import UnknownDatabase
 from trefoilpulley_node.direct.caller_session import CallerSession
+from trefoilpulley_node.direct.key_refusals import KeyRefusals
 
 if TYPE_CHECKING:
     from trefoilpulley_core.clock import Clock
@@ -62,19 +67,33 @@
         self.exchanger = exchanger
         self.primary_wait = primary_wait
         self.clock = clock
+        self._refusals = KeyRefusals(metrics)
 
-    def open(self, database: str) -> CallerSession:
-        """Return a new session for a database name."""
-        return CallerSession(self, database)
+    def open(self, database: str, key: str = '') -> CallerSession:
+        """Return a new session for a database name and a customer's key."""
+        return CallerSession(self, database, key)
 
-    def find_failure(self, database: str) -> Failure | None:
+    def find_failure(self, database: str, key: str = '') -> Failure | None:
         """Return why no session can be opened, or ``None``.
 
         A host that has just started waits for its first configuration, since
         without it every database would be refused as unknown.
+
+        Parameters
+        ----------
+        database : str
+            Database name that the caller gave.
+        key : str
+            Key that the caller gave; empty for none.
         """
         if not self.directory.wait_loaded(CONFIGURATION_TIMEOUT_S):
             return NoUpstream('configuration is not loaded yet')
         if self.directory.find_route(database) is None:
             return UnknownDatabase(database)
-        return None
+        identity = identify_caller(
+            self.directory.table, database, KeyDigest.of_key(key)
+        )
+        if isinstance(identity, Success):
+            return None
+        self._refusals.on_refused(database, self.clock.now())
+        return identity.failure()
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from trefoilpulley_core.configuration import messages as documents
+from trefoilpulley_core.direct import config_messages
 from trefoilpulley_core.direct import evidence_messages
 from trefoilpulley_core.direct import failover
 from trefoilpulley_core.direct import relay_messages
@@ -45,6 +46,8 @@
         peer.ResumeWrites,
         peer.StatusReport,
         peer.WarmConnections,
+        config_messages.ConfigurationAnswer,
+        config_messages.ConfigurationQuestion,
         evidence_messages.EvidenceQuestion,
         evidence_messages.EvidenceReport,
         relay_messages.EndLease,
