--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -125,7 +125,7 @@
         self._membership.register_handlers(self._peer_server, self._peers)
         self._membership.subscribe_live(self._on_live_hosts)
         self._membership.subscribe_versions(self._config_exchange.on_versions)
-        self._configuration.subscribe(self._config_exchange.on_applied)
+        self.configuration.subscribe(self._config_exchange.on_applied)
         self._peer_server.register(
             ReachQuestion,
             lambda question, _: self._vote.on_reach_question(question),
@@ -140,7 +140,7 @@
         )
         self._peer_server.register(
             ConfigurationQuestion,
-            lambda question, _: self._configuration.on_question(question),
+            lambda question, _: self.configuration.on_question(question),
         )
         self._peer_server.register(RelayedCalls, self.relay_server.on_calls)
         self._peer_server.register(EndLease, self.relay_server.on_end)
@@ -380,7 +380,7 @@
         return PlatformFollower(
             self._platform,
             self._documents,
-            self._configuration,
+            self.configuration,
             self.directory,
             self._membership.set_host_list,
             self._on_claim,
@@ -389,7 +389,8 @@
         )
 
     @cached_property
-    def _configuration(self) -> ConfigHolder:
+    def configuration(self) -> ConfigHolder:
+        """Configuration in force, as other hosts are told it."""
         return ConfigHolder(self._documents, self.directory)
 
     @cached_property
@@ -398,7 +399,7 @@
             ConfigInquiry(
                 self._cfg.host, self._cfg.zone, self._rng, self._clock.now()
             ),
-            self._configuration,
+            self.configuration,
             self._peers,
             lambda: self._follower.is_following,
             lambda: self.directory.live_hosts,
@@ -459,8 +460,8 @@
         register('in_flight', lambda: directory.in_flight_statements)
         register('groups_lost', lambda: self._maintenance.lost_group_count)
         register('configuration_version', lambda: directory.table.version)
-        register('customers', lambda: self._configuration.customer_count)
-        register('customers_left_out', lambda: self._configuration.fault_count)
+        register('customers', lambda: self.configuration.customer_count)
+        register('customers_left_out', lambda: self.configuration.fault_count)
         register('service_followed', lambda: self._follower.is_following)
         register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
@@ -475,7 +476,7 @@
             self._hosts.live,
             self._hosts.registered,
             self._maintenance.is_isolated,
-            self._configuration.source,
+            self.configuration.source,
             self._clock.now(),
         )
 
