--- a/features/customers.feature
+++ b/features/customers.feature
@@ -85,3 +85,9 @@
     When the customers are "weavers: key-w1; dyers: key-w1; menders: key-m"
     Then the state dump shows "weavers, menders" and leaves out "dyers" for "shared-key"
     And one event for each host tells that "dyers" is left out
+
+  Scenario: a host that the service leaves without news gets it from another host
+    Given the service is silent to host 1
+    When the customers of host 0 are "dyers: key-d"
+    Then host 1 eventually refuses the key "key-w1"
+    And host 1 tells that its configuration is from "host-0"
--- a/features/platform_adapter_codec.feature
+++ b/features/platform_adapter_codec.feature
@@ -24,6 +24,7 @@
       | UpstreamTimedOut    | TIMEOUT |
       | UpstreamFailed      | FAILED  |
       | UnknownDatabase     | NODB    |
+      | NotAuthenticated    | NOAUTH  |
       | WrongMember         | BUSY    |
 
   Scenario: a failure that may have run has no code that rules out an effect
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -62,17 +62,56 @@
     @step('the customers are "{customers}"')
     def configure(context: Any, customers: str) -> None:
         """Write ``NAME: KEY KEY; NAME: KEY`` and wait for all hosts."""
+        CustomerSteps._configure(context, customers)
+        _wait_applied(context)
+
+    @staticmethod
+    def _configure(context: Any, customers: str) -> None:
         entries = []
         for entry in customers.split('; '):
             name, _, keys = entry.partition(': ')
             entries.append({'name': name, 'api_keys': keys.split()})
         _write(context, {'tenants': entries})
 
+    @staticmethod
+    @given('the service is silent to host {host:d}')
+    def silence(context: Any, host: int) -> None:
+        """Let a host hear nothing more without noticing it."""
+        follower = context.deployment.hosts[host].proxy._follower
+        wait_until(lambda: follower.is_following)
+        follower.stop()
+
+    @staticmethod
+    @when('the customers of host 0 are "{customers}"')
+    def configure_first(context: Any, customers: str) -> None:
+        """Write a configuration of which only some hosts hear."""
+        CustomerSteps._configure(context, customers)
+
+    @staticmethod
+    @then('host {host:d} eventually refuses the key "{key}"')
+    def check_learnt(context: Any, host: int, key: str) -> None:
+        """Open sessions until one is refused."""
+
+        def is_refused() -> bool:
+            caller = context.deployment.hosts[host].connect('orders', key)
+            caller.close()
+            return caller.greeting.startswith('ERR NOAUTH')
+
+        wait_until(is_refused)
+
+    @staticmethod
+    @then('host {host:d} tells that its configuration is from "{source}"')
+    def check_source(context: Any, host: int, source: str) -> None:
+        """Check the state dump."""
+        state = context.deployment.hosts[host].proxy.dump()
+        assert state.configuration_source == source, state
+
     @staticmethod
     @given('no customers are configured')
     def configure_none(context: Any) -> None:
         """Write a configuration without the field of the customers."""
         _write(context, {})
+        _wait_applied(context)
 
     @staticmethod
     @then('a session of "{database}" with the key "{key}" gets "{greeting}"')
@@ -279,7 +318,7 @@
 
 
 def _write(context: Any, fields: dict[str, Any]) -> None:
-    """Write a configuration and wait until every host has applied it."""
+    """Write a configuration of the next version."""
     context.logged = _record_log(context)
     deployment = context.deployment
     deployment.version += 1
@@ -287,6 +326,10 @@
     for route in document['routes']:
         route['public'] = route['host'] == PUBLIC
     deployment.store.put('op/config', {**document, **fields})
+
+
+def _wait_applied(context: Any) -> None:
+    deployment = context.deployment
     for host in deployment.hosts:
         directory = host.proxy.directory
         wait_until(lambda d=directory: d.table.version == deployment.version)
--- a/packages/core/src/trefoilpulley_core/direct/config_inquiry.py
+++ b/packages/core/src/trefoilpulley_core/direct/config_inquiry.py
@@ -96,22 +96,19 @@
         """
         if is_following:
             self._followed_at = now
-        is_silent = is_enabled and now - self._followed_at >= MAX_SILENCE_S
-        is_behind = (
-            self._newer is not None
-            and now - self._newer_since >= MAX_SILENCE_S
-        )
-        if not (is_silent or is_behind) or now < self._next_round_at:
-            return ()
-        self._next_round_at = now + self._rng.uniform(
-            MIN_ROUND_INTERVAL_S, MAX_ROUND_INTERVAL_S
-        )
+        is_silent = now - self._followed_at >= MAX_SILENCE_S
         hosts = []
-        if is_behind:
+        if self._newer is not None and (
+            # What the service is about to tell is not asked for.
+            is_silent or now - self._newer_since >= MAX_SILENCE_S
+        ):
             hosts.append(self._newer)
-            # Another host is tried next if this one does not answer.
+            # The next probe names a host again if this one does not answer.
             self._newer = None
-        if is_silent:
+        if is_silent and is_enabled and now >= self._next_round_at:
+            self._next_round_at = now + self._rng.uniform(
+                MIN_ROUND_INTERVAL_S, MAX_ROUND_INTERVAL_S
+            )
             hosts.extend(self._choose(live))
         return tuple(dict.fromkeys(hosts))
 
