Hold the connections of a customer at one host

Cause: a connection to a member belongs to one customer. Pools by host and customer would need 7,310 connections where a member accepts 82. Holders kept half of their share and closed the rest after 0.4 s idle, so that each wave of the load opened the same connections again. A host with 0.5 of a core held as many connections as one with 2.15.

Change: holders are chosen by weighted rendezvous hashing with the capacity that hosts publish; the work of a customer goes to the same holder from all hosts; a pool hands out only connections of the customer that asks and evicts an idle one of another customer at its limit; holders keep idle connections by need. Without customers the ranks are as before.

--- a/packages/core/src/trefoilpulley_core/catalog.py
+++ b/packages/core/src/trefoilpulley_core/catalog.py
@@ -95,6 +95,12 @@
     presence: Presence = Presence.LIVE
     """Whether the host is live or leaving."""
 
+    capacity: float = 1.0
+    """Processor capacity of the host, relative to other hosts.
+
+    1 if the host publishes none.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
--- a/packages/core/src/trefoilpulley_core/direct/connection_holders.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_holders.py
@@ -11,13 +11,21 @@
 between holders and connections of every host depends on the registered hosts,
 so that a partition does not make every host open connections of its own, which
 the members would refuse at their connection limit.
+
+Load pattern of the customers: a connection belongs to one of many customers,
+and a new connection occupies a slot of the member. The statements of one
+customer therefore go to the same holder from all hosts, which share its
+connections. Hosts differ in capacity, by up to a factor of four: a host of
+more capacity holds more members' connections, and serves more customers.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.rendezvous import DEFAULT_WEIGHT
 from trefoilpulley_core.rendezvous import rank_hosts
 
 if TYPE_CHECKING:
@@ -61,6 +69,9 @@
     sharing_hosts: int
     """Number of hosts that share the member's connections."""
 
+    capacities: Mapping[str, float] = field(default_factory=dict)
+    """Capacities of the holders by name; empty if all are equal."""
+
 
 def choose_holders(
     group: str,
@@ -68,6 +79,7 @@
     live: Mapping[str, Sequence[str]],
     max_connections: int,
     registered_hosts: int = 0,
+    capacities: Mapping[str, float] | None = None,
 ) -> ConnectionHolders:
     """Return the hosts that hold the connections to a member.
 
@@ -84,6 +96,8 @@
         Connections that the member accepts.
     registered_hosts : int
         Number of registered hosts, live or not.
+    capacities : Mapping[str, float], optional
+        Capacities of the hosts by name. They count only if hosts differ.
     """
     live_hosts = sum(len(hosts) for hosts in live.values())
     total = max(live_hosts, registered_hosts)
@@ -94,8 +108,13 @@
         h for hosts in live.values() for h in hosts
     ]
     count = max(1, min(MAX_HOLDERS, max_connections // CONNECTIONS_PER_HOLDER))
-    chosen = rank_hosts(group, sorted(candidates))[:count]
-    return ConnectionHolders(chosen, len(chosen))
+    weights = capacities or {}
+    chosen = rank_hosts(group, sorted(candidates), weights)[:count]
+    return ConnectionHolders(
+        chosen,
+        len(chosen),
+        {host: weights[host] for host in chosen if host in weights},
+    )
 
 
 def rank_holders(
@@ -108,3 +127,38 @@
     remaining holders.
     """
     return rank_hosts(f'{member}/{host}', holders.hosts)
+
+
+def rank_customer_holders(
+    group: str, customer: str, holders: ConnectionHolders
+) -> tuple[str, ...]:
+    """Return the holders in the order in which a customer's work uses them.
+
+    The order is the same at all hosts, so that a customer's connections to a
+    member are at one host. It does not depend on the member, so that a
+    replacement of the member has the same order.
+    """
+    return rank_hosts(f'{group}/{customer}', holders.hosts, holders.capacities)
+
+
+def count_share(
+    host: str, holders: ConnectionHolders, max_connections: int
+) -> int:
+    """Return a holder's share of a member's connections, by its capacity.
+
+    The customers are spread over the holders by capacity, so that a holder
+    needs connections in proportion.
+
+    Parameters
+    ----------
+    host : str
+        Name of the holder.
+    holders : ConnectionHolders
+        Holders of the member's connections.
+    max_connections : int
+        Connections that the member accepts.
+    """
+    weights = holders.capacities
+    total = sum(weights.get(h, DEFAULT_WEIGHT) for h in holders.hosts)
+    fraction = weights.get(host, DEFAULT_WEIGHT) / total
+    return max(1, int(max_connections * fraction))
--- a/packages/core/src/trefoilpulley_core/direct/connection_queue.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_queue.py
@@ -12,6 +12,10 @@
 from dataclasses import field
 import heapq
 from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 HOLD_TIME_WEIGHT = 0.1
 """Weight of a new value in the moving average of the hold time."""
@@ -115,17 +119,38 @@
             work.is_done = True
             self._length -= 1
 
-    def pop(self, now: float) -> QueuedWork | None:
-        """Remove and return the next work within its deadline, or ``None``."""
-        while self._heap:
+    def pop(
+        self,
+        now: float,
+        may_serve: Callable[[Any], bool] | None = None,
+    ) -> QueuedWork | None:
+        """Remove and return the next work within its deadline, or ``None``.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        may_serve : Callable[[Any], bool], optional
+            Whether the work of a handle can be served now. Other work keeps
+            its place.
+        """
+        passed: list[QueuedWork] = []
+        found = None
+        while self._heap and found is None:
             work = heapq.heappop(self._heap)
             if work.is_done:
                 continue
+            is_expired = work.deadline < now
+            if not is_expired and may_serve and not may_serve(work.handle):
+                passed.append(work)
+                continue
             work.is_done = True
             self._length -= 1
-            if work.deadline >= now:
-                return work
-        return None
+            if not is_expired:
+                found = work
+        for work in passed:
+            heapq.heappush(self._heap, work)
+        return found
 
     def drain(self) -> tuple[QueuedWork, ...]:
         """Remove and return all queued work."""
--- a/packages/core/src/trefoilpulley_core/direct/connection_share.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_share.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from trefoilpulley_core.direct.connection_need import NEED_WINDOW_S
+
 MAX_SHARE_FACTOR = 2
 """Maximum number of connections of a host, as a multiple of its share."""
 
@@ -35,6 +37,9 @@
     their old connections stay open at the member for seconds, and the
     restarted hosts need new connections at once.
 
+    A holder keeps the connections that are needed, up to its share: the hosts
+    that restart are no holders for the most part.
+
     Load pattern of the pace: many requests arrive at once, at the start or
     after a change of the primary. Each new connection occupies a slot of the
     member for several statements, so that a connection for each request
@@ -44,8 +49,9 @@
 
     def __init__(self) -> None:
         self._share = 1
-        self._refused_until = float('-inf')
         self._next_dial_at = float('-inf')
+        self._is_kept_by_need = False
+        self._refused_at = float('-inf')
 
     @property
     def equal_share(self) -> int:
@@ -54,7 +60,7 @@
 
     @property
     def min_idle(self) -> int:
-        """Number of idle connections that stay open."""
+        """Number of connections that stay open whether needed or not."""
         return max(1, self._share // 2)
 
     @property
@@ -62,7 +68,24 @@
         """Maximum number of open connections."""
         return self._share * MAX_SHARE_FACTOR
 
-    def update(self, max_connections: int, hosts: int) -> None:
+    def count_kept(self, needed: int, now: float) -> int:
+        """Return how many connections stay open when they are idle.
+
+        Parameters
+        ----------
+        needed : int
+            Connections that were in use at once recently.
+        now : float
+            Current time in seconds.
+        """
+        is_full = now < self._refused_at + NEED_WINDOW_S
+        if is_full or not self._is_kept_by_need:
+            return self.min_idle
+        return max(self.min_idle, min(needed, self._share))
+
+    def update(
+        self, max_connections: int, hosts: int, is_kept_by_need: bool = False
+    ) -> None:
         """Recompute the share.
 
         Parameters
@@ -71,17 +94,21 @@
             Connections that the member accepts.
         hosts : int
             Number of hosts that share these connections.
+        is_kept_by_need : bool
+            Whether idle connections are kept as they are needed, and not
+            half of the share.
         """
+        self._is_kept_by_need = is_kept_by_need
         self._share = max(1, max_connections // max(1, hosts))
 
     def on_refused(self, now: float) -> None:
         """Record that the member refused a connection at its limit."""
-        self._refused_until = now + REFUSAL_BACKOFF_S
+        self._refused_at = now
         self._next_dial_at = now + REFUSED_DIAL_INTERVAL_S
 
     def limit(self, now: float) -> int:
         """Return the number of connections that may be open now."""
-        if now < self._refused_until:
+        if now < self._refused_at + REFUSAL_BACKOFF_S:
             return self._share
         return self.max_open
 
@@ -102,3 +129,22 @@
         if open_count and now < self._next_dial_at:
             return False
         return dialing < MAX_CONCURRENT_DIALS or open_count == dialing
+
+    def may_replace(self, open_count: int, dialing: int, now: float) -> bool:
+        """Return whether a connection may be opened in place of another one.
+
+        The host may open no further connection, or the member has just
+        refused one at its limit.
+
+        Parameters
+        ----------
+        open_count : int
+            Connections that are open or being opened.
+        dialing : int
+            Connections that are being opened.
+        now : float
+            Current time in seconds.
+        """
+        if open_count < self.limit(now) and now >= self._next_dial_at:
+            return False
+        return dialing < MAX_CONCURRENT_DIALS
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -230,6 +230,7 @@
             self._dialer,
             self._peers,
             self._clock,
+            self.metrics,
         )
 
     @cached_property
@@ -269,7 +270,12 @@
     def _host_entry(self) -> HostEntry:
         cfg = self._cfg
         return HostEntry(
-            cfg.host, cfg.region, cfg.zone, cfg.listen, cfg.peer_listen
+            cfg.host,
+            cfg.region,
+            cfg.zone,
+            cfg.listen,
+            cfg.peer_listen,
+            capacity=cfg.capacity,
         )
 
     @cached_property
@@ -383,7 +389,7 @@
             self._documents,
             self.configuration,
             self.directory,
-            self._membership.set_host_list,
+            self._on_host_list,
             self._on_claim,
             self._on_read,
             self._clock,
@@ -414,6 +420,7 @@
         return HostView(
             self._host_entry,
             lambda: self._follower.hosts,
+            self._membership.find_entry,
             lambda: self._membership.live_hosts,
             self._vote.recent_answer_rate,
             self.sessions,
@@ -440,7 +447,13 @@
 
     def _on_live_hosts(self, live: LiveHosts) -> None:
         self.directory.set_hosts(
-            self._hosts.live_zones, len(self._hosts.registered)
+            self._hosts.live_zones, self._hosts.capacities
+        )
+
+    def _on_host_list(self, entries: tuple[HostEntry, ...]) -> None:
+        self._membership.set_host_list(entries)
+        self.directory.set_hosts(
+            self._hosts.live_zones, self._hosts.capacities
         )
 
     def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -44,6 +44,14 @@
         'Questions to other hosts for a newer configuration, by outcome.',
         ('outcome',),
     ),
+    'connections_opened': (
+        'Connections to members that were opened, by reason.',
+        ('reason',),
+    ),
+    'connections_closed': (
+        'Connections to members that were closed, by reason.',
+        ('reason',),
+    ),
     'primary_changes': (
         'Changes of primary that this host ordered, by cause.',
         ('cause', 'outcome'),
--- a/packages/node/src/trefoilpulley_node/direct/direct_settings.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_settings.py
@@ -35,5 +35,8 @@
     grace_s: float = 6.0
     """Time from a planned stop until the process is killed, in seconds."""
 
+    capacity: float = 1.0
+    """Processor capacity of the host, relative to other hosts."""
+
     peer_secret: str = ''
     """Shared secret of the deployment's hosts; empty on a closed network."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -57,6 +57,13 @@
     holders: tuple[str, ...]
     """Hosts that relay to the member; empty with local connections."""
 
+    customers: dict[str, int]
+    """Connections of this host to the member by customer.
+
+    The 20 customers that hold most, others as ``other``; the empty name stands
+    for connections without a customer.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class GroupDump:
@@ -206,4 +213,5 @@
         access.local_pool.share.equal_share,
         access.local_pool.waiting,
         access.holders,
+        access.local_pool.customer_connections,
     )
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -23,6 +23,7 @@
     from trefoilpulley_core.direct.routes import GroupLimits
     from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
+    from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.peers import Peers
 
 
@@ -79,6 +80,8 @@
         Connections to the other hosts.
     clock : Clock
         Monotonic time.
+    metrics : DirectMetrics, optional
+        Counts the connections that are opened and closed.
     """
 
     def __init__(
@@ -88,15 +91,17 @@
         dialer: UpstreamDialer,
         peers: Peers,
         clock: Clock,
+        metrics: DirectMetrics | None = None,
     ) -> None:
         self._host = host
         self._zone = zone
         self._dialer = dialer
         self._peers = peers
         self._clock = clock
+        self._metrics = metrics
         self._records: dict[str, MemberRecord] = {}
         self._live: dict[str, tuple[str, ...]] = {zone: (host,)}
-        self._registered_hosts = 0
+        self._capacities: dict[str, float] = {}
         self.table = RouteTable()
         """Routes in force."""
 
@@ -166,20 +171,23 @@
         return True
 
     def set_hosts(
-        self, live: dict[str, tuple[str, ...]], registered_hosts: int
+        self,
+        live: dict[str, tuple[str, ...]],
+        capacities: dict[str, float] | None = None,
     ) -> None:
-        """Set the hosts of the deployment, this host included.
+        """Set the live hosts and their capacities, this host included.
 
         Parameters
         ----------
         live : dict[str, tuple[str, ...]]
             Live hosts by availability zone.
-        registered_hosts : int
-            Number of registered hosts, live or not.
+        capacities : dict[str, float], optional
+            Capacities of the registered hosts by name, live or not.
         """
-        if (live, registered_hosts) != (self._live, self._registered_hosts):
+        known = capacities or {}
+        if live != self._live or known != self._capacities:
             self._live = live
-            self._registered_hosts = registered_hosts
+            self._capacities = known
             self._update_shares()
 
     def set_member(self, record: MemberRecord) -> None:
@@ -211,7 +219,9 @@
             for member, access in group.accesses.items():
                 is_local_zone = access.health.record.zone == self._zone
                 access.maintain(
-                    now, is_local_zone or member == group.state.primary
+                    now,
+                    is_local_zone or member == group.state.primary,
+                    self.table.customers is not None,
                 )
 
     def _accesses(self) -> Iterator[MemberAccess]:
@@ -240,12 +250,15 @@
                 del group.accesses[member]
         for member, health in group.state.members.items():
             if member not in group.accesses:
+                pool = MemberPool(
+                    health, self._dialer, self._clock, self._metrics
+                )
                 group.accesses[member] = MemberAccess(
-                    MemberPool(health, self._dialer, self._clock),
+                    pool,
                     RelayClient(
                         self._host,
                         group.state,
-                        health,
+                        pool,
                         self._peers,
                         self._clock,
                     ),
@@ -269,6 +282,8 @@
                         access.health.record.zone,
                         self._live,
                         limits.max_connections,
-                        self._registered_hosts,
+                        len(self._capacities),
+                        self._capacities,
                     ),
+                    self.table.customers is not None,
                 )
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -63,7 +63,7 @@
         health.in_flight += 1
         if health.in_flight == 1:
             health.unanswered_since = sent_at
-        in_flight = health.in_flight
+        in_flight = access.on_sending(conn)
         try:
             result = conn.exchange(calls, timeout_s, setting)
         except StatementInterrupted as exc:
@@ -71,7 +71,7 @@
             raise
         finally:
             health.in_flight -= 1
-            access.local_pool.serve_queue()
+            access.on_sent(conn)
         now = self._clock.now()
         has_failed = not isinstance(result, Success) or any(
             isinstance(r.failure, UpstreamFailed) for r in result.unwrap()
@@ -79,7 +79,7 @@
         health.failure_rate.record(has_failed, now)
         if isinstance(result, Success):
             health.on_answer(now, result.unwrap()[-1].position)
-            health.on_served(now - sent_at, now)
+            access.on_served(conn, now - sent_at, now)
             access.on_replies(conn, result.unwrap(), in_flight)
         return result
 
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+from typing import Any
 from typing import TYPE_CHECKING
 
 import gevent
@@ -20,6 +22,7 @@
 from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     import random
 
     from returns.result import Result
@@ -198,12 +201,16 @@
         'address': entry.peer_endpoint.address,
         'port': entry.peer_endpoint.port,
         'caller_port': entry.endpoint.port,
+        'capacity': entry.capacity,
     }
     return json.dumps(fields).encode()
 
 
 def read_host(entry: KeyValue) -> Result[HostEntry, Failure]:
-    """Decode the value of a host's key."""
+    """Decode the value of a host's key.
+
+    Entries of older versions have no capacity, and older versions ignore it.
+    """
     try:
         fields = json.loads(entry.value)
         address = str(fields['address'])
@@ -214,7 +221,15 @@
                 str(fields['zone']),
                 Endpoint(address, int(fields['caller_port'])),
                 Endpoint(address, int(fields['port'])),
+                capacity=_read_capacity(fields),
             )
         )
     except (ValueError, KeyError, TypeError) as exc:
         return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
+
+
+def _read_capacity(fields: Mapping[str, Any]) -> float:
+    capacity = float(fields.get('capacity', 1.0))
+    if not (capacity > 0 and math.isfinite(capacity)):
+        raise ValueError(f'capacity {capacity}')
+    return capacity
--- a/packages/node/src/trefoilpulley_node/direct/host_view.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_view.py
@@ -22,6 +22,9 @@
         Entry of this host.
     listed_hosts : Callable[[], Iterable[HostEntry]]
         Returns the hosts that the service lists.
+    find_entry : Callable[[str], HostEntry | None]
+        Returns the entry of a host that the service lists or that another
+        host has told of.
     live_hosts : Callable[[], LiveHosts]
         Returns the hosts that the membership takes for live.
     answer_rate : Callable[[float], float | None]
@@ -35,12 +38,14 @@
         self,
         host: HostEntry,
         listed_hosts: Callable[[], Iterable[HostEntry]],
+        find_entry: Callable[[str], HostEntry | None],
         live_hosts: Callable[[], LiveHosts],
         answer_rate: Callable[[float], float | None],
         sessions: SessionRegistry,
     ) -> None:
         self._host = host
         self._listed_hosts = listed_hosts
+        self._find_entry = find_entry
         self._live_hosts = live_hosts
         self._answer_rate = answer_rate
         self._sessions = sessions
@@ -67,6 +72,12 @@
         """Names of the live hosts in order."""
         return tuple(sorted(h for z in self.live_zones.values() for h in z))
 
+    @property
+    def capacities(self) -> dict[str, float]:
+        """Capacity of each live host, this one included."""
+        entries = [self._host, *map(self._find_entry, self.live)]
+        return {e.name: e.capacity for e in entries if e is not None}
+
     def count_reachable(self, now: float) -> int:
         """Return how many hosts answer, at a time in seconds.
 
--- a/packages/node/src/trefoilpulley_node/direct/member_access.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_access.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from trefoilpulley_core.direct.connection_holders import count_share
 from trefoilpulley_node.direct.pooled_session import PooledSession
 
 if TYPE_CHECKING:
@@ -28,7 +29,9 @@
     """Hands out sessions with a member.
 
     A session uses a connection of this host or, where other hosts hold the
-    connections to the member, a relay through one of these hosts.
+    connections to the member, a relay through one of these hosts. The
+    connections of a customer are at one holder, so that a holder relays the
+    work of customers of which another holder is the first in rank.
 
     Parameters
     ----------
@@ -60,9 +63,33 @@
         """Hosts that relay to the member; empty with local connections."""
         return self._relay_client.holders if self.is_relayed else ()
 
-    def update(self, max_connections: int, holders: ConnectionHolders) -> None:
-        """Set the member's connection limit and its holders."""
-        self.local_pool.share.update(max_connections, holders.sharing_hosts)
+    def update(
+        self,
+        max_connections: int,
+        holders: ConnectionHolders,
+        has_customers: bool = False,
+    ) -> None:
+        """Set the member's connection limit and its holders.
+
+        Parameters
+        ----------
+        max_connections : int
+            Connections that the member accepts.
+        holders : ConnectionHolders
+            Hosts that hold the connections to the member.
+        has_customers : bool
+            Whether the deployment has customers. A holder's share follows
+            its capacity then, as its part of the customers does.
+        """
+        share = self.local_pool.share
+        client = self._relay_client
+        if has_customers and client and client.host in holders.hosts:
+            count = count_share(client.host, holders, max_connections)
+            share.update(count, 1, is_kept_by_need=True)
+        else:
+            share.update(
+                max_connections, holders.sharing_hosts, bool(holders.hosts)
+            )
         self.local_pool.in_flight_limit.update(self.local_pool.share.max_open)
         if self._relay_client is not None:
             self._relay_client.update(holders)
@@ -71,9 +98,46 @@
         self, work: ConnectionRequest, session: SessionState
     ) -> Result[MemberSession, Failure]:
         """Return a session, or the reason why none is available in time."""
-        if self.is_relayed:
-            return Success(self._relay_client.open(work))
-        return self.local_pool.acquire(work, session)
+        client = self._relay_client
+        if client is not None and client.is_used_for(work):
+            return Success(client.open(work))
+        acquired = self.local_pool.acquire(work, session)
+        if isinstance(acquired, Success) or client is None:
+            return acquired
+        if not client.has_next_holder(work):
+            return acquired
+        return Success(client.open(work, is_refused_here=True))
+
+    def on_sending(self, conn: MemberSession) -> int:
+        """Count a request; return those in flight on this host's connections.
+
+        Requests that are relayed count at the holder.
+        """
+        if isinstance(conn, PooledSession):
+            self.local_pool.in_flight += 1
+        return self.local_pool.in_flight
+
+    def on_sent(self, conn: MemberSession) -> None:
+        """Count a request that was answered or has failed."""
+        if isinstance(conn, PooledSession):
+            self.local_pool.in_flight -= 1
+        self.local_pool.serve_queue()
+
+    def on_served(
+        self, conn: MemberSession, duration_s: float, now: float
+    ) -> None:
+        """Record the latency of requests that the member has served.
+
+        Where this host has connections in use, relayed requests don't count:
+        their latency includes the queue of another holder, and would lower
+        the number of requests in flight on this host's connections.
+        """
+        pool = self.local_pool
+        is_local = isinstance(conn, PooledSession)
+        if is_local:
+            pool.served_at = now
+        if is_local or not pool.has_latency(now):
+            self.health.on_served(duration_s, now)
 
     def on_replies(
         self, conn: MemberSession, replies: Sequence[Reply], in_flight: int
@@ -96,7 +160,9 @@
         else:
             conn.close()
 
-    def maintain(self, now: float, is_idle_wanted: bool) -> None:
+    def maintain(
+        self, now: float, is_idle_wanted: bool, has_customers: bool = False
+    ) -> None:
         """Close connections that are not needed and open one ahead of use.
 
         Parameters
@@ -105,10 +171,14 @@
             Present time in seconds.
         is_idle_wanted : bool
             Whether this host should keep idle connections to the member.
+        has_customers : bool
+            Whether the deployment has customers. Nothing is opened ahead
+            then, because a connection serves only its customer.
         """
         self.local_pool.is_idle_kept = is_idle_wanted and not self.is_relayed
         self.local_pool.trim(now)
-        self.local_pool.open_ahead()
+        if not has_customers:
+            self.local_pool.open_ahead()
 
     def close(self) -> None:
         """Close the local pool and its idle connections.
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -14,6 +14,9 @@
 from trefoilpulley_core.direct.connection_queue import ConnectionQueue
 from trefoilpulley_core.direct.connection_share import ConnectionShare
 from trefoilpulley_core.direct.connection_share import EXCESS_IDLE_TIMEOUT_S
+from trefoilpulley_core.direct.customer_connections import CloseReason
+from trefoilpulley_core.direct.customer_connections import CustomerConnections
+from trefoilpulley_core.direct.customer_connections import OpenReason
 from trefoilpulley_core.direct.upstream_session import ConnectionLimitReached
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import Overloaded
@@ -27,11 +30,13 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.connection_queue import QueuedWork
     from trefoilpulley_core.direct.connection_request import ConnectionRequest
+    from trefoilpulley_core.direct.customer_connections import DialPlan
     from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 
 DIAL_TIMEOUT_S = 0.4
 """Timeout to open a connection, in seconds; a busy member takes tens of ms."""
@@ -43,6 +48,13 @@
 this host has no connection to the member.
 """
 
+LATENCY_TTL_S = 1.0
+"""Time for which the latency on this host's connections counts, in seconds.
+
+Relayed requests show the latency afterwards. Two holders that relay to each
+other would otherwise adopt each other's estimates.
+"""
+
 
 class MemberPool:
     """Opens, hands out and closes the connections to one member.
@@ -55,10 +67,16 @@
         Opens connections.
     clock : Clock
         Monotonic time.
+    metrics : DirectMetrics, optional
+        Counts the connections that are opened and closed.
     """
 
     def __init__(
-        self, health: MemberHealth, dialer: UpstreamDialer, clock: Clock
+        self,
+        health: MemberHealth,
+        dialer: UpstreamDialer,
+        clock: Clock,
+        metrics: DirectMetrics | None = None,
     ) -> None:
         self.health = health
         self.share = ConnectionShare()
@@ -70,11 +88,19 @@
         self.is_idle_kept = True
         """Whether idle connections stay open."""
 
+        self.in_flight = 0
+        """Statements in flight on the connections of this host."""
+
+        self.served_at = float('-inf')
+        """Time of the last statement on these connections, in seconds."""
+
         self._dialer = dialer
         self._clock = clock
-        self._idle: list[PooledSession] = []
+        self._metrics = metrics
+        self._connections: CustomerConnections[PooledSession] = (
+            CustomerConnections()
+        )
         self._queue = ConnectionQueue()
-        self._open_count = 0
         self._dialing = 0
         self._assigned_count = 0
         self._is_closed = False
@@ -82,7 +108,12 @@
     @property
     def open_connections(self) -> int:
         """Number of connections that are open or being opened."""
-        return self._open_count
+        return self._connections.open_count
+
+    @property
+    def customer_connections(self) -> dict[str, int]:
+        """Open connections of the customers that hold most, by name."""
+        return self._connections.list_open()
 
     @property
     def waiting(self) -> int:
@@ -92,7 +123,11 @@
     @property
     def has_idle(self) -> bool:
         """Whether a connection is idle."""
-        return bool(self._idle)
+        return self._connections.has_idle
+
+    def has_latency(self, now: float) -> bool:
+        """Return whether these connections show the member's latency."""
+        return now - self.served_at <= LATENCY_TTL_S
 
     def acquire(
         self, work: ConnectionRequest, session: SessionState
@@ -111,18 +146,20 @@
         while not self._is_closed:
             now = self._clock.now()
             if self._has_room:
-                conn = self._pop_idle(session)
+                conn = self._take_idle(work, session)
                 if conn is not None:
                     return Success(conn)
                 if now >= deadline:
                     break
-                if self._may_dial(now):
-                    dialled = self._dial(deadline, work.customer)
+                plan = self._plan_dial(work, now)
+                if plan is not None:
+                    dialled = self._dial(deadline, work.customer, plan.evicted)
                     failure = _failure_of(dialled)
                     if not isinstance(failure, ConnectionLimitReached):
                         return dialled
                     self.share.on_refused(now)
-                    if self._open_count == 0:
+                    self._evict_for(work.customer, now)
+                    if not self._connections.count_open(work.customer):
                         wait_s = min(LIMIT_RETRY_INTERVAL_S, deadline - now)
                         conn = self._wait_for_retry(work, wait_s)
                         if conn is not None:
@@ -131,46 +168,73 @@
             waiter = self._enqueue(work, now)
             if waiter is None:
                 self.health.overload.on_refused(now)
+                self.serve_queue()
                 return Failed(Overloaded('connection queue is too long'))
             conn = self._wait_for_turn(waiter, work.admit_by - now)
             if conn is not None:
                 return Success(conn)
         if self._is_closed:
             return Failed(NoUpstream('member has left the group'))
+        # A turn that this request could not use goes to another one.
+        self.serve_queue()
         return Failed(Overloaded('timed out waiting for a connection'))
 
     def release(self, conn: PooledSession) -> None:
         """Return a connection to the pool."""
         now = self._clock.now()
         self._queue.on_released(now - conn.since)
-        if not conn.is_usable or self._is_closed:
-            self._close_connection(conn)
+        self._connections.on_used(conn.customer, now)
+        if not conn.is_usable:
+            self._close_connection(conn, CloseReason.BROKEN)
             return
-        if self._open_count > self.share.max_open:
-            self._close_connection(conn)
+        if self._is_closed:
+            self._close_connection(conn, CloseReason.STOPPED)
+            return
+        if self.open_connections > self.share.max_open:
+            self._close_connection(conn, CloseReason.SURPLUS)
             return
         conn.since = now
-        self._idle.append(conn)
+        self._connections.add_idle(conn)
         self.serve_queue()
 
     def serve_queue(self) -> None:
-        """Wake waiting requests while the member has capacity for them."""
+        """Wake waiting requests while the member has capacity for them.
+
+        A request that can neither have an idle connection nor dial keeps its
+        place and does not hold up requests of other customers.
+        """
         now = self._clock.now()
+        may_dial = True
         while len(self._queue) and self._has_room:
-            if not self._idle and not self._may_dial(now):
+            if not self.has_idle and not (may_dial and self._may_dial(now)):
                 return
-            waiter = self._queue.pop(now)
+            waiter = self._queue.pop(
+                now,
+                lambda turn: (
+                    self._connections.has_match(turn.work)
+                    or (
+                        may_dial
+                        and self._plan_dial(turn.work, now) is not None
+                    )
+                ),
+            )
             if waiter is None:
                 return
-            conn = self._idle.pop() if self._idle else None
+            conn = self._connections.take(waiter.handle.work)
             if conn is not None:
                 conn.since = now
+                self._connections.on_used(conn.customer, now)
+            else:
+                # The waiting request dials or waits again itself, and there
+                # may be no capacity for a second one. The connection to evict
+                # is closed here, because requests of its customer that wait
+                # would take it each time.
+                plan = self._plan_dial(waiter.handle.work, now)
+                if plan.evicted is not None:
+                    self._evict(plan.evicted)
+                may_dial = False
             self._assigned_count += 1
             waiter.handle.set(conn)
-            if conn is None:
-                # The waiting request dials or waits again itself, and there
-                # may be no capacity for a second one.
-                return
 
     def on_replies(self, replies: Sequence[Reply], in_flight: int) -> None:
         """Adjust the in-flight limit to the replies of the member."""
@@ -184,21 +248,27 @@
 
     def discard(self, conn: PooledSession) -> None:
         """Close a connection; the member rolls back an open transaction."""
-        self._close_connection(conn)
+        self._close_connection(conn, CloseReason.BROKEN)
 
     def open_ahead(self) -> None:
         """Open a connection that is kept, before a request needs it."""
-        if self._open_count >= self._max_kept or self._is_closed:
+        if not self.is_idle_kept or self._is_closed:
+            return
+        if self.open_connections >= self.share.min_idle:
             return
         if self.health.failing_since is None:
             gevent.spawn(self._open_ahead)
 
     def trim(self, now: float) -> None:
         """Close idle connections above the number that stays open."""
-        while self._idle and self._open_count > self._max_kept:
-            if now - self._idle[0].since < EXCESS_IDLE_TIMEOUT_S:
+        needed = self._connections.count_needed(now)
+        kept = self.share.count_kept(needed, now) if self.is_idle_kept else 0
+        while self.has_idle and self.open_connections > kept:
+            conn = self._connections.oldest_idle
+            if now - conn.since < EXCESS_IDLE_TIMEOUT_S:
                 return
-            self._close_connection(self._idle.pop(0))
+            self._connections.remove_idle(conn)
+            self._close_connection(conn, CloseReason.IDLE)
 
     def close(self) -> None:
         """Close the pool and its idle connections.
@@ -206,55 +276,86 @@
         A connection in use is closed when it is released.
         """
         self._is_closed = True
-        for conn in self._idle:
+        while (conn := self._connections.oldest_idle) is not None:
+            self._connections.remove_idle(conn)
+            self._count_closed(conn, CloseReason.STOPPED)
             conn.close()
-            self._open_count -= 1
-        self._idle.clear()
         for waiter in self._queue.drain():
             self._assigned_count += 1
             waiter.handle.set(None)
 
-    @property
-    def _max_kept(self) -> int:
-        return self.share.min_idle if self.is_idle_kept else 0
-
-    def _pop_idle(self, session: SessionState) -> PooledSession | None:
-        while self._idle:
-            conn = self._pop_matching(session)
+    def _take_idle(
+        self, work: ConnectionRequest, session: SessionState
+    ) -> PooledSession | None:
+        while True:
+            conn = self._connections.take(
+                work, lambda c: c.state.has_values_of(session)
+            )
+            if conn is None:
+                return None
             if conn.is_usable:
-                conn.since = self._clock.now()
+                now = conn.since = self._clock.now()
+                self._connections.on_used(conn.customer, now)
                 return conn
-            self._close_connection(conn)
-        return None
+            self._close_connection(conn, CloseReason.BROKEN)
+
+    def _plan_dial(
+        self, work: ConnectionRequest, now: float
+    ) -> DialPlan[PooledSession] | None:
+        return self._connections.plan_dial(
+            work, self.share, self._dialing, now
+        )
 
-    def _pop_matching(self, session: SessionState) -> PooledSession:
-        for i in range(len(self._idle) - 1, -1, -1):
-            if self._idle[i].state.has_values_of(session):
-                return self._idle.pop(i)
-        return self._idle.pop()
+    def _evict_for(self, customer: str, now: float) -> None:
+        """Make room at the member for a connection of a customer."""
+        evicted = self._connections.find_evictable(customer, now)
+        if evicted is not None:
+            self._evict(evicted)
+
+    def _evict(self, conn: PooledSession) -> None:
+        self._connections.remove_idle(conn)
+        self._count_closed(conn, CloseReason.EVICTED)
+        conn.close()
 
     def _dial(
-        self, deadline: float, customer: str
+        self,
+        deadline: float,
+        customer: str,
+        evicted: PooledSession | None = None,
+        reason: OpenReason | None = None,
     ) -> Result[PooledSession, Failure]:
-        self._open_count += 1
+        """Open a connection, in place of one that is evicted, if any."""
+        if reason is None:
+            is_first = not self._connections.count_open(customer)
+            reason = OpenReason.FIRST if is_first else OpenReason.MORE
+        self._connections.on_opening(customer)
         self._dialing += 1
+        if evicted is not None:
+            reason = OpenReason.REPLACING
+            self._evict(evicted)
         now = self._clock.now()
         timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
         try:
             dialled = self._dialer.dial(
                 self.health.record, timeout_s, customer
             )
-        except gevent.GreenletExit:
-            self._open_count -= 1
-            raise
-        finally:
+        except BaseException:
+            self._connections.on_closed(customer)
             self._dialing -= 1
+            self.serve_queue()
+            raise
+        self._dialing -= 1
         now = self._clock.now()
         if isinstance(dialled, Success):
             self.health.on_answer(now, self.health.position)
+            self._connections.on_used(customer, now)
+            if self._metrics is not None:
+                self._metrics.count('connections_opened', reason.value)
             self.serve_queue()
-            return Success(PooledSession(dialled.unwrap(), since=now))
-        self._open_count -= 1
+            return Success(
+                PooledSession(dialled.unwrap(), since=now, customer=customer)
+            )
+        self._connections.on_closed(customer)
         failure = dialled.failure()
         if isinstance(failure, ConnectionLimitReached):
             self.health.on_answer(now, self.health.position)
@@ -266,15 +367,34 @@
         return Failed(NoUpstream(f'{failure.code} {failure.detail}'))
 
     def _open_ahead(self) -> None:
-        dialled = self._dial(self._clock.now() + DIAL_TIMEOUT_S, '')
+        deadline = self._clock.now() + DIAL_TIMEOUT_S
+        dialled = self._dial(deadline, '', reason=OpenReason.AHEAD)
         if isinstance(dialled, Success):
             self.release(dialled.unwrap())
 
     def _wake_waiters(self) -> None:
-        """Wake the waiting requests, so that each of them fails early."""
-        if self._open_count:
+        """Wake requests without an open connection, so that they fail early.
+
+        Where nothing is open, these are all waiting requests.
+        """
+        if not self.open_connections:
+            for waiter in self._queue.drain():
+                self._assigned_count += 1
+                waiter.handle.set(None)
             return
-        for waiter in self._queue.drain():
+        now = self._clock.now()
+        while True:
+            waiter = self._queue.pop(
+                now,
+                lambda turn: (
+                    not (
+                        turn.work.is_internal
+                        or self._connections.count_open(turn.work.customer)
+                    )
+                ),
+            )
+            if waiter is None:
+                return
             self._assigned_count += 1
             waiter.handle.set(None)
 
@@ -282,12 +402,11 @@
     def _has_room(self) -> bool:
         """Whether one more statement may be sent to the member."""
         return (
-            self.health.in_flight + self._assigned_count
-            < self.in_flight_limit.value
+            self.in_flight + self._assigned_count < self.in_flight_limit.value
         )
 
     def _may_dial(self, now: float) -> bool:
-        return self.share.may_dial(self._open_count, self._dialing, now)
+        return self.share.may_dial(self.open_connections, self._dialing, now)
 
     def _enqueue(
         self, work: ConnectionRequest, now: float
@@ -296,7 +415,7 @@
         if self._has_room:
             # The connections that may still be opened are ready within the
             # time for which a request holds one.
-            servers = max(self._open_count, self.share.limit(now))
+            servers = max(self.open_connections, self.share.limit(now))
             mean_hold_s = self._queue.mean_hold_s
         else:
             servers = self.in_flight_limit.value
@@ -307,7 +426,7 @@
             now,
             servers,
             mean_hold_s,
-            AsyncResult(),
+            _Turn(work),
         )
 
     def _wait_for_retry(
@@ -320,7 +439,7 @@
             now,
             1,
             self._queue.mean_hold_s,
-            AsyncResult(),
+            _Turn(work),
         )
         if waiter is None:
             return None
@@ -335,6 +454,9 @@
             if not waiter.is_done:
                 self._queue.remove(waiter)
                 return None
+            if not waiter.handle.ready():
+                # The queue has dropped the request at its deadline.
+                return None
             # The request got its turn at the moment of the timeout.
             conn = waiter.handle.get()
         except gevent.GreenletExit:
@@ -348,6 +470,8 @@
         if not waiter.is_done:
             self._queue.remove(waiter)
             return
+        if not waiter.handle.ready():
+            return
         self._assigned_count -= 1
         conn = waiter.handle.get()
         if conn is None:
@@ -355,11 +479,26 @@
         else:
             self.release(conn)
 
-    def _close_connection(self, conn: PooledSession) -> None:
+    def _close_connection(
+        self, conn: PooledSession, reason: CloseReason
+    ) -> None:
         conn.close()
-        self._open_count -= 1
+        self._count_closed(conn, reason)
         self.serve_queue()
 
+    def _count_closed(self, conn: PooledSession, reason: CloseReason) -> None:
+        self._connections.on_closed(conn.customer)
+        if self._metrics is not None:
+            self._metrics.count('connections_closed', reason.value)
+
+
+class _Turn(AsyncResult):
+    """Turn of a waiting request: its connection, or ``None`` to dial."""
+
+    def __init__(self, work: ConnectionRequest) -> None:
+        super().__init__()
+        self.work = work
+
 
 def _failure_of(result: Result) -> Failure | None:
     return None if isinstance(result, Success) else result.failure()
--- a/packages/node/src/trefoilpulley_node/direct/pooled_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/pooled_session.py
@@ -40,6 +40,9 @@
     since: float = 0.0
     """Time of the last acquisition or release, in seconds."""
 
+    customer: str = ''
+    """Customer that the connection belongs to; empty for none."""
+
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and no reply is outstanding."""
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -8,15 +8,19 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+import gevent
 from returns.result import Failure as Failed
 from returns.result import Success
 
+from trefoilpulley_core.direct.connection_holders import ConnectionHolders
+from trefoilpulley_core.direct.connection_holders import rank_customer_holders
 from trefoilpulley_core.direct.connection_holders import rank_holders
 from trefoilpulley_core.direct.evidence_messages import read_report
 from trefoilpulley_core.direct.relay_messages import EndLease
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
 from trefoilpulley_core.direct.relay_messages import RelayedReplies
 from trefoilpulley_core.direct.relay_messages import RelayRefused
+from trefoilpulley_core.direct.session_state import SessionState
 from trefoilpulley_core.direct.upstream_session import Reply
 from trefoilpulley_core.direct.upstream_session import TransactionState
 from trefoilpulley_core.failure import NoUpstream
@@ -33,18 +37,21 @@
     from returns.result import Result
 
     from trefoilpulley_core.clock import Clock
-    from trefoilpulley_core.direct.connection_holders import ConnectionHolders
     from trefoilpulley_core.direct.connection_request import ConnectionRequest
     from trefoilpulley_core.direct.group_state import GroupState
-    from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.relay_messages import RelayedReply
     from trefoilpulley_core.direct.upstream_session import Call
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.member_pool import MemberPool
     from trefoilpulley_node.direct.member_session import SessionSetting
+    from trefoilpulley_node.direct.pooled_session import PooledSession
     from trefoilpulley_node.peers import Peers
     from trefoilpulley_wire.channel import Channel
 
+MAX_CACHED_RANKS = 1024
+"""Customers whose ranked holders are cached."""
+
 MAX_HOLDER_ATTEMPTS = 3
 """Holders that a request is sent to before it fails."""
 
@@ -81,8 +88,9 @@
         Name of this host.
     group : GroupState
         State of the member's group as known to this host.
-    health : MemberHealth
-        Health of the member as seen from this host.
+    pool : MemberPool
+        Connections of this host to the member, used where this host is the
+        next holder in rank.
     peers : Peers
         Connections to the other hosts.
     clock : Clock
@@ -95,42 +103,108 @@
         self,
         host: str,
         group: GroupState,
-        health: MemberHealth,
+        pool: MemberPool,
         peers: Peers,
         clock: Clock,
     ) -> None:
         self._host = host
         self._group = group
-        self._health = health
+        self.pool = pool
+        """Connections of this host to the member."""
+
+        self._health = pool.health
         self._peers = peers
         self._clock = clock
-        self._holders: tuple[str, ...] = ()
+        self._holders = ConnectionHolders((), 1)
+        self._ranks: dict[str, tuple[str, ...]] = {}
         self._backoff_until: dict[str, float] = {}
 
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._host
+
     @property
     def holders(self) -> tuple[str, ...]:
-        """Holders in the order to try; holders in backoff come last."""
+        """Holders in the order to try for work without a customer."""
+        return self.holders_for('')
+
+    def holders_for(self, customer: str) -> tuple[str, ...]:
+        """Return the holders in the order to try for work of a customer.
+
+        Holders in backoff come last.
+        """
         now = self._clock.now()
         self._backoff_until = {
             h: t for h, t in self._backoff_until.items() if now < t
         }
-        return tuple(
-            sorted(self._holders, key=lambda h: h in self._backoff_until)
-        )
+        ranked = self._rank(customer)
+        if not self._backoff_until:
+            return ranked
+        return tuple(sorted(ranked, key=lambda h: h in self._backoff_until))
 
     @property
     def is_active(self) -> bool:
         """Whether this host reaches the member through other hosts only."""
-        return bool(self._holders) and self._host not in self._holders
+        hosts = self._holders.hosts
+        return bool(hosts) and self._host not in hosts
+
+    def is_used_for(self, work: ConnectionRequest) -> bool:
+        """Return whether work uses another host's connections first.
+
+        A holder serves work without a customer itself.
+        """
+        if not work.customer or self._host not in self._holders.hosts:
+            return self.is_active
+        return self.holders_for(work.customer)[0] != self._host
+
+    def has_next_holder(self, work: ConnectionRequest) -> bool:
+        """Return whether another holder may serve what this host refused.
+
+        The connections of other holders are of use only to customers; other
+        work has its own holders at each host.
+        """
+        is_in_time = self._clock.now() < work.deadline
+        return (
+            bool(work.customer) and is_in_time and len(self._holders.hosts) > 1
+        )
 
     def update(self, holders: ConnectionHolders) -> None:
         """Set the holders of the member."""
-        member = self._health.record.member
-        self._holders = rank_holders(member, self._host, holders)
+        if holders != self._holders:
+            self._holders = holders
+            self._ranks.clear()
+
+    def open(
+        self, work: ConnectionRequest, is_refused_here: bool = False
+    ) -> RelayedSession:
+        """Return a session, which leases a connection at its first use.
+
+        Parameters
+        ----------
+        work : ConnectionRequest
+            Work that the session is opened for.
+        is_refused_here : bool
+            Whether this host was the first in rank and has refused the work.
+        """
+        return RelayedSession(
+            self, next(self._lease_numbers), work, is_refused_here
+        )
 
-    def open(self, work: ConnectionRequest) -> RelayedSession:
-        """Return a session, which leases a connection at its first use."""
-        return RelayedSession(self, next(self._lease_numbers), work)
+    def _rank(self, customer: str) -> tuple[str, ...]:
+        ranked = self._ranks.get(customer)
+        if ranked is None:
+            record = self._health.record
+            if len(self._ranks) >= MAX_CACHED_RANKS:
+                self._ranks.clear()
+            if customer:
+                ranked = rank_customer_holders(
+                    record.group, customer, self._holders
+                )
+            else:
+                ranked = rank_holders(record.member, self._host, self._holders)
+            self._ranks[customer] = ranked
+        return ranked
 
     def find_channel(self, holder: str) -> Result[Channel, Failure]:
         """Return the channel to a holder."""
@@ -150,9 +224,9 @@
 
     def on_replies(self, replies: RelayedReplies, asked_at: float) -> None:
         """Record the expected latency and evidence that a holder reports."""
-        self._health.on_reported_latency(
-            replies.expected_ms / 1000, self._clock.now()
-        )
+        now = self._clock.now()
+        if not self.pool.has_latency(now):
+            self._health.on_reported_latency(replies.expected_ms / 1000, now)
         evidence = read_report(replies.evidence, asked_at)
         if evidence is not None:
             self._group.evidence.record(evidence.at, evidence.position)
@@ -186,6 +260,8 @@
         Number of the session, unique on this host.
     work : ConnectionRequest
         Work that the session is opened for.
+    is_refused_here : bool
+        Whether this host has refused the work, so that it is not tried.
     """
 
     def __init__(
@@ -193,10 +269,13 @@
         relay_client: RelayClient,
         lease: int,
         work: ConnectionRequest,
+        is_refused_here: bool = False,
     ) -> None:
         self._relay_client = relay_client
         self._lease = lease
         self._work = work
+        self._is_refused_here = is_refused_here
+        self._local: PooledSession | None = None
         self._holder: str | None = None
         self._channel: Channel | None = None
         self._is_pinned = False
@@ -215,6 +294,8 @@
     ) -> Result[tuple[Reply, ...], Failure]:
         """Send requests through a holder and return the replies."""
         deadline = self._relay_client.now() + timeout_s
+        if self._local is not None:
+            return self._send_here(self._local, calls, deadline, setting)
         if self._is_pinned:
             result = self._send(calls, deadline, setting)
             if not isinstance(result, RelayRefused):
@@ -223,9 +304,17 @@
             return Failed(read_failure(result.failure))
         failure: Failure = NoUpstream('no holder is reachable')
         unreachable_reports = 0
-        for holder in self._relay_client.holders[:MAX_HOLDER_ATTEMPTS]:
+        for holder in self._list_holders():
             if self._is_cancelled or self._relay_client.now() >= deadline:
                 break
+            if holder == self._relay_client.host:
+                acquired = self._acquire_here(setting)
+                if isinstance(acquired, Success):
+                    return self._send_here(
+                        acquired.unwrap(), calls, deadline, setting
+                    )
+                failure = acquired.failure()
+                continue
             opened = self._relay_client.find_channel(holder)
             if not isinstance(opened, Success):
                 continue
@@ -257,11 +346,70 @@
 
     def close(self) -> None:
         """End the lease; the holder rolls back an open transaction."""
+        local, self._local = self._local, None
+        if local is not None:
+            self._relay_client.pool.discard(local)
         channel, self._channel = self._channel, None
         self._is_pinned = False
         if channel is not None and channel.is_open:
             channel.notify(EndLease(self._lease))
 
+    def _list_holders(self) -> tuple[str, ...]:
+        holders = self._relay_client.holders_for(self._work.customer)
+        if self._is_refused_here:
+            holders = tuple(h for h in holders if h != self._relay_client.host)
+        return holders[:MAX_HOLDER_ATTEMPTS]
+
+    def _acquire_here(
+        self, setting: SessionSetting | None
+    ) -> Result[PooledSession, Failure]:
+        """Return a connection of this host, which is the next in rank."""
+        pool = self._relay_client.pool
+        session = setting.session if setting else SessionState()
+        acquired = pool.acquire(self._work, session)
+        if isinstance(acquired, Success) and self._is_cancelled:
+            pool.release(acquired.unwrap())
+            return Failed(NoUpstream('cancelled before the request was sent'))
+        return acquired
+
+    def _send_here(
+        self,
+        conn: PooledSession,
+        calls: Sequence[Call],
+        deadline: float,
+        setting: SessionSetting | None,
+    ) -> Result[tuple[Reply, ...], Failure]:
+        """Send requests on a connection of this host.
+
+        The session keeps the connection while a transaction is open on it.
+        """
+        pool = self._relay_client.pool
+        self._local = conn
+        pool.in_flight += 1
+        try:
+            result = conn.exchange(
+                calls, max(0.001, deadline - self._relay_client.now()), setting
+            )
+        except gevent.GreenletExit:
+            self.close()
+            raise
+        finally:
+            pool.in_flight -= 1
+        is_open = self._is_pinned
+        if isinstance(result, Success):
+            is_open = result.unwrap()[-1].state is not TransactionState.IDLE
+        self._is_pinned = is_open
+        if is_open and isinstance(result, Success):
+            pool.serve_queue()
+            return result
+        self._local = None
+        if is_open:
+            self._is_pinned = False
+            pool.discard(conn)
+        else:
+            pool.release(conn)
+        return result
+
     def _send(
         self,
         calls: Sequence[Call],
--- a/packages/node/src/trefoilpulley_node/membership_runner.py
+++ b/packages/node/src/trefoilpulley_node/membership_runner.py
@@ -104,6 +104,10 @@
         """Current view of the live hosts."""
         return self._membership.live_hosts
 
+    def find_entry(self, host: str) -> HostEntry | None:
+        """Return the entry of a host, or ``None``."""
+        return self._membership.find_entry(host)
+
     def find_peer_endpoint(self, host: str) -> Endpoint | None:
         """Return the peer address of a host, or ``None``."""
         entry = self._membership.find_entry(host)
