Admit the operations of customers within their limits

Cause: rate_per_s and burst of a customer were read and not enforced.

Change: one host owns the limit of each customer and keeps its bucket; entry hosts ask it once for each operation, in batches, before a connection is taken. The allowance above the limit is split between the owner's bucket, a new owner, hosts that count alone and a former owner. A refused operation gets ERR TOOMANY.

--- a/packages/core/src/trefoilpulley_core/failure.py
+++ b/packages/core/src/trefoilpulley_core/failure.py
@@ -118,6 +118,13 @@
     code: ClassVar[str] = 'overloaded'
 
 
+@dataclass(frozen=True, slots=True)
+class LimitExceeded(NotRun):
+    """The customer has used up its limit of operations."""
+
+    code: ClassVar[str] = 'limit-exceeded'
+
+
 @dataclass(frozen=True, slots=True)
 class NoUpstream(NotRun):
     """No member that may serve the request could be reached."""
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -24,8 +24,10 @@
 from trefoilpulley_core.direct.upstream_session import TransactionState
 from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.failure import Draining
+from trefoilpulley_core.failure import NotRun
 from trefoilpulley_core.failure import OutcomeUnknown
 from trefoilpulley_core.failure import RunState
+from trefoilpulley_core.failure import TransactionLost
 from trefoilpulley_core.failure import UnknownDatabase
 from trefoilpulley_node.direct.caller_transaction import CallerTransaction
 from trefoilpulley_node.direct.statement_request import StatementInterrupted
@@ -84,6 +86,7 @@
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
         self._transaction_customer: Customer | None = None
+        self._is_transaction_admitted = False
         self._greenlet: gevent.Greenlet | None = None
         self._idle_since = factory.clock.now()
         self._has_handled = False
@@ -179,7 +182,7 @@
         """Roll back an open transaction at the end of the session."""
         if self._transaction is not None:
             self._transaction.roll_back()
-            self._transaction = None
+            self._end_transaction()
 
     def _throw_interrupt(self, handling: gevent.Greenlet) -> None:
         """Interrupt the command; runs in the hub.
@@ -234,11 +237,35 @@
         request = self._make_request(run, prepared, customer.unwrap())
         if request is None:
             return self._make_failure_reply(self._route_failure())
+        return self._make_reply(self._run_admitted(request))
+
+    def _run_admitted(
+        self, request: StatementRequest
+    ) -> Result[Reply, Failure]:
+        """Run a statement if the limit of its customer admits it.
+
+        The first statement of a transaction is counted for the whole
+        transaction. What has not run is given back.
+        """
+        transaction = self._transaction
+        if self._is_transaction_admitted:
+            return transaction.run(request)
+        admissions = self._factory.admissions
+        admitted = admissions.admit(request.customer)
+        if not isinstance(admitted, Success):
+            if transaction is not None:
+                transaction.is_failed = True
+            return admitted
         if transaction is not None:
-            return self._make_reply(transaction.run(request))
-        if run.is_write:
-            return self._make_reply(self._factory.runner.write(request))
-        return self._make_reply(self._factory.runner.read(request))
+            self._is_transaction_admitted = True
+            result = transaction.run(request)
+        elif request.run.is_write:
+            result = self._factory.runner.write(request)
+        else:
+            result = self._factory.runner.read(request)
+        if not isinstance(result, Success) and _is_refused(result.failure()):
+            admissions.give_back(admitted.unwrap())
+        return result
 
     def _on_begin(self, command: Begin) -> Reply:
         if self._transaction is not None:
@@ -278,10 +305,10 @@
         )
         if request is None:
             transaction.roll_back()
-            self._transaction = None
+            self._end_transaction()
             return self._make_failure_reply(self._route_failure())
         result = transaction.commit(request)
-        self._transaction = None
+        self._end_transaction()
         return self._make_reply(result)
 
     def _on_rollback(self) -> Reply:
@@ -290,10 +317,14 @@
             return self._make_failure_reply(
                 CommandRefused('no transaction is open')
             )
-        self._transaction = None
+        self._end_transaction()
         transaction.roll_back()
         return Reply()
 
+    def _end_transaction(self) -> None:
+        self._transaction = None
+        self._is_transaction_admitted = False
+
     def _on_session_value(
         self, command: SetValue | Prepare | Deallocate
     ) -> Reply:
@@ -415,3 +446,10 @@
             detail=failure.detail,
             is_run=failure.run_state is not RunState.NOT_RUN,
         )
+
+
+def _is_refused(failure: Failure) -> bool:
+    """Return whether an operation was refused before it ran."""
+    return isinstance(failure, NotRun) and not isinstance(
+        failure, TransactionLost
+    )
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -10,8 +10,10 @@
 import gevent
 
 from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.direct.admission_messages import AdmissionQuestion
 from trefoilpulley_core.direct.config_inquiry import ConfigInquiry
 from trefoilpulley_core.direct.config_messages import ConfigurationQuestion
+from trefoilpulley_core.direct.customer_limit import CustomerLimits
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
@@ -19,6 +21,7 @@
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.config_exchange import ConfigExchange
 from trefoilpulley_node.direct.config_holder import ConfigHolder
@@ -31,6 +34,7 @@
 from trefoilpulley_node.direct.host_registration import HostRegistration
 from trefoilpulley_node.direct.host_view import HostView
 from trefoilpulley_node.direct.host_vote import HostVote
+from trefoilpulley_node.direct.limit_refusals import LimitRefusals
 from trefoilpulley_node.direct.member_prober import MemberProber
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
@@ -55,6 +59,7 @@
     from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
     from trefoilpulley_core.direct.promotion_service import PromotionService
+    from trefoilpulley_core.direct.routes import RouteTable
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
     from trefoilpulley_core.membership.live_hosts import LiveHosts
     from trefoilpulley_core.platform import KeyValue
@@ -126,6 +131,8 @@
         self._membership.subscribe_live(self._on_live_hosts)
         self._membership.subscribe_versions(self._config_exchange.on_versions)
         self.configuration.subscribe(self._config_exchange.on_applied)
+        self.configuration.subscribe(self._set_limits)
+        self._update_hosts()
         self._peer_server.register(
             ReachQuestion,
             lambda question, _: self._vote.on_reach_question(question),
@@ -142,6 +149,10 @@
             ConfigurationQuestion,
             lambda question, _: self.configuration.on_question(question),
         )
+        self._peer_server.register(
+            AdmissionQuestion,
+            lambda question, _: self._admissions.on_question(question),
+        )
         self._peer_server.register(RelayedCalls, self.relay_server.on_calls)
         self._peer_server.register(EndLease, self.relay_server.on_end)
         self._peer_server.register_close(self.relay_server.on_peer_closed)
@@ -175,7 +186,7 @@
             stop_accepting()
 
         began_at = self._clock.now()
-        gevent.spawn(self._membership.leave)
+        gevent.spawn(self._leave)
         self.sessions.drain(
             self._cfg.grace_s,
             lambda: self.relay_server.lease_count,
@@ -200,6 +211,7 @@
             watch.stop()
         self._follower.stop()
         self._config_exchange.stop()
+        self._admissions.stop()
         self._maintenance.stop()
         self._membership.stop()
         gevent.joinall(
@@ -254,10 +266,26 @@
             runner,
             self._exchanger,
             self._primary_wait,
+            self._admissions,
             self._clock,
             self.metrics,
         )
 
+    @cached_property
+    def _limits(self) -> CustomerLimits:
+        return CustomerLimits(self._cfg.host, self._cfg.limit_bounds)
+
+    @cached_property
+    def _admissions(self) -> AdmissionExchange:
+        return AdmissionExchange(
+            self._cfg.host,
+            self._limits,
+            self._peers,
+            self._clock,
+            self.metrics,
+            LimitRefusals(self.metrics),
+        )
+
     @cached_property
     def _exchanger(self) -> Exchanger:
         return Exchanger(self._clock, self.metrics)
@@ -446,15 +474,31 @@
         return self._hosts.registered
 
     def _on_live_hosts(self, live: LiveHosts) -> None:
-        self.directory.set_hosts(
-            self._hosts.live_zones, self._hosts.capacities
+        self._update_hosts()
+
+    def _leave(self) -> None:
+        # The limits of this host get new owners at once.
+        self._update_limits()
+        self._membership.leave()
+
+    def _update_hosts(self) -> None:
+        hosts = self._hosts
+        self.directory.set_hosts(hosts.live_zones, hosts.capacities)
+        self._update_limits()
+
+    def _update_limits(self) -> None:
+        hosts = self._hosts
+        self._limits.set_hosts(
+            hosts.live, hosts.registered, hosts.capacities, self._clock.now()
         )
 
+    def _set_limits(self, table: RouteTable) -> None:
+        customers = table.customers.customers if table.customers else {}
+        self._limits.set_customers(customers, self._clock.now())
+
     def _on_host_list(self, entries: tuple[HostEntry, ...]) -> None:
         self._membership.set_host_list(entries)
-        self.directory.set_hosts(
-            self._hosts.live_zones, self._hosts.capacities
-        )
+        self._update_hosts()
 
     def _on_claim(self, name: str, claim: Claim, entry: KeyValue) -> None:
         is_announced = self._claims.record_claim(
@@ -496,6 +540,7 @@
             self._hosts.registered,
             self._maintenance.is_isolated,
             self.configuration.source,
+            self._limits,
             self._clock.now(),
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -3,7 +3,7 @@
 The values are kept in plain counters, so that a host starts without the
 Prometheus library; `render` passes the values to that library. No label holds
 a database, host, member or caller, so that the number of time series does not
-grow with the deployment.
+grow with the deployment; at most 20 customers have a label of their own.
 """
 
 from __future__ import annotations
@@ -44,6 +44,14 @@
         'Questions to other hosts for a newer configuration, by outcome.',
         ('outcome',),
     ),
+    'admissions': (
+        'Operations of customers with a limit, by who counted them.',
+        ('way', 'outcome'),
+    ),
+    'operations_refused': (
+        'Operations refused for the limit of a customer, by customer.',
+        ('customer',),
+    ),
     'connections_opened': (
         'Connections to members that were opened, by reason.',
         ('reason',),
--- a/packages/node/src/trefoilpulley_node/direct/direct_settings.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_settings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.direct.customer_limit import LimitBounds
+
 if TYPE_CHECKING:
     from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_node.settings import SeedPeer
@@ -38,5 +40,8 @@
     capacity: float = 1.0
     """Processor capacity of the host, relative to other hosts."""
 
+    limit_bounds: LimitBounds = LimitBounds()
+    """Bound of the operations of a customer in a sliding window."""
+
     peer_secret: str = ''
     """Shared secret of the deployment's hosts; empty on a closed network."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -9,6 +9,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from trefoilpulley_core.direct.customer_limit import CustomerLimits
     from trefoilpulley_core.direct.customers import CustomerFault
     from trefoilpulley_core.direct.customers import CustomerTable
     from trefoilpulley_node.direct.direct_settings import DirectSettings
@@ -101,6 +102,12 @@
     burst: float | None
     """Operations that may be admitted at once; ``None`` without a limit."""
 
+    limit_owner: str | None = None
+    """Host that counts the operations; ``None`` without a limit."""
+
+    limit_left: float | None = None
+    """Operations that may be admitted now; ``None`` at other hosts."""
+
 
 @dataclass(frozen=True, slots=True)
 class ProxyState:
@@ -142,6 +149,9 @@
     customers_left_out: tuple[CustomerFault, ...] = ()
     """Entries of customers that are left out, and why."""
 
+    limit_share: float = 1.0
+    """Part of the limits that the hosts which this host sees may grant."""
+
 
 def make_state(
     cfg: DirectSettings,
@@ -151,6 +161,7 @@
     registered: Mapping[str, str],
     is_cut_off: bool,
     source: str,
+    limits: CustomerLimits,
     now: float,
 ) -> ProxyState:
     """Return the state of a host."""
@@ -165,13 +176,14 @@
         tuple(sorted(registered)),
         tuple(_dump_group(g, now) for g in directory.groups.values()),
         source,
-        _dump_customers(directory.table.customers),
+        _dump_customers(directory.table.customers, limits, now),
         directory.table.customers.faults if directory.table.customers else (),
+        round(limits.share(now), 3),
     )
 
 
 def _dump_customers(
-    table: CustomerTable | None,
+    table: CustomerTable | None, limits: CustomerLimits, now: float
 ) -> tuple[CustomerDump, ...] | None:
     if table is None:
         return None
@@ -181,11 +193,20 @@
             c.priority,
             c.limit.rate_per_s if c.limit else None,
             c.limit.burst if c.limit else None,
+            limits.find_owner(c.name),
+            _dump_tokens(limits, c.name, now),
         )
         for c in table.customers.values()
     )
 
 
+def _dump_tokens(
+    limits: CustomerLimits, customer: str, now: float
+) -> float | None:
+    tokens = limits.count_tokens(customer, now)
+    return None if tokens is None else round(tokens, 1)
+
+
 def _dump_group(group: Group, now: float) -> GroupDump:
     state = group.state
     newest = state.evidence.newest
--- a/packages/node/src/trefoilpulley_node/direct/session_factory.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_factory.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import GroupDirectory
     from trefoilpulley_node.direct.exchange import Exchanger
@@ -44,6 +45,8 @@
         Sends requests on connections.
     primary_wait : PrimaryWait
         Waits until a new primary is known.
+    admissions : AdmissionExchange
+        Admits the operations of customers with a limit.
     clock : Clock
         Monotonic time.
     metrics : DirectMetrics
@@ -57,6 +60,7 @@
         runner: StatementRunner,
         exchanger: Exchanger,
         primary_wait: PrimaryWait,
+        admissions: AdmissionExchange,
         clock: Clock,
         metrics: DirectMetrics,
     ) -> None:
@@ -66,6 +70,7 @@
         self.runner = runner
         self.exchanger = exchanger
         self.primary_wait = primary_wait
+        self.admissions = admissions
         self.clock = clock
         self._refusals = KeyRefusals(metrics)
 
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from trefoilpulley_core.configuration import messages as documents
+from trefoilpulley_core.direct import admission_messages
 from trefoilpulley_core.direct import config_messages
 from trefoilpulley_core.direct import evidence_messages
 from trefoilpulley_core.direct import failover
@@ -46,6 +47,8 @@
         peer.ResumeWrites,
         peer.StatusReport,
         peer.WarmConnections,
+        admission_messages.AdmissionAnswer,
+        admission_messages.AdmissionQuestion,
         config_messages.ConfigurationAnswer,
         config_messages.ConfigurationQuestion,
         evidence_messages.EvidenceQuestion,
