Test the bound of limits under random faults and its settings

Cause: single faults were covered, sequences of faults and the settings of the bound were not.

Change: a scenario draws ten faults of owners and zones by a seed; rows for the settings and their faults.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -50,6 +50,14 @@
       | 0        |
       | 60       |
 
+  Scenario: faults in a random order never break the bound
+    Given 86 hosts with 85 customers
+    When customer 0 sends 6 times its limit
+    And customer 3 sends 6 times its limit
+    And customer 60 sends 6 times its limit
+    And owners and zones fail and return 10 times, by seed 5
+    Then the operations of each customer are within the bound
+
   Scenario: the shares hold after the leases of a hidden zone have expired
     Given 86 hosts with 85 customers
     When a zone is cut off
@@ -159,3 +167,23 @@
     When the session runs "BEGIN"
     Then the session's next "statement" is refused for the limit
     And the session's transaction has failed
+
+  Scenario Outline: the bound of a window is read from the settings
+    Given settings with the limits "<settings>"
+    Then the settings bound a window of <window> s by <over> and <slack>
+
+    Examples:
+      | settings                                        | window | over | slack |
+      |                                                 | 5      | 0.1  | 20    |
+      | bounds.quota_window_s=2 bounds.quota_over=0     | 2      | 0    | 20    |
+      | bounds.quota_slack=0                            | 5      | 0.1  | 0     |
+
+  Scenario Outline: a bound that makes no sense is a fault of the settings
+    Given settings with the limits "<settings>"
+    Then the settings are refused
+
+    Examples:
+      | settings                |
+      | bounds.quota_window_s=0 |
+      | bounds.quota_over=-1    |
+      | bounds.quota_slack=nan  |
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from types import SimpleNamespace
 from typing import Any
 
@@ -229,6 +230,32 @@
         assert count >= part * rate * duration, (count, rate * duration)
 
 
+class LimitFaultSteps:
+    """Steps on faults in a random order."""
+
+    @staticmethod
+    @when('owners and zones fail and return {count:d} times, by seed {seed:d}')
+    def fail(context: Any, count: int, seed: int) -> None:
+        """Draw faults of the owners of the customers that send too much."""
+        fleet, rng = context.fleet, random.Random(seed)
+        for _ in range(count):
+            fleet.run(rng.choice((0.3, 1, 2, 5)))
+            customer = rng.choice(sorted(fleet.factor))
+            owner = fleet.hosts[rng.choice(fleet.names)].find_owner(customer)
+            match rng.choice(('die', 'cut', 'zone', 'heal')):
+                case 'die':
+                    fleet.up.discard(owner)
+                case 'cut':
+                    fleet.side[owner] = 1
+                case 'zone':
+                    fleet.side.update(dict.fromkeys(fleet.names[::3], 1))
+                case 'heal':
+                    fleet.side = dict.fromkeys(fleet.names, 0)
+                    fleet.up = set(fleet.names)
+            fleet.change()
+        fleet.run(5.0)
+
+
 class AdmissionSteps:
     """Steps on one host that asks an owner."""
 
@@ -391,6 +418,19 @@
         assert state is TransactionState.FAILED, state
 
 
+class LimitSettingsSteps:
+    """Steps on the settings of the bound."""
+
+    @staticmethod
+    @then(
+        'the settings bound a window of {window:g} s by {over:g} and {slack:g}'
+    )
+    def check(context: Any, window: float, over: float, slack: float) -> None:
+        """Check the bound."""
+        found = context.settings.unwrap().proxy.limit_bounds
+        assert found == LimitBounds(window, over, slack), found
+
+
 def _handle(context: Any, command: str) -> Reply:
     commands = {
         'BEGIN': Begin(False),
