Force each violation of the check of customers once

Cause: the check of keys, names and limits had no tests of its own.

Conclusion: the check finds each violation it is there for.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -64,6 +64,91 @@
     When the lag of the replica increases to 60 s
     Then the replica still returns the newest of the commits
 
+  Scenario Outline: the checker reports a run for the wrong customer or key
+    Given a soak run with customers in which <observation>
+    Then the checker reports a violation of "<guarantee>" alone
+
+    Examples:
+      | observation                                             | guarantee |
+      | a statement ran for another customer                    | UNASKED   |
+      | a statement of a customer ran for a host                | UNASKED   |
+      | a statement on a public route ran for a customer        | UNASKED   |
+      | a moved key ran for its former customer after the bound | UNASKED   |
+      | a moved key ran for its next customer before the change | UNASKED   |
+      | a key that was never held ran a statement               | ROUTE     |
+      | a key ran a statement before it was added               | ROUTE     |
+      | a removed key ran a statement after the bound           | CONFIG    |
+
+  Scenario Outline: the checker accepts runs while a configuration spreads
+    Given a soak run with customers in which <observation>
+    Then the checker reports no violation
+
+    Examples:
+      | observation                                            |
+      | a removed key ran a statement before the bound         |
+      | a transaction that began before the bound ran after it |
+      | a moved key ran for both customers before the bound    |
+      | an unknown key ran a statement on a public route       |
+
+  Scenario: the checker reports a statement that no caller sent
+    Given a member received a statement that no caller sent
+    Then the checker reports a violation of "UNASKED" alone
+
+  Scenario: the checker accepts a host's request on any connection
+    Given a host checked a member on a connection of a customer
+    Then the checker reports no violation
+
+  Scenario: the checker reports a connection of neither a customer nor a host
+    Given a connection names "key-d"
+    Then the checker reports a violation of "UNASKED" alone
+
+  Scenario Outline: the checker reports a refused key that is held
+    Given "<key>" is refused on "<database>" at <at> s
+    Then the checker reports a violation of "CONFIG" alone
+
+    Examples:
+      | key     | database | at    |
+      | key-d   | orders   | 50    |
+      | key-d   | orders   | 101   |
+      | key-new | orders   | 105.1 |
+      | key-x   | lookups  | 50    |
+
+  Scenario Outline: the checker accepts the refusal of a key that is not held
+    Given "<key>" is refused on "orders" at <at> s
+    Then the checker reports no violation
+
+    Examples:
+      | key     | at    |
+      | key-x   | 50    |
+      | key-new | 104.9 |
+      | key-w   | 100.1 |
+
+  Scenario Outline: the checker reports more operations than a limit allows
+    Given "<customer>" runs <count> operations of <length> statements within 5 s from <begin> s on
+    Then the checker reports a violation of "QUOTA" alone
+
+    Examples: (10 x 5 + 10) x 1.1 + 20 = 86, lowered 53, raised 152
+      | customer | count | length | begin |
+      | dyers    | 87    | 1      | 50    |
+      | dyers    | 87    | 1      | 100   |
+      | dyers    | 54    | 1      | 105.1 |
+      | weavers  | 87    | 1      | 94.9  |
+      | weavers  | 153   | 3      | 101   |
+
+  Scenario Outline: the checker accepts as many operations as a limit allows
+    Given "<customer>" runs <count> operations of <length> statements within 5 s from <begin> s on
+    Then the checker reports no violation
+
+    Examples: (10 x 5 + 10) x 1.1 + 20 = 86, lowered 53, raised 152
+      | customer | count | length | begin |
+      | dyers    | 86    | 1      | 50    |
+      | dyers    | 86    | 3      | 100   |
+      | dyers    | 53    | 1      | 105.1 |
+      | weavers  | 152   | 1      | 95.1  |
+
+  Scenario: the changes of the customers depend on the seed alone
+    Then seed 7 changes the customers three times, and the same way each time
+
   Scenario Outline: host processes keep the guarantees under the faults of a seed
     When the soak test runs seed <seed> with <hosts> hosts, <connections> connections and <length> s
     Then the checker reports no violation
@@ -95,3 +180,12 @@
     Examples: seeds that failed before
       | seed | hosts | connections | cause                                             |
       | 10   | 3     | 4           | hosts ignored revisions that were given out again |
+
+  Scenario Outline: a customer's work runs under its name and its keys alone
+    When the customers change under faults with seed <seed>, <hosts> hosts and <connections> connections
+    Then the checker reports no violation
+
+    Examples: few connections for each customer, and more hosts
+      | seed | hosts | connections |
+      | 2    | 3     | 4           |
+      | 5    | 5     | 16          |
