Pace members that start or recover by their answers

A member without measurements is taken for the fastest of its group, and every host sends it all reads at once while it is still slow. The pace bounds the part of its reads and of its statements in flight. Windows of answers in time raise it, slow answers and refusals lower it. What is in time is measured at the members that are not paced, by kind of work; a host that has seen none does not pace. Steps are logged and counted, and the state dump shows the part and its reason.

--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -8,6 +8,10 @@
 
 from trefoilpulley_core.direct.evidence import EvidenceLog
 from trefoilpulley_core.direct.failure_rate import FailureRate
+from trefoilpulley_core.direct.member_pace import GroupBaseline
+from trefoilpulley_core.direct.member_pace import MemberPace
+from trefoilpulley_core.direct.member_pace import PaceReason
+from trefoilpulley_core.direct.member_pace import PRIMARY_FRACTION
 from trefoilpulley_core.direct.overload_period import OverloadPeriod
 from trefoilpulley_core.position import BEGINNING
 
@@ -82,10 +86,17 @@
     ----------
     record : MemberRecord
         Entry of the member.
+    pace : MemberPace, optional
+        Part of its fair share that the member gets from this host.
     """
 
-    def __init__(self, record: MemberRecord) -> None:
+    def __init__(
+        self, record: MemberRecord, pace: MemberPace | None = None
+    ) -> None:
         self.record = record
+        self.pace = pace or MemberPace()
+        """Part of its fair share that the member gets from this host."""
+
         self.latency_s = INITIAL_LATENCY_S
         """Recent mean latency of a statement, in seconds."""
 
@@ -134,6 +145,8 @@
     def on_answer(self, now: float, position: Position) -> None:
         """Record an answer of the member."""
         self.last_answer_at = now
+        if self.failing_since is not None:
+            self.pace.begin(PaceReason.RECOVERED)
         self.failing_since = None
         if position > self.position:
             self.position = position
@@ -229,6 +242,8 @@
         self.term = 0
         """Highest term in which a member proved its leadership."""
 
+        self._baseline = GroupBaseline()
+        self._last_primary: str | None = None
         self.evidence = EvidenceLog()
         """Proved positions."""
 
@@ -256,16 +271,18 @@
         for record in by_name.values():
             health = self.members.get(record.member)
             if health is None:
-                self.members[record.member] = MemberHealth(record)
+                self._add(record, PaceReason.NEW)
                 continue
             if health.record.incarnation != record.incarnation:
-                health = self.members[record.member] = MemberHealth(record)
+                self._add(record, PaceReason.RESTARTED)
                 continue
             if record.is_primary and not health.record.is_primary:
                 self.primary = record.member
+                self._on_primary(record.member)
             health.record = record
         if self.primary not in self.members:
             self.primary = self._listed_primary()
+            self._on_primary(self.primary)
 
     def on_leadership_proof(
         self, member: str, sent_at: float, position: Position
@@ -293,6 +310,7 @@
         if is_change:
             self.primary_since = sent_at
         self.primary = member
+        self._on_primary(member)
         return is_change
 
     def on_not_leading(self, member: str) -> None:
@@ -304,6 +322,35 @@
         """Return all members except the given one."""
         return tuple(m for m in self.members if m != member)
 
+    def _add(self, record: MemberRecord, reason: PaceReason) -> None:
+        """Add a member, or replace its former incarnation."""
+        member = record.member
+        pace = MemberPace(self._baseline, lambda: self._least_pace(member))
+        self.members[member] = MemberHealth(record, pace)
+        pace.begin(reason)
+
+    def _on_primary(self, member: str | None) -> None:
+        """Pace a member that was not the primary before."""
+        if member is None or member == self._last_primary:
+            return
+        health = self.members.get(member)
+        if health is not None and self._last_primary is not None:
+            health.pace.begin(PaceReason.PROMOTED)
+        self._last_primary = member
+
+    def _least_pace(self, member: str) -> float:
+        """Return the part of a member that the group cannot do without.
+
+        The part is that of the other members that do not answer, and a fixed
+        one at the primary.
+        """
+        others = [h for m, h in self.members.items() if m != member]
+        missing = sum(h.failing_since is not None for h in others)
+        least = missing / len(others) if others else 1.0
+        if member == self.primary:
+            least = max(least, PRIMARY_FRACTION)
+        return least
+
     def _listed_primary(self) -> str | None:
         listed = [m for m, h in self.members.items() if h.record.is_primary]
         return listed[0] if listed else None
--- a/packages/core/src/trefoilpulley_core/direct/placement.py
+++ b/packages/core/src/trefoilpulley_core/direct/placement.py
@@ -5,7 +5,8 @@
 reads go to the replicas. A read goes to the member with the lowest cost: the
 recent latency of statements, weighted with the statements that this host has
 in flight there. A member that slows down therefore gets fewer reads at once,
-and so does a member that fails part of its statements.
+and so does a member that fails part of its statements. A member that has just
+started or recovered gets the part of its reads that its pace allows.
 """
 
 from __future__ import annotations
@@ -76,6 +77,25 @@
     now : float
         Current time in seconds.
     """
+    best, _ = _find_best(group, floor, zone, excluded, now)
+    place, cost_s = best, 0.0
+    while place is not None and cost_s < AVOIDED_COST_S:
+        if group.members[place.member].pace.admits_read():
+            return place
+        excluded |= {place.member}
+        place, cost_s = _find_best(group, floor, zone, excluded, now)
+    # No other member is free for the read.
+    return best
+
+
+def _find_best(
+    group: GroupState,
+    floor: Evidence | None,
+    zone: str,
+    excluded: frozenset[str],
+    now: float,
+) -> tuple[Placement | None, float]:
+    """Return the member with the lowest cost and its cost in seconds."""
     best: Placement | None = None
     best_cost_s = float('inf')
     for name, health in group.members.items():
@@ -95,7 +115,7 @@
         if cost_s < best_cost_s:
             best = Placement(name, None if is_primary else floor)
             best_cost_s = cost_s
-    return best
+    return best, best_cost_s
 
 
 def _cost_s(health: MemberHealth, zone: str, now: float) -> float:
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -477,6 +477,7 @@
         register('leases', lambda: self.relay_server.lease_count)
         register('waiting', lambda: directory.waiting_requests)
         register('in_flight', lambda: directory.in_flight_statements)
+        register('members_paced', lambda: directory.paced_members)
         register('groups_lost', lambda: self._maintenance.lost_group_count)
         register('configuration_version', lambda: directory.table.version)
         register('customers', lambda: self.configuration.customer_count)
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -52,6 +52,10 @@
         'Connections to members that were closed, by reason.',
         ('reason',),
     ),
+    'pace_steps': (
+        'Steps of the pace of members that start or recover.',
+        ('step', 'reason'),
+    ),
     'primary_changes': (
         'Changes of primary that this host ordered, by cause.',
         ('cause', 'outcome'),
@@ -81,6 +85,7 @@
     'leases': 'Requests and transactions served for other hosts.',
     'waiting': 'Pieces of work that wait for a connection.',
     'in_flight': 'Statements at members.',
+    'members_paced': 'Members that get less than their share of the work.',
     'groups_lost': 'Groups whose primary does not answer.',
     'configuration_version': 'Version of the configuration in force.',
     'customers': 'Customers in force.',
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -64,6 +64,12 @@
     for connections without a customer.
     """
 
+    pace: float = 1.0
+    """Part of its fair share that the member gets; 1 if it is not paced."""
+
+    pace_reason: str | None = None
+    """Why the member is paced; ``None`` if it is not."""
+
 
 @dataclass(frozen=True, slots=True)
 class GroupDump:
@@ -214,4 +220,6 @@
         access.local_pool.waiting,
         access.holders,
         access.local_pool.customer_connections,
+        round(health.pace.fraction, 3),
+        health.pace.reason.value if health.pace.reason else None,
     )
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -19,6 +19,7 @@
     from collections.abc import Iterator
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.group_state import MemberHealth
     from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.routes import GroupLimits
     from trefoilpulley_core.direct.routes import Route
@@ -136,6 +137,11 @@
         """Number of statements that members have not answered."""
         return sum(a.health.in_flight for a in self._accesses())
 
+    @property
+    def paced_members(self) -> int:
+        """Number of members that get less than their share of the work."""
+        return sum(a.health.pace.reason is not None for a in self._accesses())
+
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait for the first configuration; return whether one is in force."""
         return self._loaded.wait(timeout_s)
@@ -223,6 +229,21 @@
                     is_local_zone or member == group.state.primary,
                     self.table.customers is not None,
                 )
+                self._report_pace(access.health)
+
+    def _report_pace(self, health: MemberHealth) -> None:
+        """Log and count the steps of a member's pace since the last run."""
+        for notice in health.pace.take_notices():
+            step, reason = notice.step.value, notice.reason.value
+            events.PACE_CHANGED.log(
+                member=health.record.member,
+                group=health.record.group,
+                step=step,
+                reason=reason,
+                fraction=notice.fraction,
+            )
+            if self._metrics is not None:
+                self._metrics.count('pace_steps', step, reason)
 
     def _accesses(self) -> Iterator[MemberAccess]:
         return (a for g in self.groups.values() for a in g.accesses.values())
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -13,6 +13,7 @@
 from trefoilpulley_core.direct.upstream_session import RunStatement
 from trefoilpulley_core.direct.upstream_session import UpstreamFailed
 from trefoilpulley_core.failure import NotPrimary
+from trefoilpulley_core.failure import Overloaded
 from trefoilpulley_node.direct.member_session import SessionSetting
 from trefoilpulley_node.direct.statement_request import StatementInterrupted
 
@@ -55,8 +56,25 @@
         calls: Sequence[Call],
         deadline: float,
         setting: SessionSetting | None = None,
+        kind: str = '',
     ) -> Result[tuple[Reply, ...], Failure]:
-        """Send requests and record how the member answered."""
+        """Send requests and record how the member answered.
+
+        Parameters
+        ----------
+        access : MemberAccess
+            Access to the member.
+        conn : MemberSession
+            Session with the member.
+        calls : Sequence[Call]
+            Requests.
+        deadline : float
+            Time by which the member must answer, in seconds.
+        setting : SessionSetting, optional
+            Session values that the requests need.
+        kind : str
+            Database name of the route; empty for requests of hosts.
+        """
         health = access.health
         sent_at = self._clock.now()
         timeout_s = max(0.001, deadline - sent_at)
@@ -81,6 +99,13 @@
             health.on_answer(now, result.unwrap()[-1].position)
             access.on_served(conn, now - sent_at, now)
             access.on_replies(conn, result.unwrap(), in_flight)
+            replies = result.unwrap()
+            if any(isinstance(r.failure, Overloaded) for r in replies):
+                health.pace.on_busy(now)
+            elif kind and all(r.failure is None for r in replies):
+                health.pace.on_served(
+                    _name_work(kind, calls, conn), now - sent_at, now
+                )
         return result
 
     def run(
@@ -125,7 +150,8 @@
             calls += (OpenTransaction(is_read_only=False), RollBack())
         setting = SessionSetting(request.session, request.prepared)
         sent_at = self._clock.now()
-        result = self.exchange(access, conn, calls, deadline, setting)
+        kind = request.route.database
+        result = self.exchange(access, conn, calls, deadline, setting, kind)
         if not isinstance(result, Success):
             return result
         reply, *others = result.unwrap()
@@ -175,6 +201,19 @@
     return 'primary' if is_primary else 'replica'
 
 
+def _name_work(kind: str, calls: Sequence[Call], conn: MemberSession) -> str:
+    """Return a name for work of similar duration; empty without a statement.
+
+    A read with a floor runs at a replica. Relayed requests take longer by the
+    way to the holder and its queue.
+    """
+    statements = [c for c in calls if isinstance(c, RunStatement)]
+    if not statements:
+        return ''
+    role = 'primary' if statements[0].floor is None else 'replica'
+    return f'{kind} {role} {len(calls)} {type(conn).__name__}'
+
+
 def _statement(
     request: StatementRequest, floor: Position | None
 ) -> RunStatement:
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -401,9 +401,8 @@
     @property
     def _has_room(self) -> bool:
         """Whether one more statement may be sent to the member."""
-        return (
-            self.in_flight + self._assigned_count < self.in_flight_limit.value
-        )
+        limit = self.health.pace.cap(self.in_flight_limit.value)
+        return self.in_flight + self._assigned_count < limit
 
     def _may_dial(self, now: float) -> bool:
         return self.share.may_dial(self.open_connections, self._dialing, now)
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -147,6 +147,7 @@
             message.calls,
             deadline,
             _setting_of(message),
+            message.kind,
         )
         now = lease.used_at = self._clock.now()
         lease.is_busy = False
