--- a/packages/core/src/trefoilpulley_core/direct/member_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/member_pace.py
@@ -21,12 +21,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-START_FRACTION = 0.25
-"""Part that a member gets at first; four such parts make its fair share.
+START_FRACTION = 0.5
+"""Part that a member gets at first.
 
-A member that works 1.6 times slower carries 0.6 of its usual load. The reads
-of all hosts together, where each takes the member for the fastest of three,
-stay below this.
+A member that works 1.6 times slower carries 0.6 of its usual load. With 0.25,
+a host of a large deployment has too few answers from the member, and a member
+that is well waits for 2.5 to 6.5 s for its share.
 """
 
 MIN_FRACTION = 0.1
@@ -35,7 +35,7 @@
 PRIMARY_FRACTION = 0.5
 """Least part of the primary, which alone can do the group's writes."""
 
-INCREASE_FACTOR = 1.5
+INCREASE_FACTOR = 2.0
 """Factor applied to the part after a window of answers in time."""
 
 DECREASE_FACTOR = 0.7
@@ -44,8 +44,16 @@
 SLOW_RATIO = 1.5
 """Duration, relative to the mean of the group, from which an answer is slow.
 
-A window is slow if most of its answers are. Durations of work vary: half of
-them are below 0.7 of the mean where they are exponential.
+A window is slow if most of its answers are, and at least `MIN_SLOW_ANSWERS`.
+Durations of work vary: half of them are below 0.7 of the mean where they are
+exponential.
+"""
+
+MIN_SLOW_ANSWERS = 2
+"""Slow answers of a slow window.
+
+A host of a large deployment has few answers in a window, and one answer in
+five is slow at a member that is well.
 """
 
 WINDOW_LATENCIES = 8.0
@@ -165,6 +173,7 @@
         self.reason: PaceReason | None = None
         """Why the member is paced; ``None`` if it is not."""
 
+        self._limit: int | None = None
         self._read_credit = 0.0
         self._own_ratio = 1.0
         self._in_time = 0
@@ -205,15 +214,24 @@
         """
         if self.reason is None:
             return limit
+        self._limit = limit
         return min(limit, max(1, int(self.fraction * limit)))
 
-    def admits_read(self) -> bool:
+    def admits_read(self, in_flight: int) -> bool:
         """Return whether the member gets the next read that it would get.
 
-        Of these reads, the member gets the part `fraction`.
+        Of these reads, the member gets the part `fraction`, and none that
+        would wait on this host.
+
+        Parameters
+        ----------
+        in_flight : int
+            Statements of this host that are in flight at the member.
         """
         if self.reason is None:
             return True
+        if self._limit is not None and in_flight >= self.cap(self._limit):
+            return False
         self._read_credit += self.fraction
         if self._read_credit < 1:
             return False
@@ -268,7 +286,8 @@
 
     def _end_window(self, now: float) -> None:
         if self._slow > self._in_time:
-            self._decrease(PaceStep.SLOWED, now)
+            if self._slow >= MIN_SLOW_ANSWERS:
+                self._decrease(PaceStep.SLOWED, now)
             return
         if self._fraction >= 1:
             self._notify(PaceStep.ENDED)
@@ -278,9 +297,11 @@
 
     def _decrease(self, step: PaceStep, now: float) -> None:
         self._decreased_at = now
-        self._fraction = max(MIN_FRACTION, self._fraction * DECREASE_FACTOR)
         self._reset_window(now)
-        self._notify(step)
+        if self._fraction > MIN_FRACTION:
+            reduced = self._fraction * DECREASE_FACTOR
+            self._fraction = max(MIN_FRACTION, reduced)
+            self._notify(step)
 
     def _reset_window(self, now: float | None = None) -> None:
         self._window_began_at = now
--- a/packages/core/src/trefoilpulley_core/direct/placement.py
+++ b/packages/core/src/trefoilpulley_core/direct/placement.py
@@ -80,7 +80,8 @@
     best, _ = _find_best(group, floor, zone, excluded, now)
     place, cost_s = best, 0.0
     while place is not None and cost_s < AVOIDED_COST_S:
-        if group.members[place.member].pace.admits_read():
+        health = group.members[place.member]
+        if health.pace.admits_read(health.in_flight):
             return place
         excluded |= {place.member}
         place, cost_s = _find_best(group, floor, zone, excluded, now)
