--- a/features/fakes/pace_replay.py
+++ b/features/fakes/pace_replay.py
@@ -28,7 +28,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from trefoilpulley_core.direct.group_state import MemberHealth
 
 SLOTS = 6
 """Slots of a member."""
