--- a/packages/core/src/trefoilpulley_core/direct/member_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/member_pace.py
@@ -26,7 +26,7 @@
 
 A member that works 1.6 times slower carries 0.6 of its usual load. With 0.25,
 a host of a large deployment has too few answers from the member, and a member
-that is well waits for 2.5 to 6.5 s for its share.
+that is well is without its share for some seconds.
 """
 
 MIN_FRACTION = 0.1
