Tell the other hosts of an order that has no claim

Cause: while the platform's service is unavailable, hosts ordered a promotion 0.6 s apart by rank, as long as a promotion takes. The second host found no leader yet and ordered a promotion of its own in the same round.

Change: a host that orders without a claim first tells the registered hosts which member it orders in which round. They record the round and let their requests wait for the change. If that notice is lost, a host waits 1.2 s (time allowed for a promotion and its call) for each live host before it in rank, and 0.6 s, as before, for each host that the membership knows to have stopped. The first host in rank acts at once, as before.

A host that finds the change begun by another one no longer refuses requests that wait for the primary.

Conclusion: the second order is shown by a deterministic scenario and mended. A successor of a live host that does not act waits 0.6 s longer a rank.

--- /dev/null
+++ b/features/primary_order.feature
@@ -0,0 +1,26 @@
+Feature: One order for a lost primary while the service is unavailable
+
+  Hosts can't see each other's claims then. Two orders with different targets
+  would change the primary twice.
+
+  Scenario Outline: the second host orders nothing while the first order is carried out
+    Given two hosts that have lost a primary and the service, <link>
+    When both start a failover and a promotion takes 700 ms
+    Then the first host in rank has ordered a promotion at once
+    And the other host has ordered none
+
+    Examples:
+      | link                            |
+      | and reach each other            |
+      | and lose each other's messages  |
+
+  Scenario: a host learns of an order before its own turn
+    Given two hosts that have lost a primary and the service, and reach each other
+    When both start a failover and a promotion takes 5000 ms
+    Then the other host has ordered none
+    And the other host's requests wait for the change
+
+  Scenario: a host does not wait for an order of a host that has stopped
+    Given two hosts that have lost a primary and the service, and the first has stopped
+    When the other host starts a failover
+    Then it has ordered a promotion after the delay of one rank
--- /dev/null
+++ b/features/steps/primary_order_steps.py
@@ -0,0 +1,204 @@
+"""Steps on the orders of hosts that can't claim a change of primary."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from features.fakes.fake_platform import FakePlatform
+from features.fakes.virtual_sleep import VirtualSleep
+from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.direct.failover import OrderNotice
+from trefoilpulley_core.direct.failover import RANK_DELAY_NO_SERVICE_S
+from trefoilpulley_core.direct.failover import RANK_DELAY_S
+from trefoilpulley_core.direct.group_state import MemberRecord
+from trefoilpulley_core.direct.upstream_session import LogStatus
+from trefoilpulley_core.platform import Lease
+from trefoilpulley_core.platform import PlatformDown
+from trefoilpulley_core.position import Position
+from trefoilpulley_core.rendezvous import rank_hosts
+from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.direct_metrics import DirectMetrics
+from trefoilpulley_node.direct.directory import Group
+from trefoilpulley_node.direct.primary_changer import PrimaryChanger
+from trefoilpulley_node.direct.promotion_runner import PromotionRunner
+
+HOSTS = rank_hosts('ledger', ('one', 'two'))
+"""Hosts in their rank for the group."""
+
+CALL_S = 0.02
+"""Virtual time that an order takes to be accepted, in seconds."""
+
+
+@dataclass
+class _World:
+    """Members and promotions, as both hosts find them."""
+
+    time: VirtualSleep = field(default_factory=VirtualSleep)
+    promotion_s: float = 0.6
+    orders: list[tuple[str, float]] = field(default_factory=list)
+    leads_at: float = float('inf')
+
+    def promote(self, *order: Any) -> Any:
+        """Accept an order; the member leads after the promotion."""
+        host = order[2]
+        self.orders.append((host, self.time.clock.now()))
+        self.leads_at = min(
+            self.leads_at, self.time.clock.now() + CALL_S + self.promotion_s
+        )
+        gevent.sleep(CALL_S)
+        return Success(None)
+
+    def read_statuses(self, group: Group, members: Any) -> Any:
+        """Return the log of the replica, which does not lead yet."""
+        return {'replica': LogStatus(False, 1, Position(1, 5))}
+
+    def verify_leader(self, group: Group, member: str) -> bool:
+        """Return whether the promotion has taken effect."""
+        return member == 'replica' and self.time.clock.now() >= self.leads_at
+
+    def can_connect(self, group: Group, member: str) -> bool:
+        """Return whether a member answers; the primary does not."""
+        return False
+
+
+class _AgreedVote:
+    """Vote in which every host has lost the primary."""
+
+    def collect_reports(self, *question: Any) -> Any:
+        """Return no report; the loss is decided."""
+        return ()
+
+    def is_lost(self, *question: Any, **details: Any) -> bool:
+        """Return that the primary is lost."""
+        return True
+
+    def voters(self, group: Group) -> dict[str, str]:
+        """Return the only voter that counts for the choice of a target."""
+        return {HOSTS[0]: 'a'}
+
+
+class _DirectPeers:
+    """Connections between the hosts of a scenario."""
+
+    def __init__(self) -> None:
+        self.changers: dict[str, PrimaryChanger] = {}
+        self.is_cut = False
+
+    def call_host(self, host: str, message: Any, timeout_s: float) -> Any:
+        """Deliver a notice, unless the hosts are cut off."""
+        if self.is_cut:
+            return Failed(PlatformDown())
+        changer = self.changers[host]
+        if isinstance(message, OrderNotice):
+            return Success(changer.on_order_notice(message))
+        return Success(changer.on_leader_notice(message))
+
+
+class PrimaryOrderSteps:
+    """Steps on two hosts that may both order a promotion."""
+
+    @staticmethod
+    @given('two hosts that have lost a primary and the service, {link}')
+    def make_hosts(context: Any, link: str) -> None:
+        """Create two hosts that share the view of one group."""
+        context.world = _World()
+        context.peers = _DirectPeers()
+        context.groups = []
+        context.peers.is_cut = 'lose' in link
+        live = HOSTS[1:] if 'stopped' in link else HOSTS
+        context.failovers = [
+            PrimaryOrderSteps._make_host(context, name, live) for name in HOSTS
+        ]
+
+    @staticmethod
+    @when('both start a failover and a promotion takes {duration_ms:d} ms')
+    def run_both(context: Any, duration_ms: int) -> None:
+        """Run both failovers side by side in virtual time."""
+        context.world.promotion_s = duration_ms / 1000
+        context.began_at = context.world.time.clock.now()
+        context.world.time.run(*context.failovers)
+
+    @staticmethod
+    @when('the other host starts a failover')
+    def run_second(context: Any) -> None:
+        """Run the failover of the second host in rank."""
+        context.began_at = context.world.time.clock.now()
+        context.world.time.run(context.failovers[1])
+
+    @staticmethod
+    @then('the first host in rank has ordered a promotion at once')
+    def check_first(context: Any) -> None:
+        """Check that nothing has delayed the host that acts first."""
+        first = context.world.orders[0]
+        assert first == (HOSTS[0], context.began_at), context.world.orders
+
+    @staticmethod
+    @then('the other host has ordered none')
+    def check_single(context: Any) -> None:
+        """Check that the first host's order is the only one."""
+        ordering = [host for host, _ in context.world.orders]
+        assert ordering == [HOSTS[0]], context.world.orders
+
+    @staticmethod
+    @then("the other host's requests wait for the change")
+    def check_waiting(context: Any) -> None:
+        """Check that the other host has not given up the change."""
+        state = context.groups[1].state
+        assert state.no_primary_change_until == float('-inf'), state
+
+    @staticmethod
+    @then('it has ordered a promotion after the delay of one rank')
+    def check_second(context: Any) -> None:
+        """Compare the time of the order in virtual time."""
+        ((host, at),) = context.world.orders
+        waited_s = RANK_DELAY_S + RANK_DELAY_NO_SERVICE_S
+        assert host == HOSTS[1], host
+        assert abs(at - context.began_at - waited_s) < 1e-6, at
+
+    @staticmethod
+    def _make_host(context: Any, name: str, live: Any) -> Any:
+        world, peers = context.world, context.peers
+        group = Group('ledger')
+        context.groups.append(group)
+        group.state.update(
+            MemberRecord(
+                member, 'ledger', Endpoint('h', 1), 'a', is_primary, False
+            )
+            for member, is_primary in (('primary', True), ('replica', False))
+        )
+        group.state.members['primary'].on_unreachable(world.time.clock.now())
+        claims = ClaimStore(
+            name, FakePlatform(is_down=True), lambda: HOSTS, world.time.clock
+        )
+        runner = PromotionRunner(
+            name,
+            world,
+            claims,
+            world,
+            peers,
+            lambda: dict.fromkeys(HOSTS, 'a'),
+            lambda: Lease(HOSTS.index(name) + 1, 30, 1),
+            world.time.clock,
+            DirectMetrics(),
+        )
+        changer = peers.changers[name] = PrimaryChanger(
+            name,
+            world,
+            _AgreedVote(),
+            claims,
+            runner,
+            lambda: dict.fromkeys(HOSTS, 'a'),
+            lambda: live,
+            {'ledger': group},
+            world.time.clock,
+        )
+        return lambda: changer.fail_over(group, 'primary')
--- a/features/steps/proxy_relay_steps.py
+++ b/features/steps/proxy_relay_steps.py
@@ -234,8 +234,7 @@
         for group in GROUPS:
             voters = choose_voters(group, registered)
             delays = {
-                h: failover_delay_s(group, h, registered, False)
-                for h in registered
+                h: failover_delay_s(group, h, registered) for h in registered
             }
             last = max(delays[h] for h in voters)
             others = [delays[h] for h in registered if h not in voters]
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -8,6 +8,7 @@
 from trefoilpulley_core.rendezvous import rank_hosts
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -25,7 +26,16 @@
 RANK_DELAY_NO_SERVICE_S = 0.6
 """Delay per rank while the service is unavailable, in seconds.
 
-Without the service, a host cannot see the claims of other hosts.
+Without the service, a host cannot see the claims of other hosts. The delay
+applies after a host that is known to have stopped.
+"""
+
+ORDER_TIMEOUT_NO_SERVICE_S = 1.2
+"""Delay after a live host while the service is unavailable, in seconds.
+
+A promotion may take 0.8 s, and the call that orders it is given 0.4 s. With
+0.6 s, as long as a promotion takes, the next host found no leader yet and
+ordered a second promotion. The notice of an order ends the wait earlier.
 """
 
 PUBLICATION_RANK_DELAY_S = 0.6
@@ -75,6 +85,9 @@
     era: int
     """Era of the service in which the round was claimed."""
 
+    is_claimed: bool = True
+    """Whether the service holds the claim, so that every host sees it."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReachQuestion:
@@ -101,6 +114,23 @@
     """Number of the change that promoted the member."""
 
 
+@dataclass(frozen=True, slots=True)
+class OrderNotice:
+    """Notification of another host that a promotion is ordered.
+
+    Sent for an order without a claim in the service.
+    """
+
+    group: str
+    """Group of the member."""
+
+    member: str
+    """Identifier of the member to promote."""
+
+    round: int
+    """Number of the change."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReachReport:
     """Report of another host whether it reaches a member."""
@@ -170,19 +200,56 @@
 
 
 def failover_delay_s(
-    group: str, host: str, registered: Mapping[str, str], is_service_out: bool
+    group: str, host: str, registered: Mapping[str, str]
 ) -> float:
     """Return how long a host waits before it starts a failover, in seconds.
 
     The voters act first, in the order of their rank. The other hosts act
     only if no voter does.
     """
-    rank_delay_s = RANK_DELAY_NO_SERVICE_S if is_service_out else RANK_DELAY_S
+    return len(_preceding_hosts(group, host, registered)) * RANK_DELAY_S
+
+
+def order_delay_s(
+    group: str, host: str, registered: Mapping[str, str], live: Container[str]
+) -> float:
+    """Return how long a host waits before it orders without a claim.
+
+    Load pattern: the primary and the service are lost together, and every
+    host that notices this starts a failover at nearly the same time. Only
+    the wait for the orders of the hosts that act before prevents a second
+    order.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    host : str
+        Name of the waiting host.
+    registered : Mapping[str, str]
+        Availability zone of each registered host.
+    live : Container[str]
+        Hosts that are not known to have stopped.
+
+    Returns
+    -------
+    float
+        Delay in seconds.
+    """
+    return sum(
+        ORDER_TIMEOUT_NO_SERVICE_S if h in live else RANK_DELAY_NO_SERVICE_S
+        for h in _preceding_hosts(group, host, registered)
+    )
+
+
+def _preceding_hosts(
+    group: str, host: str, registered: Mapping[str, str]
+) -> list[str]:
+    """Return the hosts that act before a host."""
     voters = list(choose_voters(group, registered))
-    if host in voters:
-        return voters.index(host) * rank_delay_s
     others = rank_hosts(group, sorted({*registered, host} - {*voters}))
-    return (len(voters) + others.index(host)) * rank_delay_s
+    ranked = [*voters, *others]
+    return ranked[: ranked.index(host)]
 
 
 def publication_delay_s(
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -131,7 +131,7 @@
     def use_round(self, group: str, round_number: int) -> Round:
         """Return a round that this host uses without a claim."""
         self.advance_round(group, round_number)
-        return Round(round_number, self._known(group).era)
+        return Round(round_number, self._known(group).era, is_claimed=False)
 
     def begin_era(self, era: int) -> None:
         """Prepare to write again the claims that the service has lost.
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.direct.config_messages import ConfigurationQuestion
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
+from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
 from trefoilpulley_core.direct.relay_messages import EndLease
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
@@ -134,6 +135,10 @@
             LeaderNotice,
             lambda notice, _: self.changer.on_leader_notice(notice),
         )
+        self._peer_server.register(
+            OrderNotice,
+            lambda notice, _: self.changer.on_order_notice(notice),
+        )
         self._peer_server.register(
             EvidenceQuestion,
             lambda question, _: self._evidence.on_question(question),
@@ -364,6 +369,7 @@
             self._claims,
             self._promotion_runner,
             self._registered_hosts,
+            lambda: self._hosts.live,
             self.directory.groups,
             self._clock,
         )
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -12,6 +12,7 @@
 from trefoilpulley_core.direct.failover import choose_target
 from trefoilpulley_core.direct.failover import failover_delay_s
 from trefoilpulley_core.direct.failover import has_every_commit
+from trefoilpulley_core.direct.failover import order_delay_s
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
 from trefoilpulley_core.direct.lag_relief import RECEIPT_DELAY_S
 from trefoilpulley_core.platform import EraChanged
@@ -20,12 +21,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Mapping
     from collections.abc import Sequence
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.failover import LeaderNotice
+    from trefoilpulley_core.direct.failover import OrderNotice
     from trefoilpulley_core.direct.failover import ReachReport
     from trefoilpulley_core.direct.failover import Round
     from trefoilpulley_core.direct.upstream_session import LogStatus
@@ -47,6 +50,9 @@
 Another host starts no change of the same group before this time is over.
 """
 
+TURN_CHECK_INTERVAL_S = 0.1
+"""Time between two checks whether a preceding host has stopped, in seconds."""
+
 FAILOVER_BACKOFF_S = 0.7
 """Time without a new failover after one was abandoned, in seconds.
 
@@ -72,6 +78,8 @@
         Carries out the promotions.
     registered_hosts : Callable[[], Mapping[str, str]]
         Availability zone of each registered host, this one included.
+    live_hosts : Callable[[], Collection[str]]
+        Hosts that are not known to have stopped.
     groups : Mapping[str, Group]
         Groups by name.
     clock : Clock
@@ -86,6 +94,7 @@
         claims: ClaimStore,
         promotions: PromotionRunner,
         registered_hosts: Callable[[], Mapping[str, str]],
+        live_hosts: Callable[[], Collection[str]],
         groups: Mapping[str, Group],
         clock: Clock,
     ) -> None:
@@ -95,6 +104,7 @@
         self._claims = claims
         self._promotions = promotions
         self._registered_hosts = registered_hosts
+        self._live_hosts = live_hosts
         self._groups = groups
         self._clock = clock
         self._backoff_until: dict[str, float] = {}
@@ -116,7 +126,7 @@
         if now < self._backoff_until.get(state.group, now):
             return
         after_round = self._claims.last_round(state.group)
-        if not self._wait_turn(group, after_round, is_service_out=False):
+        if not self._wait_turn(group, after_round):
             return
         pending_reports = gevent.spawn(
             self._vote.collect_reports, group, lost_primary
@@ -152,6 +162,9 @@
             target = self._choose_complete_replica(
                 group, lost_primary, statuses
             )
+        if claimed is None and self._has_begun(group, after_round):
+            # Requests wait for the change that another host carries out.
+            return
         if claimed is None or target is None:
             self._back_off(group)
         else:
@@ -202,7 +215,7 @@
         if self._clock.now() < state.primary_change_due_at:
             return None
         after_round = self._claims.last_round(state.group)
-        if not self._wait_turn(group, after_round, is_service_out=False):
+        if not self._wait_turn(group, after_round):
             return None
         return after_round if state.primary == old_primary else None
 
@@ -233,6 +246,20 @@
         group.state.expect_change(self._clock.now() + CLAIM_HOLDER_TIMEOUT_S)
         group.check_requested.set()
 
+    def on_order_notice(self, notice: OrderNotice) -> OrderNotice:
+        """Leave a change to the host that has ordered it; return the notice.
+
+        Notices of rounds that this host knows are out of date.
+        """
+        if notice.round > self._claims.last_round(notice.group):
+            self._claims.advance_round(notice.group, notice.round)
+            group = self._groups.get(notice.group)
+            if group is not None:
+                group.state.expect_change(
+                    self._clock.now() + CLAIM_HOLDER_TIMEOUT_S
+                )
+        return notice
+
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Check whether the announced member leads; return the notice."""
         self._claims.advance_round(notice.group, notice.round)
@@ -288,21 +315,45 @@
             gevent.sleep(CATCH_UP_POLL_INTERVAL_S)
         return False
 
-    def _wait_turn(
-        self, group: Group, after_round: int, is_service_out: bool
-    ) -> bool:
+    def _wait_turn(self, group: Group, after_round: int) -> bool:
         """Wait for this host's turn; return whether a change is still due.
 
         The hosts that precede this host in rank act first.
         """
-        state = group.state
         delay_s = failover_delay_s(
-            state.group, self._host, self._registered_hosts(), is_service_out
+            group.state.group, self._host, self._registered_hosts()
         )
         gevent.sleep(delay_s)
-        if self._claims.last_round(state.group) != after_round:
+        return self._is_turn(group, after_round)
+
+    def _wait_turn_without_service(
+        self, group: Group, after_round: int
+    ) -> bool:
+        """Wait for the orders of the hosts that precede this host in rank."""
+        began_at = self._clock.now()
+        while self._is_turn(group, after_round):
+            # A host that precedes this one may be found to have stopped.
+            delay_s = order_delay_s(
+                group.state.group,
+                self._host,
+                self._registered_hosts(),
+                self._live_hosts(),
+            )
+            remaining_s = began_at + delay_s - self._clock.now()
+            if remaining_s <= 0:
+                return True
+            gevent.sleep(min(remaining_s, TURN_CHECK_INTERVAL_S))
+        return False
+
+    def _is_turn(self, group: Group, after_round: int) -> bool:
+        """Return whether no other host has begun the change."""
+        if self._has_begun(group, after_round):
             return False
-        return self._clock.now() >= state.primary_change_due_at
+        return self._clock.now() >= group.state.primary_change_due_at
+
+    def _has_begun(self, group: Group, after_round: int) -> bool:
+        """Return whether a host has begun the change after a round."""
+        return self._claims.last_round(group.state.group) != after_round
 
     def _has_leader(
         self,
@@ -381,12 +432,15 @@
             group, lost_primary, reports, is_service_available=False
         ):
             return None
-        if not self._wait_turn(group, after_round, is_service_out=True):
+        if not self._wait_turn_without_service(group, after_round):
             return None
         if self._prober.can_connect(
             group, lost_primary
         ) or self._has_leading_member(group):
             return None
+        if not self._is_turn(group, after_round):
+            # The notice of an order has arrived during the checks.
+            return None
         name = group.state.group
         claimed = self._claims.use_round(name, after_round + 1)
         events.CHANGE_CLAIMED.log(
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -9,6 +9,7 @@
 
 from trefoilpulley_core.direct.failover import fencing_token
 from trefoilpulley_core.direct.failover import LeaderNotice
+from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_node import events
@@ -29,7 +30,7 @@
     from trefoilpulley_node.peers import Peers
 
 NOTICE_TIMEOUT_S = 0.35
-"""Timeout of a leader notice to another host, in seconds."""
+"""Timeout of a notice to another host, in seconds."""
 
 EXPECTED_PROMOTION_S = 0.8
 """Expected duration of a promotion with a margin, in seconds."""
@@ -156,6 +157,9 @@
         if holder is None:
             return False
         name = group.state.group
+        if not claimed.is_claimed:
+            # The other hosts learn of the order by this notice only.
+            self._notify_hosts(OrderNotice(name, target, claimed.number))
         token = fencing_token(claimed, holder)
         for _ in range(MAX_ORDER_ATTEMPTS):
             # Repeating the order is safe: once the promotion is carried out, a
@@ -199,7 +203,11 @@
         A host that can't reach the platform's service learns of the leader by
         this notice only.
         """
-        notice = LeaderNotice(group.state.group, member, round_number)
+        self._notify_hosts(
+            LeaderNotice(group.state.group, member, round_number)
+        )
+
+    def _notify_hosts(self, notice: LeaderNotice | OrderNotice) -> None:
         for host in self._registered_hosts():
             if host != self._host:
                 gevent.spawn(
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -55,6 +55,7 @@
         relay_messages.RelayedReplies,
         relay_messages.RelayRefused,
         failover.LeaderNotice,
+        failover.OrderNotice,
         failover.ReachQuestion,
         failover.ReachReport,
     ),
