Compare the latency of a member with its own without a queue

Cause: the limit of statements in flight took a mean latency of 80 ms for a queue at the member. Statements of 55 ms on the mean and up to 410 ms pass this bound without a queue, so the limit fell to 1 while slots were idle.

Change: OwnLatency keeps, by kind of work, the lowest mean of 30 statements, which rises with a half-life of 60 s, not within 5 s of a refusal for load. The limit decreases where the recent mean exceeds 1.5 times this latency by 60 ms. Only statements are measured: opening and ending a transaction needs no slot and hid the queue.

Conclusion: slots are no longer left idle for long statements.

--- a/features/steps/proxy_overload_steps.py
+++ b/features/steps/proxy_overload_steps.py
@@ -70,7 +70,10 @@
     def serve(context: Any, count: int) -> None:
         """Record statements that the member served at the assumed latency."""
         for _ in range(count):
-            context.in_flight_limit.on_served(STATEMENT_LATENCY_S, context.now)
+            context.in_flight_limit.record_latency(
+                STATEMENT_LATENCY_S, '', context.now
+            )
+            context.in_flight_limit.on_served(context.now)
 
     @staticmethod
     @when(
@@ -82,7 +85,10 @@
     ) -> None:
         """Record statements whose latency shows a queue at the member."""
         for _ in range(count):
-            context.in_flight_limit.on_served(latency_ms / 1000, context.now)
+            context.in_flight_limit.record_latency(
+                latency_ms / 1000, '', context.now
+            )
+            context.in_flight_limit.on_served(context.now)
             context.now += interval_ms / 1000
 
     @staticmethod
--- a/packages/core/src/trefoilpulley_core/direct/concurrency_limit.py
+++ b/packages/core/src/trefoilpulley_core/direct/concurrency_limit.py
@@ -7,10 +7,17 @@
 The limit moves the queue to the hosts. A host serves its queue by priority,
 immediately refuses statements that would miss their deadline, and does not
 delay transactions that have begun.
+
+A second load pattern: statements take 33 or 55 ms on the mean and up to 410
+ms. A fixed bound of the latency takes such statements for a queue, and the
+limit falls although the member has free slots. The latency is therefore
+compared with the member's own latency without a queue, by kind of work.
 """
 
 from __future__ import annotations
 
+from trefoilpulley_core.direct.own_latency import OwnLatency
+
 MIN_LIMIT = 1.0
 """Statements that a host may always have in flight at a member."""
 
@@ -24,7 +31,6 @@
 count as one.
 """
 
-
 INCREASE_PER_FULL_LIMIT = 0.1
 """Increase of the limit after as many served statements as the limit allows.
 
@@ -32,10 +38,17 @@
 after a delay.
 """
 
-OVERLOAD_LATENCY_S = 0.08
-"""Mean statement latency that indicates a queue at the member, in seconds.
+QUEUE_DELAY_S = 0.06
+"""Mean queueing time at the member that lowers the limit, in seconds."""
 
-The threshold is several times the latency of a statement without a queue.
+MIN_RISE_DELAY_S = 5.0
+"""Time after a refusal before the own latency may rise, in seconds."""
+
+VARIATION_FACTOR = 1.5
+"""Own latency that does not count as a queue, as a multiple of its estimate.
+
+The mean of the recent statements varies by about a quarter when their
+durations are exponential, and the estimate is a low one of several means.
 """
 
 
@@ -50,6 +63,8 @@
         self._max_limit = MIN_LIMIT
         self._limit: float | None = None
         self._decreased_at = float('-inf')
+        self._refused_at = float('-inf')
+        self._latency = OwnLatency()
 
     @property
     def value(self) -> int:
@@ -62,17 +77,34 @@
         if self._limit is not None:
             self._limit = min(self._limit, self._max_limit)
 
-    def on_served(self, expected_s: float, now: float) -> None:
-        """Adjust the limit after the member served a statement.
+    def record_latency(self, latency_s: float, kind: str, now: float) -> None:
+        """Record the latency of a statement, before ``on_served``.
+
+        Parameters
+        ----------
+        latency_s : float
+            Time from sending the statement to its reply, in seconds.
+        kind : str
+            Kind of the work: the database name of its route.
+        now : float
+            Current time in seconds.
+        """
+        is_rise_allowed = now - self._refused_at >= MIN_RISE_DELAY_S
+        self._latency.record(latency_s, kind, now, is_rise_allowed)
+
+    def on_served(self, now: float) -> None:
+        """Adjust the limit after the member answered a request.
 
         Parameters
         ----------
-        expected_s : float
-            Recent mean latency of a statement, in seconds.
         now : float
             Current time in seconds.
         """
-        if expected_s > OVERLOAD_LATENCY_S:
+        own_s = self._latency.own_s
+        if (
+            self._latency.recent_s(now)
+            > VARIATION_FACTOR * own_s + QUEUE_DELAY_S
+        ):
             self._decrease(self._limit or self._max_limit, now)
         elif self._limit is not None:
             self._limit += INCREASE_PER_FULL_LIMIT / self._limit
@@ -89,6 +121,7 @@
         now : float
             Current time in seconds.
         """
+        self._refused_at = now
         in_flight_count = float(max(1, in_flight))
         self._decrease(
             min(self._limit or self._max_limit, in_flight_count), now
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -80,7 +80,13 @@
         if isinstance(result, Success):
             health.on_answer(now, result.unwrap()[-1].position)
             access.on_served(conn, now - sent_at, now)
-            access.on_replies(conn, result.unwrap(), in_flight)
+            is_statement = isinstance(calls[0], RunStatement)
+            access.on_replies(
+                conn,
+                result.unwrap(),
+                in_flight,
+                now - sent_at if is_statement else None,
+            )
         return result
 
     def run(
--- a/packages/node/src/trefoilpulley_node/direct/member_access.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_access.py
@@ -140,11 +140,15 @@
             self.health.on_served(duration_s, now)
 
     def on_replies(
-        self, conn: MemberSession, replies: Sequence[Reply], in_flight: int
+        self,
+        conn: MemberSession,
+        replies: Sequence[Reply],
+        in_flight: int,
+        statement_s: float | None,
     ) -> None:
         """Adjust the local in-flight limit to the replies of the member."""
         if isinstance(conn, PooledSession):
-            self.local_pool.on_replies(replies, in_flight)
+            self.local_pool.on_replies(conn, replies, in_flight, statement_s)
 
     def release(self, conn: MemberSession) -> None:
         """Return a session after use."""
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -142,6 +142,16 @@
             Session values that the request needs; a connection that has these
             values already is preferred.
         """
+        acquired = self._acquire(work, session)
+        if isinstance(acquired, Success):
+            conn = acquired.unwrap()
+            conn.kind = work.kind
+            conn.is_for_transaction = work.is_transaction
+        return acquired
+
+    def _acquire(
+        self, work: ConnectionRequest, session: SessionState
+    ) -> Result[PooledSession, Failure]:
         deadline = work.deadline
         while not self._is_closed:
             now = self._clock.now()
@@ -236,15 +246,36 @@
             self._assigned_count += 1
             waiter.handle.set(conn)
 
-    def on_replies(self, replies: Sequence[Reply], in_flight: int) -> None:
-        """Adjust the in-flight limit to the replies of the member."""
+    def on_replies(
+        self,
+        conn: PooledSession,
+        replies: Sequence[Reply],
+        in_flight: int,
+        statement_s: float | None,
+    ) -> None:
+        """Adjust the in-flight limit to the replies of the member.
+
+        Parameters
+        ----------
+        conn : PooledSession
+            Connection on which the requests were sent.
+        replies : Sequence[Reply]
+            Reply to each request.
+        in_flight : int
+            Statements of this host that were in flight at the member.
+        statement_s : float or None
+            Time until the replies, in seconds; ``None`` if no statement was
+            sent. Other requests need no slot of the member.
+        """
         now = self._clock.now()
         if any(isinstance(r.failure, Overloaded) for r in replies):
             self.in_flight_limit.on_busy(in_flight, now)
-        else:
-            self.in_flight_limit.on_served(
-                self.health.expected_latency_s(now), now
-            )
+            return
+        # A statement that failed, as one that is refused by a replica that
+        # lags, does not show how long the member works.
+        if statement_s is not None and replies[0].failure is None:
+            self.in_flight_limit.record_latency(statement_s, conn.kind, now)
+        self.in_flight_limit.on_served(now)
 
     def discard(self, conn: PooledSession) -> None:
         """Close a connection; the member rolls back an open transaction."""
--- a/packages/node/src/trefoilpulley_node/direct/pooled_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/pooled_session.py
@@ -43,6 +43,12 @@
     customer: str = ''
     """Customer that the connection belongs to; empty for none."""
 
+    kind: str = ''
+    """Kind of the work that has the connection."""
+
+    is_for_transaction: bool = False
+    """Whether the work that has the connection is a transaction."""
+
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and no reply is outstanding."""
