Order waiting work by goal and expect its wait by kind

Cause: the queue was ordered by priority and deadline, so that work that can only be late ran before work that can meet its goal. The expected wait walked the heap for each arrival and used one mean hold time, so that short work behind long work was refused. A full queue refused work of the highest priority behind 200 long reads.

Change: a lane for each priority and kind, by goal time. Work that can meet its goal is served first, by priority and goal time; then late work by priority and deadline. A tenth of the hold time goes to the work that has waited longest. The wait is the sum over the lanes of the work ahead, found by bisection, at the mean hold time of its kind; statements and transactions are told apart. Work of a higher priority displaces work of a lower one in a full queue.

The aim of 1 s is not met for work that may wait 750 ms.

Each of floor, hold time by kind, late work last and priority was taken out once: one scenario of features/waiting.feature failed each time. The step of proxy_reads passes the same time as the time of admission.

Conclusion: postings are served through a burst of long reads; the return to normal within 1 s is open.

--- a/features/fakes/waiting_replay.py
+++ b/features/fakes/waiting_replay.py
@@ -13,6 +13,8 @@
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.direct.concurrency_limit import ConcurrencyLimit
+from trefoilpulley_core.direct.connection_queue import ConnectionQueue
+from trefoilpulley_core.direct.connection_request import ConnectionRequest
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -117,3 +119,83 @@
             count += 1
             heapq.heappush(running, (end_at, count, now, work))
     return outcome
+
+
+@dataclass(frozen=True)
+class Route:
+    """What the work of one kind declares."""
+
+    priority: int
+    """Priority; 0 is the highest."""
+
+    goal_s: float
+    """Time within which the work should be done, in seconds."""
+
+    timeout_s: float
+    """Time within which the work must be done, in seconds."""
+
+
+ROUTES = {
+    'posting': Route(0, 0.203, 1.0),
+    'viewing': Route(2, 1.503, 3.0),
+}
+"""Routes of the deployment with long reads."""
+
+
+@dataclass
+class QueueOutcome:
+    """What a replay of the queue has shown."""
+
+    waits: list[tuple[Work, float]]
+    """Work that was served, with its wait in seconds."""
+
+    refused: list[Work]
+    """Work that was refused, or dropped at its admission time."""
+
+    def count_refused(self, kind: str) -> int:
+        """Return how much work of a kind was not served."""
+        return sum(w.kind == kind for w in self.refused)
+
+
+def replay_queue(works: Sequence[Work], servers: int) -> QueueOutcome:
+    """Let work wait in a queue for these servers."""
+    outcome = QueueOutcome([], [])
+    queue = ConnectionQueue()
+    running: list[tuple[float, int, Work]] = []
+    pending = deque(sorted(works, key=lambda w: w.at))
+    waiting: dict[int, Work] = {}
+    count = 0
+    while pending or running:
+        count += 1
+        if running and (not pending or running[0][0] <= pending[0].at):
+            now, _, work = heapq.heappop(running)
+            queue.on_released(work.duration_s, work.kind)
+        else:
+            work = pending.popleft()
+            now = work.at
+            queued = queue.enqueue(
+                _request_of(work), now, servers, queue.mean_hold_s, count
+            )
+            if queued is None:
+                outcome.refused.append(work)
+            else:
+                waiting[count] = work
+        while len(running) < servers and (served := queue.pop(now)):
+            work = waiting.pop(served.handle)
+            outcome.waits.append((work, now - work.at))
+            count += 1
+            heapq.heappush(running, (now + work.duration_s, count, work))
+    outcome.refused += waiting.values()
+    return outcome
+
+
+def _request_of(work: Work) -> ConnectionRequest:
+    route = ROUTES[work.kind]
+    goal_at = work.at + route.goal_s
+    return ConnectionRequest(
+        route.priority,
+        work.at + route.timeout_s,
+        work.at + route.goal_s / 2,
+        goal_at,
+        work.kind,
+    )
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from features.fakes.connection_requests import make_request
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.connection_queue import ConnectionQueue
 from trefoilpulley_core.direct.connection_share import ConnectionShare
@@ -253,8 +254,7 @@
         context: Any, priority: int, left_s: float, name: Any
     ) -> bool:
         work = context.queue.enqueue(
-            priority,
-            NOW + left_s,
+            make_request(priority, NOW + 60, NOW + left_s),
             NOW,
             context.connections,
             context.queue.mean_hold_s,
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -36,3 +36,42 @@
     Given statements of 55.0 ms at 1.15 of 6 slots for 30 s, seed 1
     When a host sends them under a limit by the member's own latency
     Then the last limit is at most 12 of 41
+
+  Scenario: work that can meet its goal is served before late work
+    Given a queue with work "late" of priority 1 and 20 ms to its goal
+    And work "low" of priority 2 and 400 ms to its goal
+    And work "second" of priority 1 and 300 ms to its goal
+    And work "first" of priority 1 and 200 ms to its goal
+    Then the waiting work is served as "first second low late"
+
+  Scenario: short work is not refused behind short work for long work in service
+    Given a queue whose work of 55 ms is long and of 11 ms is short
+    When 2 pieces of short work wait
+    Then short work with 100 ms to its admission is queued behind them
+    But it is refused behind 8 more
+
+  Scenario: a class that waits gets a tenth of the time
+    Given a queue with work "low" of priority 2 and 9000 ms to its goal
+    When work of priority 1 never leaves the queue empty
+    Then "low" is served after 10 others
+
+  Scenario: work of a lower priority makes room in a full queue
+    Given a queue that is full of work of priority 2
+    Then new work of priority 1 displaces work of priority 2
+    But new work of priority 2 displaces none
+
+  Scenario Outline: long reads in a burst do not hold up short postings
+    Load pattern: viewings of 55 ms ask 1.7 times the slots for 5 s; postings
+    of 11 ms need a twentieth of them. Viewings may wait half of their goal
+    of 1,503 ms; at half load this queue is empty 1.5 to 2 s after the burst.
+
+    Given a burst of viewings at 1.7 of 6 slots from 2 s to 7 s, seed <seed>
+    When a host serves the work from its queue
+    Then no posting is refused and none waits longer than 100 ms
+    And the mean wait from 9 s on is at most 10 ms
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent
@@ -192,7 +193,9 @@
     def release(self, conn: PooledSession) -> None:
         """Return a connection to the pool."""
         now = self._clock.now()
-        self._queue.on_released(now - conn.since)
+        self._queue.on_released(
+            now - conn.since, conn.kind, conn.is_for_transaction
+        )
         self._connections.on_used(conn.customer, now)
         if not conn.is_usable:
             self._close_connection(conn, CloseReason.BROKEN)
@@ -451,13 +454,14 @@
         else:
             servers = self.in_flight_limit.value
             mean_hold_s = self.health.expected_latency_s(now)
+        displaced = self._queue.find_displaced(work)
+        if displaced is not None:
+            # The displaced request wakes, finds the queue full and is refused.
+            self._queue.remove(displaced)
+            self._assigned_count += 1
+            displaced.handle.set(None)
         return self._queue.enqueue(
-            work.priority,
-            work.admit_by,
-            now,
-            servers,
-            mean_hold_s,
-            _Turn(work),
+            work, now, servers, mean_hold_s, _Turn(work)
         )
 
     def _wait_for_retry(
@@ -465,8 +469,7 @@
     ) -> PooledSession | None:
         now = self._clock.now()
         waiter = self._queue.enqueue(
-            work.priority,
-            work.deadline,
+            replace(work, admit_by=work.deadline),
             now,
             1,
             self._queue.mean_hold_s,
