Charge repeated attempts of the direct mode to a retry budget

Cause: hedged reads and attempts after a refusal for load added up to 5 or 6 times the load to members that were full.

Change: each group has the RetryBudget of the pooled mode: a tenth of fresh statements, 10 saved. Hedged reads, reads, writes and first statements of transactions after a refusal for load use it. No hedged request is sent to a member that refused work for load within 0.5 s. A read without a budget waits for its first answer and may be hedged later.

--- a/packages/core/src/trefoilpulley_core/direct/overload_period.py
+++ b/packages/core/src/trefoilpulley_core/direct/overload_period.py
@@ -19,6 +19,10 @@
             self._began_at = now
         self._refused_at = now
 
+    def is_active(self, now: float) -> bool:
+        """Return whether work is refused for load at a time in seconds."""
+        return now - self._refused_at <= MAX_REFUSAL_GAP_S
+
     def duration_s(self, now: float) -> float:
         """Return for how long work has been refused; 0 if it is not now.
 
@@ -27,6 +31,6 @@
         now : float
             Current time in seconds.
         """
-        if now - self._refused_at > MAX_REFUSAL_GAP_S:
+        if not self.is_active(now):
             return 0.0
         return now - self._began_at
--- a/packages/core/src/trefoilpulley_core/retry_budget.py
+++ b/packages/core/src/trefoilpulley_core/retry_budget.py
@@ -65,6 +65,16 @@
             return False
         if isinstance(failure, ReplicaBehind):
             return True
+        return self.try_spend(upstream)
+
+    def try_spend(self, upstream: str) -> bool:
+        """Use one retry of an upstream's budget, if there is one.
+
+        Parameters
+        ----------
+        upstream : str
+            Member, or group of members, that the retry would be sent to.
+        """
         available_retries = self._retries.get(upstream, MAX_SAVED_RETRIES)
         if available_retries < 1:
             return False
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -89,6 +89,7 @@
         self._access: MemberAccess | None = None
         self._conn: MemberSession | None = None
         self._has_written = False
+        self._has_opened = False
         self.is_failed = False
         """Whether the caller can only roll back."""
 
@@ -98,6 +99,10 @@
     def run(self, request: StatementRequest) -> Result[Reply, Failure]:
         """Run a statement inside the transaction."""
         if self._conn is None:
+            if not self._has_opened:
+                # An attempt after a refusal is no fresh traffic.
+                request.group.retry_budget.record_fresh(request.route.group)
+                self._has_opened = True
             opened = self._open(request)
             if not isinstance(opened, Success):
                 return self._abort(request, opened.failure())
@@ -185,7 +190,9 @@
     def _is_retry_allowed(
         self, request: StatementRequest, is_first: bool
     ) -> bool:
-        return is_first and self._clock.now() < request.deadline - 0.1
+        if not is_first or self._clock.now() >= request.deadline - 0.1:
+            return False
+        return request.group.retry_budget.try_spend(request.route.group)
 
     def _retry(self, request: StatementRequest) -> Result[Reply, Failure]:
         """Retry in a new transaction after the first statement got no slot."""
@@ -199,6 +206,7 @@
     def _open(self, request: StatementRequest) -> Result[None, Failure]:
         failure: Failure = NoUpstream('no member may open the transaction')
         excluded: set[str] = set()
+        budget = request.group.retry_budget
         for _ in range(MAX_OPEN_ATTEMPTS):
             if self._clock.now() >= request.deadline:
                 break
@@ -212,6 +220,10 @@
                     break
                 excluded.clear()
                 continue
+            if isinstance(failure, Overloaded) and not budget.try_spend(
+                request.route.group
+            ):
+                break
             result = self._open_at(request, place)
             if isinstance(result, Success):
                 return result
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -9,6 +9,7 @@
 from trefoilpulley_core.direct.connection_holders import choose_holders
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.routes import RouteTable
+from trefoilpulley_core.retry_budget import RetryBudget
 from trefoilpulley_node.direct.member_access import MemberAccess
 from trefoilpulley_node.direct.member_pool import MemberPool
 from trefoilpulley_node.direct.relayed_session import RelayClient
@@ -44,6 +45,9 @@
         self.limits: GroupLimits | None = None
         """Limits of the group in the configuration."""
 
+        self.retry_budget = RetryBudget()
+        """Hedged reads and attempts after a refusal for load, by group."""
+
         self.primary_changed = Event()
         """Set and replaced whenever another member becomes the primary."""
 
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -146,6 +146,8 @@
         has_run = False
         failed_members = 0
         failure: Failure = NoUpstream('no member may serve the read')
+        budget = request.group.retry_budget
+        budget.record_fresh(request.route.group)
         for _ in range(MAX_READ_ATTEMPTS):
             place = self._place(request, frozenset(excluded))
             if place is None and pending == 0:
@@ -157,7 +159,17 @@
                     break
                 excluded.clear()
                 continue
-            if place is not None:
+            if place is None or (
+                pending and not self._may_hedge(request, place)
+            ):
+                # The read waits for the answer, and a hedged request may be
+                # possible later.
+                pass
+            elif isinstance(failure, Overloaded) and not (
+                pending or budget.try_spend(request.route.group)
+            ):
+                break
+            else:
                 excluded.add(place.member)
                 gevent.spawn(self._try_read, request, place, hedged)
                 pending += 1
@@ -194,6 +206,8 @@
         run it.
         """
         failure: Failure = NoUpstream('no primary is known')
+        budget = request.group.retry_budget
+        budget.record_fresh(request.route.group)
         for _ in range(MAX_WRITE_ATTEMPTS):
             primary = request.group.state.primary
             access = request.group.find_access(primary) if primary else None
@@ -211,6 +225,8 @@
                 request.group.state.on_not_leading(primary)
                 request.group.check_requested.set()
             elif isinstance(failure, Overloaded):
+                if not budget.try_spend(request.route.group):
+                    break
                 gevent.sleep(BUSY_BACKOFF_S)
             elif isinstance(failure, NoUpstream):
                 if not self._primary_wait.wait(request):
@@ -229,6 +245,16 @@
             excluded = excluded | {state.primary}
         return place_read(state, floor, self._zone, excluded, now)
 
+    def _may_hedge(self, request: StatementRequest, place: Placement) -> bool:
+        """Return whether a read may be sent to a further member as well.
+
+        A hedged request at a full member would add to its load.
+        """
+        health = request.group.state.members.get(place.member)
+        if health is None or health.overload.is_active(self._clock.now()):
+            return False
+        return request.group.retry_budget.try_spend(request.route.group)
+
     def _wait_for_outcome(
         self,
         request: StatementRequest,
