--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent
@@ -142,6 +143,16 @@
             Session values that the request needs; a connection that has these
             values already is preferred.
         """
+        acquired = self._acquire(work, session)
+        if isinstance(acquired, Success):
+            conn = acquired.unwrap()
+            conn.kind = work.kind
+            conn.is_for_transaction = work.is_transaction
+        return acquired
+
+    def _acquire(
+        self, work: ConnectionRequest, session: SessionState
+    ) -> Result[PooledSession, Failure]:
         deadline = work.deadline
         while not self._is_closed:
             now = self._clock.now()
@@ -182,7 +193,9 @@
     def release(self, conn: PooledSession) -> None:
         """Return a connection to the pool."""
         now = self._clock.now()
-        self._queue.on_released(now - conn.since)
+        self._queue.on_released(
+            now - conn.since, conn.kind, conn.is_for_transaction
+        )
         self._connections.on_used(conn.customer, now)
         if not conn.is_usable:
             self._close_connection(conn, CloseReason.BROKEN)
@@ -236,15 +249,36 @@
             self._assigned_count += 1
             waiter.handle.set(conn)
 
-    def on_replies(self, replies: Sequence[Reply], in_flight: int) -> None:
-        """Adjust the in-flight limit to the replies of the member."""
+    def on_replies(
+        self,
+        conn: PooledSession,
+        replies: Sequence[Reply],
+        in_flight: int,
+        statement_s: float | None,
+    ) -> None:
+        """Adjust the in-flight limit to the replies of the member.
+
+        Parameters
+        ----------
+        conn : PooledSession
+            Connection on which the requests were sent.
+        replies : Sequence[Reply]
+            Reply to each request.
+        in_flight : int
+            Statements of this host that were in flight at the member.
+        statement_s : float or None
+            Time until the replies, in seconds; ``None`` if no statement was
+            sent. Other requests need no slot of the member.
+        """
         now = self._clock.now()
         if any(isinstance(r.failure, Overloaded) for r in replies):
             self.in_flight_limit.on_busy(in_flight, now)
-        else:
-            self.in_flight_limit.on_served(
-                self.health.expected_latency_s(now), now
-            )
+            return
+        # A statement that failed, as one that is refused by a replica that
+        # lags, does not show how long the member works.
+        if statement_s is not None and replies[0].failure is None:
+            self.in_flight_limit.record_latency(statement_s, conn.kind, now)
+        self.in_flight_limit.on_served(now)
 
     def discard(self, conn: PooledSession) -> None:
         """Close a connection; the member rolls back an open transaction."""
@@ -419,13 +453,14 @@
         else:
             servers = self.in_flight_limit.value
             mean_hold_s = self.health.expected_latency_s(now)
+        displaced = self._queue.find_displaced(work)
+        if displaced is not None:
+            # The displaced request wakes, finds the queue full and is refused.
+            self._queue.remove(displaced)
+            self._assigned_count += 1
+            displaced.handle.set(None)
         return self._queue.enqueue(
-            work.priority,
-            work.admit_by,
-            now,
-            servers,
-            mean_hold_s,
-            _Turn(work),
+            work, now, servers, mean_hold_s, _Turn(work)
         )
 
     def _wait_for_retry(
@@ -433,8 +468,7 @@
     ) -> PooledSession | None:
         now = self._clock.now()
         waiter = self._queue.enqueue(
-            work.priority,
-            work.deadline,
+            replace(work, admit_by=work.deadline),
             now,
             1,
             self._queue.mean_hold_s,
