Keep foreign greenlets out of the virtual time of a scenario

Cause: the whole run of the merged features never ended. A greenlet that an earlier feature had left running called gevent.sleep while a scenario of primary_order had replaced it, so that its loop slept in virtual time without end. Alone, the feature passes.

Change: only the functions of the run and the greenlets that they spawn sleep in virtual time.

After: the two features that use VirtualSleep pass, and a loop left running beside a run no longer holds it up (trial script).

--- a/features/fakes/virtual_sleep.py
+++ b/features/fakes/virtual_sleep.py
@@ -24,7 +24,9 @@
     """Runs greenlets whose sleeps take virtual time only.
 
     The greenlets wake in the order of their times, so that a run gives the
-    same order whatever the load of the machine is.
+    same order whatever the load of the machine is. Greenlets that an earlier
+    scenario has left running sleep in real time: a loop among them would keep
+    the run from ending.
     """
 
     def __init__(self) -> None:
@@ -32,11 +34,12 @@
         self._sleepers: list[tuple[float, int, Event]] = []
         self._order = itertools.count()
         self._turn = gevent.sleep
+        self._trees: list[dict] = []
 
     def run(self, *functions: Callable[[], Any]) -> None:
         """Run functions side by side until each of them has returned."""
         with mock.patch('gevent.sleep', self.sleep):
-            greenlets = [gevent.spawn(f) for f in functions]
+            greenlets = [gevent.spawn(self._start, f) for f in functions]
             self._settle()
             while self._sleepers:
                 self.clock.at, _, woken = heapq.heappop(self._sleepers)
@@ -46,11 +49,21 @@
 
     def sleep(self, duration_s: float = 0) -> None:
         """Let virtual time pass, in seconds."""
+        tree = getattr(gevent.getcurrent(), 'spawn_tree_locals', None)
+        if not any(tree is own for own in self._trees):
+            self._turn(duration_s)
+            return
         woken = Event()
         at = self.clock.at + duration_s
         heapq.heappush(self._sleepers, (at, next(self._order), woken))
         woken.wait()
 
+    def _start(self, function: Callable[[], Any]) -> Any:
+        # Greenlets that the function spawns share these locals.
+        tree = gevent.getcurrent().spawn_tree_locals = {}
+        self._trees.append(tree)
+        return function()
+
     def _settle(self) -> None:
         for _ in range(IDLE_TURNS):
             self._turn(0)
