Let late work wait for its deadline, and serve the newest work first

Most callers repeat what is refused, and the repetition looks like new work. In the order of the goals, each piece ends just at its goal during an overload, and new work waits behind the queue after it: the two known faults of waiting.feature.

Change: work may wait until a tenth of its time limit is left; it keeps a quarter of its goal for the way. Once the oldest work of a lane has waited for half of the time to its goal, the newest is served first. Late work makes room in a full queue. A read that one member refused for load may go to the others without the retry budget, which covers hedged requests and repeated writes. The replay declares what requests declare now, and makes room in a full queue as the pool does.

--- a/features/fakes/waiting_replay.py
+++ b/features/fakes/waiting_replay.py
@@ -16,6 +16,9 @@
 from trefoilpulley_core.direct.connection_queue import ConnectionQueue
 from trefoilpulley_core.direct.connection_request import ConnectionRequest
 
+from trefoilpulley_node.direct.statement_request import GOAL_RESERVE
+from trefoilpulley_node.direct.statement_request import RUN_TIME_FACTOR
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -173,8 +176,13 @@
         else:
             work = pending.popleft()
             now = work.at
+            request = _request_of(work)
+            displaced = queue.find_displaced(request, now)
+            if displaced is not None:
+                queue.remove(displaced)
+                outcome.refused.append(waiting.pop(displaced.handle))
             queued = queue.enqueue(
-                _request_of(work), now, servers, queue.mean_hold_s, count
+                request, now, servers, queue.mean_hold_s, count
             )
             if queued is None:
                 outcome.refused.append(work)
@@ -191,11 +199,10 @@
 
 def _request_of(work: Work) -> ConnectionRequest:
     route = ROUTES[work.kind]
-    goal_at = work.at + route.goal_s
     return ConnectionRequest(
         route.priority,
         work.at + route.timeout_s,
-        work.at + route.goal_s / 2,
-        goal_at,
+        work.at + (1 - RUN_TIME_FACTOR) * route.timeout_s,
+        work.at + (1 - GOAL_RESERVE) * route.goal_s,
         work.kind,
     )
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import Any
 
 from behave import given
@@ -111,6 +112,13 @@
             served.append(work.handle)
         assert served == names.split(), served
 
+    @staticmethod
+    @then('the next work after {ms:d} ms is "{name}"')
+    def check_next(context: Any, ms: int, name: str) -> None:
+        """Check the next work without removing any."""
+        queue = copy.deepcopy(context.queue)
+        assert queue.pop(ms / 1000).handle == name
+
     @staticmethod
     @given(
         'a queue whose work of {long_ms:d} ms is long and of {short_ms:d} ms '
@@ -172,7 +180,7 @@
     @then('new work of priority {new:d} displaces work of priority {old:d}')
     def check_displaced(context: Any, new: int, old: int) -> None:
         """Check the work that makes room."""
-        found = context.queue.find_displaced(_make_request(new, 90000))
+        found = context.queue.find_displaced(_make_request(new, 90000), 0.0)
         assert found.request.priority == old, found
 
     @staticmethod
@@ -180,7 +188,23 @@
     def check_kept(context: Any, new: int) -> None:
         """Check that work of the same priority keeps its place."""
         request = _make_request(new, 90000)
-        assert context.queue.find_displaced(request) is None
+        assert context.queue.find_displaced(request, 0.0) is None
+
+    @staticmethod
+    @given('work of priority {priority:d} that fills a queue and is late')
+    def fill_late(context: Any, priority: int) -> None:
+        """Fill a queue with work that has missed its goal."""
+        context.queue = ConnectionQueue()
+        for _ in range(MAX_QUEUE_LENGTH):
+            assert _enqueue(context.queue, priority, 0, 'late')
+
+    @staticmethod
+    @then('new work of priority {new:d} displaces the oldest late work')
+    def check_late_displaced(context: Any, new: int) -> None:
+        """Check that late work makes room for work of its priority."""
+        request = _make_request(new, 90000)
+        found = context.queue.find_displaced(request, 0.0)
+        assert found is not None and found.sequence == 1, found
 
 
 class QueueReplaySteps:
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -44,6 +44,21 @@
     And work "first" of priority 1 and 200 ms to its goal
     Then the waiting work is served as "first second low late"
 
+  Scenario: the newest work is served first once the oldest has waited too long
+    Load pattern: a burst asks for more than the slots carry. In the order of
+    the goals, each piece would end just at its goal.
+
+    Given a queue with work "old" of priority 1 and 400 ms to its goal
+    And work "new" of priority 1 and 500 ms to its goal
+    Then the next work after 150 ms is "old"
+    But the next work after 250 ms is "new"
+
+  Scenario: late work is served before its deadline when a slot is free
+    Guards against refusals of work that would still be of use to its caller.
+
+    Given a queue with work "late" of priority 1 and 20 ms to its goal
+    Then the next work after 250 ms is "late"
+
   Scenario: short work is not refused behind short work for long work in service
     Given a queue whose work of 55 ms is long and of 11 ms is short
     When 2 pieces of short work wait
@@ -60,6 +75,12 @@
     Then new work of priority 1 displaces work of priority 2
     But new work of priority 2 displaces none
 
+  Scenario: late work makes room in a full queue
+    Guards against a queue of late work that keeps out work in time.
+
+    Given work of priority 2 that fills a queue and is late
+    Then new work of priority 2 displaces the oldest late work
+
   Scenario Outline: long reads in a burst do not hold up short postings
     Load pattern: viewings of 55 ms ask 1.7 times the slots for 5 s; postings
     of 11 ms need a twentieth of them.
--- a/packages/core/src/trefoilpulley_core/direct/connection_queue.py
+++ b/packages/core/src/trefoilpulley_core/direct/connection_queue.py
@@ -12,6 +12,11 @@
 starves. Statements of an open transaction have their connection already and
 do not wait here. Work that would miss its admission time or its deadline is
 refused immediately, so that its caller can try another host.
+
+While more work arrives than can be served, each piece would be served just
+before its goal, and new work would wait behind the queue for some time after
+the overload has ended. The newest work of a kind is then served first. The
+oldest work becomes late, and is served as soon as a connection is free.
 """
 
 from __future__ import annotations
@@ -42,6 +47,13 @@
 FLOOR_SHARE = 0.1
 """Share of the hold time that goes to the work that has waited longest."""
 
+NEWEST_FIRST_FACTOR = 0.5
+"""Part of the time to its goal that the oldest work in time may wait.
+
+Above, the newest work is served first. Below, all work meets its goal in the
+order of the goals.
+"""
+
 MAX_KINDS = 128
 """Kinds of work whose hold time is kept; the most recently used."""
 
@@ -56,6 +68,9 @@
     sequence: int
     """Sequence number in the order of arrival."""
 
+    queued_at: float = field(compare=False)
+    """Time of arrival, in seconds."""
+
     request: ConnectionRequest = field(compare=False)
     """What the work declares."""
 
@@ -134,6 +149,7 @@
             hold times of the kinds are scaled by it.
         """
         is_late = request.goal_at < now + self.hold_time_s(request.kind)
+        own_lane = self._lanes.get(_lane_of(request))
         ahead_s = 0.0
         for (priority, kind, is_transaction), lane in self._lanes.items():
             late = self._count_late(kind, lane, now)
@@ -143,6 +159,8 @@
                 count = in_time + (late if priority <= request.priority else 0)
             elif priority < request.priority:
                 count = in_time
+            elif lane is own_lane and _is_newest_first(lane, late, now):
+                pass
             elif priority == request.priority:
                 end = bisect.bisect_right(
                     lane, request.goal_at, key=lambda w: w.goal_at
@@ -186,18 +204,41 @@
         if ready_at > min(request.admit_by, request.deadline):
             return None
         self._count += 1
-        work = QueuedWork(request.goal_at, self._count, request, handle)
+        work = QueuedWork(request.goal_at, self._count, now, request, handle)
         bisect.insort(self._lanes.setdefault(_lane_of(request), []), work)
         self._length += 1
         return work
 
-    def find_displaced(self, request: ConnectionRequest) -> QueuedWork | None:
-        """Return work of a lower priority to remove for new work.
+    def find_displaced(
+        self, request: ConnectionRequest, now: float
+    ) -> QueuedWork | None:
+        """Return work to remove from a full queue for new work.
+
+        Late work of the same or a lower priority is removed first, the
+        oldest before others since it is the next to miss its deadline. Then
+        comes the newest work of a lower priority.
 
-        ``None`` while the queue has room or holds no such work.
+        Parameters
+        ----------
+        request : ConnectionRequest
+            What the new work declares.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        QueuedWork | None
+            ``None`` while the queue has room or holds no such work.
         """
         if self._length < MAX_QUEUE_LENGTH:
             return None
+        for key in sorted(self._lanes, reverse=True):
+            priority, kind, _ = key
+            lane = self._lanes[key]
+            if priority >= request.priority and self._count_late(
+                kind, lane, now
+            ):
+                return lane[0]
         lane = self._lanes[max(self._lanes)]
         is_lower = lane[-1].request.priority > request.priority
         return lane[-1] if is_lower else None
@@ -283,21 +324,16 @@
 
     def _in_order(self, now: float) -> Iterator[QueuedWork]:
         """Iterate over the work in the order in which it is served."""
-        heads: list[tuple[tuple, int, int, list[QueuedWork]]] = []
+        heads: list[tuple[tuple, Iterator[QueuedWork], bool]] = []
         for (_, kind, _), lane in self._lanes.items():
             late = self._count_late(kind, lane, now)
-            if late < len(lane):
-                heads.append((_rank_of(lane[late], False), late, -1, lane))
-            if late:
-                heads.append((_rank_of(lane[0], True), 0, late, lane))
-        heapq.heapify(heads)
+            step = -1 if _is_newest_first(lane, late, now) else 1
+            _push(heads, iter(lane[late:][::step]), is_late=False)
+            _push(heads, iter(lane[:late]), is_late=True)
         while heads:
-            _, index, end, lane = heapq.heappop(heads)
-            yield lane[index]
-            index += 1
-            if index < (len(lane) if end < 0 else end):
-                rank = _rank_of(lane[index], end >= 0)
-                heapq.heappush(heads, (rank, index, end, lane))
+            rank, rest, is_late = heapq.heappop(heads)
+            yield rank[-1]
+            _push(heads, rest, is_late)
 
     def _count_late(
         self, kind: str, lane: list[QueuedWork], now: float
@@ -318,6 +354,34 @@
     return request.priority, request.kind, request.is_transaction
 
 
-def _rank_of(work: QueuedWork, is_late: bool) -> tuple:
+def _is_newest_first(lane: list[QueuedWork], late: int, now: float) -> bool:
+    """Return whether the newest work of a lane is served first.
+
+    Parameters
+    ----------
+    lane : list[QueuedWork]
+        Work of one kind, by goal time.
+    late : int
+        Number of pieces that can only be late.
+    now : float
+        Current time in seconds.
+    """
+    if late >= len(lane):
+        return False
+    oldest = lane[late]
+    allowed_s = NEWEST_FIRST_FACTOR * (oldest.goal_at - oldest.queued_at)
+    return now - oldest.queued_at > allowed_s
+
+
+def _push(
+    heads: list[tuple[tuple, Iterator[QueuedWork], bool]],
+    rest: Iterator[QueuedWork],
+    is_late: bool,
+) -> None:
+    """Add the next work of a lane, if any, to the heap of heads."""
+    work = next(rest, None)
+    if work is None:
+        return
     due_at = work.request.deadline if is_late else work.goal_at
-    return is_late, work.request.priority, due_at, work.sequence
+    rank = is_late, work.request.priority, due_at, work.sequence, work
+    heapq.heappush(heads, (rank, rest, is_late))
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -206,7 +206,6 @@
     def _open(self, request: StatementRequest) -> Result[None, Failure]:
         failure: Failure = NoUpstream('no member may open the transaction')
         excluded: set[str] = set()
-        budget = request.group.retry_budget
         for _ in range(MAX_OPEN_ATTEMPTS):
             if self._clock.now() >= request.deadline:
                 break
@@ -220,10 +219,6 @@
                     break
                 excluded.clear()
                 continue
-            if isinstance(failure, Overloaded) and not budget.try_spend(
-                request.route.group
-            ):
-                break
             result = self._open_at(request, place)
             if isinstance(result, Success):
                 return result
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -279,6 +279,8 @@
         if statement_s is not None and replies[0].failure is None:
             self.in_flight_limit.record_latency(statement_s, conn.kind, now)
         self.in_flight_limit.on_served(now)
+        if len(self._queue) or self.in_flight_limit.is_reduced:
+            self.health.queued_at = now
 
     def discard(self, conn: PooledSession) -> None:
         """Close a connection; the member rolls back an open transaction."""
@@ -453,7 +455,7 @@
         else:
             servers = self.in_flight_limit.value
             mean_hold_s = self.health.expected_latency_s(now)
-        displaced = self._queue.find_displaced(work)
+        displaced = self._queue.find_displaced(work, now)
         if displaced is not None:
             # The displaced request wakes, finds the queue full and is refused.
             self._queue.remove(displaced)
--- a/packages/node/src/trefoilpulley_node/direct/statement_request.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_request.py
@@ -17,11 +17,18 @@
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_node.direct.directory import Group
 
-QUEUE_TIME_FACTOR = 0.5
-"""Part of a route's latency goal that a statement may spend in a queue.
+GOAL_RESERVE = 0.25
+"""Part of a route's latency goal that is reserved after the queue.
 
-A statement that waits longer rarely meets the goal. The statement is refused
-at once, so that its caller can try another host.
+It covers the way to the member and back and longer statements than the mean.
+"""
+
+RUN_TIME_FACTOR = 0.1
+"""Part of a statement's time limit that is reserved to run it.
+
+A statement that can no longer meet its goal waits for a free connection until
+then. Refused earlier, most callers repeat it, and the repetition looks like
+new work that can still meet its goal.
 """
 
 
@@ -68,7 +75,8 @@
     @property
     def admit_by(self) -> float:
         """Time by which the statement must get a connection, in seconds."""
-        return self.arrived_at + QUEUE_TIME_FACTOR * self.route.goal_s
+        time_limit_s = self.deadline - self.arrived_at
+        return self.deadline - RUN_TIME_FACTOR * time_limit_s
 
     def connection_request(
         self, is_transaction: bool = False
@@ -83,8 +91,8 @@
         return ConnectionRequest(
             self.route.priority,
             self.deadline,
-            min(self.admit_by, self.deadline),
-            self.arrived_at + self.route.goal_s,
+            self.admit_by,
+            self.arrived_at + (1 - GOAL_RESERVE) * self.route.goal_s,
             self.route.database,
             self.customer,
             is_transaction,
