Read at the primary in the host's zone while it has no queue

Cause: each group has one member in each zone, and a read costs four times as much at the primary as at a replica.

Change: where few hosts hold the connections, the primary is a member like the others for the reads of its own zone, unless work waits for it or it has refused some within 0.5 s. Holders tell with each reply whether work waits. Hosts with connections of their own are unchanged: their connections to the primary are the first to run out.

--- a/features/proxy_reads.feature
+++ b/features/proxy_reads.feature
@@ -31,6 +31,25 @@
     When 4 statements are in flight at "s"
     Then a bounded read goes to "r"
 
+  Scenario: the primary of the zone serves its reads while it has no queue
+    Load pattern: one member a zone, few hosts that hold the connections, and
+    narrow links between the zones.
+
+    Given a group with holders, the primary "p" in zone "a", "r" in "b" and "s" in "c"
+    Then a bounded read in zone "a" goes to "p"
+    And a bounded read in zone "b" goes to "r"
+    When work waits for "p"
+    Then a bounded read in zone "a" goes to a replica
+
+  Scenario: the primary of the zone is left to the writes after a refusal
+    Given a group with holders, the primary "p" in zone "a", "r" in "b" and "s" in "c"
+    When "p" refuses a statement for load
+    Then a bounded read in zone "a" goes to a replica
+
+  Scenario: connections to the primary are not used for reads where each host has its own
+    Given a group without holders, the primary "p" in zone "a", "r" in "b" and "s" in "c"
+    Then a bounded read in zone "a" goes to a replica
+
   Scenario: a member that does not answer gets no reads
     Given a group with the primary "p" and replicas "r s" in zone "a"
     When "r" and "s" become unreachable
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -99,6 +99,57 @@
         PlacementSteps._update_members(context, '')
         context.state.primary = primary
 
+    @staticmethod
+    @given(
+        'a group {way} holders, the primary "{primary}" in zone "{zone}", '
+        '"{r}" in "{zone_r}" and "{s}" in "{zone_s}"'
+    )
+    def make_spread_group(context: Any, way: str, **names: str) -> None:
+        """Create a group with one member in each zone."""
+        zones = {
+            names['primary']: names['zone'],
+            names['r']: names['zone_r'],
+            names['s']: names['zone_s'],
+        }
+        context.state = GroupState('ledger')
+        context.state.update(
+            MemberRecord(
+                name,
+                'ledger',
+                Endpoint('127.0.0.1', 1),
+                zone,
+                name == names['primary'],
+                False,
+            )
+            for name, zone in zones.items()
+        )
+        context.state.has_holders = way == 'with'
+        context.now = NOW
+
+    @staticmethod
+    @when('work waits for "{name}"')
+    def set_queue(context: Any, name: str) -> None:
+        """Record that work waited for a member."""
+        context.state.members[name].queued_at = NOW
+
+    @staticmethod
+    @when('"{name}" refuses a statement for load')
+    def set_busy(context: Any, name: str) -> None:
+        """Record a refusal; the time for which reads avoid it passes."""
+        context.state.members[name].on_busy(NOW)
+        context.now = NOW + 0.1
+
+    @staticmethod
+    @then('a bounded read in zone "{zone}" goes to {place}')
+    def check_zone_place(context: Any, zone: str, place: str) -> None:
+        """Check the member that serves the reads of a zone."""
+        context.zone = zone
+        found = PlacementSteps._find_placement(context)
+        if place == 'a replica':
+            assert found.member != context.state.primary, found
+        else:
+            assert found.member == place.strip('"'), found
+
     @staticmethod
     @given(
         '"{one}" has a latency of {first:d} ms and "{other}" of {second:d} ms'
--- a/packages/core/src/trefoilpulley_core/direct/concurrency_limit.py
+++ b/packages/core/src/trefoilpulley_core/direct/concurrency_limit.py
@@ -71,6 +71,11 @@
         """Number of statements that may be in flight at the member."""
         return int(self._max_limit if self._limit is None else self._limit)
 
+    @property
+    def is_reduced(self) -> bool:
+        """Whether the member has had a queue or refused a statement."""
+        return self._limit is not None
+
     def update(self, max_limit: int) -> None:
         """Set the upper bound: the maximum number of connections."""
         self._max_limit = max(MIN_LIMIT, float(max_limit))
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -46,6 +46,9 @@
 LAG_AVOIDANCE_S = 0.25
 """Time for which a replica is avoided after it lacked a floor, in seconds."""
 
+QUEUE_MEMORY_S = 0.5
+"""Time for which a queue at a member is remembered, in seconds."""
+
 BUSY_AVOIDANCE_S = 0.02
 """Time for which a member is avoided after it refused for load, in seconds."""
 
@@ -124,6 +127,9 @@
         self.last_answer_at = float('-inf')
         """Time of the last answer of any kind, in seconds."""
 
+        self.queued_at = float('-inf')
+        """Last time at which work waited for the member, in seconds."""
+
         self.failing_since: float | None = None
         """Time of the first failure since the last answer, in seconds.
 
@@ -166,6 +172,16 @@
         self.latency_s = expected_s
         self.last_served_at = now
 
+    def has_queue(self, now: float) -> bool:
+        """Return whether work waited for the member recently.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        return now - self.queued_at <= QUEUE_MEMORY_S
+
     def expected_latency_s(self, now: float) -> float:
         """Return the expected latency of a statement, in seconds.
 
@@ -239,6 +255,9 @@
         self.primary_since = float('-inf')
         """Time of the first proof of the primary's leadership, in seconds."""
 
+        self.has_holders = False
+        """Whether a few hosts hold the members' connections for all hosts."""
+
         self.term = 0
         """Highest term in which a member proved its leadership."""
 
--- a/packages/core/src/trefoilpulley_core/direct/placement.py
+++ b/packages/core/src/trefoilpulley_core/direct/placement.py
@@ -7,6 +7,10 @@
 in flight there. A member that slows down therefore gets fewer reads at once,
 and so does a member that fails part of its statements. A member that has just
 started or recovered gets the part of its reads that its pace allows.
+
+Load pattern between zones: each group has one member in each zone, and bytes
+between zones are scarce. While the primary has no queue, it serves the reads
+of its own zone like a replica, and no read crosses zones.
 """
 
 from __future__ import annotations
@@ -99,6 +103,7 @@
     """Return the member with the lowest cost and its cost in seconds."""
     best: Placement | None = None
     best_cost_s = float('inf')
+    primary_factor = _primary_cost_factor(group, floor, zone, excluded, now)
     for name, health in group.members.items():
         if name in excluded or health.failing_since is not None:
             continue
@@ -107,7 +112,7 @@
             continue
         cost_s = _cost_s(health, zone, now)
         if is_primary:
-            cost_s *= PRIMARY_COST_FACTOR
+            cost_s *= primary_factor
         elif _may_lack_floor(health, floor, now):
             if now - health.last_lag_refusal_at < LAG_AVOIDANCE_S:
                 # The replica has just refused another read for lag.
@@ -119,6 +124,36 @@
     return best, best_cost_s
 
 
+def _primary_cost_factor(
+    group: GroupState,
+    floor: Evidence | None,
+    zone: str,
+    excluded: frozenset[str],
+    now: float,
+) -> float:
+    """Return the cost of the primary relative to a replica.
+
+    A primary without a queue is a member like the others for its zone, if no
+    replica of the zone serves the read. This applies only where few hosts
+    hold the connections for all: elsewhere the connections to the primary
+    are the first to run out.
+    """
+    primary = group.members.get(group.primary or '')
+    if primary is None or not group.has_holders or primary.record.zone != zone:
+        return PRIMARY_COST_FACTOR
+    if primary.overload.is_active(now) or primary.has_queue(now):
+        return PRIMARY_COST_FACTOR
+    has_near_replica = any(
+        health.record.zone == zone
+        and health.failing_since is None
+        and name != group.primary
+        and name not in excluded
+        and not (floor and _may_lack_floor(health, floor, now))
+        for name, health in group.members.items()
+    )
+    return PRIMARY_COST_FACTOR if has_near_replica else 1.0
+
+
 def _cost_s(health: MemberHealth, zone: str, now: float) -> float:
     cost_s = health.expected_latency_s(now) * (
         1 + IN_FLIGHT_WEIGHT * health.in_flight
--- a/packages/core/src/trefoilpulley_core/direct/relay_messages.py
+++ b/packages/core/src/trefoilpulley_core/direct/relay_messages.py
@@ -115,6 +115,9 @@
     evidence: EvidenceReport = EvidenceReport()
     """Newest evidence that the holder has of the group."""
 
+    has_queue: bool = False
+    """Whether work waits for the member, at the holder or at the member."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayRefused:
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -299,16 +299,19 @@
             if limits is None:
                 continue
             group.limits = limits
+            group.state.has_holders = False
             for access in group.accesses.values():
+                holders = choose_holders(
+                    name,
+                    access.health.record.zone,
+                    self._live,
+                    limits.max_connections,
+                    len(self._capacities),
+                    self._capacities,
+                )
+                group.state.has_holders |= bool(holders.hosts)
                 access.update(
                     limits.max_connections,
-                    choose_holders(
-                        name,
-                        access.health.record.zone,
-                        self._live,
-                        limits.max_connections,
-                        len(self._capacities),
-                        self._capacities,
-                    ),
+                    holders,
                     self.table.customers is not None,
                 )
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -163,6 +163,7 @@
             tuple(pack_reply(r) for r in replies),
             round(1000 * lease.access.health.expected_latency_s(now), 1),
             make_report(lease.group.state.evidence.newest, now),
+            lease.access.health.has_queue(now),
         )
 
     def on_end(self, message: EndLease, peer: PeerIdentity) -> PooledDone:
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -227,6 +227,8 @@
         now = self._clock.now()
         if not self.pool.has_latency(now):
             self._health.on_reported_latency(replies.expected_ms / 1000, now)
+        if replies.has_queue:
+            self._health.queued_at = now
         evidence = read_report(replies.evidence, asked_at)
         if evidence is not None:
             self._group.evidence.record(evidence.at, evidence.position)
