Refuse waiting work after half of its goal again

Cause: held until its time limit, late work runs after its caller has given up.

Change: the admission time is half of the goal, as before. A caller that is refused then still meets its goal at another host. The order of the queue, the room that late work makes and the reserve of the goal stay.

--- a/features/fakes/waiting_replay.py
+++ b/features/fakes/waiting_replay.py
@@ -17,7 +17,7 @@
 from trefoilpulley_core.direct.connection_request import ConnectionRequest
 
 from trefoilpulley_node.direct.statement_request import GOAL_RESERVE
-from trefoilpulley_node.direct.statement_request import RUN_TIME_FACTOR
+from trefoilpulley_node.direct.statement_request import QUEUE_TIME_FACTOR
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -202,7 +202,7 @@
     return ConnectionRequest(
         route.priority,
         work.at + route.timeout_s,
-        work.at + (1 - RUN_TIME_FACTOR) * route.timeout_s,
+        work.at + QUEUE_TIME_FACTOR * route.goal_s,
         work.at + (1 - GOAL_RESERVE) * route.goal_s,
         work.kind,
     )
--- a/packages/node/src/trefoilpulley_node/direct/statement_request.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_request.py
@@ -17,18 +17,19 @@
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_node.direct.directory import Group
 
-GOAL_RESERVE = 0.25
-"""Part of a route's latency goal that is reserved after the queue.
+QUEUE_TIME_FACTOR = 0.5
+"""Part of a route's latency goal that a statement may spend in a queue.
 
-It covers the way to the member and back and longer statements than the mean.
+A statement that waits longer rarely meets the goal. The statement is refused
+at once, so that its caller can try another host while the goal can still be
+met. Held until its time limit, many a statement runs after its caller has
+given up, and takes the slot of another one.
 """
 
-RUN_TIME_FACTOR = 0.1
-"""Part of a statement's time limit that is reserved to run it.
+GOAL_RESERVE = 0.25
+"""Part of a route's latency goal that is reserved after the queue.
 
-A statement that can no longer meet its goal waits for a free connection until
-then. Refused earlier, most callers repeat it, and the repetition looks like
-new work that can still meet its goal.
+It covers the way to the member and back and longer statements than the mean.
 """
 
 
@@ -75,8 +76,7 @@
     @property
     def admit_by(self) -> float:
         """Time by which the statement must get a connection, in seconds."""
-        time_limit_s = self.deadline - self.arrived_at
-        return self.deadline - RUN_TIME_FACTOR * time_limit_s
+        return self.arrived_at + QUEUE_TIME_FACTOR * self.route.goal_s
 
     def connection_request(
         self, is_transaction: bool = False
@@ -91,7 +91,7 @@
         return ConnectionRequest(
             self.route.priority,
             self.deadline,
-            self.admit_by,
+            min(self.admit_by, self.deadline),
             self.arrived_at + (1 - GOAL_RESERVE) * self.route.goal_s,
             self.route.database,
             self.customer,
