Count all registered hosts as live for the limits after a start

Cause: after a loss of all power, each host took itself for the only one. It granted 1/86 of the limits, and a larger share only 1 s after it had found more hosts; the owners changed with each host that was found.

Change: for its first 3 s a host takes all registered hosts for live when it chooses owners and the share of its side. The pace of a new owner stays.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -34,6 +34,27 @@
       | 0        | a zone is cut off                      | 0.9  |
       | 60       | a zone is cut off                      | 0.6  |
 
+  Scenario: customers within their limits are served soon after a loss of all power
+    Load pattern: all hosts start at once, and find each other within 1 s.
+    Guards against owners that change with each host that is found, and against
+    the small share of a host that takes itself for the only one.
+
+    Given 86 hosts with 85 customers
+    When 20 s pass
+    And all hosts lose power for 1 s
+    And 5 s pass
+    Then less than half as much is refused as without the assumption
+    And the operations of each customer are within the bound
+
+  Scenario: a loss of all power under overload stays within the bound
+    Given 86 hosts with 85 customers
+    When customer 0 sends 6 times its limit
+    And customer 60 sends 6 times its limit
+    And 5 s pass
+    And all hosts lose power for 0.5 s
+    And 10 s pass
+    Then the operations of each customer are within the bound
+
   Scenario Outline: both sides of a partition count
     Given 86 hosts with 85 customers
     When customer <customer> sends 6 times its limit
--- a/features/fakes/limit_fleet.py
+++ b/features/fakes/limit_fleet.py
@@ -9,6 +9,7 @@
 from trefoilpulley_core.direct.admission_messages import AdmissionQuestion
 from trefoilpulley_core.direct.customer_limit import CustomerLimits
 from trefoilpulley_core.direct.customer_limit import LimitBounds
+from trefoilpulley_core.direct.customer_limit import START_S
 from trefoilpulley_core.direct.customers import Customer
 from trefoilpulley_core.direct.customers import CustomerLimit
 
@@ -85,6 +86,21 @@
         live = [n for n in self.up if self.side[n] == self.side[name]]
         self.hosts[name].set_hosts(live, self.registered, {}, self.now)
 
+    def count_refused(self) -> int:
+        """Return how many operations were refused."""
+        return sum(len(times) for times in self.refused.values())
+
+    def restart_all(self, down_s: float) -> None:
+        """Restart all hosts, which find each other within `DETECTION_S`."""
+        self.now += down_s
+        for name in self.names:
+            self.hosts[name] = CustomerLimits(name, BOUNDS, self.now)
+            self.apply(name)
+            limits = self.hosts[name]
+            limits.set_hosts({name}, self.registered, {}, self.now)
+            self._pending.append((self.now + START_S, name))
+        self.change()
+
     def change(self) -> None:
         """Let each host learn of the live hosts within `DETECTION_S`."""
         for name in self.names:
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -20,6 +20,7 @@
 from trefoilpulley_core.direct.commands import Begin
 from trefoilpulley_core.direct.commands import Commit
 from trefoilpulley_core.direct.commands import Run
+from trefoilpulley_core.direct import customer_limit
 from trefoilpulley_core.direct.customer_limit import CustomerLimits
 from trefoilpulley_core.direct.customer_limit import LimitBounds
 from trefoilpulley_core.direct.customer_limit import LimitPlan
@@ -135,6 +136,25 @@
         fleet.side.update(dict.fromkeys(fleet.names[::3], 1))
         fleet.change()
 
+    @staticmethod
+    @when('all hosts lose power for {down_s:g} s')
+    def restart_all(context: Any, down_s: float) -> None:
+        """Restart all hosts."""
+        context.fleet.restart_all(down_s)
+        context.down_s = down_s
+
+    @staticmethod
+    @then('less than half as much is refused as without the assumption')
+    def check_less_refused(context: Any) -> None:
+        """Play the same with hosts that count only those they have found."""
+        _patch(context, customer_limit, 'START_S', 0.0)
+        other = LimitFleet(86)
+        other.run(20.0)
+        other.restart_all(context.down_s)
+        other.run(5.0)
+        refused, before = context.fleet.count_refused(), other.count_refused()
+        assert refused < before / 2, (refused, before)
+
     @staticmethod
     @when('the leases of the zone expire')
     def expire(context: Any) -> None:
--- a/packages/core/src/trefoilpulley_core/direct/customer_limit.py
+++ b/packages/core/src/trefoilpulley_core/direct/customer_limit.py
@@ -38,6 +38,14 @@
 host may still own the limit.
 """
 
+START_S = 3.0
+"""Time after a host's start in which it takes all registered hosts for live.
+
+In seconds. The membership finds the live hosts within this time. If each host
+that has just started took itself for the only one, the owners would change
+several times after a loss of all power, and each would grant a small share.
+"""
+
 LONE_START_SHARE = 0.75
 """Part of the allowance of lone hosts that they may use at once.
 
@@ -147,10 +155,18 @@
         Name of this host.
     bounds : LimitBounds
         Bound of a sliding window.
+    started_at : float, optional
+        Time at which the host has started, in seconds.
     """
 
-    def __init__(self, host: str, bounds: LimitBounds) -> None:
+    def __init__(
+        self,
+        host: str,
+        bounds: LimitBounds,
+        started_at: float = float('-inf'),
+    ) -> None:
         self._host = host
+        self._started_at = started_at
         self._bounds = bounds
         self._customers: Mapping[str, Customer] = {}
         self._weights: Mapping[str, float] = {}
@@ -208,6 +224,8 @@
         """
         for owned in self._owned.values():
             self._refill(owned, now)
+        if now - self._started_at < START_S:
+            live = {*live, *registered}
         self._share.update(live, registered, now)
         self._weights = weights
         self._assign(now)
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.direct.config_inquiry import ConfigInquiry
 from trefoilpulley_core.direct.config_messages import ConfigurationQuestion
 from trefoilpulley_core.direct.customer_limit import CustomerLimits
+from trefoilpulley_core.direct.customer_limit import START_S
 from trefoilpulley_core.direct.evidence_messages import EvidenceQuestion
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
@@ -134,6 +135,7 @@
         self.configuration.subscribe(self._config_exchange.on_applied)
         self.configuration.subscribe(self._set_limits)
         self._update_hosts()
+        gevent.spawn_later(START_S, self._update_limits)
         self._peer_server.register(
             ReachQuestion,
             lambda question, _: self._vote.on_reach_question(question),
@@ -278,7 +280,9 @@
 
     @cached_property
     def _limits(self) -> CustomerLimits:
-        return CustomerLimits(self._cfg.host, self._cfg.limit_bounds)
+        return CustomerLimits(
+            self._cfg.host, self._cfg.limit_bounds, self._clock.now()
+        )
 
     @cached_property
     def _admissions(self) -> AdmissionExchange:
@@ -495,7 +499,10 @@
     def _update_limits(self) -> None:
         hosts = self._hosts
         self._limits.set_hosts(
-            hosts.live, hosts.registered, hosts.capacities, self._clock.now()
+            hosts.live,
+            hosts.registered,
+            hosts.known_capacities,
+            self._clock.now(),
         )
 
     def _set_limits(self, table: RouteTable) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/host_view.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_view.py
@@ -78,6 +78,13 @@
         entries = [self._host, *map(self._find_entry, self.live)]
         return {e.name: e.capacity for e in entries if e is not None}
 
+    @property
+    def known_capacities(self) -> dict[str, float]:
+        """Capacity of each registered or live host."""
+        names = {*self.registered, *self.live}
+        entries = [self._host, *map(self._find_entry, sorted(names))]
+        return {e.name: e.capacity for e in entries if e is not None}
+
     def count_reachable(self, now: float) -> int:
         """Return how many hosts answer, at a time in seconds.
 
