--- a/packages/core/src/trefoilpulley_core/direct/member_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/member_pace.py
@@ -223,6 +223,20 @@
         Of these reads, the member gets the part `fraction`, and none that
         would wait on this host.
 
+        Parameters
+        ----------
+        in_flight : int
+            Statements of this host that are in flight at the member.
+        """
+        is_admitted = self.would_admit_read(in_flight)
+        if self.reason is not None and not self._is_full(in_flight):
+            self._read_credit += self.fraction
+            self._read_credit -= is_admitted
+        return is_admitted
+
+    def would_admit_read(self, in_flight: int) -> bool:
+        """Return what `admits_read` would return, without spending credit.
+
         Parameters
         ----------
         in_flight : int
@@ -230,13 +244,12 @@
         """
         if self.reason is None:
             return True
-        if self._limit is not None and in_flight >= self.cap(self._limit):
+        if self._is_full(in_flight):
             return False
-        self._read_credit += self.fraction
-        if self._read_credit < 1:
-            return False
-        self._read_credit -= 1
-        return True
+        return self._read_credit + self.fraction >= 1
+
+    def _is_full(self, in_flight: int) -> bool:
+        return self._limit is not None and in_flight >= self.cap(self._limit)
 
     def on_served(self, kind: str, duration_s: float, now: float) -> None:
         """Record an answer to a statement.
