Measure the lag of a replica by the position in its replies

Cause: a refusal for lag set the expected lag to twice the age of the floor and kept all reads from the replica for 0.25 s.

Change: each reply holds the position of the replica, and the evidence tells when the primary passed it. This lag counts for 0.5 s. Without evidence, the estimate is as before.

--- a/features/proxy_reads.feature
+++ b/features/proxy_reads.feature
@@ -68,6 +68,25 @@
     When "r" was behind a floor of 900 ms
     Then a bounded read goes to "s"
 
+  Scenario: the position in a reply shows the lag of a replica
+    Load pattern: replicas apply the log about 1 s late. Reads of data up to
+    1.35 s old miss now and then, and must not keep out reads of older data.
+
+    Given a group with the primary "p" and replicas "r s" in zone "a"
+    And a commit proved each 100 ms, up to 10.0 s
+    When "r" refuses a floor of 1000 ms at the position of 8.5 s
+    And "s" refuses a floor of 1000 ms at the position of 8.5 s
+    Then a read of data 2.3 s old goes to a replica
+    But a read of data 1.0 s old goes to "p"
+
+  Scenario: a replica that has caught up is used at once
+    Given a group with the primary "p" and replicas "r s" in zone "a"
+    And a commit proved each 100 ms, up to 10.0 s
+    When "r" refuses a floor of 1000 ms at the position of 8.5 s
+    And "r" reports the position of 10.0 s
+    And "s" becomes unreachable alone
+    Then a read of data 1.0 s old goes to a replica
+
   Scenario: a read that the primary refused is not sent to replicas far behind
     Given a group with the primary "p" and replicas "r s" in zone "a"
     When "r" was behind a floor of 2000 ms
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -139,6 +139,49 @@
         context.state.members[name].on_busy(NOW)
         context.now = NOW + 0.1
 
+    @staticmethod
+    @given('a commit proved each {step:d} ms, up to {until:f} s')
+    def record_evidence(context: Any, step: int, until: float) -> None:
+        """Record one commit with each piece of evidence."""
+        context.now = until
+        for number in range(round(1000 * until / step) + 1):
+            at = number * step / 1000
+            context.state.evidence.record(at, _position_at(at))
+
+    @staticmethod
+    @when('"{name}" reports the position of {at:f} s')
+    def report_position(context: Any, name: str, at: float) -> None:
+        """Record a reply of a replica."""
+        health = context.state.members[name]
+        health.on_answer(context.now, _position_at(at))
+
+    @staticmethod
+    @when('"{name}" refuses a floor of {age:d} ms at the position of {at:f} s')
+    def report_missing(context: Any, name: str, at: float, age: int) -> None:
+        """Record the refusal of a replica that lags."""
+        PlacementSteps.report_position(context, name, at)
+        health = context.state.members[name]
+        health.on_floor_missing(age / 1000, context.now)
+
+    @staticmethod
+    @when('"{name}" becomes unreachable alone')
+    def lose_one(context: Any, name: str) -> None:
+        """Record that a member is unreachable."""
+        context.state.members[name].on_unreachable(context.now)
+
+    @staticmethod
+    @then('a read of data {age:f} s old goes to {place}')
+    def check_age_place(context: Any, age: float, place: str) -> None:
+        """Check the member that serves a read with a floor of an age."""
+        floor = context.state.evidence.oldest_since(context.now - age)
+        found = place_read(
+            context.state, floor, context.zone, frozenset(), context.now
+        )
+        if place == 'a replica':
+            assert found.member != context.state.primary, found
+        else:
+            assert found.member == place.strip('"'), found
+
     @staticmethod
     @then('a bounded read in zone "{zone}" goes to {place}')
     def check_zone_place(context: Any, zone: str, place: str) -> None:
@@ -365,5 +408,9 @@
         assert is_isolated is (verdict == 'counts')
 
 
+def _position_at(at: float) -> Position:
+    return Position(1, 1 + round(10 * at))
+
+
 def _route(kind: str, age_s: float) -> Route:
     return Route('db', 'ledger', ReadFreshness(kind), 1.0, 0.2, 1, age_s)
--- a/packages/core/src/trefoilpulley_core/direct/evidence.py
+++ b/packages/core/src/trefoilpulley_core/direct/evidence.py
@@ -91,6 +91,15 @@
         while entries and entries[0].at < at - EVIDENCE_RETENTION_S:
             entries.popleft()
 
+    def passed_at(self, position: Position) -> float | None:
+        """Return when the primary is first known to have passed a position.
+
+        In seconds; ``None`` if it is not known to have passed it.
+        """
+        return next(
+            (e.at for e in self._entries if e.position > position), None
+        )
+
     def oldest_since(self, since: float) -> Evidence | None:
         """Return the oldest evidence at or after a time."""
         return next((e for e in self._entries if e.at >= since), None)
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -43,6 +43,15 @@
 LAG_WEIGHT = 0.2
 """Weight of a floor that the replica held in the average of its lag."""
 
+LAG_MEASUREMENT_TTL_S = 0.5
+"""Time for which a measured lag counts, in seconds.
+
+Longer, a replica that has caught up would get no reads that show it.
+"""
+
+REFUSAL_HANDLING_S = 0.05
+"""Longest time from the reply of a member to its evaluation, in seconds."""
+
 LAG_AVOIDANCE_S = 0.25
 """Time for which a replica is avoided after it lacked a floor, in seconds."""
 
@@ -91,12 +100,18 @@
         Entry of the member.
     pace : MemberPace, optional
         Part of its fair share that the member gets from this host.
+    evidence : EvidenceLog, optional
+        Proved positions of the group, which show the lag of a position.
     """
 
     def __init__(
-        self, record: MemberRecord, pace: MemberPace | None = None
+        self,
+        record: MemberRecord,
+        pace: MemberPace | None = None,
+        evidence: EvidenceLog | None = None,
     ) -> None:
         self.record = record
+        self._evidence = evidence or EvidenceLog()
         self.pace = pace or MemberPace()
         """Part of its fair share that the member gets from this host."""
 
@@ -109,6 +124,9 @@
         self.lag_s = INITIAL_LAG_S
         """Estimated lag at ``last_lag_refusal_at``, in seconds."""
 
+        self.lag_measured_at = float('-inf')
+        """Time at which a position has shown the lag, in seconds."""
+
         self.last_lag_refusal_at = float('-inf')
         """Time of the member's last refusal for lag, in seconds."""
 
@@ -156,6 +174,7 @@
         self.failing_since = None
         if position > self.position:
             self.position = position
+        self._measure_lag(now, position)
 
     def on_served(self, duration_s: float, now: float) -> None:
         """Record the latency of a statement."""
@@ -200,16 +219,26 @@
         The estimate decays after a refusal, because a replica that gets no
         reads cannot show that it has caught up.
         """
-        age_s = now - self.last_lag_refusal_at
+        measured_age_s = now - self.lag_measured_at
+        if measured_age_s <= LAG_MEASUREMENT_TTL_S:
+            return self.lag_s
+        age_s = now - max(self.last_lag_refusal_at, self.lag_measured_at)
         decay = 0.5 ** (max(0.0, age_s) / LAG_HALF_LIFE_S)
         return INITIAL_LAG_S + decay * (self.lag_s - INITIAL_LAG_S)
 
     def on_floor_missing(self, floor_age_s: float, now: float) -> None:
-        """Record that the member lacked a floor of the given age."""
+        """Record that the member lacked a floor of the given age.
+
+        The position in the refusal shows the lag, if there is evidence of it.
+        Other reads, whose floors are older, then still use the member.
+        """
+        self.last_lag_refusal_at = now
+        if now - self.lag_measured_at <= REFUSAL_HANDLING_S:
+            self.lag_s = max(self.lag_s, floor_age_s)
+            return
         self.lag_s = max(
             self.expected_lag_s(now), min(2 * floor_age_s, MAX_LAG_S)
         )
-        self.last_lag_refusal_at = now
         self.avoid_until = now + LAG_AVOIDANCE_S
 
     def on_floor_held(self, floor_age_s: float) -> None:
@@ -217,6 +246,23 @@
         if floor_age_s < self.lag_s:
             self.lag_s += LAG_WEIGHT * (floor_age_s - self.lag_s)
 
+    def _measure_lag(self, now: float, position: Position) -> None:
+        """Measure the lag of a replica that has reported a position.
+
+        A replica that lacks nothing that is known may lag all the same, by
+        less than the age of the newest evidence.
+        """
+        newest = self._evidence.newest
+        if position.index == 0 or newest is None:
+            return
+        passed_at = self._evidence.passed_at(position)
+        if passed_at is None:
+            lag_s = min(self.expected_lag_s(now), now - newest.at)
+        else:
+            lag_s = min(now - passed_at, MAX_LAG_S)
+        self.lag_s = max(lag_s, INITIAL_LAG_S)
+        self.lag_measured_at = now
+
     def update_leaving(self, now: float) -> None:
         """Update ``leaving_since`` from the member's entry."""
         if not self.record.is_leaving:
@@ -345,7 +391,7 @@
         """Add a member, or replace its former incarnation."""
         member = record.member
         pace = MemberPace(self._baseline, lambda: self._least_pace(member))
-        self.members[member] = MemberHealth(record, pace)
+        self.members[member] = MemberHealth(record, pace, self.evidence)
         pace.begin(reason)
 
     def _on_primary(self, member: str | None) -> None:
