Route around holders that do not reach a member

Cause: a host gave up after three holders, a holder that was cut off waited for a dial timeout of 0.4 s for each request and refused its own callers, and hosts took a primary for lost that other hosts reached.

Change: what a host itself reaches (OwnReach, in the member's pool) and whether the member answers by any path (MemberHealth.failing_since) are two facts. A holder whose own reach fails refuses at once, and its own callers use the other holders. A refusal that says that the member is missed is no attempt; the holder is ranked behind the others for 1 s. A member is unreachable after every holder asked, and two at least, have said so. Votes and changes of a primary go by what the host itself reaches. A transaction that one holder held up is opened through the next one. RelayClient, ConnectionOpener and ReachCheck are moved to modules of their own.

The scenario of random requests reads the count of dials from its new place.

Conclusion: while three holders reach the primary, only the requests that are in flight at the start of a cut, or meet a holder that does not know it yet, are not served.

--- a/features/steps/customer_connections_steps.py
+++ b/features/steps/customer_connections_steps.py
@@ -48,7 +48,7 @@
 from trefoilpulley_node.direct.exchange import Exchanger
 from trefoilpulley_node.direct.member_access import MemberAccess
 from trefoilpulley_node.direct.member_pool import MemberPool
-from trefoilpulley_node.direct.relayed_session import RelayClient
+from trefoilpulley_node.direct.relay_client import RelayClient
 
 LONG_S = 3600.0
 """Time limit that no scenario reaches, in seconds."""
@@ -495,7 +495,9 @@
         """Check that no wake-up was lost and no count is off."""
         wait_until(lambda: all(r.ready() for r in context.requests))
         pool = context.pool
-        assert (pool.waiting, pool._assigned_count, pool._dialing) == (0,) * 3
+        assert (pool.waiting, pool._assigned_count, pool._opener.dialing) == (
+            0,
+        ) * 3
         assert pool.open_connections == context.dialer.open_count
 
     @staticmethod
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -118,16 +118,11 @@
         self.in_flight = 0
         """Statements of this host that are in flight at the member."""
 
-        self.unanswered_since = float('-inf')
-        """Time since which statements have been in flight, in seconds."""
-
-        self.last_answer_at = float('-inf')
-        """Time of the last answer of any kind, in seconds."""
-
         self.failing_since: float | None = None
         """Time of the first failure since the last answer, in seconds.
 
-        ``None`` if the member has not failed since then.
+        ``None`` if the member has not failed since then, by any path: a
+        member that answers through other hosts is not failing.
         """
 
         self.leaving_since: float | None = None
@@ -144,7 +139,6 @@
 
     def on_answer(self, now: float, position: Position) -> None:
         """Record an answer of the member."""
-        self.last_answer_at = now
         if self.failing_since is not None:
             self.pace.begin(PaceReason.RECOVERED)
         self.failing_since = None
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -224,11 +224,14 @@
                 request.route.group
             ):
                 break
+            asked_at = self._clock.now()
             result = self._open_at(request, place)
             if isinstance(result, Success):
                 return result
             failure = result.failure()
             self._on_open_failed(request, place, failure, excluded)
+            if self._is_held_up(request, place, failure, asked_at):
+                excluded.discard(place.member)
         if failure.run_state is RunState.NOT_RUN:
             return Failed(failure)
         return Failed(TransactionLost(failure.code))
@@ -262,6 +265,26 @@
             step='begin',
         )
 
+    def _is_held_up(
+        self,
+        request: StatementRequest,
+        place: Placement,
+        failure: Failure,
+        asked_at: float,
+    ) -> bool:
+        """Return whether one holder used up the time to open a transaction.
+
+        The holder dials a member that it does not reach, and has sent nothing.
+        The other holders of a primary may reach it.
+        """
+        if place.floor is not None or not isinstance(failure, NoUpstream):
+            return False
+        access = request.group.find_access(place.member)
+        if access is None or not access.other_holders:
+            return False
+        is_timed_out = self._clock.now() - asked_at >= OPEN_TIMEOUT_S
+        return is_timed_out and self._primary_wait.is_serving(request.group)
+
     def _place(
         self, request: StatementRequest, excluded: frozenset[str]
     ) -> Placement | None:
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -12,7 +12,7 @@
 from trefoilpulley_core.retry_budget import RetryBudget
 from trefoilpulley_node.direct.member_access import MemberAccess
 from trefoilpulley_node.direct.member_pool import MemberPool
-from trefoilpulley_node.direct.relayed_session import RelayClient
+from trefoilpulley_node.direct.relay_client import RelayClient
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -79,9 +79,7 @@
         sent_at = self._clock.now()
         timeout_s = max(0.001, deadline - sent_at)
         health.in_flight += 1
-        if health.in_flight == 1:
-            health.unanswered_since = sent_at
-        in_flight = access.on_sending(conn)
+        in_flight = access.on_sending(conn, sent_at)
         try:
             result = conn.exchange(calls, timeout_s, setting)
         except StatementInterrupted as exc:
@@ -96,7 +94,7 @@
         )
         health.failure_rate.record(has_failed, now)
         if isinstance(result, Success):
-            health.on_answer(now, result.unwrap()[-1].position)
+            access.on_answer(conn, result.unwrap()[-1].position, now)
             access.on_served(conn, now - sent_at, now)
             is_statement = isinstance(calls[0], RunStatement)
             access.on_replies(
--- a/packages/node/src/trefoilpulley_node/direct/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_vote.py
@@ -141,21 +141,26 @@
         )
 
     def on_reach_question(self, question: ReachQuestion) -> ReachReport:
-        """Return whether this host reaches a member."""
+        """Return whether this host reaches a member.
+
+        Answers that a holder has got through other holders do not count.
+        """
         group = self._groups.get(question.group)
         if group is None:
             return ReachReport(self._host, is_reached=False)
-        health = group.state.members.get(question.member)
+        access = group.find_access(question.member)
         now = self._clock.now()
-        if health and now - health.last_answer_at < MAX_RECENT_ANSWER_AGE_S:
-            return ReachReport(self._host, is_reached=True)
+        if access is not None:
+            answered_at = access.local_pool.reach.own.last_answer_at
+            if now - answered_at < MAX_RECENT_ANSWER_AGE_S:
+                return ReachReport(self._host, is_reached=True)
         is_reachable = self._prober.can_connect(group, question.member)
         if not is_reachable:
-            access = group.find_access(question.member)
             if access is not None and access.is_relayed:
                 # This host sends no statements of its own to the member, so
-                # that no failed statement would reveal the loss.
-                access.health.on_unreachable(now)
+                # that no failed statement would reveal the loss. The primary
+                # is checked; requests may still reach it through its holders.
+                access.local_pool.on_unreachable(now)
             group.check_requested.set()
         return ReachReport(self._host, is_reachable)
 
--- a/packages/node/src/trefoilpulley_node/direct/member_access.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_access.py
@@ -20,9 +20,10 @@
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.member_pool import MemberPool
     from trefoilpulley_node.direct.member_session import MemberSession
-    from trefoilpulley_node.direct.relayed_session import RelayClient
+    from trefoilpulley_node.direct.relay_client import RelayClient
 
 
 class MemberAccess:
@@ -31,7 +32,8 @@
     A session uses a connection of this host or, where other hosts hold the
     connections to the member, a relay through one of these hosts. The
     connections of a customer are at one holder, so that a holder relays the
-    work of customers of which another holder is the first in rank.
+    work of customers of which another holder is the first in rank. A holder
+    that does not reach the member relays all of its callers' work.
 
     Parameters
     ----------
@@ -63,6 +65,14 @@
         """Hosts that relay to the member; empty with local connections."""
         return self._relay_client.holders if self.is_relayed else ()
 
+    @property
+    def other_holders(self) -> tuple[str, ...]:
+        """Other hosts that hold connections to the member."""
+        client = self._relay_client
+        if client is None:
+            return ()
+        return tuple(h for h in client.holders if h != client.host)
+
     def update(
         self,
         max_connections: int,
@@ -92,6 +102,7 @@
             )
         self.local_pool.in_flight_limit.update(self.local_pool.share.max_open)
         if self._relay_client is not None:
+            self.local_pool.reach.update(self._relay_client.host, holders)
             self._relay_client.update(holders)
 
     def acquire(
@@ -106,23 +117,36 @@
             return acquired
         if not client.has_next_holder(work):
             return acquired
-        return Success(client.open(work, is_refused_here=True))
+        return Success(client.open(work, client.classify_own_refusal()))
 
-    def on_sending(self, conn: MemberSession) -> int:
+    def on_sending(self, conn: MemberSession, now: float) -> int:
         """Count a request; return those in flight on this host's connections.
 
         Requests that are relayed count at the holder.
         """
+        if conn.is_own:
+            self.local_pool.reach.own.on_sending(now)
         if isinstance(conn, PooledSession):
             self.local_pool.in_flight += 1
         return self.local_pool.in_flight
 
     def on_sent(self, conn: MemberSession) -> None:
         """Count a request that was answered or has failed."""
+        if conn.is_own:
+            self.local_pool.reach.own.on_sent()
         if isinstance(conn, PooledSession):
             self.local_pool.in_flight -= 1
         self.local_pool.serve_queue()
 
+    def on_answer(
+        self, conn: MemberSession, position: Position, now: float
+    ) -> None:
+        """Record that the member has answered a request."""
+        if conn.is_own:
+            self.local_pool.reach.on_answer(now, position)
+        else:
+            self.health.on_answer(now, position)
+
     def on_served(
         self, conn: MemberSession, duration_s: float, now: float
     ) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -21,7 +21,9 @@
 from trefoilpulley_core.direct.upstream_session import ConnectionLimitReached
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_core.failure import Overloaded
-from trefoilpulley_node.direct.pooled_session import PooledSession
+from trefoilpulley_node.direct.connection_opener import ConnectionOpener
+from trefoilpulley_node.direct.connection_opener import DIAL_TIMEOUT_S
+from trefoilpulley_node.direct.member_reach import MemberReach
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -38,9 +40,7 @@
     from trefoilpulley_core.direct.upstream_session import UpstreamDialer
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
-
-DIAL_TIMEOUT_S = 0.4
-"""Timeout to open a connection, in seconds; a busy member takes tens of ms."""
+    from trefoilpulley_node.direct.pooled_session import PooledSession
 
 LIMIT_RETRY_INTERVAL_S = 0.05
 """Time between two attempts to connect to a full member, in seconds.
@@ -80,6 +80,9 @@
         metrics: DirectMetrics | None = None,
     ) -> None:
         self.health = health
+        self.reach = MemberReach(health)
+        """Whether this host reaches the member itself."""
+
         self.share = ConnectionShare()
         """Number of connections that this host may open to the member."""
 
@@ -95,14 +98,21 @@
         self.served_at = float('-inf')
         """Time of the last statement on these connections, in seconds."""
 
-        self._dialer = dialer
         self._clock = clock
         self._metrics = metrics
         self._connections: CustomerConnections[PooledSession] = (
             CustomerConnections()
         )
+        self._opener = ConnectionOpener(
+            health,
+            self.reach,
+            self._connections,
+            dialer,
+            self._on_dial_failed,
+            clock,
+            metrics,
+        )
         self._queue = ConnectionQueue()
-        self._dialing = 0
         self._assigned_count = 0
         self._is_closed = False
 
@@ -155,6 +165,9 @@
     ) -> Result[PooledSession, Failure]:
         deadline = work.deadline
         while not self._is_closed:
+            if self.reach.own.is_refusing and not work.is_internal:
+                self.serve_queue()
+                return Failed(NoUpstream('member does not answer this host'))
             now = self._clock.now()
             if self._has_room:
                 conn = self._take_idle(work, session)
@@ -284,13 +297,25 @@
         """Close a connection; the member rolls back an open transaction."""
         self._close_connection(conn, CloseReason.BROKEN)
 
+    def on_unreachable(self, now: float) -> None:
+        """Record that the member does not answer this host.
+
+        Where another holder may serve them, waiting requests are refused.
+        """
+        self.reach.on_unreachable(now)
+        if self.reach.own.is_refusing:
+            self._wake_all()
+
     def open_ahead(self) -> None:
         """Open a connection that is kept, before a request needs it."""
         if not self.is_idle_kept or self._is_closed:
             return
         if self.open_connections >= self.share.min_idle:
             return
-        if self.health.failing_since is None:
+        if (
+            self.health.failing_since is None
+            and not self.reach.own.is_refusing
+        ):
             gevent.spawn(self._open_ahead)
 
     def trim(self, now: float) -> None:
@@ -314,9 +339,7 @@
             self._connections.remove_idle(conn)
             self._count_closed(conn, CloseReason.STOPPED)
             conn.close()
-        for waiter in self._queue.drain():
-            self._assigned_count += 1
-            waiter.handle.set(None)
+        self._wake_all()
 
     def _take_idle(
         self, work: ConnectionRequest, session: SessionState
@@ -337,7 +360,7 @@
         self, work: ConnectionRequest, now: float
     ) -> DialPlan[PooledSession] | None:
         return self._connections.plan_dial(
-            work, self.share, self._dialing, now
+            work, self.share, self._opener.dialing, now
         )
 
     def _evict_for(self, customer: str, now: float) -> None:
@@ -362,43 +385,18 @@
         if reason is None:
             is_first = not self._connections.count_open(customer)
             reason = OpenReason.FIRST if is_first else OpenReason.MORE
-        self._connections.on_opening(customer)
-        self._dialing += 1
+        self._opener.reserve(customer)
         if evicted is not None:
             reason = OpenReason.REPLACING
             self._evict(evicted)
-        now = self._clock.now()
-        timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
         try:
-            dialled = self._dialer.dial(
-                self.health.record, timeout_s, customer
-            )
+            dialled = self._opener.open(deadline, customer, reason)
         except BaseException:
-            self._connections.on_closed(customer)
-            self._dialing -= 1
             self.serve_queue()
             raise
-        self._dialing -= 1
-        now = self._clock.now()
         if isinstance(dialled, Success):
-            self.health.on_answer(now, self.health.position)
-            self._connections.on_used(customer, now)
-            if self._metrics is not None:
-                self._metrics.count('connections_opened', reason.value)
             self.serve_queue()
-            return Success(
-                PooledSession(dialled.unwrap(), since=now, customer=customer)
-            )
-        self._connections.on_closed(customer)
-        failure = dialled.failure()
-        if isinstance(failure, ConnectionLimitReached):
-            self.health.on_answer(now, self.health.position)
-            return dialled
-        if timeout_s >= DIAL_TIMEOUT_S or not _is_timeout(failure):
-            self.health.on_unreachable(now)
-            self._wake_waiters()
-        # No request of the caller was sent on the connection.
-        return Failed(NoUpstream(f'{failure.code} {failure.detail}'))
+        return dialled
 
     def _open_ahead(self) -> None:
         deadline = self._clock.now() + DIAL_TIMEOUT_S
@@ -406,15 +404,14 @@
         if isinstance(dialled, Success):
             self.release(dialled.unwrap())
 
-    def _wake_waiters(self) -> None:
+    def _on_dial_failed(self, now: float) -> None:
         """Wake requests without an open connection, so that they fail early.
 
         Where nothing is open, these are all waiting requests.
         """
+        self.on_unreachable(now)
         if not self.open_connections:
-            for waiter in self._queue.drain():
-                self._assigned_count += 1
-                waiter.handle.set(None)
+            self._wake_all()
             return
         now = self._clock.now()
         while True:
@@ -432,6 +429,11 @@
             self._assigned_count += 1
             waiter.handle.set(None)
 
+    def _wake_all(self) -> None:
+        for waiter in self._queue.drain():
+            self._assigned_count += 1
+            waiter.handle.set(None)
+
     @property
     def _has_room(self) -> bool:
         """Whether one more statement may be sent to the member."""
@@ -439,7 +441,9 @@
         return self.in_flight + self._assigned_count < limit
 
     def _may_dial(self, now: float) -> bool:
-        return self.share.may_dial(self.open_connections, self._dialing, now)
+        return self.share.may_dial(
+            self.open_connections, self._opener.dialing, now
+        )
 
     def _enqueue(
         self, work: ConnectionRequest, now: float
@@ -535,7 +539,3 @@
 
 def _failure_of(result: Result) -> Failure | None:
     return None if isinstance(result, Success) else result.failure()
-
-
-def _is_timeout(failure: Failure) -> bool:
-    return failure.detail == 'timeout'
--- a/packages/node/src/trefoilpulley_node/direct/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_prober.py
@@ -101,10 +101,10 @@
         now = self._clock.now()
         if isinstance(dialled, Success):
             dialled.unwrap().close()
-            access.health.on_answer(now, access.health.position)
+            access.local_pool.reach.on_answer(now)
             return True
         if isinstance(dialled.failure(), ConnectionLimitReached):
-            access.health.on_answer(now, access.health.position)
+            access.local_pool.reach.on_answer(now)
             return True
         return False
 
--- a/packages/node/src/trefoilpulley_node/direct/member_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_session.py
@@ -65,6 +65,14 @@
             State to set on the connection first, where the state differs.
         """
 
+    @property
+    @abc.abstractmethod
+    def is_own(self) -> bool:
+        """Whether answers show that this host itself reaches the member.
+
+        They do on a connection of this host, and at a host that has none.
+        """
+
     def cancel_unsent(self) -> None:
         """Cancel the requests that no member has been sent yet."""
 
--- a/packages/node/src/trefoilpulley_node/direct/pooled_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/pooled_session.py
@@ -54,6 +54,11 @@
         """Whether the connection is open and no reply is outstanding."""
         return self.upstream.is_usable
 
+    @property
+    def is_own(self) -> bool:
+        """Whether answers show that this host itself reaches the member."""
+        return True
+
     def exchange(
         self,
         calls: Sequence[Call],
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -362,9 +362,11 @@
         statuses: dict[str, LogStatus],
     ) -> bool:
         """Return whether a member leads, so that no failover is needed."""
-        health = group.state.members.get(lost_primary or '')
-        if health is not None and health.failing_since is None:
-            return True
+        access = group.find_access(lost_primary or '')
+        if access is not None:
+            # Answers through other holders do not end the change.
+            if access.local_pool.reach.own.failing_since is None:
+                return True
         return any(
             s.is_primary and self._prober.verify_leader(group, m)
             for m, s in statuses.items()
--- a/packages/node/src/trefoilpulley_node/direct/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_watch.py
@@ -8,6 +8,7 @@
 import gevent
 
 from trefoilpulley_core.direct.lag_relief import needs_relief
+from trefoilpulley_node.direct.reach_check import ReachCheck
 from trefoilpulley_node import events
 from trefoilpulley_node.service import Service
 
@@ -33,13 +34,6 @@
 statement triggers a check at once on any host.
 """
 
-SILENCE_TIMEOUT_S = 0.25
-"""Time without an answer after which the primary is checked, in seconds.
-
-Applies while statements are in flight. The timeout exceeds the duration of the
-slowest statement behind a full queue of the member.
-"""
-
 MAX_EVIDENCE_AGE_S = 0.4
 """Age at which the evidence of a group in use is renewed, in seconds."""
 
@@ -84,9 +78,6 @@
 RELIEF_INTERVAL_S = 2.0
 """Time between two attempts to relieve an overloaded primary, in seconds."""
 
-MAX_HOSTS_PER_ROLE = 2
-"""Maximum number of holders, and of voters, asked to check a member."""
-
 LOG_INTERVAL_S = 1.0
 """Time between two log events about one unreachable primary, in seconds."""
 
@@ -126,6 +117,7 @@
         self._group = group
         self._prober = prober
         self._vote = vote
+        self._check = ReachCheck(group, prober, vote, clock)
         self._changer = changer
         self._evidence = evidence
         self._clock = clock
@@ -147,6 +139,7 @@
 
     def stop(self) -> None:
         """Stop monitoring."""
+        self._check.stop()
         for greenlet in (
             self._greenlet,
             self._change_greenlet,
@@ -185,7 +178,7 @@
         self._leaderless_since = None
         now = self._clock.now()
         health.update_leaving(now)
-        if _is_suspect(health, now):
+        if self._check.is_suspect(health, now):
             self._check_suspect(health)
         elif health.record.is_leaving:
             member = health.record.member
@@ -220,39 +213,18 @@
         self._searched_at = now
         return True
 
-    def _is_member_reachable(self, member: str) -> bool:
-        """Return whether a member answers.
-
-        Where other hosts hold the connections to the member, the check goes
-        through these hosts, so that the member gets no additional connection
-        from this host.
-        """
-        access = self._group.find_access(member)
-        voters = list(self._vote.voters(self._group))
-        if access is None or not access.is_relayed:
-            return self._prober.can_connect(self._group, member)
-        hosts = {
-            *access.holders[:MAX_HOSTS_PER_ROLE],
-            *voters[:MAX_HOSTS_PER_ROLE],
-        }
-        if not self._vote.is_reached(self._group, member, sorted(hosts)):
-            return False
-        access.health.on_answer(self._clock.now(), access.health.position)
-        return True
-
     def _check_suspect(self, health: MemberHealth) -> None:
         member = health.record.member
-        if self._is_member_reachable(member):
+        if self._check.is_reachable(member):
             return
         now = self._clock.now()
-        if health.failing_since is None:
-            health.on_unreachable(now)
+        failing_since = self._check.on_missed(health, now)
         if now - self._logged_at > LOG_INTERVAL_S:
             self._logged_at = now
             events.PRIMARY_MISSED.log(
                 group=self._group.state.group,
                 member=member,
-                failing_ms=round(1000 * (now - health.failing_since)),
+                failing_ms=round(1000 * (now - failing_since)),
             )
         self._spawn_change(self._changer.fail_over, self._group, member)
         if self._group.state.primary == member:
@@ -273,8 +245,8 @@
         self._replicas_checked_at = now
         state = self._group.state
         for member, health in state.members.items():
-            if health.failing_since is not None and member != state.primary:
-                gevent.spawn(self._is_member_reachable, member)
+            if member != state.primary and self._check.is_failing(health):
+                gevent.spawn(self._check.check_replica, member)
 
     def _request_evidence(self) -> None:
         """Request evidence from other hosts where the newest is too old."""
@@ -349,14 +321,3 @@
             events.PRIMARY_PROVED.log(
                 group=state.group, member=state.primary, term=state.term
             )
-
-
-def _is_suspect(health: MemberHealth, now: float) -> bool:
-    if health.failing_since is not None:
-        return True
-    if not health.in_flight:
-        return False
-    return (
-        now - max(health.last_answer_at, health.unanswered_since)
-        > SILENCE_TIMEOUT_S
-    )
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -122,7 +122,11 @@
     def on_calls(
         self, message: RelayedCalls, peer: PeerIdentity
     ) -> RelayedReplies | RelayRefused | PooledFailure:
-        """Send requests to the member and return its replies."""
+        """Send requests to the member and return its replies.
+
+        The requests use connections of this host only and are never relayed
+        further, so that two holders cannot send them to each other.
+        """
         deadline = self._clock.now() + message.remaining_ms / 1000
         key = peer.connection, message.lease
         if key in self._ended_leases:
@@ -201,14 +205,20 @@
         access = group.find_access(message.member) if group else None
         if access is None:
             return _make_refusal(NoUpstream('member is unknown to this host'))
+        if access.local_pool.reach.own.is_refusing:
+            # The holder's own checks find out when the member answers again.
+            return _make_refusal(
+                NoUpstream('member does not answer the holder'), True
+            )
         lease = self._leases[key] = _Lease(group, access, self._clock.now())
         values = SessionState(message.values or {})
         work = _work_of(message, deadline, self._clock.now())
         acquired = access.local_pool.acquire(work, values)
         if not isinstance(acquired, Success):
             del self._leases[key]
-            is_unreachable = access.health.failing_since is not None
-            return _make_refusal(acquired.failure(), is_unreachable)
+            own = access.local_pool.reach.own
+            is_missed = own.failing_since is not None
+            return _make_refusal(acquired.failure(), is_missed)
         lease.conn = acquired.unwrap()
         if lease.is_abandoned:
             # The session values of the caller may have changed in the
