Detect the isolation of a zone by probes within about a second

Cause: the hosts of a partitioned zone reported themselves as not ready 2.1 to 3.7 s after the start of the partition, each at another time, since the count of reachable hosts came from the membership or from one vote.

Change: calls to hosts of other zones that go unanswered for 0.25 s start parallel probes. A host that no other zone answers notifies its zone, counts the primaries of the silent zones as lost and leaves the balancer. It returns when a new connection to another zone succeeds, and replaces connections from before the partition. At least half of the groups without a primary are now enough.

--- a/features/proxy_reads.feature
+++ b/features/proxy_reads.feature
@@ -77,12 +77,17 @@
     Then 2 connections may be open and 1 stays open when idle
 
   Scenario Outline: only an isolated host is removed from the balancer
-    Given a host that reaches <hosts> of 8 hosts and has lost <lost> of 3 primaries
-    Then after 1 s the host <verdict> as isolated
+    Given a host that reaches <hosts> of 8 hosts and has lost <lost> of <groups> primaries
+    Then the host <verdict> as isolated
 
     Examples:
-      | hosts | lost | verdict        |
-      | 3     | 2    | counts         |
-      | 3     | 1    | does not count |
-      | 8     | 3    | does not count |
-      | 5     | 3    | does not count |
+      | hosts | lost | groups | verdict        |
+      | 3     | 2    | 3      | counts         |
+      | 3     | 2    | 4      | counts         |
+      | 3     | 1    | 1      | counts         |
+      | 3     | 1    | 3      | does not count |
+      | 3     | 0    | 1      | does not count |
+      | 3     | 0    | 0      | does not count |
+      | 4     | 3    | 3      | does not count |
+      | 8     | 3    | 3      | does not count |
+      | 5     | 3    | 3      | does not count |
--- a/features/steps/proxy_reads_steps.py
+++ b/features/steps/proxy_reads_steps.py
@@ -18,7 +18,6 @@
 from trefoilpulley_core.direct.evidence import SessionFloor
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.group_state import MemberRecord
-from trefoilpulley_core.direct.isolation import IsolationDetector
 from trefoilpulley_core.direct.isolation import Reachability
 from trefoilpulley_core.direct.placement import place_read
 from trefoilpulley_core.direct.routes import ReadFreshness
@@ -302,15 +301,13 @@
         context: Any, hosts: int, all_hosts: int, lost: int, groups: int
     ) -> None:
         """Record the hosts and primaries that the host reaches."""
-        context.isolation = IsolationDetector()
-        reachability = Reachability(groups, lost, all_hosts, hosts)
-        context.isolation.update(reachability, NOW)
+        context.reachability = Reachability(groups, lost, all_hosts, hosts)
 
     @staticmethod
-    @then('after 1 s the host {verdict} as isolated')
+    @then('the host {verdict} as isolated')
     def check_isolated(context: Any, verdict: str) -> None:
         """Check whether the host would be removed from the balancer."""
-        is_isolated = context.isolation.duration_s(NOW + 1.0) > 0
+        is_isolated = context.reachability.is_isolated
         assert is_isolated is (verdict == 'counts')
 
 
--- /dev/null
+++ b/packages/core/src/trefoilpulley_core/direct/isolation_messages.py
@@ -0,0 +1,23 @@
+"""Messages in which hosts find out whether their zone is partitioned."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReachabilityProbe:
+    """Request that any host answers at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReachabilityAnswer:
+    """Answer to `ReachabilityProbe`."""
+
+
+@dataclass(frozen=True, slots=True)
+class IsolationNotice:
+    """Notification that the sender reaches no host of another zone.
+
+    The receiver runs a check of its own.
+    """
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -18,6 +18,8 @@
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
+from trefoilpulley_core.direct.isolation import GroupContact
+from trefoilpulley_core.direct.isolation import IsolationDetector
 from trefoilpulley_core.direct.relay_messages import EndLease
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
 from trefoilpulley_core.membership.membership import Membership
@@ -35,6 +37,7 @@
 from trefoilpulley_node.direct.host_registration import HostRegistration
 from trefoilpulley_node.direct.host_view import HostView
 from trefoilpulley_node.direct.host_vote import HostVote
+from trefoilpulley_node.direct.isolation_watch import IsolationWatch
 from trefoilpulley_node.direct.limit_refusals import LimitRefusals
 from trefoilpulley_node.direct.member_prober import MemberProber
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
@@ -158,6 +161,7 @@
             AdmissionQuestion,
             lambda question, _: self._admissions.on_question(question),
         )
+        self._isolation.register_handlers(self._peer_server)
         self._peer_server.register(RelayedCalls, self.relay_server.on_calls)
         self._peer_server.register(EndLease, self.relay_server.on_end)
         self._peer_server.register_close(self.relay_server.on_peer_closed)
@@ -167,6 +171,7 @@
         self._follower.start()
         self._config_exchange.start()
         self._registration.start()
+        self._isolation.start()
         self._maintenance.start()
         events.HOST_STARTED.log(host=self._cfg.host, zone=self._cfg.zone)
 
@@ -217,6 +222,7 @@
         self._follower.stop()
         self._config_exchange.stop()
         self._admissions.stop()
+        self._isolation.stop()
         self._maintenance.stop()
         self._membership.stop()
         gevent.joinall(
@@ -236,7 +242,7 @@
         """Whether the balancer should send callers to this host."""
         if self.sessions.is_draining or not self.directory.is_loaded:
             return False
-        return self._maintenance.isolated_s == 0
+        return not self._isolation.is_isolated
 
     @cached_property
     def directory(self) -> GroupDirectory:
@@ -335,6 +341,7 @@
             self._membership.find_peer_endpoint,
             lambda member: None,
             is_compressed=self._is_in_other_zone,
+            observe=self._isolation.observe,
         )
 
     @cached_property
@@ -456,7 +463,6 @@
             lambda: self._follower.hosts,
             self._membership.find_entry,
             lambda: self._membership.live_hosts,
-            self._vote.recent_answer_rate,
             self.sessions,
         )
 
@@ -469,8 +475,34 @@
             self.relay_server,
             self.sessions,
             self._primary_wait,
-            self._hosts,
+            self._isolation,
+        )
+
+    @cached_property
+    def _isolation(self) -> IsolationWatch:
+        cfg = self._cfg
+        return IsolationWatch(
+            IsolationDetector(
+                cfg.host, cfg.zone, self._rng, self._clock.now()
+            ),
+            lambda: self._peers,
+            lambda: self._hosts.live,
+            self._list_primaries,
             self._clock,
+            self.metrics,
+        )
+
+    def _list_primaries(self) -> list[GroupContact]:
+        return [
+            self._describe_primary(g) for g in self.directory.groups.values()
+        ]
+
+    def _describe_primary(self, group: Group) -> GroupContact:
+        health = group.state.members.get(group.state.primary or '')
+        return GroupContact(
+            health.record.zone if health else None,
+            self._primary_wait.is_lost(group),
+            health.last_answer_at if health else float('-inf'),
         )
 
     def _is_in_other_zone(self, host: str) -> bool:
@@ -489,6 +521,7 @@
 
     def _update_hosts(self) -> None:
         hosts = self._hosts
+        self._isolation.set_hosts(hosts.registered)
         self.directory.set_hosts(hosts.live_zones, hosts.capacities)
         self._update_limits()
 
@@ -528,6 +561,7 @@
         register('waiting', lambda: directory.waiting_requests)
         register('in_flight', lambda: directory.in_flight_statements)
         register('members_paced', lambda: directory.paced_members)
+        register('isolated', lambda: self._isolation.is_isolated)
         register('groups_lost', lambda: self._maintenance.lost_group_count)
         register('configuration_version', lambda: directory.table.version)
         register('customers', lambda: self.configuration.customer_count)
@@ -545,7 +579,7 @@
             len(self.sessions),
             self._hosts.live,
             self._hosts.registered,
-            self._maintenance.is_isolated,
+            self._isolation,
             self.configuration.source,
             self._limits,
             self._clock.now(),
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -64,6 +64,14 @@
         'Steps of the pace of members that start or recover.',
         ('step', 'reason'),
     ),
+    'isolation_checks': (
+        'Checks whether hosts of other zones answer.',
+        ('trigger', 'outcome'),
+    ),
+    'isolation_notices': (
+        'Notices to hosts of the zone that no other zone answers.',
+        (),
+    ),
     'primary_changes': (
         'Changes of primary that this host ordered, by cause.',
         ('cause', 'outcome'),
@@ -94,6 +102,7 @@
     'waiting': 'Pieces of work that wait for a connection.',
     'in_flight': 'Statements at members.',
     'members_paced': 'Members that get less than their share of the work.',
+    'isolated': 'Whether the host reports not ready because it is cut off.',
     'groups_lost': 'Groups whose primary does not answer.',
     'configuration_version': 'Version of the configuration in force.',
     'customers': 'Customers in force.',
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -12,9 +12,11 @@
     from trefoilpulley_core.direct.customer_limit import CustomerLimits
     from trefoilpulley_core.direct.customers import CustomerFault
     from trefoilpulley_core.direct.customers import CustomerTable
+    from trefoilpulley_core.direct.isolation import IsolationEvidence
     from trefoilpulley_node.direct.direct_settings import DirectSettings
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.directory import GroupDirectory
+    from trefoilpulley_node.direct.isolation_watch import IsolationWatch
     from trefoilpulley_node.direct.member_access import MemberAccess
 
 
@@ -158,6 +160,15 @@
     limit_share: float = 1.0
     """Part of the limits that the hosts which this host sees may grant."""
 
+    cut_off_ms: int | None = None
+    """Time for which the host has been cut off, in milliseconds.
+
+    ``None`` if it is not cut off.
+    """
+
+    cut_off_evidence: IsolationEvidence | None = None
+    """Numbers of the latest check while cut off, or of the return."""
+
 
 def make_state(
     cfg: DirectSettings,
@@ -165,7 +176,7 @@
     sessions: int,
     live: Iterable[str],
     registered: Mapping[str, str],
-    is_cut_off: bool,
+    isolation: IsolationWatch,
     source: str,
     limits: CustomerLimits,
     now: float,
@@ -177,7 +188,7 @@
         directory.table.version,
         len(directory.table.routes),
         sessions,
-        is_cut_off,
+        isolation.is_isolated,
         tuple(live),
         tuple(sorted(registered)),
         tuple(_dump_group(g, now) for g in directory.groups.values()),
@@ -185,6 +196,8 @@
         _dump_customers(directory.table.customers, limits, now),
         directory.table.customers.faults if directory.table.customers else (),
         round(limits.share(now), 3),
+        round(1000 * isolation.isolated_s) if isolation.is_isolated else None,
+        isolation.evidence,
     )
 
 
--- a/packages/node/src/trefoilpulley_node/direct/host_maintenance.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_maintenance.py
@@ -7,16 +7,13 @@
 import gevent
 
 from trefoilpulley_core.direct.drain import BALANCER_DETECTION_S
-from trefoilpulley_core.direct.isolation import IsolationDetector
-from trefoilpulley_core.direct.isolation import Reachability
 from trefoilpulley_node import events
 from trefoilpulley_node.service import Service
 
 if TYPE_CHECKING:
-    from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.directory import GroupDirectory
-    from trefoilpulley_node.direct.host_view import HostView
+    from trefoilpulley_node.direct.isolation_watch import IsolationWatch
     from trefoilpulley_node.direct.platform_follower import PlatformFollower
     from trefoilpulley_node.direct.primary_wait import PrimaryWait
     from trefoilpulley_node.direct.relay_server import RelayServer
@@ -27,7 +24,7 @@
 
 
 class HostMaintenance(Service):
-    """Ends what has expired and notices whether the host is cut off.
+    """Ends what has expired, and idle sessions of an isolated host.
 
     Parameters
     ----------
@@ -43,10 +40,8 @@
         Sessions of callers.
     primary_wait : PrimaryWait
         Tells which groups have lost their primary.
-    hosts : HostView
-        Registered and reachable hosts.
-    clock : Clock
-        Monotonic time.
+    isolation : IsolationWatch
+        Tells since when this host has been isolated.
     """
 
     def __init__(
@@ -57,8 +52,7 @@
         relay_server: RelayServer,
         sessions: SessionRegistry,
         primary_wait: PrimaryWait,
-        hosts: HostView,
-        clock: Clock,
+        isolation: IsolationWatch,
     ) -> None:
         self._directory = directory
         self._follower = follower
@@ -66,17 +60,8 @@
         self._relay_server = relay_server
         self._sessions = sessions
         self._primary_wait = primary_wait
-        self._hosts = hosts
-        self._clock = clock
-        self._isolation = IsolationDetector()
+        self._isolation = isolation
         self._greenlet: gevent.Greenlet | None = None
-        self.is_isolated = False
-        """Whether the host was cut off at the last run."""
-
-    @property
-    def isolated_s(self) -> float:
-        """Time for which the host has been cut off, in seconds."""
-        return self._isolation.duration_s(self._clock.now())
 
     @property
     def lost_group_count(self) -> int:
@@ -110,24 +95,7 @@
         self._relay_server.end_idle(
             self._directory.table.transaction_idle_timeout_s
         )
-        self._update_isolation()
+        if self._isolation.isolated_s > BALANCER_DETECTION_S:
+            self._sessions.close_idle()
         if self._follower.is_following:
             self._claims.publish()
-
-    def _update_isolation(self) -> None:
-        now = self._clock.now()
-        self._isolation.update(
-            Reachability(
-                len(self._directory.groups),
-                self.lost_group_count,
-                len(self._hosts.registered),
-                self._hosts.count_reachable(now),
-            ),
-            now,
-        )
-        isolated_s = self.isolated_s
-        if self.is_isolated != (isolated_s > 0):
-            self.is_isolated = isolated_s > 0
-            events.ISOLATION_CHANGED.log(is_cut_off=self.is_isolated)
-        if isolated_s > BALANCER_DETECTION_S:
-            self._sessions.close_idle()
--- a/packages/node/src/trefoilpulley_node/direct/host_view.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_view.py
@@ -27,9 +27,6 @@
         host has told of.
     live_hosts : Callable[[], LiveHosts]
         Returns the hosts that the membership takes for live.
-    answer_rate : Callable[[float], float | None]
-        Returns the share of hosts that answered a recent vote, if any, at a
-        time in seconds.
     sessions : SessionRegistry
         Tells whether this host is about to stop.
     """
@@ -40,14 +37,12 @@
         listed_hosts: Callable[[], Iterable[HostEntry]],
         find_entry: Callable[[str], HostEntry | None],
         live_hosts: Callable[[], LiveHosts],
-        answer_rate: Callable[[float], float | None],
         sessions: SessionRegistry,
     ) -> None:
         self._host = host
         self._listed_hosts = listed_hosts
         self._find_entry = find_entry
         self._live_hosts = live_hosts
-        self._answer_rate = answer_rate
         self._sessions = sessions
 
     @property
@@ -77,14 +72,3 @@
         """Capacity of each live host, this one included."""
         entries = [self._host, *map(self._find_entry, self.live)]
         return {e.name: e.capacity for e in entries if e is not None}
-
-    def count_reachable(self, now: float) -> int:
-        """Return how many hosts answer, at a time in seconds.
-
-        A recent vote shows lost hosts earlier than the membership does.
-        """
-        live = len(self.live)
-        answer_rate = self._answer_rate(now)
-        if answer_rate is None:
-            return live
-        return min(live, round(answer_rate * len(self.registered)))
--- a/packages/node/src/trefoilpulley_node/direct/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_vote.py
@@ -25,12 +25,6 @@
 VOTE_TIMEOUT_S = 0.35
 """Timeout for the reports of other hosts on a member, in seconds."""
 
-VOTE_TTL_S = 1.5
-"""Time for which the answer rate of a vote is valid, in seconds.
-
-While a primary is unreachable, votes follow each other at shorter intervals.
-"""
-
 MAX_RECENT_ANSWER_AGE_S = 0.15
 """Age up to which a member's last answer proves it reachable, in seconds."""
 
@@ -69,8 +63,6 @@
         self._registered_hosts = registered_hosts
         self._groups = groups
         self._clock = clock
-        self._answer_rate = 1.0
-        self._voted_at = float('-inf')
 
     def collect_reports(
         self, group: Group, lost_member: str | None
@@ -96,8 +88,6 @@
                 # The outcome is decided: no outstanding report can change it.
                 break
         gevent.killall(greenlets, block=False)
-        self._answer_rate = (1 + len(reports)) / (1 + len(voters))
-        self._voted_at = self._clock.now()
         return reports
 
     def voters(self, group: Group) -> dict[str, str]:
@@ -158,9 +148,3 @@
                 access.health.on_unreachable(now)
             group.check_requested.set()
         return ReachReport(self._host, is_reachable)
-
-    def recent_answer_rate(self, now: float) -> float | None:
-        """Return the rate of hosts that answered the last vote, if recent."""
-        if now - self._voted_at > VOTE_TTL_S:
-            return None
-        return self._answer_rate
--- a/packages/node/src/trefoilpulley_node/peers.py
+++ b/packages/node/src/trefoilpulley_node/peers.py
@@ -32,11 +32,18 @@
 
     from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_node.peer_server import PeerServer
+    from trefoilpulley_wire.call_observer import CallObserver
     from trefoilpulley_wire.channel import Channel
 
 DIAL_TIMEOUT_S = 0.5
 """Longest time to connect to a peer, in seconds."""
 
+REPLACED_CHANNEL_S = 60.0
+"""Time after which a replaced channel is closed, in seconds.
+
+Transactions that began on the channel may continue on it until then.
+"""
+
 
 @cache
 def _failures() -> dict[str, type[Failure]]:
@@ -61,6 +68,8 @@
     is_compressed : Callable[[str], bool], optional
         Returns whether the messages to a host are compressed; by default,
         they are not.
+    observe : Callable[[str], CallObserver | None], optional
+        Returns the observer of the calls to a host; by default, there is none.
     """
 
     def __init__(
@@ -71,6 +80,7 @@
         find_pooler: Callable[[str], str | None],
         tls: ssl.SSLContext | None = None,
         is_compressed: Callable[[str], bool] = lambda host: False,
+        observe: Callable[[str], CallObserver | None] = lambda host: None,
     ) -> None:
         self._hello = hello
         self._server = server
@@ -78,6 +88,7 @@
         self._find_pooler = find_pooler
         self._tls = tls
         self._is_compressed = is_compressed
+        self._observe = observe
         self._channels: dict[str, Channel] = {}
         self._dialling: dict[str, gevent.Greenlet] = {}
         self._own_identity = PeerIdentity(
@@ -89,6 +100,11 @@
         """Number of open connections to peers."""
         return len(self._channels)
 
+    @property
+    def connected_hosts(self) -> frozenset[str]:
+        """Hosts to which a connection is open."""
+        return frozenset(h for h, c in self._channels.items() if c.is_open)
+
     def call_pooler(
         self, member: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
@@ -177,6 +193,36 @@
         except gevent.Timeout:
             return Failed(PeerUnreachable('timeout'))
 
+    def can_connect(self, host: str, timeout_s: float) -> bool:
+        """Return whether a host accepts a new connection within a timeout.
+
+        The connection is closed at once and replaces no open one. The timeout
+        is in seconds.
+        """
+        dialled = self._observed(
+            host, lambda h: self._dial_endpoint(h, timeout_s)
+        )
+        if not isinstance(dialled, Success):
+            return False
+        dialled.unwrap().close()
+        return True
+
+    def notify_host(self, host: str, message: Any) -> None:
+        """Send a one-way message, which is lost if the host is down."""
+        opened = self.open_channel(host)
+        if isinstance(opened, Success):
+            opened.unwrap().notify(message)
+
+    def replace(self, host: str) -> None:
+        """Open a new channel to a host at the next call.
+
+        The present channel stays open for a while for the calls and leases
+        that began on it.
+        """
+        channel = self._channels.pop(host, None)
+        if channel is not None:
+            gevent.spawn_later(REPLACED_CHANNEL_S, channel.close)
+
     def close(self) -> None:
         """Close every channel gracefully."""
         close_channels(self._channels.values(), 0.0)
@@ -188,25 +234,53 @@
             channel.close()
 
     def _dial(self, host: str) -> Result[Channel, Failure]:
+        opened = self._observed(host, self._open)
+        if isinstance(opened, Success):
+            channel = self._channels[host] = opened.unwrap()
+            channel.observer = self._observe(host)
+        return opened
+
+    def _observed(
+        self,
+        host: str,
+        open_channel: Callable[[str], Result[Channel, Failure]],
+    ) -> Result[Channel, Failure]:
+        """Open a channel and report the attempt as a call to the host."""
+        observer = self._observe(host)
+        started_at = observer.on_call() if observer else None
+        opened: Result[Channel, Failure] | None = None
+        try:
+            opened = open_channel(host)
+            return opened
+        finally:
+            if started_at is not None:
+                is_answered = isinstance(opened, Success)
+                observer.on_call_ended(started_at, is_answered)
+
+    def _open(self, host: str) -> Result[Channel, Failure]:
+        dialled = self._dial_endpoint(host, DIAL_TIMEOUT_S)
+        if not isinstance(dialled, Success):
+            return dialled
+        channel = dialled.unwrap()
+        welcome = channel.call(self._hello, DIAL_TIMEOUT_S).value_or(None)
+        if not isinstance(welcome, PeerWelcome) or welcome.host != host:
+            channel.close()
+            return Failed(PeerUnreachable('peer refused the connection'))
+        return dialled
+
+    def _dial_endpoint(
+        self, host: str, timeout_s: float
+    ) -> Result[Channel, Failure]:
         endpoint = self._find_endpoint(host)
         if endpoint is None:
             return Failed(PeerUnreachable('host has no known address'))
-        dialled = dial(
+        return dial(
             endpoint,
             PEER_CODEC,
-            timeout_s=DIAL_TIMEOUT_S,
+            timeout_s=timeout_s,
             tls=self._tls,
             is_compressed=self._is_compressed(host),
         )
-        if not isinstance(dialled, Success):
-            return dialled
-        channel = dialled.unwrap()
-        welcome = channel.call(self._hello, DIAL_TIMEOUT_S).value_or(None)
-        if not isinstance(welcome, PeerWelcome) or welcome.host != host:
-            channel.close()
-            return Failed(PeerUnreachable('peer refused the connection'))
-        self._channels[host] = channel
-        return Success(channel)
 
 
 def read_failure(message: PooledFailure) -> Failure:
--- a/packages/wire/src/trefoilpulley_wire/channel.py
+++ b/packages/wire/src/trefoilpulley_wire/channel.py
@@ -29,6 +29,7 @@
     from websockets.frames import Frame as WebSocketFrame
     from websockets.protocol import Protocol
 
+    from trefoilpulley_wire.call_observer import CallObserver
     from trefoilpulley_wire.codec import Codec
     from trefoilpulley_wire.handler import Handler
 
@@ -100,6 +101,9 @@
         self.context: Any = None
         """State that the handler attaches to the connection."""
 
+        self.observer: CallObserver | None = None
+        """Is told of the calls on the connection."""
+
     @property
     def active_request_count(self) -> int:
         """Number of requests of the peer that were read and not answered."""
@@ -128,21 +132,17 @@
             The reply; `PeerUnreachable` if no reply arrived; `ResultTooLarge`
             or the decoding failure if the reply was rejected.
         """
-        if not self.is_open:
-            return Failed(PeerUnreachable('connection is closed'))
-        sequence = self._next_sequence
-        self._next_sequence += 1
-        waiter = self._waiters[sequence] = AsyncResult()
+        observer = self.observer
+        started_at = observer.on_call() if observer else None
+        if started_at is None:
+            return self._call(message, timeout_s, abort)
+        is_answered = False
         try:
-            self._send(sequence, message)
-            if abort is not None:
-                gevent.wait([waiter, abort], timeout=timeout_s, count=1)
-                timeout_s = 0
-            return waiter.get(timeout=timeout_s)
-        except (OSError, gevent.Timeout) as exc:
-            return Failed(PeerUnreachable(type(exc).__name__))
+            result = self._call(message, timeout_s, abort)
+            is_answered = isinstance(result, Success)
+            return result
         finally:
-            self._waiters.pop(sequence, None)
+            observer.on_call_ended(started_at, is_answered)
 
     def notify(self, message: Any) -> None:
         """Send a one-way message.
@@ -212,6 +212,28 @@
                 self._wait_for_change()
         self.close()
 
+    def _call(
+        self,
+        message: Any,
+        timeout_s: float | None,
+        abort: Event | None,
+    ) -> Result[Any, Failure]:
+        if not self.is_open:
+            return Failed(PeerUnreachable('connection is closed'))
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        waiter = self._waiters[sequence] = AsyncResult()
+        try:
+            self._send(sequence, message)
+            if abort is not None:
+                gevent.wait([waiter, abort], timeout=timeout_s, count=1)
+                timeout_s = 0
+            return waiter.get(timeout=timeout_s)
+        except (OSError, gevent.Timeout) as exc:
+            return Failed(PeerUnreachable(type(exc).__name__))
+        finally:
+            self._waiters.pop(sequence, None)
+
     def _wait_for_requests(self, timeout_s: float) -> None:
         if timeout_s <= 0:
             return
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -7,6 +7,7 @@
 from trefoilpulley_core.direct import config_messages
 from trefoilpulley_core.direct import evidence_messages
 from trefoilpulley_core.direct import failover
+from trefoilpulley_core.direct import isolation_messages
 from trefoilpulley_core.direct import relay_messages
 from trefoilpulley_core.direct.upstream_session import Call
 from trefoilpulley_core.membership import messages
@@ -53,6 +54,9 @@
         config_messages.ConfigurationQuestion,
         evidence_messages.EvidenceQuestion,
         evidence_messages.EvidenceReport,
+        isolation_messages.IsolationNotice,
+        isolation_messages.ReachabilityAnswer,
+        isolation_messages.ReachabilityProbe,
         relay_messages.EndLease,
         relay_messages.RelayedCalls,
         relay_messages.RelayedReplies,
