Follow the platform's service through two hosts of each zone

Change: in a deployment of more than 24 registered hosts, the first two hosts in rank of each zone watch the service. The others ask them for changes with ChangesQuestion. RelayChoice decides whom to ask and when to follow directly, ChangeHistory keeps what a host passes on, ChangeRelay answers, and RelayedPlatform gives the follower one watch over both ways. The follower is unchanged. Configurations are passed on with hashes in the place of keys, since a key never leaves a host.

--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -94,6 +94,17 @@
         return self.era, self.mod_revision
 
 
+@dataclass(frozen=True, slots=True)
+class WatchPosition:
+    """Revision of the service in one of its eras."""
+
+    era: int
+    """Era of the revision; 0 where the service names no era."""
+
+    revision: int
+    """Revision up to which every change is known."""
+
+
 @dataclass(frozen=True, slots=True)
 class PrefixRead:
     """Keys with a prefix, which may have been read page by page.
@@ -232,3 +243,28 @@
         are no longer available. Any watch fails with `WatchExpired` as soon
         as an answer to any call names a new era.
         """
+
+
+class PositionedPlatform(Platform):
+    """Client of a service whose watches tell and take a position."""
+
+    @abc.abstractmethod
+    def resume_watch(self, position: WatchPosition) -> None:
+        """Let the next watch begin after a position.
+
+        Changes up to the position have been learnt from another host.
+        """
+
+    @abc.abstractmethod
+    def subscribe_progress(
+        self, on_progress: Callable[[WatchPosition], None]
+    ) -> None:
+        """Register a callback for each answer of the service to a watch.
+
+        It is called after the changes of the answer have been reported, with
+        the position up to which they are complete.
+        """
+
+    @abc.abstractmethod
+    def subscribe_restored(self, on_restored: Callable[[], None]) -> None:
+        """Register a callback for the begin of a new era."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -18,10 +18,13 @@
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.failover import ReachQuestion
+from trefoilpulley_core.direct.relay_choice import RelayChoice
 from trefoilpulley_core.direct.relay_messages import EndLease
 from trefoilpulley_core.direct.relay_messages import RelayedCalls
+from trefoilpulley_core.direct.watch_relay_messages import ChangesQuestion
 from trefoilpulley_core.membership.membership import Membership
 from trefoilpulley_core.peer import PeerHello
+from trefoilpulley_core.platform import PositionedPlatform
 from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.config_exchange import ConfigExchange
@@ -43,6 +46,7 @@
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
+from trefoilpulley_node.direct.relayed_platform import RelayedPlatform
 from trefoilpulley_node.direct.session_factory import SessionFactory
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
@@ -158,6 +162,11 @@
             AdmissionQuestion,
             lambda question, _: self._admissions.on_question(question),
         )
+        if self._relayed is not None:
+            self._peer_server.register(
+                ChangesQuestion,
+                lambda question, _: self._relayed.relay.on_question(question),
+            )
         self._peer_server.register(RelayedCalls, self.relay_server.on_calls)
         self._peer_server.register(EndLease, self.relay_server.on_end)
         self._peer_server.register_close(self.relay_server.on_peer_closed)
@@ -214,6 +223,8 @@
         """
         for watch in self._watches:
             watch.stop()
+        if self._relayed is not None:
+            self._relayed.stop()
         self._follower.stop()
         self._config_exchange.stop()
         self._admissions.stop()
@@ -419,7 +430,7 @@
     @cached_property
     def _follower(self) -> PlatformFollower:
         return PlatformFollower(
-            self._platform,
+            self._relayed or self._platform,
             self._documents,
             self.configuration,
             self.directory,
@@ -429,6 +440,19 @@
             self._clock,
         )
 
+    @cached_property
+    def _relayed(self) -> RelayedPlatform | None:
+        if not isinstance(self._platform, PositionedPlatform):
+            return None
+        return RelayedPlatform(
+            self._platform,
+            RelayChoice(self._cfg.host, self._cfg.zone, self._rng),
+            self._documents,
+            self._peers,
+            self._clock,
+            self.metrics,
+        )
+
     @cached_property
     def configuration(self) -> ConfigHolder:
         """Configuration in force, as other hosts are told it."""
@@ -489,8 +513,13 @@
 
     def _update_hosts(self) -> None:
         hosts = self._hosts
-        self.directory.set_hosts(hosts.live_zones, hosts.capacities)
+        zones, capacities = hosts.live_zones, hosts.capacities
+        self.directory.set_hosts(zones, capacities)
         self._update_limits()
+        if self._relayed is not None:
+            self._relayed.set_hosts(
+                len(hosts.registered), zones[self._cfg.zone], capacities
+            )
 
     def _update_limits(self) -> None:
         hosts = self._hosts
@@ -533,6 +562,10 @@
         register('customers', lambda: self.configuration.customer_count)
         register('customers_left_out', lambda: self.configuration.fault_count)
         register('service_followed', lambda: self._follower.is_following)
+        register(
+            'service_followed_directly',
+            lambda: self._relayed is None or self._relayed.is_direct,
+        )
         register('service_era', lambda: self._platform.era)
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
         register('live_hosts', lambda: len(self._hosts.live))
@@ -548,6 +581,7 @@
             self._maintenance.is_isolated,
             self.configuration.source,
             self._limits,
+            self._relayed.relays if self._relayed else (),
             self._clock.now(),
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -44,6 +44,10 @@
         'Questions to other hosts for a newer configuration, by outcome.',
         ('outcome',),
     ),
+    'watch_questions': (
+        'Questions to relays for changes of the service, by outcome.',
+        ('outcome',),
+    ),
     'admissions': (
         'Operations of customers with a limit, by who counted them.',
         ('way', 'outcome'),
@@ -99,6 +103,7 @@
     'customers': 'Customers in force.',
     'customers_left_out': 'Entries of customers that are left out.',
     'service_followed': 'Whether a watch on the service is in force.',
+    'service_followed_directly': 'Whether no relay serves the watch.',
     'service_era': 'Era of the service in its answers.',
     'lease_age_seconds': "Time since this host's lease was renewed.",
     'live_hosts': 'Hosts that answer, this one included.',
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -158,6 +158,9 @@
     limit_share: float = 1.0
     """Part of the limits that the hosts which this host sees may grant."""
 
+    watch_relays: tuple[str, ...] = ()
+    """Hosts through which the service is followed; empty if directly."""
+
 
 def make_state(
     cfg: DirectSettings,
@@ -168,6 +171,7 @@
     is_cut_off: bool,
     source: str,
     limits: CustomerLimits,
+    watch_relays: tuple[str, ...],
     now: float,
 ) -> ProxyState:
     """Return the state of a host."""
@@ -185,6 +189,7 @@
         _dump_customers(directory.table.customers, limits, now),
         directory.table.customers.faults if directory.table.customers else (),
         round(limits.share(now), 3),
+        watch_relays,
     )
 
 
--- a/packages/wire/src/trefoilpulley_wire/peer_codec.py
+++ b/packages/wire/src/trefoilpulley_wire/peer_codec.py
@@ -9,6 +9,7 @@
 from trefoilpulley_core.direct import failover
 from trefoilpulley_core.direct import relay_messages
 from trefoilpulley_core.direct.upstream_session import Call
+from trefoilpulley_core.direct import watch_relay_messages
 from trefoilpulley_core.membership import messages
 from trefoilpulley_core import peer
 from trefoilpulley_wire.codec import Codec
@@ -61,6 +62,8 @@
         failover.OrderNotice,
         failover.ReachQuestion,
         failover.ReachReport,
+        watch_relay_messages.ChangesAnswer,
+        watch_relay_messages.ChangesQuestion,
     ),
     unions={relay_messages.RelayedCalls: Call},
 )
