--- a/packages/core/src/trefoilpulley_core/direct/relay_choice.py
+++ b/packages/core/src/trefoilpulley_core/direct/relay_choice.py
@@ -32,7 +32,7 @@
 MAX_WAIT_MS = 1000
 """Time for which a relay holds a question, in milliseconds."""
 
-START_WAIT_MS = 500
+START_WAIT_MS = 300
 """Time that the second pair has to start to follow, in milliseconds.
 
 It exceeds the first call of a watch that goes on, which takes 100 ms.
@@ -53,16 +53,23 @@
 MAX_DIRECT_DELAY_S = 1.0
 """Longest delay before a host turns to the service, in seconds."""
 
+MAX_REFUSED_DELAY_S = 3.0
+"""Longest such delay if all relays have answered, in seconds.
+
+Four hosts that have lost the service show that it is probably out. The delay
+leaves two of the 5 s in which a configuration must be in force.
+"""
+
 MIN_RETURN_S = 5.0
 """Least time before a host returns to the relays, in seconds."""
 
 MAX_RETURN_S = 10.0
 """Greatest time before a host returns to the relays, in seconds."""
 
-MIN_HANDOVER_S = 0.5
+MIN_HANDOVER_S = 0.1
 """Least time before a host first asks the relays, in seconds."""
 
-MAX_HANDOVER_S = 1.5
+MAX_HANDOVER_S = 0.6
 """Greatest time before a host first asks the relays, in seconds."""
 
 MAX_REREAD_DELAY_S = 2.0
@@ -139,6 +146,7 @@
         self._ranks: tuple[str, ...] = ()
         self._asked_until = float('-inf')
         self._avoided: dict[str, float] = {}
+        self._failed: dict[str, bool] = {}
         self._last = ''
         self._wait_ms = 0
         self._has_expired = False
@@ -202,26 +210,50 @@
             return FollowService(left_s)
         if self.is_direct:
             return self._find_way_back(now)
-        relay = None if self._is_era_over else self._choose(RELAYS, now)
+        if self._has_expired and (
+            self._is_era_over or not self._usable(RELAYS, now)
+        ):
+            self._has_expired = self._is_era_over = False
+            return ReadAgain(self._rng.uniform(0, MAX_REREAD_DELAY_S))
+        if now >= self._no_direct_before:
+            # The first two may be asked again before the next two have
+            # failed, so that the time of the silence does not decide.
+            if self._failed.keys() >= set(self._candidates(2 * RELAYS)):
+                return self._turn_to_service(now)
+        return self._ask_next(now) or GiveUp()
+
+    def _ask_next(self, now: float) -> AskRelay | None:
+        """Return a question to the first two, else to the next two."""
+        relay = self._choose(RELAYS, now)
         if relay is not None:
             # A relay that has not served is asked for an answer at once.
             is_doubtful = relay in self._avoided
             return AskRelay(relay, 0 if is_doubtful else self._wait_ms)
-        if self._has_expired:
-            self._has_expired = self._is_era_over = False
-            return ReadAgain(self._rng.uniform(0, MAX_REREAD_DELAY_S))
         relay = self._choose(2 * RELAYS, now)
         if relay is not None:
             return AskRelay(relay, max(self._wait_ms, START_WAIT_MS))
-        if now < self._no_direct_before:
-            return GiveUp()
+        return None
+
+    def _turn_to_service(
+        self, now: float
+    ) -> AskRelay | AwaitTurn | FollowService:
+        """Follow the service after a delay, in which relays may return."""
+        has_silent = any(self._failed.values())
         if self._direct_at is None:
-            self._direct_at = now + self._rng.uniform(0, MAX_DIRECT_DELAY_S)
-        if now < self._direct_at:
+            self._direct_at = now + self._rng.uniform(
+                0, MAX_DIRECT_DELAY_S if has_silent else MAX_REFUSED_DELAY_S
+            )
+        if now >= self._direct_at:
+            self._follow_service()
+            self._is_fallback = True
+            return self._find_way_back(now)
+        if has_silent:
             return AwaitTurn(self._direct_at - now)
-        self._follow_service()
-        self._is_fallback = True
-        return self._find_way_back(now)
+        question = self._ask_next(now)
+        if question is not None:
+            return question
+        next_at = min(self._avoided[h] for h in self._candidates(RELAYS))
+        return AwaitTurn(min(self._direct_at, next_at) - now)
 
     def on_answer(
         self,
@@ -246,6 +278,7 @@
         """
         if status is ChangesStatus.OK:
             self._avoided.pop(relay, None)
+            self._failed.clear()
             self.is_direct = self._is_fallback = False
             self._has_expired = self._is_era_over = False
             self._return_at = self._direct_at = None
@@ -256,6 +289,7 @@
             return
         self._wait_ms = 0
         self._avoided[relay] = now + REFUSAL_S
+        self._failed[relay] = False
         if status is ChangesStatus.EXPIRED and not self.is_direct:
             self._has_expired = True
             self._is_era_over = is_era_over
@@ -264,6 +298,7 @@
         """Record that a relay has not answered, at a time in seconds."""
         self._wait_ms = 0
         self._avoided[relay] = now + SILENCE_S
+        self._failed[relay] = True
 
     def on_service_lost(self, now: float) -> None:
         """Record that this host's own watch has failed.
@@ -287,6 +322,7 @@
         self.is_direct = True
         self._is_fallback = self._has_expired = self._is_era_over = False
         self._return_at = self._direct_at = None
+        self._failed.clear()
         self.relays = ()
 
     def _find_way_back(self, now: float) -> AskRelay | FollowService:
@@ -308,18 +344,24 @@
         )
         return now + self._rng.uniform(least_s, greatest_s)
 
+    def _candidates(self, count: int) -> list[str]:
+        return [h for h in self._ranks[:count] if h != self._host]
+
+    def _usable(self, count: int, now: float) -> list[str]:
+        return [
+            h
+            for h in self._candidates(count)
+            if now >= self._avoided.get(h, now)
+        ]
+
     def _choose(self, count: int, now: float) -> str | None:
         """Return a relay of the first in rank, not the last one if possible.
 
         The first two are chosen before the next two.
         """
-        candidates = [
-            h
-            for h in self._ranks[:count]
-            if h != self._host and now >= self._avoided.get(h, now)
-        ]
-        if not candidates:
+        usable = self._usable(count, now)
+        if not usable:
             return None
-        others = [h for h in candidates if h != self._last] or candidates
+        others = [h for h in usable if h != self._last] or usable
         self._last = others[0]
         return self._last
