--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -169,6 +169,9 @@
     cut_off_evidence: IsolationEvidence | None = None
     """Numbers of the latest check while cut off, or of the return."""
 
+    watch_relays: tuple[str, ...] = ()
+    """Hosts through which the service is followed; empty if directly."""
+
 
 def make_state(
     cfg: DirectSettings,
@@ -179,6 +182,7 @@
     isolation: IsolationWatch,
     source: str,
     limits: CustomerLimits,
+    watch_relays: tuple[str, ...],
     now: float,
 ) -> ProxyState:
     """Return the state of a host."""
@@ -198,6 +202,7 @@
         round(limits.share(now), 3),
         round(1000 * isolation.isolated_s) if isolation.is_isolated else None,
         isolation.evidence,
+        watch_relays,
     )
 
 
