--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -19,6 +19,11 @@
       | 2 3 3    | 1         | both      |
       | 1 4 3    | 012       | both      |
 
+  Scenario: the membership and the rule of more than half of the primaries take longer
+    Given 3 zones of 10 hosts whose membership has settled
+    When zone 0 loses the other zones and all 4 primaries for 6 s
+    Then by the membership its hosts would leave after 1.2 s
+
   Scenario: a zone that keeps most primaries serves on
     Given zones of 10 10 10 hosts with primaries in zones 0001
     When zone 0 is cut off "both" for 6 s
@@ -104,6 +109,25 @@
     When all hosts stop and start again over 4 s, zone after zone
     Then no host leaves
 
+  Scenario: a host that is notified tells why it leaves, and returns
+    Given a host of 12 in 3 zones, with 4 primaries in other zones
+    When its zone is cut off and another host of the zone notifies it
+    Then the log, the dump and the metrics tell that it is cut off
+    When the other zones are reached again
+    Then it is ready
+    And the log tells that it is back, and no connection is an old one
+
+  Scenario: a host whose calls are not answered notifies its zone
+    Given a host of 12 in 3 zones, with 4 primaries in other zones
+    When its zone is cut off and a call of it is not answered
+    Then it has notified the 3 other hosts of its zone
+
+  Scenario: a notice has no effect on a host that is connected
+    Given a host of 12 in 3 zones, with 4 primaries in other zones
+    When another host of the zone notifies it for no reason
+    Then it is ready
+    And the check is counted as connected, and nothing is logged
+
   Scenario: hosts with traffic and no trouble send few probes
     Given zones of 10 10 10 hosts with primaries in zones 0012
     When the zones run for 20 s
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -9,6 +9,8 @@
 from behave import when
 
 from features.fakes.isolation_fleet import IsolationFleet
+from trefoilpulley_standins.membership_fleet import Fleet
+from trefoilpulley_standins.membership_fleet import make_entries
 
 SEEDS = range(5)
 WARM_UP_S = 6.0
@@ -138,6 +140,44 @@
         _run(context, duration)
 
 
+class MembershipSteps:
+    """Steps on the rule that counted the live hosts of the membership."""
+
+    @staticmethod
+    @given('3 zones of 10 hosts whose membership has settled')
+    def make(context: Any) -> None:
+        """Create a fleet of memberships for each seed."""
+        entries = make_entries(3, 10)
+        context.memberships = [Fleet(seed) for seed in SEEDS]
+        for number, fleet in enumerate(context.memberships):
+            for entry in entries:
+                fleet.add(entry.name, entry.zone, listed=entries)
+            fleet.run(15.0 + 0.37 * number)
+
+    @staticmethod
+    @when('zone 0 loses the other zones and all 4 primaries for 6 s')
+    def cut(context: Any) -> None:
+        """Record when each host sees fewer than half of the hosts."""
+        context.left = []
+        for fleet in context.memberships:
+            start = fleet.now
+            fleet.cut_link('z0', 'z1')
+            fleet.cut_link('z0', 'z2')
+            waiting = [h for h in fleet.hosts.values() if h.entry.zone == 'z0']
+            while waiting and fleet.now < start + 6.0:
+                fleet.run(0.01)
+                seen = [h for h in waiting if 2 * len(h.live) < 30]
+                waiting = [h for h in waiting if h not in seen]
+                context.left += [fleet.now - start for _ in seen]
+
+    @staticmethod
+    @then('by the membership its hosts would leave after {limit:g} s')
+    def check(context: Any, limit: float) -> None:
+        """Check that no host would meet the target; some never leave."""
+        assert context.left
+        assert min(context.left) > limit, min(context.left)
+
+
 class ReadinessSteps:
     """Steps on which hosts report themselves as not ready, and when."""
 
