Test observed and replaced connections between hosts

Cause: the hooks in Peers and Channel were covered only through fakes.

Change: scenarios on a local connection check that calls and dials are observed as answered or not, that a tried connection replaces nothing, and that a replaced connection stays open beside the new one.

Conclusion: no change of behaviour.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -133,3 +133,19 @@
     When the zones run for 20 s
     Then no host leaves
     And nothing was sent
+
+  Scenario: calls and dials to another host are observed
+    Given a host that calls another one, with an observer of its calls
+    When it sends a probe
+    Then the probe is answered, and 2 calls are observed as answered
+    When it tries a new connection
+    Then the other host is reached, and its connection is kept
+    When the other host stops
+    Then neither a probe nor a new connection succeeds
+
+  Scenario: a replaced connection stays open for the leases on it
+    Given a host that calls another one, with an observer of its calls
+    When it sends a probe
+    And it replaces its connection and sends a probe
+    Then the probe is answered, and 4 calls are observed as answered
+    And the former connection is still open beside the new one
