Count a holder without a channel as an attempt, and repeat an open once

Cause: a host that is cut off from all holders would have tried eight channels of 0.15 s each for a request, the whole time of a read that another member could serve, and would have repeated the opening of a transaction until its deadline.

Change: only reports that the member is missed are no attempts. The opening of a transaction that one holder held up is repeated once.

--- a/packages/core/src/trefoilpulley_core/direct/holder_order.py
+++ b/packages/core/src/trefoilpulley_core/direct/holder_order.py
@@ -23,8 +23,9 @@
 MAX_HOLDER_ATTEMPTS = 3
 """Holders that a request is sent to before it fails.
 
-Only refusals for other reasons than an unreachable member count. A holder to
-which no channel could be opened was not asked.
+Reports that the member is unreachable do not count. A holder to which no
+channel can be opened does: each costs up to 0.15 s, and the time of a read is
+better spent at another member.
 """
 
 HOLDER_BACKOFF_S = 0.8
@@ -88,12 +89,6 @@
             )
         )
 
-    def list_missed(self, now: float) -> tuple[str, ...]:
-        """Return the holders that do not reach the member, by name."""
-        return tuple(
-            sorted(h for h, t in self._missed_until.items() if now < t)
-        )
-
     def on_silent(self, holder: str, now: float) -> bool:
         """Record that a holder did not answer; return whether this is new."""
         is_new = now >= self._silent_until.get(holder, now)
@@ -147,7 +142,7 @@
     def on_refused(self, refusal: Refusal) -> None:
         """Record that the holder asked last has not sent the request."""
         is_report = refusal is Refusal.MEMBER_MISSED
-        self._attempts += refusal is Refusal.OTHER
+        self._attempts += not is_report
         self._asked += refusal is not Refusal.UNREACHED
         self._reports += is_report
 
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -206,6 +206,7 @@
     def _open(self, request: StatementRequest) -> Result[None, Failure]:
         failure: Failure = NoUpstream('no member may open the transaction')
         excluded: set[str] = set()
+        was_held_up = False
         budget = request.group.retry_budget
         for _ in range(MAX_OPEN_ATTEMPTS):
             if self._clock.now() >= request.deadline:
@@ -230,7 +231,10 @@
                 return result
             failure = result.failure()
             self._on_open_failed(request, place, failure, excluded)
-            if self._is_held_up(request, place, failure, asked_at):
+            if not was_held_up and self._is_held_up(
+                request, place, failure, asked_at
+            ):
+                was_held_up = True
                 excluded.discard(place.member)
         if failure.run_state is RunState.NOT_RUN:
             return Failed(failure)
@@ -275,7 +279,8 @@
         """Return whether one holder used up the time to open a transaction.
 
         The holder dials a member that it does not reach, and has sent nothing.
-        The other holders of a primary may reach it.
+        The other holders of a primary may reach it. Once is enough: a holder
+        that is passed over comes last in the second attempt.
         """
         if place.floor is not None or not isinstance(failure, NoUpstream):
             return False
--- a/packages/node/src/trefoilpulley_node/direct/relay_client.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_client.py
@@ -100,11 +100,6 @@
             self._order.on_served(self._host)
         return self._order.sort(self._rank(customer), now)
 
-    @property
-    def missed_holders(self) -> tuple[str, ...]:
-        """Holders that have just reported that they miss the member."""
-        return self._order.list_missed(self._clock.now())
-
     @property
     def is_active(self) -> bool:
         """Whether this host reaches the member through other hosts only."""
