Keep the watch relay within 5 s when two watches fail silently

Cause: with both relays of a zone silently cut off from the service, the zone would notice after 5.8 s, later than the 5 s in which a configuration must be in force. A relay that had lost the service retried every 0.2 to 1 s, and the read of all keys after lost history came from 26 hosts of a zone within one second.

Change: the service holds a watch for 3 s in deployments of 25 hosts and more, and 5 s in others as before. A relay that has lost the service follows through others, and tries again after 0.8 s, or after 5 to 10 s while others serve it. The reads are spread over 3 s.

--- a/features/steps/watch_relay_steps.py
+++ b/features/steps/watch_relay_steps.py
@@ -62,6 +62,11 @@
             'is_silent',
             True,
         ),
+        'both relays are cut off from the service silently': (
+            both,
+            'is_silent',
+            True,
+        ),
         'a zone is cut off from the service silently': (
             zone,
             'is_silent',
@@ -120,6 +125,8 @@
         fleet = context.fleet
         context.fault_at = context.changed_at = fleet.now
         if fault == 'the service drops its history':
+            # Without a change that is lost, every watch would go on.
+            fleet.change_members()
             fleet.service.discard_history()
         elif fault == 'the service returns in a new era':
             fleet.service.restore(fleet.service.take_copy())
@@ -323,12 +330,23 @@
 
     @staticmethod
     @then(
-        'in each second after the outage, a zone has watched or read at most '
+        'in the first second after it, a zone has watched or read at most '
+        '{count:d} times'
+    )
+    def check_return(context: Any, count: int) -> None:
+        """Check the calls of the hosts that notice the end first."""
+        healed_at = context.healed_at
+        _check_rate(context, healed_at, healed_at + 1, count)
+
+    @staticmethod
+    @then(
+        'in each second after that, a zone has watched or read at most '
         '{count:d} times'
     )
     def check_after(context: Any, count: int) -> None:
         """Check the calls once the service answers again."""
-        _check_rate(context, context.healed_at, context.fleet.now, count)
+        after = context.healed_at + 1
+        _check_rate(context, after, context.fleet.now, count)
 
 
 class HistorySteps:
--- a/features/watch_relay.feature
+++ b/features/watch_relay.feature
@@ -6,7 +6,7 @@
   Scenario: the calls on a calm day grow with the zones
     Given 86 hosts of 3 zones that start together
     When 50 s pass
-    Then after 10 s, only 6 hosts have made watches, and at most 60
+    Then after 10 s, only 6 hosts have made watches, and at most 90
     And no other call after 10 s was anything but a renewal
     And each host has made at most 12 calls in the first 10 s
     And the hosts of the zones name two relays in the state
@@ -37,6 +37,7 @@
       | both relays are killed                          | 6     |
       | both relays are frozen                          | 6     |
       | both relays are refused by the service          | 6     |
+      | both relays are cut off from the service silently | 6   |
       | four relays are frozen                          | 10    |
       | a zone is refused by the service                | 9     |
       | two hosts do not see the relays                 | 6     |
@@ -55,7 +56,8 @@
     When the service is out for 12 s
     Then in each second of the outage, a zone has watched or read at most 17 times
     And in each second from 4 s on, a zone has watched or read at most 9 times
-    And in each second after the outage, a zone has watched or read at most 6 times
+    And in the first second after it, a zone has watched or read at most 12 times
+    And in each second after that, a zone has watched or read at most 6 times
     And every live host knows what the service lists
 
   Scenario: the askers of two relays that die together do not call at once
@@ -70,6 +72,19 @@
     Then every live host has the configuration within 5 s
     And in each 0.1 s at most 8 hosts of a zone have called the service
 
+  Scenario Outline: the hosts of a zone do not read again all at once
+    Given 86 hosts of 3 zones that follow the service
+    When the service <fault>, and the configuration and members change
+    Then every live host has the configuration within 5 s
+    And in each 1 s at most 22 hosts of a zone have called the service
+    When the faults end and 15 s pass
+    Then every live host knows what the service lists
+
+    Examples:
+      | fault                |
+      | drops its history    |
+      | returns in a new era |
+
   Scenario: hosts that had to follow the service themselves return to the relays
     Given 30 hosts of 3 zones that follow the service
     When four relays are frozen, and the configuration and members change
--- a/packages/core/src/trefoilpulley_core/direct/relay_choice.py
+++ b/packages/core/src/trefoilpulley_core/direct/relay_choice.py
@@ -66,13 +66,16 @@
 MAX_RETURN_S = 10.0
 """Greatest time before a host returns to the relays, in seconds."""
 
+RELAY_RETRY_S = 0.8
+"""Time until a relay tries the service again that is out, in seconds."""
+
 MIN_HANDOVER_S = 0.1
 """Least time before a host first asks the relays, in seconds."""
 
 MAX_HANDOVER_S = 0.6
 """Greatest time before a host first asks the relays, in seconds."""
 
-MAX_REREAD_DELAY_S = 2.0
+MAX_REREAD_DELAY_S = 3.0
 """Longest delay before a read of all keys, in seconds.
 
 A relay whose history begins anew has all hosts of its zone read again.
@@ -151,6 +154,7 @@
         self._wait_ms = 0
         self._has_expired = False
         self._is_era_over = False
+        self._has_lost = False
         self._return_at: float | None = None
         self._is_fallback = False
         self._direct_at: float | None = None
@@ -203,11 +207,14 @@
         self, now: float
     ) -> AskRelay | FollowService | AwaitTurn | ReadAgain | GiveUp:
         """Return what to do now, at a time in seconds."""
-        if not self._is_enabled or self.is_relay or now < self._asked_until:
+        if not self._is_enabled:
+            self._follow_service()
+            return FollowService(None)
+        if self._is_needed(now) and now >= self._no_direct_before:
             self._follow_service()
-            is_asked_only = self._is_enabled and not self.is_relay
-            left_s = self._asked_until - now if is_asked_only else None
-            return FollowService(left_s)
+            return FollowService(
+                None if self.is_relay else self._asked_until - now
+            )
         if self.is_direct:
             return self._find_way_back(now)
         if self._has_expired and (
@@ -277,6 +284,11 @@
             relay is then not asked, as it may still be in the older one.
         """
         if status is ChangesStatus.OK:
+            if self._has_lost:
+                self._no_direct_before = now + self._rng.uniform(
+                    MIN_RETURN_S, MAX_RETURN_S
+                )
+            self._has_lost = False
             self._avoided.pop(relay, None)
             self._failed.clear()
             self.is_direct = self._is_fallback = False
@@ -303,13 +315,19 @@
     def on_service_lost(self, now: float) -> None:
         """Record that this host's own watch has failed.
 
-        A host that is no relay then asks the relays until its next try, which
-        is the later the more hosts its zone has.
+        The host then asks the relays until its next try. A relay that no
+        other one serves tries again soon, since others wait for it; any other
+        host tries the later the more hosts its zone has.
         """
-        if not self._is_enabled or self.is_relay or now < self._asked_until:
+        if not self._is_enabled:
             return
+        self._has_lost = self._is_needed(now)
         interval_s = max(MIN_RETURN_S, len(self._ranks) / ZONE_TRIES_PER_S)
-        self._no_direct_before = now + interval_s * self._rng.uniform(1, 2)
+        self._no_direct_before = now + (
+            RELAY_RETRY_S
+            if self._has_lost
+            else interval_s * self._rng.uniform(1, 2)
+        )
         self.is_direct = False
         self._return_at = self._direct_at = None
 
@@ -344,6 +362,10 @@
         )
         return now + self._rng.uniform(least_s, greatest_s)
 
+    def _is_needed(self, now: float) -> bool:
+        """Return whether other hosts rely on the watch of this host."""
+        return self.is_relay or now < self._asked_until
+
     def _candidates(self, count: int) -> list[str]:
         return [h for h in self._ranks[:count] if h != self._host]
 
--- a/packages/core/src/trefoilpulley_core/direct/watch_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/watch_pace.py
@@ -1,4 +1,4 @@
-"""Pause between two calls of a watch on the platform's service.
+"""Pause between two calls of a watch on the platform's service, and its hold.
 
 Load pattern: 80 to 90 hosts start together. Each of them registers, and the
 watch of each of them returns for the registrations of the others, so that the
@@ -36,14 +36,35 @@
 """Number of hosts from which the pause grows."""
 
 
+MAX_WAIT_MS = 5000
+"""Maximum time that the service holds a call, in milliseconds.
+
+It also bounds the time until a dead connection is noticed.
+"""
+
+MAX_RELAY_WAIT_MS = 3000
+"""The same in deployments of `MIN_HOSTS` and more, in milliseconds.
+
+The hosts of a zone rely on two watches there. With up to 0.8 s until the
+answer is missed and 0.7 s for two other hosts to take over, a configuration
+is in force within 5 s although both watches have failed silently.
+"""
+
+
 class WatchPace:
-    """Decides how long a watch waits before its next call."""
+    """Decides how long a watch waits before and in its next call."""
 
     def __init__(self) -> None:
         self._hosts: set[str] = set()
         self.pause_s = MIN_PAUSE_S
         """Pause before the next call, in seconds."""
 
+    @property
+    def wait_ms(self) -> int:
+        """Time that the service may hold the next call, in milliseconds."""
+        is_small = len(self._hosts) < MIN_HOSTS
+        return MAX_WAIT_MS if is_small else MAX_RELAY_WAIT_MS
+
     def on_entries(self, entries: Iterable[KeyValue]) -> None:
         """Record the hosts among entries that were read or have changed."""
         for entry in entries:
