Keep the time of a member's last answer by any path

Cause: the parts on isolation and on holders were merged side by side. One reads MemberHealth.last_answer_at, which the other had moved.

An unexpected error of a check is logged.

--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -139,6 +139,9 @@
         self.in_flight = 0
         """Statements of this host that are in flight at the member."""
 
+        self.last_answer_at = float('-inf')
+        """Time of the last answer by any path, in seconds."""
+
         self.queued_at = float('-inf')
         """Last time at which work waited for the member, in seconds."""
 
@@ -163,6 +166,7 @@
 
     def on_answer(self, now: float, position: Position) -> None:
         """Record an answer of the member."""
+        self.last_answer_at = now
         if self.failing_since is not None:
             self.pace.begin(PaceReason.RECOVERED)
         self.failing_since = None
--- a/packages/node/src/trefoilpulley_node/direct/isolation_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/isolation_watch.py
@@ -122,7 +122,7 @@
             self._peers().connected_hosts, self._clock.now()
         )
         if check is not None:
-            gevent.spawn(self._check, check)
+            gevent.spawn(self._run_check, check)
 
     def _run(self) -> None:
         while True:
@@ -135,6 +135,13 @@
                     message='isolation', error=repr(exc)
                 )
 
+    def _run_check(self, check: ReachabilityCheck) -> None:
+        try:
+            self._check(check)
+        # An unexpected error must be visible; the next check follows.
+        except Exception as exc:
+            events.HANDLER_CRASHED.log(message='isolation', error=repr(exc))
+
     def _check(self, check: ReachabilityCheck) -> None:
         result = self._detector.end_check(
             check,
