Check that a watch goes on at the position that relays have told

Nothing was skipped, but the service may have dropped that history, so that the host would read all keys.

Change: the scenario of hosts that fall back compares the revisions of their watches. One scenario runs 27 hosts over sockets on the emulated platform. A watch that is cancelled while it is set up no longer leaves its host marked as following.

--- a/features/fakes/watch_fleet.py
+++ b/features/fakes/watch_fleet.py
@@ -5,6 +5,7 @@
 from collections import Counter
 import contextlib
 from dataclasses import dataclass
+from dataclasses import field
 import json
 import random
 from typing import Any
@@ -104,6 +105,8 @@
     host: str
     is_refused: bool = False
     is_silent: bool = False
+    watched: list[tuple[float, int]] = field(default_factory=list)
+    """Time and revision of each watch."""
 
     def call(
         self,
@@ -119,6 +122,9 @@
         fleet.calls.append((fleet.now, self.host, path.split('?')[0]))
         gevent.sleep(LATENCY_S)
         parts = urlsplit(path)
+        if parts.path == '/v1/kv-watch':
+            revision = int(dict(parse_qsl(parts.query))['after'])
+            self.watched.append((fleet.now, revision))
         if not (self.is_silent or self.is_refused or service.is_down):
             status, answer = service._dispatch(
                 method, parts.path, dict(parse_qsl(parts.query)), body
@@ -423,6 +429,11 @@
             if key.startswith(prefix)
         }
 
+    @property
+    def revision(self) -> int:
+        """Revision of the service."""
+        return self.service._revision
+
     def live_hosts(self) -> list[WatchHost]:
         """Return the hosts that have not been killed."""
         return [h for h in self.hosts.values() if not h.is_dead]
--- a/features/steps/watch_relay_steps.py
+++ b/features/steps/watch_relay_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 import eliot
 
+from features.fakes.asking import wait_until
 from features.fakes.config_fleet import KEY
 from features.fakes.watch_fleet import WatchFleet
 from features.fakes.watch_fleet import WatchHost
@@ -124,6 +125,7 @@
         """Begin a fault and write changes at once."""
         fleet = context.fleet
         context.fault_at = context.changed_at = fleet.now
+        context.revision = fleet.revision
         if fault == 'the service drops its history':
             # Without a change that is lost, every watch would go on.
             fleet.change_members()
@@ -230,8 +232,16 @@
     @staticmethod
     @then('some hosts of the zone follow the service directly')
     def check_fallback(context: Any) -> None:
-        """Check that hosts without relays watch for themselves."""
-        assert _direct(context) - _relays(context)
+        """Check that hosts without relays watch from where they were.
+
+        A watch from an older revision may find its history lost.
+        """
+        hosts = _direct(context) - _relays(context)
+        assert hosts
+        for name in hosts:
+            watched = context.fleet.hosts[name].link.watched
+            revisions = [r for at, r in watched if at >= context.fault_at]
+            assert min(revisions) >= context.revision, (name, revisions)
 
     @staticmethod
     @then('only the relays follow the service directly')
@@ -247,6 +257,25 @@
         assert names.count(events.SERVICE_RELAYED.name) >= 24, names
         assert events.SERVICE_DIRECT.name in names, names
 
+    @staticmethod
+    @then(
+        '{count:d} hosts eventually name two relays of their zone in the '
+        'state dump'
+    )
+    def wait_relayed(context: Any, count: int) -> None:
+        """Wait until the hosts of an emulated deployment ask relays."""
+        hosts = context.deployment.hosts
+
+        def dumps() -> list[Any]:
+            found = [h.proxy.dump() for h in hosts]
+            return [d for d in found if d.watch_relays]
+
+        wait_until(lambda: len(dumps()) == count)
+        zones = {d.host: d.zone for d in (h.proxy.dump() for h in hosts)}
+        for dump in dumps():
+            assert len(dump.watch_relays) == 2, dump
+            assert {zones[r] for r in dump.watch_relays} == {dump.zone}, dump
+
 
 class ServiceCallSteps:
     """Steps on the calls to the service."""
--- a/features/watch_relay.feature
+++ b/features/watch_relay.feature
@@ -119,3 +119,10 @@
   Scenario: a configuration that may hold keys is not passed on unread
     Given a relay that has learnt a configuration that is no JSON and has a key
     Then its answer holds the key "op/config" without the customer's key
+
+  Scenario: hosts over sockets follow the service through relays
+    Given an emulated deployment of 27 hosts
+    Then 21 hosts eventually name two relays of their zone in the state dump
+    When the configuration has only the databases "filings" and "extra"
+    Then a caller of "extra" is eventually served at host 25
+    And a caller of "extra" is eventually served at host 26
--- a/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
@@ -346,7 +346,9 @@
         self._is_direct = True
         direct = self._platform.watch('', self._on_direct_change, self.fail)
         if self._is_ended:
+            # The watch may have been cancelled while it was set up.
             direct.cancel()
+            self._relay.end()
             return
         self._direct, self._is_served = direct, False
 
