--- a/features/watch_relay.feature
+++ b/features/watch_relay.feature
@@ -66,9 +66,9 @@
     Then every live host has the configuration within 5 s
     And in each 1 s at most 6 hosts of a zone have called the service
 
-  Scenario: askers whose relays are all silent turn to the service one by one
+  Scenario: askers whose relays all die at once turn to the service one by one
     Given 86 hosts of 3 zones that follow the service
-    When four relays are frozen, and the configuration and members change
+    When four relays are killed, and the configuration and members change
     Then every live host has the configuration within 5 s
     And in each 0.1 s at most 8 hosts of a zone have called the service
 
@@ -119,3 +119,10 @@
   Scenario: a configuration that may hold keys is not passed on unread
     Given a relay that has learnt a configuration that is no JSON and has a key
     Then its answer holds the key "op/config" without the customer's key
+
+  Scenario: hosts over sockets follow the service through relays
+    Given an emulated deployment of 27 hosts
+    Then 21 hosts eventually name two relays of their zone in the state dump
+    When the configuration has only the databases "filings" and "extra"
+    Then a caller of "extra" is eventually served at host 25
+    And a caller of "extra" is eventually served at host 26
