Count hidden hosts for the choice of the holders again

Cause: since the directory gets the capacities of the live hosts only, and takes their number for that of the registered hosts. When a partition or a cut zone left 24 of 29 hosts or fewer in sight, all hosts opened connections of their own, one or two each, to members that accept 46.

Change: the capacities cover registered and live hosts, as the directory says.

--- a/features/connection_holders.feature
+++ b/features/connection_holders.feature
@@ -20,6 +20,14 @@
     Given 86 hosts of which 6 have 4.2 times the capacity
     Then a larger host holds connections of at least twice as many groups
 
+  Scenario: a partition does not make each host open connections of its own
+    Guards against a large deployment of which one side sees 24 hosts or fewer:
+    all hosts of that side opened connections at once.
+
+    Given a host of 29 that sees 19 live ones
+    Then it counts the capacities of 29 hosts
+    And few hosts hold the connections of a member
+
   Scenario: all hosts send the work of a customer to the same holder first
     Given 86 hosts of which 6 have 4.2 times the capacity
     Then 85 customers have the same first holder at every host
--- a/features/steps/connection_holders_steps.py
+++ b/features/steps/connection_holders_steps.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import replace
 import json
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given
@@ -12,20 +13,30 @@
 from behave import when
 from returns.result import Success
 
+from features.fakes.fake_entry_parts import FakeClock
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.connection_holders import choose_holders
 from trefoilpulley_core.direct.connection_holders import rank_customer_holders
 from trefoilpulley_core.direct.connection_holders import rank_holders
+from trefoilpulley_core.direct.group_state import MemberRecord
+from trefoilpulley_core.direct.routes import GroupLimits
+from trefoilpulley_core.direct.routes import ReadFreshness
+from trefoilpulley_core.direct.routes import Route
+from trefoilpulley_core.direct.routes import RouteTable
 from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.membership.live_hosts import LiveHosts
+from trefoilpulley_core.membership.live_hosts import ZoneHosts
 from trefoilpulley_core.membership.messages import News
 from trefoilpulley_core.membership.record import HostRecord
 from trefoilpulley_core.membership.record import HostState
 from trefoilpulley_core.platform import KeyValue
 from trefoilpulley_core.rendezvous import pick_host
 from trefoilpulley_core.rendezvous import rank_hosts
+from trefoilpulley_node.direct.directory import GroupDirectory
 from trefoilpulley_node.direct.host_registration import read_host
 from trefoilpulley_node.direct.host_registration import write_host
+from trefoilpulley_node.direct.host_view import HostView
 from trefoilpulley_platform.platform_settings import parse_settings
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
@@ -35,6 +46,7 @@
 GROUPS = tuple(f'group-{i}' for i in range(200))
 CUSTOMERS = tuple(f'customer-{i}' for i in range(85))
 MAX_CONNECTIONS = 82
+ENDPOINT = Endpoint('127.0.0.1', 1)
 OLD_FIELDS = {
     'region': 'r',
     'zone': 'a',
@@ -284,6 +296,57 @@
         assert not isinstance(context.settings, Success), context.settings
 
 
+class PartitionSteps:
+    """Steps on a host that sees a part of the deployment."""
+
+    @staticmethod
+    @given('a host of {registered:d} that sees {live:d} live ones')
+    def make(context: Any, registered: int, live: int) -> None:
+        """Create the view of a host from which a part is hidden."""
+        entries = {
+            f'host-{n}': HostEntry(
+                f'host-{n}', 'r', ZONES[n % 2], ENDPOINT, ENDPOINT
+            )
+            for n in range(registered)
+        }
+        names = list(entries)[:live]
+        zones = tuple(
+            ZoneHosts(z, 'r', tuple(names[n::2]))
+            for n, z in enumerate(ZONES[:2])
+        )
+        context.view = HostView(
+            entries['host-0'],
+            lambda: tuple(entries.values()),
+            entries.get,
+            lambda: LiveHosts('r', 1, zones),
+            SimpleNamespace(is_draining=False),
+        )
+
+    @staticmethod
+    @then('it counts the capacities of {count:d} hosts')
+    def check(context: Any, count: int) -> None:
+        """Check that hidden hosts count."""
+        assert len(context.view.capacities) == count
+
+    @staticmethod
+    @then('few hosts hold the connections of a member')
+    def check_holders(context: Any) -> None:
+        """Apply the view to the groups of the host."""
+        table = RouteTable(
+            1,
+            {'db': Route('db', 'ledger', ReadFreshness.PRIMARY, 1, 1, 1, 1)},
+            {'ledger': GroupLimits(46)},
+        )
+        directory = GroupDirectory('host-0', ZONES[0], None, None, FakeClock())
+        directory.set_routes(table)
+        directory.set_member(
+            MemberRecord('p', 'ledger', ENDPOINT, ZONES[0], True, False)
+        )
+        view = context.view
+        directory.set_hosts(view.live_zones, view.capacities)
+        assert directory.groups['ledger'].state.has_holders
+
+
 def _encode(entry: HostEntry) -> bytes:
     record = HostRecord(entry, 1, HostState.ALIVE)
     return PEER_CODEC.encode(0, News((record,), ()))
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -563,7 +563,7 @@
         self._limits.set_hosts(
             hosts.live,
             hosts.registered,
-            hosts.known_capacities,
+            hosts.capacities,
             self._clock.now(),
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/host_view.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_view.py
@@ -69,13 +69,11 @@
 
     @property
     def capacities(self) -> dict[str, float]:
-        """Capacity of each live host, this one included."""
-        entries = [self._host, *map(self._find_entry, self.live)]
-        return {e.name: e.capacity for e in entries if e is not None}
+        """Capacity of each registered or live host.
 
-    @property
-    def known_capacities(self) -> dict[str, float]:
-        """Capacity of each registered or live host."""
+        Hosts that a partition hides count as well: whether few hosts hold the
+        connections depends on the size of the deployment.
+        """
         names = {*self.registered, *self.live}
         entries = [self._host, *map(self._find_entry, sorted(names))]
         return {e.name: e.capacity for e in entries if e is not None}
