Answer where a host would send a request, and why

Cause: operators see late and refused requests in the logs of callers, but not which rule applies to the next one.

Change: explain_route goes through the checks of a request in their order and returns a RouteReport. Placement, floors, waits for a primary, limits, queues and holders are decided by the code of requests, on copies of the state. The host serves the report as GET /route beside the state dump; the command trefoilpulley route prints it.

--- a/packages/cli/src/trefoilpulley_cli/main.py
+++ b/packages/cli/src/trefoilpulley_cli/main.py
@@ -11,6 +11,7 @@
 from trefoilpulley_cli.execute import execute
 from trefoilpulley_cli.explain import explain
 from trefoilpulley_cli.invocation import Invocation
+from trefoilpulley_cli.route import route
 from trefoilpulley_cli.service_factory import NetworkServiceFactory
 from trefoilpulley_cli.show import show
 from trefoilpulley_cli.state import state
@@ -35,7 +36,17 @@
     ctx.obj = Invocation(ctx.obj or NetworkServiceFactory(), path)
 
 
-for command in (apply, check, execute, explain, show, state, stop, targets):
+for command in (
+    apply,
+    check,
+    execute,
+    explain,
+    route,
+    show,
+    state,
+    stop,
+    targets,
+):
     main.add_command(command)
 
 
--- a/packages/core/src/trefoilpulley_core/direct/caller_identity.py
+++ b/packages/core/src/trefoilpulley_core/direct/caller_identity.py
@@ -45,10 +45,58 @@
         without a route, which is refused for that reason; `NotAuthenticated`
         if no customer holds the key.
     """
-    route = table.routes.get(database)
-    if table.customers is None or route is None or route.is_public:
+    if not is_key_needed(table, database):
         return Success(None)
     customer = table.customers.find_by_digest(digest)
     if customer is None:
         return Failed(NotAuthenticated('the key belongs to no customer'))
     return Success(customer)
+
+
+def is_key_needed(table: RouteTable, database: str) -> bool:
+    """Return whether callers of a database must be customers.
+
+    Parameters
+    ----------
+    table : RouteTable
+        Configuration in force.
+    database : str
+        Database name that the caller gave.
+    """
+    route = table.routes.get(database)
+    return (
+        table.customers is not None
+        and route is not None
+        and not route.is_public
+    )
+
+
+def find_customer(
+    table: RouteTable, database: str, name: str
+) -> Result[Customer | None, Failure]:
+    """Return the customer that an operator names.
+
+    The name of an unknown customer is not repeated, since it may be a key.
+
+    Parameters
+    ----------
+    table : RouteTable
+        Configuration in force.
+    database : str
+        Database name of the request.
+    name : str
+        Name of the customer; empty for none.
+
+    Returns
+    -------
+    Result[Customer | None, Failure]
+        As for `identify_caller`.
+    """
+    if not is_key_needed(table, database):
+        return Success(None)
+    if not name:
+        return Failed(NotAuthenticated('the request names no customer'))
+    customer = table.customers.customers.get(name)
+    if customer is None:
+        return Failed(NotAuthenticated('no customer has this name'))
+    return Success(customer)
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.placement import place_read
+from trefoilpulley_core.direct.placement_bounds import find_bounds
 from trefoilpulley_core.direct.upstream_session import CommitTransaction
 from trefoilpulley_core.direct.upstream_session import OpenTransaction
 from trefoilpulley_core.direct.upstream_session import RollBack
@@ -28,7 +29,6 @@
     from returns.result import Result
 
     from trefoilpulley_core.clock import Clock
-    from trefoilpulley_core.direct.evidence import Evidence
     from trefoilpulley_core.direct.placement import Placement
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.failure import Failure
@@ -267,14 +267,18 @@
     ) -> Placement | None:
         state = request.group.state
         now = self._clock.now()
-        floor: Evidence | None = None
-        if self._is_read_only:
-            floor = state.evidence.read_floor(
-                request.route, request.floor, now
-            )
-        if self._primary_wait.is_lost(request.group) and state.primary:
-            excluded = excluded | {state.primary}
-        return place_read(state, floor, self._zone, excluded, now)
+        bounds = find_bounds(
+            state,
+            request.route,
+            request.floor,
+            self._is_read_only,
+            self._primary_wait.is_lost(request.group),
+            excluded,
+            now,
+        )
+        return place_read(
+            state, bounds.floor, self._zone, bounds.excluded, now
+        )
 
     def _open_at(
         self, request: StatementRequest, place: Placement
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -43,6 +43,7 @@
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
+from trefoilpulley_node.direct.route_explainer import RouteExplainer
 from trefoilpulley_node.direct.session_factory import SessionFactory
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
@@ -276,6 +277,19 @@
             self.metrics,
         )
 
+    @cached_property
+    def routes(self) -> RouteExplainer:
+        """Tells where this host would send requests."""
+        return RouteExplainer(
+            self._cfg.host,
+            self._cfg.zone,
+            self.directory,
+            self.sessions,
+            self._primary_wait,
+            self._admissions,
+            self._clock,
+        )
+
     @cached_property
     def _limits(self) -> CustomerLimits:
         return CustomerLimits(self._cfg.host, self._cfg.limit_bounds)
--- a/packages/node/src/trefoilpulley_node/direct/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_wait.py
@@ -79,15 +79,39 @@
     def wait(self, request: StatementRequest) -> bool:
         """Wait for a primary; return whether one was found in time."""
         now = self._clock.now()
-        if now < request.group.state.no_primary_change_until:
-            return False
-        run_time_s = RUN_TIME_FACTOR * (request.deadline - request.arrived_at)
-        wait_until = request.deadline - run_time_s
-        if self._expected_at(request.group, now) > wait_until:
+        wait_until = self.find_wait_end(
+            request.group, request.arrived_at, request.deadline, now
+        )
+        if wait_until is None:
             return False
         return request.group.primary_changed.wait(max(0.0, wait_until - now))
 
-    def _expected_at(self, group: Group, now: float) -> float:
+    def find_wait_end(
+        self, group: Group, arrived_at: float, deadline: float, now: float
+    ) -> float | None:
+        """Return until when a request waits, or ``None`` if it does not.
+
+        Parameters
+        ----------
+        group : Group
+            Group of the request.
+        arrived_at : float
+            Time of the request's arrival, in seconds.
+        deadline : float
+            Time by which the request must be answered, in seconds.
+        now : float
+            Current time in seconds.
+        """
+        if now < group.state.no_primary_change_until:
+            return None
+        run_time_s = RUN_TIME_FACTOR * (deadline - arrived_at)
+        wait_until = deadline - run_time_s
+        if self.expected_at(group, now) > wait_until:
+            return None
+        return wait_until
+
+    def expected_at(self, group: Group, now: float) -> float:
+        """Return when a primary is expected to be known, in seconds."""
         state = group.state
         if state.primary_change_due_at > now:
             return state.primary_change_due_at
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -354,6 +354,11 @@
         if channel is not None and channel.is_open:
             channel.notify(EndLease(self._lease))
 
+    @property
+    def attempt_order(self) -> tuple[str, ...]:
+        """Holders in the order in which they would be tried now."""
+        return self._list_holders()
+
     def _list_holders(self) -> tuple[str, ...]:
         holders = self._relay_client.holders_for(self._work.customer)
         if self._is_refused_here:
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -15,6 +15,8 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.placement import place_read
+from trefoilpulley_core.direct.placement_bounds import find_bounds
+from trefoilpulley_core.direct.placement_bounds import place_write
 from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.direct.upstream_session import UpstreamFailed
 from trefoilpulley_core.direct.upstream_session import UpstreamTimedOut
@@ -209,9 +211,10 @@
         budget = request.group.retry_budget
         budget.record_fresh(request.route.group)
         for _ in range(MAX_WRITE_ATTEMPTS):
-            primary = request.group.state.primary
+            is_lost = self._primary_wait.is_lost(request.group)
+            primary = place_write(request.group.state, is_lost)
             access = request.group.find_access(primary) if primary else None
-            if access is None or self._primary_wait.is_lost(request.group):
+            if access is None:
                 if not self._primary_wait.wait(request):
                     return Failed(failure)
                 continue
@@ -240,10 +243,18 @@
     ) -> Placement | None:
         now = self._clock.now()
         state = request.group.state
-        floor = state.evidence.read_floor(request.route, request.floor, now)
-        if self._primary_wait.is_lost(request.group) and state.primary:
-            excluded = excluded | {state.primary}
-        return place_read(state, floor, self._zone, excluded, now)
+        bounds = find_bounds(
+            state,
+            request.route,
+            request.floor,
+            True,
+            self._primary_wait.is_lost(request.group),
+            excluded,
+            now,
+        )
+        return place_read(
+            state, bounds.floor, self._zone, bounds.excluded, now
+        )
 
     def _may_hedge(self, request: StatementRequest, place: Placement) -> bool:
         """Return whether a read may be sent to a further member as well.
