Compare the explanation of a route with what the host does

Cause: an explanation that differs from the host misleads operators, and one that changes the host's state changes what it explains.

--- a/packages/core/src/trefoilpulley_core/direct/member_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/member_pace.py
@@ -234,19 +234,24 @@
             self._read_credit -= is_admitted
         return is_admitted
 
-    def would_admit_read(self, in_flight: int) -> bool:
+    def would_admit_read(self, in_flight: int, refused: int = 0) -> bool:
         """Return what `admits_read` would return, without spending credit.
 
         Parameters
         ----------
         in_flight : int
             Statements of this host that are in flight at the member.
+        refused : int
+            Calls before this one that would have returned ``False``.
         """
         if self.reason is None:
             return True
         if self._is_full(in_flight):
             return False
-        return self._read_credit + self.fraction >= 1
+        credit, fraction = self._read_credit, self.fraction
+        for _ in range(refused):
+            credit += fraction
+        return credit + fraction >= 1
 
     def _is_full(self, in_flight: int) -> bool:
         return self._limit is not None and in_flight >= self.cap(self._limit)
--- a/packages/core/src/trefoilpulley_core/direct/route_explanation.py
+++ b/packages/core/src/trefoilpulley_core/direct/route_explanation.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import abc
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -250,6 +251,7 @@
         self._choice = MemberChoice(None)
         self._wait_until: float | None = None
         self._refused: list[str] = []
+        self._passed_over: Counter[str] = Counter()
         self._paths: list[PathView] = []
 
     def run(self) -> RouteReport:
@@ -297,10 +299,7 @@
         failure: Failure | None = None
         for _ in range(self._preview.count_attempts(query.is_transaction)):
             self._weigh(is_read_only=not query.is_write)
-            choice = choose_member(
-                self._weighed,
-                lambda health: health.pace.would_admit_read(health.in_flight),
-            )
+            choice = choose_member(self._weighed, self._admits)
             if choice.member is None:
                 if not self._outlook.is_serving:
                     self._wait_until = self._outlook.wait_until
@@ -339,6 +338,15 @@
             now,
         )
 
+    def _admits(self, health: MemberHealth) -> bool:
+        """Return whether the pace of a member admits this attempt."""
+        member = health.record.member
+        is_admitted = health.pace.would_admit_read(
+            health.in_flight, self._passed_over[member]
+        )
+        self._passed_over[member] += not is_admitted
+        return is_admitted
+
     def _try(self, member: str) -> Failure | None:
         outcome = self._preview.try_member(
             self._query, self._route, self._customer, member, self._now
--- a/packages/node/src/trefoilpulley_node/direct/route_explainer.py
+++ b/packages/node/src/trefoilpulley_node/direct/route_explainer.py
@@ -157,7 +157,7 @@
         ).connection_request(query.is_transaction)
         access = preview_access(found)
         acquired = access.acquire(work, session)
-        queue = _view_queue(access, work, now)
+        queue = _view_queue(found, access, work, now)
         if not isinstance(acquired, Success):
             path = PathView(member, PathStep.REFUSED, (), queue)
             return PathOutcome(path, acquired.failure())
@@ -183,12 +183,14 @@
 
 
 def _view_queue(
-    access: MemberAccess, work: ConnectionRequest, now: float
+    access: MemberAccess,
+    preview: MemberAccess,
+    work: ConnectionRequest,
+    now: float,
 ) -> QueueView:
-    pool = access.local_pool
-    wait_s = pool.expected_wait_s
+    wait_s = preview.local_pool.expected_wait_s
     return QueueView(
-        pool.waiting,
+        access.local_pool.waiting,
         None if wait_s is None else round(1000 * wait_s, 1),
         round(1000 * (min(work.admit_by, work.deadline) - now), 1),
     )
