Give a step of the route scenarios a name of its own

Change: the step has another name. A dry run of all features shows that only route_command.feature uses steps of route_command_steps.py.

Conclusion: no other feature uses these steps.

--- a/features/route_command.feature
+++ b/features/route_command.feature
@@ -100,7 +100,7 @@
 
   Scenario: the holders of the member are listed in order
     Given a deployment of 30 hosts
-    And the customers "weavers"
+    And the deployment has the customers "weavers"
     When the way of a "orders" read of "weavers" is explained
     Then the path is "holders"
     And no holder is passed over
@@ -108,7 +108,7 @@
 
   Scenario: a holder that did not answer is passed over
     Given a deployment of 30 hosts
-    And the customers "weavers"
+    And the deployment has the customers "weavers"
     And the first holder of "weavers" did not answer
     When the way of a "orders" read of "weavers" is explained
     Then the path is "holders"
@@ -129,26 +129,26 @@
     And the host does the same with the request
 
   Scenario: a missing customer is refused
-    Given the customers "weavers"
+    Given the deployment has the customers "weavers"
     When the way of a "orders" read is explained
     Then the request is refused for "customer-missing" with "not-authenticated"
     And the host does the same with the request
 
   Scenario: an unknown customer is refused, and its name is not repeated
-    Given the customers "weavers"
+    Given the deployment has the customers "weavers"
     When the way of a "orders" read of "key-of-weavers" is explained
     Then the request is refused for "customer-unknown" with "not-authenticated"
     And the answer does not contain "key-of-weavers"
     And the host does the same with the request
 
   Scenario: a public route needs no customer
-    Given the customers "weavers"
+    Given the deployment has the customers "weavers"
     When the way of a "notices" read is explained
     Then the request is "sent" to "r" for "replica-by-floor"
     And the host does the same with the request
 
   Scenario: an operation above the limit of its customer is refused
-    Given the customers "weavers 4"
+    Given the deployment has the customers "weavers 4"
     And "weavers" has used up its limit
     When the way of a "orders" read of "weavers" is explained
     Then the request is refused for "limit-exceeded" with "limit-exceeded"
@@ -156,14 +156,14 @@
     And the host does the same with the request
 
   Scenario: the owner of a limit is not asked
-    Given the customers "weavers 4"
+    Given the deployment has the customers "weavers 4"
     And another host owns the limit of "weavers"
     When the way of a "orders" read of "weavers" is explained
     Then the answer tells that the owner would be asked
     And the host does the same with the request
 
   Scenario: a refusal of the owner stands for a moment
-    Given the customers "weavers 4"
+    Given the deployment has the customers "weavers 4"
     And another host owns the limit of "weavers"
     And the owner has refused operations of "weavers" for 30 ms
     When the way of a "orders" read of "weavers" is explained
--- a/features/steps/route_command_steps.py
+++ b/features/steps/route_command_steps.py
@@ -189,7 +189,7 @@
     """Steps on the customers and their limits."""
 
     @staticmethod
-    @given('the customers "{customers}"')
+    @given('the deployment has the customers "{customers}"')
     def configure(context: Any, customers: str) -> None:
         """Configure ``NAME RATE`` or ``NAME``."""
         limits = {}
