Keep the explanation of a route cheap for its host

Cause: its modules were imported at the start of every host, and copying a queue of 200 requests held up the event loop.

Change: the modules are imported at the first question. Queued work is copied without what it declares, and a pool is copied once for each attempt.

All 56 scenarios of route_command pass.

--- a/packages/core/src/trefoilpulley_core/direct/queue_preview.py
+++ b/packages/core/src/trefoilpulley_core/direct/queue_preview.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+from dataclasses import replace
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -39,9 +40,10 @@
             not resumed.
         """
         preview = cls()
-        # Every reference to a handle becomes one to its replacement.
+        # Every reference to a piece of work becomes one to its copy. What the
+        # work declares is frozen, and copying it would take most of the time.
         memo = {
-            id(work.handle): make_handle(work.request)
+            id(work): replace(work, handle=make_handle(work.request))
             for lane in queue._lanes.values()
             for work in lane
         }
--- a/packages/node/src/trefoilpulley_node/direct/access_preview.py
+++ b/packages/node/src/trefoilpulley_node/direct/access_preview.py
@@ -121,10 +121,9 @@
         self._peers = None
         self._lease_numbers = count(1)
 
-    @classmethod
-    def without_failures(cls, client: RelayClient) -> ClientPreview:
+    def without_failures(self) -> ClientPreview:
         """Return a copy that knows of no holder that has failed."""
-        preview = cls(client, PoolPreview(client.pool))
+        preview = ClientPreview(self, self.pool)
         for name, value in list(vars(preview).items()):
             if isinstance(value, dict):
                 setattr(preview, name, {})
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -43,7 +43,6 @@
 from trefoilpulley_node.direct.primary_watch import PrimaryWatch
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
-from trefoilpulley_node.direct.route_explainer import RouteExplainer
 from trefoilpulley_node.direct.session_factory import SessionFactory
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
@@ -69,6 +68,7 @@
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.direct_settings import DirectSettings
     from trefoilpulley_node.direct.directory import Group
+    from trefoilpulley_node.direct.route_explainer import RouteExplainer
 
 PEER_ANSWERS_TIMEOUT_S = 0.1
 """Wait for the requests of other hosts in progress at a stop, in seconds."""
@@ -280,6 +280,9 @@
     @cached_property
     def routes(self) -> RouteExplainer:
         """Tells where this host would send requests."""
+        # Imported here, since the import would slow the start of every host.
+        from trefoilpulley_node.direct.route_explainer import RouteExplainer
+
         return RouteExplainer(
             self._cfg.host,
             self._cfg.zone,
--- a/packages/node/src/trefoilpulley_node/direct/route_explainer.py
+++ b/packages/node/src/trefoilpulley_node/direct/route_explainer.py
@@ -166,7 +166,7 @@
             return PathOutcome(PathView(member, conn.step, (), queue), None)
         client = ClientPreview(found._relay_client, access.local_pool)
         is_refused_here = not client.is_used_for(work)
-        holders = _view_holders(found, conn, customer, is_refused_here)
+        holders = _view_holders(client, conn, customer, is_refused_here)
         if not is_refused_here:
             queue = None
         path = PathView(member, PathStep.HOLDERS, holders, queue)
@@ -197,21 +197,19 @@
 
 
 def _view_holders(
-    access: MemberAccess,
+    client: ClientPreview,
     session: RelayedSession,
     customer: str,
     is_refused_here: bool,
 ) -> tuple[HolderView, ...]:
     """Return the other holders in the order in which they are tried."""
-    client = access._relay_client
     tried = session.attempt_order
     order = list(tried)
-    current = ClientPreview(client, access.local_pool)
-    for holder in current.holders_for(customer):
+    for holder in client.holders_for(customer):
         is_done = is_refused_here and holder == client.host
         if holder not in tried and not is_done:
             order.append(holder)
-    ranked = ClientPreview.without_failures(client).holders_for(customer)
+    ranked = client.without_failures().holders_for(customer)
     ranks = {holder: rank for rank, holder in enumerate(ranked)}
     return tuple(
         HolderView(
