Use the usual terms in the explanation of routes

Cause: some comments and steps called the route of a request its way.

Change: wording only.

Conclusion: no change of behaviour.

--- a/features/route_command.feature
+++ b/features/route_command.feature
@@ -6,7 +6,7 @@
   # Each choice once.
 
   Scenario Outline: the member of a request and the reason of the choice
-    When the way of a "<database>" <work> is explained
+    When the route of a "<database>" <work> is explained
     Then the request is "sent" to "<member>" for "<reasons>"
     And the host does the same with the request
 
@@ -20,40 +20,40 @@
 
   Scenario: the primary serves a read if this host knows no recent position
     Given the positions of the primary are 4 s old
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "sent" to "p" for "primary-without-evidence"
     And the host does the same with the request
 
   Scenario: a primary of a lower cost serves a read of a route with an age
     Given "r" and "s" answer in 900 ms
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "sent" to "p" for "primary-by-cost"
     And the host does the same with the request
 
   Scenario: a replica is avoided for lag, and the other one is in another zone
     Given "r" lacked a floor of 900 ms just now
     And "s" holds the position 1.20
-    When the way of a "orders" read of a session that wrote 1.20 is explained
+    When the route of a "orders" read of a session that wrote 1.20 is explained
     Then the request is "sent" to "s" for "replica-by-floor replica-avoided-for-lag other-zone"
     And "r" is not eligible because it is "lagging"
     And the host does the same with the request
 
   Scenario: a paced member is passed over
     Given "r" has recovered just now
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "sent" to "s" for "replica-by-floor paced-member-passed-over other-zone"
     And the host does the same with the request
 
   Scenario: replicas serve while the primary is lost
     Given "p" has not answered for 500 ms
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "sent" to "r" for "replica-by-floor primary-lost"
     And "p" is not eligible because it is "primary-lost"
     And the host does the same with the request
 
   Scenario: a member whose queue is too long is passed over
     Given the queue for "r" is full
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "sent" to "s" for "replica-by-floor full-member-passed-over other-zone"
     And "r" is not eligible because it is "refused"
     And the host does the same with the request
@@ -62,46 +62,46 @@
 
   Scenario: a member that does not answer is not eligible
     Given "r" has not answered for 20 ms
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then "r" is not eligible because it is "failing"
     And the host does the same with the request
 
   Scenario: a replica that is about to stop is not eligible
     Given "r" is about to stop
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then "r" is not eligible because it is "leaving"
     And the host does the same with the request
 
   Scenario: a replica can't serve a write
-    When the way of a "orders" write is explained
+    When the route of a "orders" write is explained
     Then "r" is not eligible because it is "not-primary"
     And the host does the same with the request
 
-  # Paths and waits.
+  # Paths to members, and waits.
 
   Scenario: an idle connection is used before a new one is opened
     Given this host has an idle connection to "r"
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the path is "idle-connection"
     And the host does the same with the request
 
   Scenario: a request waits for a connection
     Given all statements that "r" may have in flight are in flight
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is "queued" to "r" for "replica-by-floor"
     And the answer tells the expected wait
     And the host does the same with the request
 
   Scenario: a write waits for the primary that is expected in time
     Given "p" has not answered for 500 ms
-    When the way of a "orders" write is explained
+    When the route of a "orders" write is explained
     Then the request waits for a primary
     And the host does the same with the request
 
   Scenario: the holders of the member are listed in order
     Given a deployment of 30 hosts
     And the deployment has the customers "weavers"
-    When the way of a "orders" read of "weavers" is explained
+    When the route of a "orders" read of "weavers" is explained
     Then the path is "holders"
     And no holder is passed over
     And the host does the same with the request
@@ -110,7 +110,7 @@
     Given a deployment of 30 hosts
     And the deployment has the customers "weavers"
     And the first holder of "weavers" did not answer
-    When the way of a "orders" read of "weavers" is explained
+    When the route of a "orders" read of "weavers" is explained
     Then the path is "holders"
     And the holder that did not answer is passed over
     And the host does the same with the request
@@ -119,38 +119,38 @@
 
   Scenario: a host without a configuration refuses every request
     Given a host without a configuration
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is refused for "configuration-not-loaded" with "no-upstream"
 
   Scenario: an unknown database is refused, and its name is not repeated
-    When the way of a "secret-key" read is explained
+    When the route of a "secret-key" read is explained
     Then the request is refused for "unknown-database" with "unknown-database"
     And the answer does not contain "secret-key"
     And the host does the same with the request
 
   Scenario: a missing customer is refused
     Given the deployment has the customers "weavers"
-    When the way of a "orders" read is explained
+    When the route of a "orders" read is explained
     Then the request is refused for "customer-missing" with "not-authenticated"
     And the host does the same with the request
 
   Scenario: an unknown customer is refused, and its name is not repeated
     Given the deployment has the customers "weavers"
-    When the way of a "orders" read of "key-of-weavers" is explained
+    When the route of a "orders" read of "key-of-weavers" is explained
     Then the request is refused for "customer-unknown" with "not-authenticated"
     And the answer does not contain "key-of-weavers"
     And the host does the same with the request
 
   Scenario: a public route needs no customer
     Given the deployment has the customers "weavers"
-    When the way of a "notices" read is explained
+    When the route of a "notices" read is explained
     Then the request is "sent" to "r" for "replica-by-floor"
     And the host does the same with the request
 
   Scenario: an operation above the limit of its customer is refused
     Given the deployment has the customers "weavers 4"
     And "weavers" has used up its limit
-    When the way of a "orders" read of "weavers" is explained
+    When the route of a "orders" read of "weavers" is explained
     Then the request is refused for "limit-exceeded" with "limit-exceeded"
     And another attempt may succeed after 250 ms
     And the host does the same with the request
@@ -158,7 +158,7 @@
   Scenario: the owner of a limit is not asked
     Given the deployment has the customers "weavers 4"
     And another host owns the limit of "weavers"
-    When the way of a "orders" read of "weavers" is explained
+    When the route of a "orders" read of "weavers" is explained
     Then the answer tells that the owner would be asked
     And the host does the same with the request
 
@@ -166,7 +166,7 @@
     Given the deployment has the customers "weavers 4"
     And another host owns the limit of "weavers"
     And the owner has refused operations of "weavers" for 30 ms
-    When the way of a "orders" read of "weavers" is explained
+    When the route of a "orders" read of "weavers" is explained
     Then the request is refused for "limit-exceeded" with "limit-exceeded"
     And another attempt may succeed after 30 ms
     And the host does the same with the request
@@ -174,7 +174,7 @@
   Scenario: a write is refused if the new primary is expected too late
     Given "p" has not answered for 500 ms
     And no change of the primary is expected for 2 s
-    When the way of a "orders" write is explained
+    When the route of a "orders" write is explained
     Then the request is refused for "no-primary" with "no-upstream"
     And another attempt may succeed after 2000 ms
     And the host does the same with the request
@@ -184,7 +184,7 @@
     And no change of the primary is expected for 2 s
     And "r" lacked a floor of 900 ms just now
     And "s" lacked a floor of 900 ms just now
-    When the way of a "orders" read of a session that wrote 1.20 is explained
+    When the route of a "orders" read of a session that wrote 1.20 is explained
     Then the request is refused for "every-replica-behind" with "no-upstream"
     And another attempt may succeed after 250 ms
     And the host does the same with the request
@@ -192,14 +192,14 @@
   Scenario: a write is refused if the queue is too long
     Given all statements that "p" may have in flight are in flight
     And "p" answers in 9000 ms
-    When the way of a "orders" write is explained
+    When the route of a "orders" write is explained
     Then the request is refused for "queue-too-long" with "overloaded"
     And the answer tells the expected wait
     And the host does the same with the request
 
   Scenario Outline: a host that is about to stop refuses
     Given the host is in the phase "<phase>" of a stop
-    When the way of a "orders" <work> is explained
+    When the route of a "orders" <work> is explained
     Then the request is refused for "host-stopping" with "draining"
     And another attempt may succeed after 0 ms
     And the host does the same with the request
@@ -209,7 +209,7 @@
       | REFUSING            | read                  |
       | ENDING_TRANSACTIONS | read-only transaction |
 
-  # The answer is what the host does, in states that nobody has chosen.
+  # Random states of a host.
 
   Scenario: the answer agrees with what the host then does
     Then the answers agree with the host in the states of the seeds 1 to 300
--- a/features/steps/route_command_steps.py
+++ b/features/steps/route_command_steps.py
@@ -229,7 +229,7 @@
     """Steps on the explanation of one request."""
 
     @staticmethod
-    @when('the way of a "{database}" {work} is explained')
+    @when('the route of a "{database}" {work} is explained')
     def explain(context: Any, database: str, work: str) -> None:
         """Ask the host, which must not change."""
         work, _, rest = work.partition(' of ')
--- a/packages/cli/src/trefoilpulley_cli/route_lines.py
+++ b/packages/cli/src/trefoilpulley_cli/route_lines.py
@@ -40,7 +40,7 @@
 def _format_verdict(report: dict[str, Any]) -> str:
     verdict = report['verdict']
     if (refusal := report['refusal']) is not None:
-        retry = 'no time helps'
+        retry = 'no time to retry is known'
         if refusal['retry_ms'] is not None:
             retry = f'again after {refusal["retry_ms"]:g} ms'
         return (
--- a/packages/core/src/trefoilpulley_core/direct/queue_preview.py
+++ b/packages/core/src/trefoilpulley_core/direct/queue_preview.py
@@ -1,4 +1,4 @@
-"""Queue for connections whose changes stay without effect."""
+"""Copy of a connection queue for the explanation of routes."""
 
 from __future__ import annotations
 
--- a/packages/core/src/trefoilpulley_core/direct/route_explanation.py
+++ b/packages/core/src/trefoilpulley_core/direct/route_explanation.py
@@ -92,7 +92,7 @@
 
 
 class HostPreview(abc.ABC):
-    """What the parts of a host would do; asking them has no effect."""
+    """Decisions of a host on a new request, made without side effects."""
 
     @property
     @abc.abstractmethod
--- a/packages/core/src/trefoilpulley_core/direct/route_report.py
+++ b/packages/core/src/trefoilpulley_core/direct/route_report.py
@@ -1,4 +1,4 @@
-"""Answer to the question where a host would send a request."""
+"""Report of where a host would send a request, and why."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class ChoiceReason(StrEnum):
-    """Reasons that have led to the chosen member."""
+    """Reasons for the chosen member."""
 
     PRIMARY_FOR_WRITE = 'primary-for-write'
     """Only the primary runs writes and transactions that may write."""
@@ -137,7 +137,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteQuery:
-    """Request whose way is asked for."""
+    """Request whose route is explained."""
 
     database: str
     """Database name."""
@@ -386,9 +386,10 @@
     """Description for a person."""
 
     retry_ms: float | None
-    """Time after which another attempt may succeed; ``None``: no time helps.
+    """Time after which another attempt may succeed, in milliseconds.
 
-    In milliseconds. 0 means at another host, at once.
+    0: at once, at another host. ``None``: a retry does not help, or the time
+    is not known.
     """
 
 
@@ -412,7 +413,7 @@
     """Member that the request is sent to, if any."""
 
     reasons: tuple[ChoiceReason, ...] = ()
-    """What has led to the member."""
+    """Reasons for the chosen member."""
 
     refusal: RefusalView | None = None
     """Refusal, if any."""
--- a/packages/node/src/trefoilpulley_node/direct/access_preview.py
+++ b/packages/node/src/trefoilpulley_node/direct/access_preview.py
@@ -1,7 +1,7 @@
-"""Accesses to members whose use has no effect.
+"""Copies of member accesses for the explanation of routes.
 
-The decisions are those of the accesses. They run on copies of the state, and
-the copies neither open, use nor close a connection.
+The copies run the decision code of the originals on copied state. They
+neither open, use nor close a connection.
 """
 
 from __future__ import annotations
--- a/packages/node/src/trefoilpulley_node/direct/admission_preview.py
+++ b/packages/node/src/trefoilpulley_node/direct/admission_preview.py
@@ -1,4 +1,4 @@
-"""Admission of an operation that is neither counted nor asked for."""
+"""Copy of an admission exchange for the explanation of routes."""
 
 from __future__ import annotations
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -279,7 +279,7 @@
 
     @cached_property
     def routes(self) -> RouteExplainer:
-        """Tells where this host would send requests."""
+        """Explains where this host would send requests."""
         # Imported here, since the import would slow the start of every host.
         from trefoilpulley_node.direct.route_explainer import RouteExplainer
 
--- a/packages/node/src/trefoilpulley_node/direct/route_explainer.py
+++ b/packages/node/src/trefoilpulley_node/direct/route_explainer.py
@@ -1,4 +1,4 @@
-"""Tells where this host would send a request now, without an effect."""
+"""Explains where this host would send a request, without side effects."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class RouteExplainer(HostPreview):
-    """Explains the ways of requests at this host.
+    """Explains where this host would send requests.
 
     Parameters
     ----------
