--- a/packages/core/src/trefoilpulley_core/direct/holder_order.py
+++ b/packages/core/src/trefoilpulley_core/direct/holder_order.py
@@ -133,6 +133,11 @@
         self._asked = int(refused_here is not None)
         self._reports = int(refused_here is Refusal.MEMBER_MISSED)
 
+    @property
+    def remaining(self) -> tuple[str, ...]:
+        """Holders that have not been asked, in the order to try."""
+        return tuple(self._remaining)
+
     def next_holder(self) -> str | None:
         """Return the next holder, or ``None`` if none should be asked."""
         if not self._remaining or self._attempts >= MAX_HOLDER_ATTEMPTS:
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -138,6 +138,12 @@
         if channel is not None and channel.is_open:
             channel.notify(EndLease(self._lease))
 
+    @property
+    def attempt_order(self) -> tuple[str, ...]:
+        """Holders in the order in which they would be tried now."""
+        search = self._relay_client.search(self._work, self._refused_here)
+        return search.remaining
+
     def _find_holder(
         self,
         calls: Sequence[Call],
