Explain holders that do not reach a member in routes

A silent holder was not told as passed over, all holders were told as tried, and the copied pool shared its opener and reach with the original.

Change: the copies hold their own HolderOrder, MemberReach and ConnectionOpener, and close no shared connection. The holders that are tried come from HolderSearch, with refusals for load. The report tells why a holder is ranked back (silent, cut-off) and whether this host, a holder, does not reach the member. HolderSearch.remaining is not used any more.

--- a/features/fakes/route_states.py
+++ b/features/fakes/route_states.py
@@ -27,7 +27,11 @@
     rig.add_members(members, leaving)
     if rng.random() < 0.4:
         names = [HOST, *(f'h{n}' for n in range(1, rng.choice((3, 30, 60))))]
-        rig.set_hosts({z: tuple(names[n::3]) for n, z in enumerate(ZONES)})
+        zones = {z: tuple(names[n::3]) for n, z in enumerate(ZONES)}
+        if rng.random() < 0.5:
+            # With few hosts in its zone, this host is a holder more often.
+            zones = {'a': tuple(names[:3]), 'b': tuple(names[3:])}
+        rig.set_hosts(zones)
     query = _make_query(rng, customers)
     customer = query.customer if query.customer in (customers or {}) else ''
     _set_group(rng, rig)
@@ -132,6 +136,10 @@
         for holder in access._relay_client.holders_for(customer)[:2]:
             if rng.random() < 0.7:
                 access._relay_client.on_holder_timeout(holder)
+            if rng.random() < 0.3:
+                access._relay_client.on_member_missed(holder)
+    if rng.random() < 0.3:
+        pool.reach.own.on_unreachable(now - rng.uniform(0, 1))
 
 
 def _use_limit(rng: random.Random, rig: RouteRig, customer: str) -> None:
--- a/features/route_command.feature
+++ b/features/route_command.feature
@@ -115,6 +115,37 @@
     And the holder that did not answer is passed over
     And the host does the same with the request
 
+  Scenario: a holder that does not reach the member is passed over
+    Given a deployment of 30 hosts
+    And the deployment has the customers "weavers"
+    And the first holder of "weavers" does not reach "r"
+    When the route of a "orders" read of "weavers" is explained
+    Then the path is "holders"
+    And the holder that does not reach the member is passed over
+    And the host does the same with the request
+
+  Scenario Outline: a host that does not reach a member uses other holders
+    Given a deployment of 30 hosts, 3 of them in zone "a"
+    And the deployment has the customers "weavers"
+    And this host, a holder, does not reach "r"
+    When the route of a "<database>" <work> is explained
+    Then the path is "holders"
+    And the answer tells that this host does not reach "r"
+    And the host does the same with the request
+
+    Examples:
+      | database | work              |
+      | orders   | read of "weavers" |
+      | notices  | read              |
+
+  # Guards against a copy that closes, wakes or reports through the original.
+
+  Scenario: a copied access changes nothing at the host
+    Given a deployment of 30 hosts, 3 of them in zone "a"
+    And this host has an idle connection to "r"
+    And the queue for "r" is full
+    Then the use of a copied access to "r" changes nothing at the host
+
   # Each refusal once.
 
   Scenario: a host without a configuration refuses every request
--- a/features/steps/route_command_steps.py
+++ b/features/steps/route_command_steps.py
@@ -8,11 +8,13 @@
 import random
 import socket
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 from click.testing import CliRunner
+import gevent
 
 from features.fakes.asking import execute_once
 from features.fakes.route_rig import fingerprint
@@ -21,15 +23,21 @@
 from features.fakes.route_rig import RouteRig
 from features.fakes.route_states import make_state
 from trefoilpulley_cli.main import main
+from trefoilpulley_cli.route_lines import format_report
 from trefoilpulley_core.catalog import Endpoint
+from trefoilpulley_core.direct.customer_connections import CloseReason
 from trefoilpulley_core.direct.customers import CustomerLimit
 from trefoilpulley_core.direct.drain import DrainPhase
+from trefoilpulley_core.direct.holder_order import HolderFailure
 from trefoilpulley_core.direct.route_report import PathStep
 from trefoilpulley_core.direct.route_report import RouteQuery
 from trefoilpulley_core.direct.route_report import RouteReport
 from trefoilpulley_core.direct.route_report import RouteVerdict
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.position import Position
+from trefoilpulley_node.direct.access_preview import preview_access
+from trefoilpulley_node.direct.pooled_session import PooledSession
+from trefoilpulley_node.events import Event
 from trefoilpulley_platform.readiness_server import MetricsServer
 from trefoilpulley_platform.readiness_server import ROUTE_PATH
 
@@ -184,6 +192,32 @@
         context.holder = client.holders_for(customer)[0]
         client.on_holder_timeout(context.holder)
 
+    @staticmethod
+    @given('the first holder of "{customer}" does not reach "{member}"')
+    def cut_off_holder(context: Any, customer: str, member: str) -> None:
+        """Record that a holder reported the member as unreachable."""
+        client = context.rig.group.accesses[member]._relay_client
+        context.holder = client.holders_for(customer)[0]
+        client.on_member_missed(context.holder)
+
+    @staticmethod
+    @given('a deployment of {hosts:d} hosts, {holders:d} of them in zone "a"')
+    def add_holders(context: Any, hosts: int, holders: int) -> None:
+        """Add hosts; this host and all others of zone a are holders."""
+        names = [f'h{n}' for n in range(1, hosts)]
+        zones = {'a': (HOST, *names[: holders - 1])}
+        zones['b'] = tuple(names[holders - 1 :])
+        context.rig.set_hosts(zones)
+
+    @staticmethod
+    @given('this host, a holder, does not reach "{member}"')
+    def cut_off(context: Any, member: str) -> None:
+        """Record that the member does not answer this host itself."""
+        pool = context.rig.group.accesses[member].local_pool
+        pool.on_unreachable(context.rig.clock.at)
+        assert pool.reach.own.is_refusing
+        assert pool.health.failing_since is None
+
 
 class LimitStateSteps:
     """Steps on the customers and their limits."""
@@ -304,18 +338,40 @@
     @then('no holder is passed over')
     def check_holders(context: Any) -> None:
         """Check that holders are told, in the order of their rank."""
-        holders = context.report.paths[-1].holders
-        assert len(holders) > 1, holders
-        assert not any(h.is_passed_over for h in holders), holders
+        path = context.report.paths[-1]
+        assert len(path.holders) > 1, path
+        assert not any(h.is_passed_over for h in path.holders), path
+        assert not any(h.failure for h in path.holders), path
+        assert not path.is_cut_off, path
 
     @staticmethod
     @then('the holder that did not answer is passed over')
     def check_passed_over(context: Any) -> None:
-        """Check that the holder comes last."""
-        holders = context.report.paths[-1].holders
-        passed_over = [h.host for h in holders if h.is_passed_over]
-        assert passed_over == [context.holder], holders
-        assert holders[-1].host == context.holder, holders
+        """Check that the holder comes last, and why."""
+        check_last(context.report, context.holder, HolderFailure.SILENT)
+
+    @staticmethod
+    @then('the holder that does not reach the member is passed over')
+    def check_cut_off_holder(context: Any) -> None:
+        """Check that the holder comes last, and why."""
+        check_last(context.report, context.holder, HolderFailure.CUT_OFF)
+
+    @staticmethod
+    @then('the answer tells that this host does not reach "{member}"')
+    def check_cut_off(context: Any, member: str) -> None:
+        """Check that other holders are tried, and this host is the last."""
+        path = context.report.paths[-1]
+        assert path.member == member, path
+        assert path.is_cut_off, path
+        line = format_path(context.report)
+        assert 'this host does not reach the member' in line, line
+        tried = [h.host for h in path.holders if h.is_tried]
+        assert len(tried) > 1, path
+        others = [h for h in path.holders if h.host != HOST]
+        assert not any(h.failure for h in others), path
+        if others != list(path.holders):
+            assert path.holders[:-1] == tuple(others), path
+            assert path.holders[-1].failure is HolderFailure.CUT_OFF, path
 
     @staticmethod
     @then('the answer tells the expected wait')
@@ -357,6 +413,8 @@
         """Explain and send a request in each state."""
         verdicts: Counter[str] = Counter()
         steps: Counter[str] = Counter()
+        failures: Counter[str] = Counter()
+        cut_off: Counter[str] = Counter()
         for seed in range(first, last + 1):
             rig, query = make_state(seed)
             report = explain_unchanged(rig, query)
@@ -367,9 +425,60 @@
                 raise AssertionError(f'seed {seed}: {exc}') from exc
             verdicts[report.verdict] += 1
             steps.update(p.step for p in report.paths)
+            cut_off.update(p.step for p in report.paths if p.is_cut_off)
+            holders = [h for p in report.paths for h in p.holders]
+            failures.update(h.failure for h in holders if h.failure)
         # A state of each kind was compared.
         assert set(verdicts) == set(RouteVerdict), verdicts
         assert set(steps) == set(PathStep), steps
+        assert set(failures) == set(HolderFailure), failures
+        assert cut_off[PathStep.HOLDERS], cut_off
+
+
+class CopySteps:
+    """Steps that use the copy of an access."""
+
+    @staticmethod
+    @then(
+        'the use of a copied access to "{member}" changes nothing at the host'
+    )
+    def check(context: Any, member: str) -> None:
+        """Call what closes, opens, wakes and reports at the original."""
+        rig = context.rig
+        rig.actions.clear()
+        access = rig.group.accesses[member]
+        before = fingerprint(rig)
+        copied = preview_access(access)
+        pool, client = copied.local_pool, copied._relay_client
+        now = rig.clock.at
+        with (
+            mock.patch.object(Event, 'log', autospec=True) as log,
+            mock.patch.object(PooledSession, 'close', autospec=True) as close,
+        ):
+            pool._dial(now + 1, '', pool._connections.oldest_idle)
+            pool.on_unreachable(now)
+            pool.reach.on_answer(now, Position(9, 9))
+            pool._on_dial_failed(now)
+            client.on_member_unreachable()
+            client.on_overloaded()
+            client._order.on_missed(HOST, now)
+            client._order.on_silent(HOST, now)
+            client.holders_for('weavers')
+            # These need the idle connection, which was evicted above.
+            preview_access(access).close()
+            preview_access(access).maintain(now + 1000, False)
+            pool = preview_access(access).local_pool
+            conn = pool._connections.oldest_idle
+            pool._close_connection(conn, CloseReason.BROKEN)
+            gevent.sleep(0)
+        assert not log.called, log.mock_calls
+        assert not close.called, close.mock_calls
+        assert not rig.actions, rig.actions
+        assert before == fingerprint(rig)
+        lanes = access.local_pool._queue._lanes.values()
+        handles = [work.handle for lane in lanes for work in lane]
+        assert handles
+        assert not any(h.mock_calls for h in handles), handles
 
 
 class QuerySteps:
@@ -557,6 +666,26 @@
             assert failure is None, found
 
 
+def format_path(report: RouteReport) -> str:
+    """Return the line of the last path in the output of the command."""
+    return format_report(json.loads(json.dumps(asdict(report))))[-1]
+
+
+def check_last(
+    report: RouteReport, holder: str, failure: HolderFailure
+) -> None:
+    """Check that one holder alone has failed and comes last."""
+    path = report.paths[-1]
+    passed_over = [h.host for h in path.holders if h.is_passed_over]
+    assert passed_over == [holder], path
+    assert path.holders[-1].host == holder, path
+    found = {h.host: h.failure for h in path.holders if h.failure}
+    assert found == {holder: failure}, path
+    line = format_path(report)
+    assert f'{holder} (passed over, {failure}' in line, line
+    assert not path.is_cut_off, path
+
+
 def list_expected(report: RouteReport) -> list[tuple[str, Any]]:
     """Return what the host does first according to an explanation."""
     if report.verdict is RouteVerdict.WAITING:
--- a/packages/cli/src/trefoilpulley_cli/route_lines.py
+++ b/packages/cli/src/trefoilpulley_cli/route_lines.py
@@ -102,10 +102,14 @@
 
 def _format_path(path: dict[str, Any]) -> str:
     parts = [f'path to {path["member"]}: {path["step"]}']
+    if path['is_cut_off']:
+        parts.append('this host does not reach the member')
     for holder in path['holders']:
         notes = []
         if holder['is_passed_over']:
             notes.append('passed over')
+        if holder['failure'] is not None:
+            notes.append(holder['failure'])
         if not holder['is_tried']:
             notes.append('not tried')
         note = f' ({", ".join(notes)})' if notes else ''
--- a/packages/core/src/trefoilpulley_core/direct/holder_order.py
+++ b/packages/core/src/trefoilpulley_core/direct/holder_order.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -60,6 +61,16 @@
     """The holder could not be asked."""
 
 
+class HolderFailure(StrEnum):
+    """Why a holder is ranked behind the others for a time."""
+
+    SILENT = 'silent'
+    """The holder did not answer."""
+
+    CUT_OFF = 'cut-off'
+    """The holder does not reach the member."""
+
+
 class HolderOrder:
     """Holders of one member that this host should try last for a time."""
 
@@ -89,6 +100,14 @@
             )
         )
 
+    def find_failure(self, holder: str, now: float) -> HolderFailure | None:
+        """Return why a holder is ranked back, or ``None`` if it is not."""
+        if now < self._silent_until.get(holder, now):
+            return HolderFailure.SILENT
+        if now < self._missed_until.get(holder, now):
+            return HolderFailure.CUT_OFF
+        return None
+
     def on_silent(self, holder: str, now: float) -> bool:
         """Record that a holder did not answer; return whether this is new."""
         is_new = now >= self._silent_until.get(holder, now)
@@ -133,11 +152,6 @@
         self._asked = int(refused_here is not None)
         self._reports = int(refused_here is Refusal.MEMBER_MISSED)
 
-    @property
-    def remaining(self) -> tuple[str, ...]:
-        """Holders that have not been asked, in the order to try."""
-        return tuple(self._remaining)
-
     def next_holder(self) -> str | None:
         """Return the next holder, or ``None`` if none should be asked."""
         if not self._remaining or self._attempts >= MAX_HOLDER_ATTEMPTS:
--- a/packages/core/src/trefoilpulley_core/direct/route_report.py
+++ b/packages/core/src/trefoilpulley_core/direct/route_report.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from trefoilpulley_core.direct.holder_order import HolderFailure
     from trefoilpulley_core.position import Position
 
 
@@ -132,7 +133,7 @@
     """Another host that holds connections gets the request."""
 
     REFUSED = 'refused'
-    """The queue of this host refuses the request."""
+    """Neither this host nor a holder serves the request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,10 +310,17 @@
     """Name of the host."""
 
     is_tried: bool
-    """Whether the request is sent to this host if those before refuse."""
+    """Whether the request is sent to this host if those before refuse.
+
+    The refusals are taken to be for load. A holder that is not tried gets the
+    request only if one before reports that it does not reach the member.
+    """
 
     is_passed_over: bool
-    """Whether the host would be tried earlier if it had answered."""
+    """Whether the host would be tried earlier without its failure."""
+
+    failure: HolderFailure | None
+    """Why the host is ranked behind the others; ``None`` if it is not."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -345,6 +353,12 @@
     queue: QueueView | None
     """Queue of this host; ``None`` if another host is asked first."""
 
+    is_cut_off: bool
+    """Whether this host, a holder, does not reach the member itself.
+
+    Its own connections are not used then; other holders are, if any.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class LimitView:
--- a/packages/node/src/trefoilpulley_node/direct/access_preview.py
+++ b/packages/node/src/trefoilpulley_node/direct/access_preview.py
@@ -15,8 +15,10 @@
 
 from trefoilpulley_core.direct.queue_preview import QueuePreview
 from trefoilpulley_core.direct.route_report import PathStep
+from trefoilpulley_node.direct.connection_opener import ConnectionOpener
 from trefoilpulley_node.direct.member_access import MemberAccess
 from trefoilpulley_node.direct.member_pool import MemberPool
+from trefoilpulley_node.direct.member_reach import MemberReach
 from trefoilpulley_node.direct.relay_client import RelayClient
 
 if TYPE_CHECKING:
@@ -24,6 +26,9 @@
 
     from trefoilpulley_core.direct.connection_queue import QueuedWork
     from trefoilpulley_core.direct.connection_request import ConnectionRequest
+    from trefoilpulley_core.direct.customer_connections import CloseReason
+    from trefoilpulley_core.direct.group_state import MemberHealth
+    from trefoilpulley_core.direct.holder_order import HolderFailure
     from trefoilpulley_core.direct.session_state import SessionState
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_node.direct.pooled_session import PooledSession
@@ -53,6 +58,57 @@
         """Ignore that the queue has displaced the request."""
 
 
+class ReachPreview(MemberReach):
+    """Copy of what a host knows about reaching a member, without a log.
+
+    Parameters
+    ----------
+    reach : MemberReach
+        Knowledge to copy.
+    health : MemberHealth
+        Copy of the member's health.
+    """
+
+    def __init__(self, reach: MemberReach, health: MemberHealth) -> None:
+        vars(self).update(vars(reach))
+        self.own = copy.copy(reach.own)
+        self._health = health
+
+    def _log(self, now: float, since: float, is_reached: bool) -> None:
+        """Write nothing, since the copy's changes are not the host's."""
+
+
+class OpenerPreview(ConnectionOpener):
+    """Copy of an opener that returns stand-ins for connections.
+
+    Parameters
+    ----------
+    opener : ConnectionOpener
+        Opener to copy.
+    pool : PoolPreview
+        Copy of the pool of the opener.
+    """
+
+    def __init__(self, opener: ConnectionOpener, pool: PoolPreview) -> None:
+        super().__init__(
+            pool.health,
+            pool.reach,
+            pool._connections,
+            None,
+            pool.on_unreachable,
+            opener._clock,
+            None,
+        )
+        self.dialing = opener.dialing
+
+    def open(
+        self, *args: object, **kwargs: object
+    ) -> Result[PreviewedSession, Failure]:
+        """Return a stand-in for a connection that would be opened."""
+        self.dialing -= 1
+        return Success(PreviewedSession(PathStep.NEW_CONNECTION))
+
+
 class PoolPreview(MemberPool):
     """Copy of a pool that hands out stand-ins for connections.
 
@@ -68,11 +124,13 @@
         # The connections are shared and not changed.
         memo = {id(c): c for c in connections._idle}
         self.health = copy.deepcopy(pool.health)
+        self.reach = ReachPreview(pool.reach, self.health)
         self.share = copy.copy(pool.share)
         self.in_flight_limit = copy.copy(pool.in_flight_limit)
         self._connections = copy.deepcopy(connections, memo)
         self._queue = QueuePreview.of(pool._queue, _Turn)
-        self._dialer = self._metrics = None
+        self._opener = OpenerPreview(pool._opener, self)
+        self._metrics = None
 
     @property
     def expected_wait_s(self) -> float | None:
@@ -82,6 +140,12 @@
     def serve_queue(self) -> None:
         """Leave the copied requests in the queue."""
 
+    def open_ahead(self) -> None:
+        """Open no connection, not even in a greenlet of its own."""
+
+    def close(self) -> None:
+        """Leave the shared connections open."""
+
     def _take_idle(
         self, work: ConnectionRequest, session: SessionState
     ) -> PreviewedSession | None:
@@ -92,10 +156,14 @@
             self._connections.on_closed(conn.customer)
         return None
 
-    def _dial(
-        self, *args: object, **kwargs: object
-    ) -> Result[PreviewedSession, Failure]:
-        return Success(PreviewedSession(PathStep.NEW_CONNECTION))
+    def _evict(self, conn: PooledSession) -> None:
+        self._connections.remove_idle(conn)
+        self._connections.on_closed(conn.customer)
+
+    def _close_connection(
+        self, conn: PooledSession, reason: CloseReason
+    ) -> None:
+        self._connections.on_closed(conn.customer)
 
     def _wait_for_turn(
         self, waiter: QueuedWork, wait_s: float
@@ -115,24 +183,22 @@
     """
 
     def __init__(self, client: RelayClient, pool: PoolPreview) -> None:
-        self._update(client)
+        vars(self).update(vars(client))
         self.pool = pool
         self._health = pool.health
-        self._peers = None
+        self._order = copy.deepcopy(client._order)
+        self._ranks = dict(client._ranks)
+        # Without these, no holder can be asked and no evidence recorded.
+        self._peers = self._group = None
         self._lease_numbers = count(1)
 
-    def without_failures(self) -> ClientPreview:
-        """Return a copy that knows of no holder that has failed."""
-        preview = ClientPreview(self, self.pool)
-        for name, value in list(vars(preview).items()):
-            if isinstance(value, dict):
-                setattr(preview, name, {})
-        return preview
-
-    def _update(self, client: RelayClient) -> None:
-        for name, value in vars(client).items():
-            is_dict = isinstance(value, dict)
-            setattr(self, name, dict(value) if is_dict else value)
+    def rank(self, customer: str) -> tuple[str, ...]:
+        """Return the holders in order, as if none of them had failed."""
+        return self._rank(customer)
+
+    def find_failure(self, holder: str) -> HolderFailure | None:
+        """Return why a holder is ranked back, or ``None`` if it is not."""
+        return self._order.find_failure(holder, self._clock.now())
 
 
 def preview_access(access: MemberAccess) -> MemberAccess:
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -140,9 +140,21 @@
 
     @property
     def attempt_order(self) -> tuple[str, ...]:
-        """Holders in the order in which they would be tried now."""
-        search = self._relay_client.search(self._work, self._refused_here)
-        return search.remaining
+        """Holders that would be tried now, in order, if all others refuse.
+
+        The others are taken to refuse for load or not to be reachable. More
+        holders are tried only after one that does not reach the member.
+        """
+        client = self._relay_client
+        search = client.search(self._work, self._refused_here)
+        tried = []
+        while (holder := search.next_holder()) is not None:
+            tried.append(holder)
+            refusal = Refusal.OTHER
+            if holder == client.host:
+                refusal = client.classify_own_refusal()
+            search.on_refused(refusal)
+        return tuple(tried)
 
     def _find_holder(
         self,
--- a/packages/node/src/trefoilpulley_node/direct/route_explainer.py
+++ b/packages/node/src/trefoilpulley_node/direct/route_explainer.py
@@ -139,7 +139,7 @@
         found = group.find_access(member)
         if found is None:
             failure = NoUpstream('member has left the group')
-            path = PathView(member, PathStep.REFUSED, (), None)
+            path = PathView(member, PathStep.REFUSED, (), None, False)
             return PathOutcome(path, failure)
         session = SessionState()
         work = StatementRequest(
@@ -156,18 +156,20 @@
         access = preview_access(found)
         acquired = access.acquire(work, session)
         queue = _view_queue(found, access, work, now)
+        is_cut_off = found.local_pool.reach.own.is_refusing
         if not isinstance(acquired, Success):
-            path = PathView(member, PathStep.REFUSED, (), queue)
+            path = PathView(member, PathStep.REFUSED, (), queue, is_cut_off)
             return PathOutcome(path, acquired.failure())
         conn = acquired.unwrap()
         if isinstance(conn, PreviewedSession):
-            return PathOutcome(PathView(member, conn.step, (), queue), None)
+            path = PathView(member, conn.step, (), queue, is_cut_off)
+            return PathOutcome(path, None)
         client = ClientPreview(found._relay_client, access.local_pool)
         is_refused_here = not client.is_used_for(work)
         holders = _view_holders(client, conn, customer, is_refused_here)
         if not is_refused_here:
             queue = None
-        path = PathView(member, PathStep.HOLDERS, holders, queue)
+        path = PathView(member, PathStep.HOLDERS, holders, queue, is_cut_off)
         return PathOutcome(path, None)
 
     def count_attempts(self, is_transaction: bool) -> int:
@@ -202,13 +204,14 @@
         is_done = is_refused_here and holder == client.host
         if holder not in tried and not is_done:
             order.append(holder)
-    ranked = client.without_failures().holders_for(customer)
+    ranked = client.rank(customer)
     ranks = {holder: rank for rank, holder in enumerate(ranked)}
     return tuple(
         HolderView(
             holder,
             holder in tried,
             any(ranks[h] > ranks[holder] for h in order[:place]),
+            client.find_failure(holder),
         )
         for place, holder in enumerate(order)
     )
