--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -76,6 +76,7 @@
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.direct_settings import DirectSettings
     from trefoilpulley_node.direct.directory import Group
+    from trefoilpulley_node.direct.route_explainer import RouteExplainer
 
 PEER_ANSWERS_TIMEOUT_S = 0.1
 """Wait for the requests of other hosts in progress at a stop, in seconds."""
@@ -295,6 +296,22 @@
             self.metrics,
         )
 
+    @cached_property
+    def routes(self) -> RouteExplainer:
+        """Explains where this host would send requests."""
+        # Imported here, since the import would slow the start of every host.
+        from trefoilpulley_node.direct.route_explainer import RouteExplainer
+
+        return RouteExplainer(
+            self._cfg.host,
+            self._cfg.zone,
+            self.directory,
+            self.sessions,
+            self._primary_wait,
+            self._admissions,
+            self._clock,
+        )
+
     @cached_property
     def _limits(self) -> CustomerLimits:
         return CustomerLimits(
