Charge further members of a refused read to the retry budget again

A read that is refused for load asked up to three holders of each of three members. Besides, a host that starts chose the owners of all limits again for each host that it found, since it takes all registered hosts for live.

Change: the budget covers further members again, also in the explanation of routes. The owners are chosen anew only when the hosts have changed.

--- a/packages/core/src/trefoilpulley_core/direct/customer_limit.py
+++ b/packages/core/src/trefoilpulley_core/direct/customer_limit.py
@@ -170,6 +170,7 @@
         self._bounds = bounds
         self._customers: Mapping[str, Customer] = {}
         self._weights: Mapping[str, float] = {}
+        self._hosts: tuple | None = None
         self._share = LimitShare()
         self._owners: dict[str, str | None] = {}
         self._owned: dict[str, _OwnedLimit] = {}
@@ -222,11 +223,18 @@
         now : float
             Time in seconds.
         """
+        known = frozenset(registered)
+        seen = frozenset(live)
+        if now - self._started_at < START_S:
+            seen |= known
+        if (seen, known, weights) == self._hosts:
+            # A host that starts learns of the others one by one, and the
+            # ranks of all customers take some milliseconds.
+            return
+        self._hosts = seen, known, weights
         for owned in self._owned.values():
             self._refill(owned, now)
-        if now - self._started_at < START_S:
-            live = {*live, *registered}
-        self._share.update(live, registered, now)
+        self._share.update(seen, known, now)
         self._weights = weights
         self._assign(now)
 
--- a/packages/core/src/trefoilpulley_core/direct/route_explanation.py
+++ b/packages/core/src/trefoilpulley_core/direct/route_explanation.py
@@ -60,6 +60,7 @@
     from trefoilpulley_core.direct.routes import RouteTable
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.position import Position
+    from trefoilpulley_core.retry_budget import RetryBudget
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +136,10 @@
     ) -> PathOutcome:
         """Return how the request would get a connection to a member."""
 
+    @abc.abstractmethod
+    def copy_budget(self, route: Route) -> RetryBudget:
+        """Return a copy of the budget for further attempts."""
+
     @abc.abstractmethod
     def count_attempts(self, is_transaction: bool) -> int:
         """Return how many members a read or a transaction may try."""
@@ -285,9 +290,12 @@
     def _place(self) -> tuple[str | None, Failure | None]:
         """Return the member of a read or transaction, as for a write.
 
-        A further member is tried if the queue for one is too long.
+        A further member is tried if the queue for one is too long, while the
+        budget lasts.
         """
-        query = self._query
+        query, route = self._query, self._route
+        budget = self._preview.copy_budget(route)
+        budget.record_fresh(route.group)
         failure: Failure | None = None
         for _ in range(self._preview.count_attempts(query.is_transaction)):
             self._weigh(is_read_only=not query.is_write)
@@ -296,6 +304,10 @@
                 if not self._outlook.is_serving:
                     self._wait_until = self._outlook.wait_until
                 break
+            if isinstance(failure, Overloaded) and not budget.try_spend(
+                route.group
+            ):
+                break
             self._choice = choice
             member = choice.member.health.record.member
             failure = self._try(member)
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -207,6 +207,7 @@
         failure: Failure = NoUpstream('no member may open the transaction')
         excluded: set[str] = set()
         was_held_up = False
+        budget = request.group.retry_budget
         for _ in range(MAX_OPEN_ATTEMPTS):
             if self._clock.now() >= request.deadline:
                 break
@@ -220,6 +221,10 @@
                     break
                 excluded.clear()
                 continue
+            if isinstance(failure, Overloaded) and not budget.try_spend(
+                request.route.group
+            ):
+                break
             asked_at = self._clock.now()
             result = self._open_at(request, place)
             if isinstance(result, Success):
--- a/packages/node/src/trefoilpulley_node/direct/route_explainer.py
+++ b/packages/node/src/trefoilpulley_node/direct/route_explainer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import TYPE_CHECKING
 
 from returns.result import Success
@@ -36,6 +37,7 @@
     from trefoilpulley_core.direct.route_report import RouteReport
     from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.direct.routes import RouteTable
+    from trefoilpulley_core.retry_budget import RetryBudget
     from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
     from trefoilpulley_node.direct.directory import GroupDirectory
     from trefoilpulley_node.direct.member_access import MemberAccess
@@ -172,6 +174,11 @@
         path = PathView(member, PathStep.HOLDERS, holders, queue, is_cut_off)
         return PathOutcome(path, None)
 
+    def copy_budget(self, route: Route) -> RetryBudget:
+        """Return a copy of the budget for further attempts."""
+        group = self._directory.find_group(route)
+        return copy.deepcopy(group.retry_budget)
+
     def count_attempts(self, is_transaction: bool) -> int:
         """Return how many members a read or a transaction may try."""
         return MAX_OPEN_ATTEMPTS if is_transaction else MAX_READ_ATTEMPTS
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -129,9 +129,7 @@
         """Run a read at a member that its route allows.
 
         Where a member refuses the read, fails or stays silent, the read is
-        sent to another member. The first successful reply is returned. A
-        refusal for load by one member does not show that the others are
-        full, so that the retry budget covers hedged requests only.
+        sent to another member. The first successful reply is returned.
         """
         hedged = _HedgedRead()
         try:
@@ -150,7 +148,8 @@
         has_run = False
         failed_members = 0
         failure: Failure = NoUpstream('no member may serve the read')
-        request.group.retry_budget.record_fresh(request.route.group)
+        budget = request.group.retry_budget
+        budget.record_fresh(request.route.group)
         for _ in range(MAX_READ_ATTEMPTS):
             place = self._place(request, frozenset(excluded))
             if place is None and pending == 0:
@@ -168,6 +167,10 @@
                 # The read waits for the answer, and a hedged request may be
                 # possible later.
                 pass
+            elif isinstance(failure, Overloaded) and not (
+                pending or budget.try_spend(request.route.group)
+            ):
+                break
             else:
                 excluded.add(place.member)
                 gevent.spawn(self._try_read, request, place, hedged)
