Log watches that end without an answer of the service

Between platform-reachable and platform-unreachable no log line and no metric told whether the service had answered a watch, so that a call that the service has forgotten looked like a watch in force. watch-lost (1417) names the time since the last answer, and service_answer_age_seconds shows it at any time. A relay tells its askers how old its last answer is.

--- a/features/fakes/fake_platform.py
+++ b/features/fakes/fake_platform.py
@@ -178,11 +178,14 @@
         prefix: str,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None] | None = None,
     ) -> Watch:
         """Call back for each change under a prefix, until cancelled."""
         watch = FakeWatch(self, prefix, on_change, on_failure)
         if self._begin('watch'):
             self.watches.append(watch)
+            if on_answer is not None:
+                on_answer(0.0)
         else:
             on_failure(PlatformDown())
         return watch
--- a/packages/core/src/trefoilpulley_core/direct/watch_relay_messages.py
+++ b/packages/core/src/trefoilpulley_core/direct/watch_relay_messages.py
@@ -50,3 +50,6 @@
 
     entries: tuple[KeyValue, ...] = ()
     """Changes in the order of their revisions; empty value for removed."""
+
+    age_ms: int = 0
+    """Time since the service has answered the relay, in milliseconds."""
--- a/packages/core/src/trefoilpulley_core/platform.py
+++ b/packages/core/src/trefoilpulley_core/platform.py
@@ -231,6 +231,7 @@
         prefix: str,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None] | None = None,
     ) -> Watch:
         """Watch the keys with a prefix until the watch is cancelled.
 
@@ -242,6 +243,10 @@
         ended. Such a watch fails with `WatchExpired` if changes in between
         are no longer available. Any watch fails with `WatchExpired` as soon
         as an answer to any call names a new era.
+
+        ``on_answer`` is called for each answer, with or without changes,
+        after its changes have been reported. It gets the age of the answer
+        in seconds: every change up to that time has been reported.
         """
 
 
--- a/packages/node/src/trefoilpulley_node/direct/change_relay.py
+++ b/packages/node/src/trefoilpulley_node/direct/change_relay.py
@@ -58,6 +58,7 @@
         self._changed = Event()
         self._is_stopping = False
         self._is_starting = False
+        self._answered_at = clock.now()
         self.is_following = False
         """Whether the service has answered this host's own watch."""
 
@@ -82,6 +83,7 @@
     def on_progress(self, position: WatchPosition) -> None:
         """Pass on the changes up to a position."""
         self._history.advance(position)
+        self._answered_at = self._clock.now()
         self.is_following, self._is_starting = True, False
         self._wake()
 
@@ -114,9 +116,14 @@
         if changes is None:
             return ChangesAnswer(era, revision, ChangesStatus.EXPIRED), True
         entries, up_to = changes
-        answer = ChangesAnswer(era, up_to, ChangesStatus.OK, entries)
+        answer = ChangesAnswer(
+            era, up_to, ChangesStatus.OK, entries, self._read_age_ms()
+        )
         return answer, bool(entries)
 
+    def _read_age_ms(self) -> int:
+        return round(1000 * (self._clock.now() - self._answered_at))
+
     def _replace_keys(self, entry: KeyValue) -> KeyValue:
         if entry.key != self._documents.routes_key or not entry.value:
             return entry
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -620,6 +620,7 @@
         register('customers', lambda: self.configuration.customer_count)
         register('customers_left_out', lambda: self.configuration.fault_count)
         register('service_followed', lambda: self._follower.is_following)
+        register('service_answer_age_seconds', lambda: self._follower.age_s)
         register(
             'service_followed_directly',
             lambda: self._relayed is None or self._relayed.is_direct,
--- a/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_metrics.py
@@ -112,6 +112,8 @@
     'customers': 'Customers in force.',
     'customers_left_out': 'Entries of customers that are left out.',
     'service_followed': 'Whether a watch on the service is in force.',
+    'service_answer_age_seconds': "Time since the service's last answer to "
+    'a watch, this one or that of a relay.',
     'service_followed_directly': 'Whether no relay serves the watch.',
     'service_era': 'Era of the service in its answers.',
     'lease_age_seconds': "Time since this host's lease was renewed.",
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -110,6 +110,8 @@
         self._watch: Watch | None = None
         self._watch_failed = Event()
         self._failure: Failure | None = None
+        self._answered_at = clock.now()
+        self._is_loss_logged = True
         self.is_following = False
         """Whether a watch is established."""
 
@@ -121,6 +123,11 @@
         """Hosts that held a lease at the last update."""
         return tuple(self._hosts.values())
 
+    @property
+    def age_s(self) -> float:
+        """Time since the last answer to a watch, in seconds."""
+        return self._clock.now() - self._answered_at
+
     def start(self) -> None:
         """Start to follow the service."""
         self._greenlet = gevent.spawn(self._run)
@@ -165,7 +172,7 @@
             self._watch_failed.clear()
             self._failure = None
             self._watch = self._platform.watch(
-                '', self._on_change, self._on_failure
+                '', self._on_change, self._on_failure, self._on_answer
             )
             if self._failure is None and not is_synchronized:
                 is_synchronized = self._synchronize()
@@ -183,7 +190,16 @@
             gevent.sleep(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
+    def _on_answer(self, age_s: float) -> None:
+        self._answered_at = max(self._answered_at, self._clock.now() - age_s)
+        self._is_loss_logged = False
+
     def _on_failure(self, failure: Failure) -> None:
+        if not (self._is_loss_logged or isinstance(failure, WatchExpired)):
+            events.WATCH_LOST.log(
+                failure=failure.code, silent_ms=round(1000 * self.age_s)
+            )
+            self._is_loss_logged = True
         self._failure = failure
         self._watch_failed.set()
 
--- a/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
@@ -161,10 +161,13 @@
         prefix: str,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None] | None = None,
     ) -> Watch:
         """Watch all keys; a watch on other prefixes is not relayed."""
         if prefix:
-            return self._platform.watch(prefix, on_change, on_failure)
+            return self._platform.watch(
+                prefix, on_change, on_failure, on_answer
+            )
         self._watch = _RelayedWatch(
             self._platform,
             self._choice,
@@ -175,6 +178,7 @@
             self._clock,
             on_change,
             on_failure,
+            on_answer or (lambda age_s: None),
         )
         self._watch.start()
         return self._watch
@@ -259,6 +263,7 @@
         clock: Clock,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None],
     ) -> None:
         self._platform = platform
         self._choice = choice
@@ -269,6 +274,7 @@
         self._clock = clock
         self._on_change = on_change
         self._on_failure = on_failure
+        self._on_service_answer = on_answer
         self._direct: Watch | None = None
         self._is_direct = False
         self._told: WatchPosition | None = None
@@ -344,7 +350,9 @@
         self._history.discard_pending()
         self._relay.begin()
         self._is_direct = True
-        direct = self._platform.watch('', self._on_direct_change, self.fail)
+        direct = self._platform.watch(
+            '', self._on_direct_change, self.fail, self._on_direct_answer
+        )
         if self._is_ended:
             # The watch may have been cancelled while it was set up.
             direct.cancel()
@@ -364,6 +372,10 @@
             self._relay.record(entry)
             self._on_change(entry)
 
+    def _on_direct_answer(self, age_s: float) -> None:
+        if not self._is_ended:
+            self._on_service_answer(age_s)
+
     def _ask(self, step: AskRelay) -> None:
         position = self._history.position
         if position is None:
@@ -401,6 +413,7 @@
                 self._relay.record(entry)
                 self._on_change(entry)
         self._history.advance(told)
+        self._on_service_answer(answer.age_ms / 1000)
 
     def _end(self, failure: Failure) -> None:
         self.cancel()
--- a/packages/node/src/trefoilpulley_node/etcd_platform.py
+++ b/packages/node/src/trefoilpulley_node/etcd_platform.py
@@ -127,13 +127,16 @@
         prefix: str,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None] | None = None,
     ) -> Watch:
         """Watch all keys with a prefix until the watch is cancelled.
 
         The method returns when the service has confirmed the watch, so
         that the watch reports every change after a later read.
         """
-        watch = EtcdWatch(self._gateway, prefix, on_change, on_failure)
+        watch = EtcdWatch(
+            self._gateway, prefix, on_change, on_failure, on_answer
+        )
         watch.wait_created()
         return watch
 
--- a/packages/node/src/trefoilpulley_node/etcd_watch.py
+++ b/packages/node/src/trefoilpulley_node/etcd_watch.py
@@ -41,6 +41,8 @@
         Called for each change.
     on_failure : Callable[[Failure], None]
         Called once when the watch fails.
+    on_answer : Callable[[float], None], optional
+        Called for each message of the service, with an age of 0.
     """
 
     def __init__(
@@ -49,11 +51,13 @@
         prefix: str,
         on_change: Callable[[KeyValue], None],
         on_failure: Callable[[Failure], None],
+        on_answer: Callable[[float], None] | None = None,
     ) -> None:
         self._gateway = gateway
         self._prefix = prefix
         self._on_change = on_change
         self._on_failure = on_failure
+        self._on_answer = on_answer
         self._created = Event()
         self._reader = gevent.spawn(self._run)
 
@@ -99,3 +103,5 @@
             self._created.set()
         for event in result.get('events', ()):
             self._on_change(decode_event(event))
+        if self._on_answer is not None:
+            self._on_answer(0.0)
