Reproduce watch calls that the service has forgotten

Callers saw 404 for a route that had been confirmed more than 3 s before. The feature lets the service be silent for 0.7 s, in which the next watch call of every host begins, and then well again. A host counts the service as followed 0.6 s after each lost call, and removes a member whose entry has returned meanwhile.

--- /dev/null
+++ b/features/silent_watch.feature
@@ -0,0 +1,26 @@
+Feature: Watch calls that the platform's service has forgotten
+
+  A call that begins while the service is silent is never answered, also when
+  the service is well again. All times are virtual.
+
+  Scenario Outline: a configuration is late since the calls of all hosts are lost, bound <bound> s, <hosts> hosts
+    Given <hosts> hosts of 3 zones with a bound of <bound> s that follow the service
+    When the service forgets the next calls, and the configuration changes after it
+    Then every live host has the configuration within <bound> s
+
+    Examples:
+      | hosts | bound |
+      | 8     | 3     |
+      | 24    | 5     |
+      | 30    | 3     |
+      | 30    | 5     |
+
+  Scenario: a silent service counts as followed
+    Given 8 hosts of 3 zones with a bound of 3 s that follow the service
+    When the service is silent for 9 s
+    Then no host that has lost the service counts it as followed meanwhile
+
+  Scenario: a member whose entry returns while the calls are lost is removed
+    Given 8 hosts of 3 zones with a bound of 3 s that follow the service
+    When the entry of a member expires, the service forgets the next calls, and the entry returns
+    Then no host removes the member
