Derive the hold of a watch call from the bound of a configuration

Callers got 404 for routes, or statements of an older version, for up to 5 s after a configuration had been confirmed for longer than its bound of 3 s.

Cause: a watch call that begins while the service is silent is forgotten by it. A host holds such a call for 5 s, and misses the answer 0.8 s later, while bounds.config_apply_ms (3 s) was read by nothing. All hosts lose the call together, since the same change has ended the one before.

The hold is now the bound less 2 s, which are for noticing the loss and for another call or other relays: 1 s with a bound of 3 s, and 3 s with 5 s, as deployments of 25 hosts and more had it.

The scenarios of features/silent_watch.feature for 8, 24 and 30 hosts failed before.

A fake of the service left a variable unset when an outage ended during a call; it does no longer.

--- a/features/fakes/watch_fleet.py
+++ b/features/fakes/watch_fleet.py
@@ -27,6 +27,7 @@
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.config_inquiry import ConfigInquiry
 from trefoilpulley_core.direct.relay_choice import RelayChoice
+from trefoilpulley_core.direct.watch_pace import DEFAULT_BOUND_S
 from trefoilpulley_core.direct.watch_relay_messages import ChangesQuestion
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import PeerUnreachable
@@ -125,6 +126,7 @@
         if parts.path == '/v1/kv-watch':
             revision = int(dict(parse_qsl(parts.query))['after'])
             self.watched.append((fleet.now, revision))
+        status, answer = 503, None
         if not (self.is_silent or self.is_refused or service.is_down):
             status, answer = service._dispatch(
                 method, parts.path, dict(parse_qsl(parts.query)), body
@@ -178,7 +180,7 @@
         with mock.patch(
             'trefoilpulley_platform.kv_calls.JsonClient', lambda _: self.link
         ):
-            self.store = KvStore(endpoint, metrics)
+            self.store = KvStore(endpoint, metrics, fleet.bound_s)
         self.directory = _Directory(name, zone, None, None, clock)
         self.holder = ConfigHolder(KvDocuments(), self.directory)
         self.relayed = RelayedPlatform(
@@ -330,6 +332,8 @@
         Seed of the decisions of the hosts.
     is_relayed : bool
         Whether the hosts are built with the watch relay.
+    bound_s : float
+        Time within which a configuration must be in force, in seconds.
     """
 
     def __init__(
@@ -338,10 +342,12 @@
         zones: int = 3,
         seed: int = 1,
         is_relayed: bool = True,
+        bound_s: float = DEFAULT_BOUND_S,
     ) -> None:
         self.time = VirtualTime()
         self.seed = seed
         self.is_relayed = is_relayed
+        self.bound_s = bound_s
         self.calls: list[tuple[float, str, str]] = []
         """Time, host and path of each call to the service."""
 
--- a/features/platform_adapter_codec.feature
+++ b/features/platform_adapter_codec.feature
@@ -46,6 +46,9 @@
       | listen_addrs.front=10.0.0.1:x     | listen_addrs.front is not         |
       | bounds.grace_s=soon               | bounds.grace_s is not a number    |
       | bounds.grace_s=-1                 | bounds.grace_s is not between     |
+      | bounds.config_apply_ms=soon       | bounds.config_apply_ms is not a number |
+      | bounds.config_apply_ms=-1         | bounds.config_apply_ms is not a number of at least 0 |
+      | bounds.config_apply_ms=0          | bounds.config_apply_ms is not a positive number |
       | port_range missing                | port_range is not                 |
       | ip missing                        | ip is missing                     |
 
--- a/features/silent_watch.feature
+++ b/features/silent_watch.feature
@@ -15,6 +15,18 @@
       | 30    | 3     |
       | 30    | 5     |
 
+  Scenario Outline: the hold of a watch call does not follow from the bound
+    Given platform settings with a bound of <bound>
+    Then a watch call is held for <hold> ms
+
+    Examples:
+      | bound   | hold |
+      | nothing | 3000 |
+      | 3000 ms | 1000 |
+      | 5000 ms | 3000 |
+      | 1500 ms | 500  |
+      | 60000 ms | 5000 |
+
   Scenario: a silent service counts as followed
     Given 8 hosts of 3 zones with a bound of 3 s that follow the service
     When the service is silent for 9 s
--- a/features/steps/host_costs_steps.py
+++ b/features/steps/host_costs_steps.py
@@ -15,6 +15,7 @@
 from returns.result import Success
 
 from features.fakes.virtual_sleep import VirtualSleep
+from trefoilpulley_core.direct.watch_pace import WatchPace
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import KeyValue
@@ -79,7 +80,7 @@
         """Create the watcher of a host that has read the entries."""
         context.time = VirtualSleep()
         context.service = _WatchedService(context.time)
-        context.watcher = KvWatcher(context.service)
+        context.watcher = KvWatcher(context.service, WatchPace())
         context.watcher.on_read(
             KeyValue(f'{HOST_PREFIX}old-{n}', b'{}', 1) for n in range(count)
         )
--- a/features/steps/silent_watch_steps.py
+++ b/features/steps/silent_watch_steps.py
@@ -9,6 +9,8 @@
 from behave import when
 
 from features.fakes.watch_fleet import WatchFleet
+from trefoilpulley_core.direct.watch_pace import WatchPace
+from trefoilpulley_platform.platform_settings import parse_settings
 
 SETTLE_S = 12.0
 """Time in which the hosts begin to follow the service, in seconds."""
@@ -31,6 +33,20 @@
 MEMBER = 'm6'
 """Member that the service lists."""
 
+SETTINGS = (
+    'node_name=host-1',
+    'region=here',
+    'zone=z0',
+    'ip=127.0.0.1',
+    'port_range=7440,7455',
+    'listen_addrs.front=127.0.0.1:8784',
+    'listen_addrs.ready=127.0.0.1:8785',
+    'platform.address=127.0.0.1:8783',
+    'cloud_api.address=127.0.0.1:8782',
+    'bounds.grace_s=6',
+)
+"""Lines of a settings file without a bound for configurations."""
+
 
 class SilentWatchSteps:
     """Steps on a service that is silent and well again."""
@@ -42,7 +58,7 @@
     )
     def settle(context: Any, hosts: int, zones: int, bound: int) -> None:
         """Start hosts and let them follow."""
-        context.fleet = WatchFleet(hosts, zones)
+        context.fleet = WatchFleet(hosts, zones, bound_s=bound)
         context.cleanups.append(context.fleet.stop)
         context.fleet.start()
         for _ in range(6):
@@ -91,6 +107,22 @@
         fleet.run(expired_at + RETURN_S - fleet.now)
         fleet.service.put(key, entry.replace(b'"born": 1', b'"born": 2'))
 
+    @staticmethod
+    @given('platform settings with a bound of {bound}')
+    def set_bound(context: Any, bound: str) -> None:
+        """Read the settings of a host."""
+        lines = [*SETTINGS]
+        if bound != 'nothing':
+            lines.append(f'bounds.config_apply_ms={bound.split()[0]}')
+        context.cfg = parse_settings('\n'.join(lines)).unwrap()
+
+    @staticmethod
+    @then('a watch call is held for {hold:d} ms')
+    def check_hold(context: Any, hold: int) -> None:
+        """Check the hold that follows from the settings."""
+        pace = WatchPace(context.cfg.configuration_bound_s)
+        assert pace.wait_ms == hold, pace.wait_ms
+
     @staticmethod
     @then('no host that has lost the service counts it as followed meanwhile')
     def check_followed(context: Any) -> None:
--- a/packages/core/src/trefoilpulley_core/direct/watch_pace.py
+++ b/packages/core/src/trefoilpulley_core/direct/watch_pace.py
@@ -35,36 +35,46 @@
 MIN_HOSTS = 25
 """Number of hosts from which the pause grows."""
 
+DEFAULT_BOUND_S = 5.0
+"""Default time until a configuration must be in force, in seconds."""
 
-MAX_WAIT_MS = 5000
-"""Maximum time that the service holds a call, in milliseconds.
+RECOVERY_S = 2.0
+"""Part of the bound for what follows a call that was lost, in seconds.
 
-It also bounds the time until a dead connection is noticed.
+Up to 0.8 s pass until the answer is missed, and up to 0.7 s until another
+call is answered or two other hosts follow the service for a zone. The rest is
+for the pause before the lost call and for a first attempt that fails.
 """
 
-MAX_RELAY_WAIT_MS = 3000
-"""The same in deployments of `MIN_HOSTS` and more, in milliseconds.
+MIN_WAIT_S = 0.5
+"""Minimum time that the service holds a call, in seconds."""
 
-The hosts of a zone rely on two watches there. With up to 0.8 s until the
-answer is missed and 0.7 s for two other hosts to take over, a configuration
-is in force within 5 s although both watches have failed silently.
-"""
+MAX_WAIT_S = 5.0
+"""Maximum time that the service holds a call, in seconds."""
 
 
 class WatchPace:
-    """Decides how long a watch waits before and in its next call."""
+    """Decides how long a watch waits before and in its next call.
+
+    A service that was silent for a moment may never answer a call that it
+    seems to hold, so that the hold bounds the time in which changes are
+    missed.
+
+    Parameters
+    ----------
+    bound_s : float
+        Time within which a configuration must be in force, in seconds.
+    """
+
+    def __init__(self, bound_s: float = DEFAULT_BOUND_S) -> None:
+        wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, bound_s - RECOVERY_S))
+        self.wait_ms = round(1000 * wait_s)
+        """Time that the service may hold a call, in milliseconds."""
 
-    def __init__(self) -> None:
         self._hosts: set[str] = set()
         self.pause_s = MIN_PAUSE_S
         """Pause before the next call, in seconds."""
 
-    @property
-    def wait_ms(self) -> int:
-        """Time that the service may hold the next call, in milliseconds."""
-        is_small = len(self._hosts) < MIN_HOSTS
-        return MAX_WAIT_MS if is_small else MAX_RELAY_WAIT_MS
-
     def on_entries(self, entries: Iterable[KeyValue]) -> None:
         """Record the hosts among entries that were read or have changed."""
         for entry in entries:
