Follow the service only while it answers

A host counted the service as followed as soon as a watch had not failed for 0.6 s, so that in a silence of 6 s it logged platform-reachable without an answer and its grace periods ran: a member, or a host, whose entry returned while a call was lost was removed. Everything that waits for a lost service (questions to other hosts, grace periods, claims to be written) began late or stopped in between.

The steps of proxy_following.feature let the service answer when a grace period has passed, and a new scenario checks that nothing is removed before that.

--- a/features/fakes/fake_platform.py
+++ b/features/fakes/fake_platform.py
@@ -64,6 +64,12 @@
     prefix: str
     on_change: Callable[[KeyValue], None]
     on_failure: Callable[[Failure], None]
+    on_answer: Callable[[float], None] | None = None
+
+    def answer(self) -> None:
+        """Report an answer of the service."""
+        if self.on_answer is not None:
+            self.on_answer(0.0)
 
     def cancel(self) -> None:
         """Stop the watch."""
@@ -181,11 +187,10 @@
         on_answer: Callable[[float], None] | None = None,
     ) -> Watch:
         """Call back for each change under a prefix, until cancelled."""
-        watch = FakeWatch(self, prefix, on_change, on_failure)
+        watch = FakeWatch(self, prefix, on_change, on_failure, on_answer)
         if self._begin('watch'):
             self.watches.append(watch)
-            if on_answer is not None:
-                on_answer(0.0)
+            watch.answer()
         else:
             on_failure(PlatformDown())
         return watch
@@ -194,6 +199,11 @@
         """Write a key without a check, as another writer."""
         return self._store(key, value, 0)
 
+    def answer_watches(self) -> None:
+        """Answer the open watches without a change."""
+        for watch in tuple(self.watches):
+            watch.answer()
+
     def take_down(self) -> None:
         """Begin an outage and end all watches with a failure."""
         self.is_down = True
--- a/features/proxy_following.feature
+++ b/features/proxy_following.feature
@@ -87,3 +87,10 @@
     When an entry of member "m0" fails with an unexpected error
     And member "m1" reports that it is leaving
     Then the host knows that "m1" is leaving
+
+  Scenario: a member is removed though its entry may have returned unseen
+    Given a service that lists member "m1"
+    And a host that has read the service
+    When "m1" is deleted and the service does not answer any more
+    Then the host has the members "m1"
+    And after the grace period the host has no member
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -198,8 +198,24 @@
         _restore(context, context.service.take_copy())
         wait_until(lambda: context.follower.is_following)
         context.clock.at += REMOVAL_GRACE_S / 2
+        context.service.answer_watches()
         context.follower.remove_expired()
 
+    @staticmethod
+    @when('"{member}" is deleted and the service does not answer any more')
+    def delete_before_silence(context: Any, member: str) -> None:
+        """Let the grace period pass without an answer."""
+        context.service.put(f'servers/{member}', b'')
+        context.clock.at += REMOVAL_GRACE_S
+        context.follower.remove_expired()
+
+    @staticmethod
+    @then('the host has the members "{members}"')
+    def check_kept(context: Any, members: str) -> None:
+        """Check which members are in use now."""
+        found = sorted(context.directory.members)
+        assert found == members.split(), found
+
     @staticmethod
     @when('"{name}" registers and stops')
     def stop_host(context: Any, name: str) -> None:
@@ -303,6 +319,7 @@
 
 
 def _pass_grace(context: Any) -> None:
-    """Let the grace period of removed members pass."""
+    """Let the grace period of removed members pass, and the service answer."""
     context.clock.at += REMOVAL_GRACE_S
+    context.service.answer_watches()
     context.follower.remove_expired()
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -44,9 +44,9 @@
 """
 
 WATCH_STABLE_S = 0.6
-"""Time after which a new watch counts as established, in seconds.
+"""Time for which a watch must last so that its failure is no repeated one.
 
-The time exceeds the time that a connection takes to fail.
+In seconds. The time exceeds the time that a connection takes to fail.
 """
 
 MIN_BACKOFF_S = 0.2
@@ -111,9 +111,10 @@
         self._watch_failed = Event()
         self._failure: Failure | None = None
         self._answered_at = clock.now()
-        self._is_loss_logged = True
+        self._is_answered = False
+        self._is_read = False
         self.is_following = False
-        """Whether a watch is established."""
+        """Whether the service has answered the present watch."""
 
         self.is_synchronized = False
         """Whether all entries have been read at least once."""
@@ -142,19 +143,22 @@
     def remove_expired(self) -> None:
         """Remove members and hosts without an entry after a grace period.
 
-        Time in which the service can't be followed does not count, since an
-        entry that is written again would not be seen.
+        Time in which the service can't be followed does not count, and a
+        period ends with an answer of the service after it, since an entry
+        that is written again would not be seen otherwise.
         """
-        now = self._clock.now()
         if not self.is_following:
             self._restart_grace_periods()
-        hosts = [n for n, at in self._host_removals_due.items() if now >= at]
+        known_at = self._answered_at
+        hosts = [
+            n for n, at in self._host_removals_due.items() if known_at >= at
+        ]
         for name in hosts:
             self._remove_host(name)
         if hosts:
             self._on_hosts(tuple(self._hosts.values()))
         for member, at in list(self._removals_due.items()):
-            if now >= at:
+            if known_at >= at:
                 del self._removals_due[member]
                 self._directory.remove_member(member)
 
@@ -167,42 +171,48 @@
 
     def _run(self) -> None:
         backoff_s = MIN_BACKOFF_S
-        is_synchronized = False
         while True:
+            began_at = self._clock.now()
             self._watch_failed.clear()
             self._failure = None
+            self._is_answered = False
             self._watch = self._platform.watch(
                 '', self._on_change, self._on_failure, self._on_answer
             )
-            if self._failure is None and not is_synchronized:
-                is_synchronized = self._synchronize()
-                self.is_synchronized |= is_synchronized
-            if self._failure is None and is_synchronized:
-                if not self._watch_failed.wait(timeout=WATCH_STABLE_S):
-                    self._set_following(True)
-                    backoff_s = MIN_BACKOFF_S
-                    self._watch_failed.wait()
+            if self._failure is None and not self._is_read:
+                self._is_read = self._synchronize()
+                self.is_synchronized |= self._is_read
+            if self._failure is None and self._is_read:
+                self._update_following()
+                self._watch_failed.wait()
             self._watch.cancel()
             if isinstance(self._failure, WatchExpired):
-                is_synchronized = False
+                self._is_read = False
                 continue
             self._set_following(False)
+            is_lasting = self._clock.now() - began_at >= WATCH_STABLE_S
+            if self._is_answered and is_lasting:
+                backoff_s = MIN_BACKOFF_S
             gevent.sleep(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     def _on_answer(self, age_s: float) -> None:
         self._answered_at = max(self._answered_at, self._clock.now() - age_s)
-        self._is_loss_logged = False
+        self._is_answered = True
+        self._update_following()
 
     def _on_failure(self, failure: Failure) -> None:
-        if not (self._is_loss_logged or isinstance(failure, WatchExpired)):
+        if self._is_answered and not isinstance(failure, WatchExpired):
             events.WATCH_LOST.log(
                 failure=failure.code, silent_ms=round(1000 * self.age_s)
             )
-            self._is_loss_logged = True
         self._failure = failure
         self._watch_failed.set()
 
+    def _update_following(self) -> None:
+        if self._is_answered and self._is_read and self._failure is None:
+            self._set_following(True)
+
     def _set_following(self, is_following: bool) -> None:
         if is_following == self.is_following:
             return
