Announce versions of configurations without customers, too

A host whose watch was dead missed a configuration although all its neighbours had it: versions were announced in the probes of the membership, and asked for, only in deployments with customers. Callers of that host got answers of the older version.

The probes carry a version field in any case, now with the version in force in every deployment. A host asks a neighbour that has announced a newer one for 1 s, or at once if it has lost the service; without a newer one it asks nobody as before, which the scenario without customers still checks for 60 s. That no version is announced there was a choice to save bytes, and its step is replaced by one that checks the announced version.

Evidence: two scenarios of config_exchange.feature, which failed before.

--- a/features/config_exchange.feature
+++ b/features/config_exchange.feature
@@ -34,12 +34,25 @@
     And 60 s pass
     Then no host has asked another one
 
-  Scenario: hosts without customers send nothing when the service is lost
+  Scenario: hosts without customers ask nothing when the service is lost
     Given 3 zones with 10 hosts each, all without customers
     And all hosts but three lose the service and notice it after 3.0 s
     When 60 s pass
     Then no host has asked another one
-    And no host has announced a version
+    And every host has announced version 4
+
+  Scenario Outline: a host without customers misses a configuration that its neighbours have
+    Given 3 zones with 10 hosts each, all without customers
+    And one host lose the service and notice it after <noticed> s
+    When the service tells the others of version 5 without customers
+    And 5 s pass
+    Then every host has version 5
+    And the hosts have asked at most 1 times
+
+    Examples:
+      | noticed |
+      | 0.0     |
+      | 60.0    |
 
   Scenario: a host that starts without the service gets its configuration from others
     Given 3 zones with 10 hosts each, all with version 4
--- a/packages/core/src/trefoilpulley_core/direct/config_inquiry.py
+++ b/packages/core/src/trefoilpulley_core/direct/config_inquiry.py
@@ -1,10 +1,11 @@
 """Decides when a host asks other hosts for a newer configuration.
 
 Load pattern: the platform's service is refused, silent or cut off for some
-hosts, or has come back from an older copy, while operators remove a key of a
-customer at another part of the deployment. The key must be refused everywhere
-within 5 s of the operators' write. Hosts that follow the service must not pay
-for this, so that nothing is sent while the service tells every host the same.
+hosts, or has come back from an older copy, while operators change routes or
+remove a key of a customer at another part of the deployment. The change must
+be in force everywhere within 5 s of the operators' write. Hosts that follow
+the service must not pay for this, so that nothing is asked while the service
+tells every host the same; the probes of the membership carry the version.
 """
 
 from __future__ import annotations
@@ -87,8 +88,8 @@
         is_following : bool
             Whether this host follows the service.
         is_enabled : bool
-            Whether the deployment has customers, or this host has no
-            configuration. Only hosts with customers announce their version.
+            Whether to ask hosts that have announced nothing newer: the
+            deployment has customers, or this host has no configuration.
         live : Mapping[str, Sequence[str]]
             Live hosts by availability zone.
         now : float
--- a/packages/node/src/trefoilpulley_node/direct/config_exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/config_exchange.py
@@ -86,10 +86,9 @@
             self._greenlet.kill(block=False)
 
     def on_applied(self, table: RouteTable) -> None:
-        """Announce a new configuration if the deployment has customers."""
+        """Announce the version of a new configuration."""
         self._inquiry.on_applied()
-        version = table.version if table.customers is not None else 0
-        self._announce(Versions(configuration=version))
+        self._announce(Versions(configuration=table.version))
 
     def on_versions(self, host: str, versions: Versions) -> None:
         """Note the version that the probe of another host carries."""
