--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -19,3 +19,8 @@
     Given a service that answers every call with an object
     When the store client starts a watch
     Then the watch reports a lost answer
+
+  Scenario: a response that breaks off is waited for twice as long as its begin
+    Given a response that begins 2 s after its request and then breaks off
+    When the store client makes a call with a time limit of 3 s
+    Then the call has failed as lost after 3 s
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -12,6 +13,7 @@
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
+from trefoilpulley_platform.json_client import JsonClient
 from trefoilpulley_platform.kv_store import KvStore
 
 BODIES = {
@@ -68,3 +70,79 @@
         """Check that the watch has ended with a typed failure."""
         (failure,) = context.failures
         assert isinstance(failure, PlatformAnswerLost), failure
+
+
+class _SlowConnection:
+    """Connection in virtual time whose response never ends."""
+
+    will_close = False
+
+    def __init__(self, begins_after_s: float) -> None:
+        self.now = 0.0
+        self.sock = self
+        self._begins_after_s = begins_after_s
+        self._timeout_s = 0.0
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+    def settimeout(self, timeout_s: float) -> None:
+        """Set the time limit of the next operations, in seconds."""
+        self._timeout_s = timeout_s
+
+    def connect(self) -> None:
+        """Open the connection at once."""
+
+    def setsockopt(self, *option: int) -> None:
+        """Accept an option of the socket."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+    def request(self, *request: Any) -> None:
+        """Send a request at once."""
+
+    def getresponse(self) -> _SlowConnection:
+        """Return the begin of the response."""
+        self.now += min(self._begins_after_s, self._timeout_s)
+        return self
+
+    def read(self) -> bytes:
+        """Wait for the rest of the response, which never comes."""
+        self.now += self._timeout_s
+        raise TimeoutError
+
+
+class BrokenResponseSteps:
+    """Steps on a response that breaks off."""
+
+    @staticmethod
+    @given(
+        'a response that begins {begin:g} s after its request and then '
+        'breaks off'
+    )
+    def make_response(context: Any, begin: float) -> None:
+        """Create a connection in virtual time."""
+        context.conn = _SlowConnection(begin)
+
+    @staticmethod
+    @when('the store client makes a call with a time limit of {limit:g} s')
+    def call(context: Any, limit: float) -> None:
+        """Make a call on the connection."""
+        client = JsonClient(Endpoint('127.0.0.1', 1))
+        with (
+            mock.patch('time.monotonic', context.conn.monotonic),
+            mock.patch(
+                'http.client.HTTPConnection', lambda *a, **kw: context.conn
+            ),
+        ):
+            context.result = client.call('GET', '/', timeout_s=limit)
+
+    @staticmethod
+    @then('the call has failed as lost after {limit:g} s')
+    def check_lost(context: Any, limit: float) -> None:
+        """Check the failure and its time."""
+        failure = context.result.failure()
+        assert isinstance(failure, PlatformAnswerLost), failure
+        assert context.conn.now == limit, context.conn.now
