Repeat reads of the pooled mode that the service has not answered

In the pooled mode a watch reports a change once, and the documents are then read. A read that was lost was repeated at the next poll, up to 10 s later, and a poll that was lost, too, another 10 s later: a configuration was in force up to 20 s after its write, while 16 s are promised. A silent service counted as one that had nothing new.

A read without an answer is now repeated after 1 s. The scenario writes a change as the service becomes silent for 11 s; it failed before. Found by reading, as the same class as the lost watch calls of the direct mode. Cost: two calls a second and poller, two pollers a zone, while the service is out.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -50,6 +50,12 @@
     Then the configuration is in force on every live host within 16 s
     And a configuration watch is active again within 60 s
 
+  Scenario: A change waits for the next poll since the reads after its report are lost
+    Given a configuration fleet of 3 zones with 8 hosts each
+    When the configuration fleet runs for 6 s without a change
+    And the configuration is written as the service becomes silent for 11 s
+    Then the configuration is in force on every live host within 5 s
+
   Scenario: Any two faults during changes
     Then under any 2 faults the configuration never returns to an older revision and reaches every host
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -329,6 +329,19 @@
         """Write one change."""
         context.fleet.publish(make_configuration(1))
 
+    @staticmethod
+    @when(
+        'the configuration is written as the service becomes silent for '
+        '{duration:d} s'
+    )
+    def write_before_silence(context: Any, duration: int) -> None:
+        """Write a change whose reports arrive, and lose the reads."""
+        fleet = context.fleet
+        fleet.publish(make_configuration(1))
+        fleet.service.is_down = True
+        fleet.run_until(lambda: False, duration)
+        fleet.service.is_down = False
+
     @staticmethod
     @when('the configuration changes while {count:d} hosts of each zone fail')
     def change_during_failures(context: Any, count: int) -> None:
--- a/packages/core/src/trefoilpulley_core/configuration/sync.py
+++ b/packages/core/src/trefoilpulley_core/configuration/sync.py
@@ -29,6 +29,12 @@
 The reads find changes that a watch has missed.
 """
 
+READ_RETRY_INTERVAL_S = 1.0
+"""Time before a read that has failed is repeated, in seconds.
+
+A watch reports a change once, and the read that follows may be lost.
+"""
+
 WATCH_RETRY_INTERVAL_S = 0.5
 """Time before a broken watch is restarted, in seconds."""
 
@@ -156,6 +162,11 @@
             self._push(document, self._choose_children(document))
         return accepted
 
+    def on_read_failed(self, now: float) -> None:
+        """Repeat a read that the service has not answered."""
+        retry_at = now + READ_RETRY_INTERVAL_S
+        self._next_poll_at = min(self._next_poll_at, retry_at)
+
     def on_service_answered(self) -> None:
         """Record that the service has answered a read."""
         self._has_service_answered = True
--- a/packages/node/src/trefoilpulley_node/configuration_runner.py
+++ b/packages/node/src/trefoilpulley_node/configuration_runner.py
@@ -199,6 +199,8 @@
         is_answering = isinstance(result, Success)
         if is_answering:
             self._dissemination.on_service_answered()
+        else:
+            self._dissemination.on_read_failed(self._clock.now())
         if is_answering != self._is_service_answering:
             self._is_service_answering = is_answering
             event = (
--- a/packages/standins/src/trefoilpulley_standins/document_fleet.py
+++ b/packages/standins/src/trefoilpulley_standins/document_fleet.py
@@ -225,6 +225,12 @@
         ]
         self.service.calls[host.entry.name] += 2 + len(newer)
         if not self.service.is_reachable_from(host.entry.zone):
+            self.call_at(
+                self.now + SERVICE_TIMEOUT_S,
+                lambda: self.run_when_awake(
+                    host, lambda: state.spread.on_read_failed(self.now)
+                ),
+            )
             return
 
         def deliver() -> None:
