Keep following the service beside what can't be read

One item of a page that can't be read failed the read of all others, so that a host never followed the service; an item with a key that is no text, or an unexpected error in a read, ended the greenlet that watches or follows, and the host counted the service as followed for good. In the pooled mode a part of a list that is no JSON ended the read of the whole list each time, and a message of a watch that is no object ended the watch without a notice.

Such an item or part is logged and left out. A page without a readable item fails the read, as the pages after it are not known. The loops that watch and follow log an unexpected error and begin again.

Not shown by a test: the parts of a list in the pooled mode.

--- a/packages/core/src/trefoilpulley_core/configuration/document.py
+++ b/packages/core/src/trefoilpulley_core/configuration/document.py
@@ -18,6 +18,7 @@
 from trefoilpulley_core.catalog import DatabaseEntry
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.declarations import Configuration
+from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import RunState
 
@@ -86,5 +87,5 @@
         return Success(_CONVERTER.structure(document, kind))
     except BaseValidationError as exc:
         return Failed(MalformedDocument('; '.join(transform_error(exc))))
-    except (ValueError, TypeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failed(MalformedDocument(type(exc).__name__))
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -113,6 +113,7 @@
         self._answered_at = clock.now()
         self._is_answered = False
         self._is_read = False
+        self._backoff_s = MIN_BACKOFF_S
         self.is_following = False
         """Whether the service has answered the present watch."""
 
@@ -170,31 +171,39 @@
         )
 
     def _run(self) -> None:
-        backoff_s = MIN_BACKOFF_S
         while True:
             began_at = self._clock.now()
             self._watch_failed.clear()
             self._failure = None
             self._is_answered = False
-            self._watch = self._platform.watch(
-                '', self._on_change, self._on_failure, self._on_answer
-            )
-            if self._failure is None and not self._is_read:
-                self._is_read = self._synchronize()
-                self.is_synchronized |= self._is_read
-            if self._failure is None and self._is_read:
-                self._update_following()
-                self._watch_failed.wait()
-            self._watch.cancel()
+            try:
+                self._follow()
+            # An unexpected error must not leave the host without a watch.
+            except Exception as exc:
+                events.HANDLER_CRASHED.log(message='service', error=repr(exc))
+            if self._watch is not None:
+                self._watch.cancel()
             if isinstance(self._failure, WatchExpired):
                 self._is_read = False
                 continue
             self._set_following(False)
             is_lasting = self._clock.now() - began_at >= WATCH_STABLE_S
             if self._is_answered and is_lasting:
-                backoff_s = MIN_BACKOFF_S
-            gevent.sleep(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+                self._backoff_s = MIN_BACKOFF_S
+            gevent.sleep(self._backoff_s)
+            self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+
+    def _follow(self) -> None:
+        """Follow the service until its watch fails."""
+        self._watch = self._platform.watch(
+            '', self._on_change, self._on_failure, self._on_answer
+        )
+        if self._failure is None and not self._is_read:
+            self._is_read = self._synchronize()
+            self.is_synchronized |= self._is_read
+        if self._failure is None and self._is_read:
+            self._update_following()
+            self._watch_failed.wait()
 
     def _on_answer(self, age_s: float) -> None:
         self._answered_at = max(self._answered_at, self._clock.now() - age_s)
--- a/packages/node/src/trefoilpulley_node/document_reader.py
+++ b/packages/node/src/trefoilpulley_node/document_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 from typing import TYPE_CHECKING
 
 from returns.result import Result
@@ -11,10 +12,12 @@
 from trefoilpulley_core.configuration.document import decode_configuration
 from trefoilpulley_core.configuration.messages import DocumentKind
 from trefoilpulley_core.configuration.messages import make_document
+from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.keys import CATALOG_DATABASES_KEY
 from trefoilpulley_core.keys import CATALOG_HOSTS_KEY
 from trefoilpulley_core.keys import CATALOG_PREFIX
 from trefoilpulley_core.keys import CONFIGURATION_KEY
+from trefoilpulley_node import events
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -114,5 +117,20 @@
 def _join_lists(entries: Sequence[KeyValue]) -> bytes:
     if len(entries) == 1:
         return entries[0].value
-    items = [item for entry in entries for item in json.loads(entry.value)]
+    items = [item for entry in entries for item in _read_list(entry)]
     return json.dumps(items, separators=(',', ':')).encode()
+
+
+def _read_list(entry: KeyValue) -> list[Any]:
+    """Return a part of a list; one that can't be read names nobody."""
+    detail = 'not a list'
+    try:
+        items = json.loads(entry.value)
+        if isinstance(items, list):
+            return items
+    except DECODE_ERRORS as exc:
+        detail = repr(exc)
+    events.ENTRY_UNREADABLE.log(
+        key=entry.key, revision=entry.mod_revision, detail=detail
+    )
+    return []
--- a/packages/node/src/trefoilpulley_node/etcd_watch.py
+++ b/packages/node/src/trefoilpulley_node/etcd_watch.py
@@ -11,6 +11,7 @@
 from requests import RequestException
 from returns.result import Success
 
+from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.platform import PlatformDown
 from trefoilpulley_core.platform import Watch
 from trefoilpulley_node.etcd_gateway import ANSWER_TIMEOUT_S
@@ -85,7 +86,7 @@
         resp = opened.unwrap()
         try:
             return self._read_lines(resp)
-        except (RequestException, OSError, ValueError) as exc:
+        except (RequestException, OSError, *DECODE_ERRORS) as exc:
             return PlatformDown(type(exc).__name__)
         finally:
             resp.close()
