--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -16,6 +16,8 @@
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.direct.failover import Round
+from trefoilpulley_core.entry_fields import DECODE_ERRORS
+from trefoilpulley_core.entry_fields import read_count
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -278,9 +280,9 @@
         return Success(
             Claim(
                 str(fields['holder']),
-                int(fields['round']),
+                read_count(fields, 'round'),
                 str(fields['target']),
             )
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
--- a/packages/node/src/trefoilpulley_node/direct/host_registration.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_registration.py
@@ -12,8 +12,10 @@
 from returns.result import Failure as Failed
 from returns.result import Success
 
-from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
+from trefoilpulley_core.entry_fields import DECODE_ERRORS
+from trefoilpulley_core.entry_fields import make_endpoint
+from trefoilpulley_core.entry_fields import read_text
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import HOST_PREFIX
 from trefoilpulley_core.platform import EraChanged
@@ -213,18 +215,18 @@
     """
     try:
         fields = json.loads(entry.value)
-        address = str(fields['address'])
+        address = fields['address']
         return Success(
             HostEntry(
                 entry.key.removeprefix(HOST_PREFIX),
-                str(fields['region']),
-                str(fields['zone']),
-                Endpoint(address, int(fields['caller_port'])),
-                Endpoint(address, int(fields['port'])),
+                read_text(fields, 'region'),
+                read_text(fields, 'zone'),
+                make_endpoint(address, fields['caller_port']),
+                make_endpoint(address, fields['port']),
                 capacity=_read_capacity(fields),
             )
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
 
 
--- a/packages/wire/src/trefoilpulley_wire/dial.py
+++ b/packages/wire/src/trefoilpulley_wire/dial.py
@@ -65,7 +65,9 @@
             if tls is not None:
                 sock = tls.wrap_socket(sock, server_hostname=endpoint.address)
             protocol = _perform_handshake(sock, endpoint, is_compressed)
-    except (OSError, TimeoutError) as exc:
+    # A name that can't be encoded, or a port out of range, raises errors that
+    # are no OSError.
+    except (OSError, OverflowError, ValueError) as exc:
         if sock is not None:
             sock.close()
         return Failed(PeerUnreachable(type(exc).__name__))
