--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -24,3 +24,8 @@
     Given a response that begins 2 s after its request and then breaks off
     When the store client makes a call with a time limit of 3 s
     Then the call has failed as lost after 3 s
+
+  Scenario: a call is lost on an idle connection after another one was silent
+    Given two idle connections that become silent, and a service that is well
+    When the store client makes two calls
+    Then the second call is answered
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -8,6 +8,9 @@
 from behave import given
 from behave import then
 from behave import when
+import gevent
+from gevent.event import Event
+from gevent.lock import Semaphore
 from gevent.pywsgi import WSGIServer
 
 from trefoilpulley_core.catalog import Endpoint
@@ -146,3 +149,54 @@
         failure = context.result.failure()
         assert isinstance(failure, PlatformAnswerLost), failure
         assert context.conn.now == limit, context.conn.now
+
+
+class SilentConnectionSteps:
+    """Steps on idle connections that become silent."""
+
+    @staticmethod
+    @given(
+        'two idle connections that become silent, and a service that is well'
+    )
+    def make_idle(context: Any) -> None:
+        """Make two calls at once to a server, and silence its connections."""
+        ports: set[str] = set()
+        silenced, both, arrived = Event(), Event(), Semaphore(0)
+
+        def answer(environ: Any, start_response: Any) -> list[bytes]:
+            if environ['REMOTE_PORT'] in ports:
+                silenced.wait()
+            if len(ports) < 2:
+                ports.add(environ['REMOTE_PORT'])
+                arrived.release()
+                both.wait()
+            start_response('200 OK', [('Content-Length', '2')])
+            return [b'{}']
+
+        server = WSGIServer(('127.0.0.1', 0), answer, log=None)
+        server.start()
+        context.cleanups += [server.stop, silenced.set]
+        endpoint = Endpoint('127.0.0.1', server.server_port)
+        context.client = JsonClient(endpoint)
+        calls = [gevent.spawn(context.client.call, 'GET', '/') for _ in 'ab']
+        for _ in calls:
+            arrived.acquire()
+        both.set()
+        gevent.joinall(calls)
+
+    @staticmethod
+    @when('the store client makes two calls')
+    def make_calls(context: Any) -> None:
+        """Make calls one after the other."""
+        context.results = [
+            context.client.call('GET', '/', timeout_s=limit_s)
+            for limit_s in (0.1, 10.0)
+        ]
+
+    @staticmethod
+    @then('the second call is answered')
+    def check_answered(context: Any) -> None:
+        """Check that only the first call is lost."""
+        first, second = context.results
+        assert isinstance(first.failure(), PlatformAnswerLost), first
+        assert second.unwrap().status == 200, second
