--- a/features/soak.feature
+++ b/features/soak.feature
@@ -181,6 +181,17 @@
       | seed | hosts | connections | cause                                             |
       | 10   | 3     | 4           | hosts ignored revisions that were given out again |
 
+  Scenario: the silences depend on the seed alone
+    Then seed 7 silences the store after a configuration, and the same way each time
+
+  Scenario Outline: hosts have a configuration late since the store has forgotten their calls
+    When the store is silent for moments with seed <seed>, <hosts> hosts and <connections> connections
+    Then the checker reports no violation
+
+    Examples: seeds that fail with a hold of 5 s
+      | seed | hosts | connections |
+      | 2    | 3     | 4           |
+
   Scenario Outline: a customer's work runs under its name and its keys alone
     When the customers change under faults with seed <seed>, <hosts> hosts and <connections> connections
     Then the checker reports no violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,6 +15,7 @@
 from trefoilpulley_emulator.soak.faults import draw_faults
 from trefoilpulley_emulator.soak.faults import draw_restores
 from trefoilpulley_emulator.soak.faults import draw_rolls
+from trefoilpulley_emulator.soak.faults import draw_silences
 from trefoilpulley_emulator.soak.faults import FaultKind
 from trefoilpulley_emulator.soak.faults import PLANNED_KINDS
 from trefoilpulley_emulator.soak.faults import Profile
@@ -372,6 +373,25 @@
         assert kinds.count(FaultKind.RESTORE_STORE) == 1, faults
         assert kinds[-1] in PLANNED_KINDS, faults
 
+    @staticmethod
+    @then(
+        'seed {seed:d} silences the store after a configuration, and the '
+        'same way each time'
+    )
+    def check_silences_by_seed(context: Any, seed: int) -> None:
+        """Check the faults of a seed."""
+        faults = draw_silences(seed, ('m0', 'm1'))
+        assert faults == draw_silences(seed, ('m0', 'm1'))
+        kinds = [
+            f.kind for f in faults if f.kind is not FaultKind.CRASH_MEMBER
+        ]
+        change, silence = (
+            FaultKind.CHANGE_CONFIGURATION,
+            FaultKind.STORE_SILENT,
+        )
+        count = kinds.count(silence)
+        assert count and kinds == [change, silence, change] * count, faults
+
     @staticmethod
     @given('a soak run whose hosts have a configuration in force')
     def observe_configuration(context: Any) -> None:
@@ -408,6 +428,19 @@
             context, Soak(seed, hosts, 0.0, connections, Profile.RESTORES)
         )
 
+    @staticmethod
+    @when(
+        'the store is silent for moments with seed {seed:d}, {hosts:d} hosts '
+        'and {connections:d} connections'
+    )
+    def run_silences(
+        context: Any, seed: int, hosts: int, connections: int
+    ) -> None:
+        """Run a seed that silences the store; keep the logs of a failure."""
+        SoakSteps._run(
+            context, Soak(seed, hosts, 0.0, connections, Profile.SILENCES)
+        )
+
     @staticmethod
     def _run(context: Any, soak: Soak) -> None:
         context.violations = soak.run()
