--- a/features/steps/connection_holders_steps.py
+++ b/features/steps/connection_holders_steps.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from features.fakes.fake_entry_parts import FakeClock
+from features.fakes.host_settings import SETTINGS
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.connection_holders import choose_holders
@@ -56,19 +57,6 @@
 }
 """Fields of a host's entry before capacities were published."""
 
-SETTINGS = (
-    'node_name=h',
-    'region=r',
-    'zone=a',
-    'ip=127.0.0.1',
-    'port_range=1,2',
-    'listen_addrs.front=127.0.0.1:3',
-    'listen_addrs.ready=127.0.0.1:4',
-    'platform.address=127.0.0.1:5',
-    'cloud_api.address=127.0.0.1:6',
-    'bounds.grace_s=6',
-)
-
 
 class CapacitySteps:
     """Steps on the ranks of hosts that differ in capacity."""
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 import json
 from typing import Any
 from unittest import mock
@@ -19,6 +17,7 @@
 from features.fakes.fake_entry_parts import FakeClock
 from features.fakes.fake_platform import FakePlatform
 from features.fakes.generated import find_violation
+from features.fakes.recorded_directory import RecordedDirectory
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.group_state import MemberRecord
@@ -105,21 +104,6 @@
 """Changed fields of a host's entry or a claim."""
 
 
-@dataclass
-class _Directory:
-    """Members in use by the host."""
-
-    members: dict[str, MemberRecord] = field(default_factory=dict)
-
-    def set_member(self, record: MemberRecord) -> None:
-        """Add or update a member."""
-        self.members[record.member] = record
-
-    def remove_member(self, member: str) -> None:
-        """Remove a member."""
-        self.members.pop(member, None)
-
-
 def _values() -> strategies.SearchStrategy[bytes]:
     """Generate values of entries, most of them close to valid ones."""
     scalars = (
@@ -167,7 +151,7 @@
 
     def __init__(self) -> None:
         self.service = FakePlatform()
-        self.directory = _Directory()
+        self.directory = RecordedDirectory()
         self.clock = FakeClock()
         self.claims: dict[str, Any] = {}
         self.follower = PlatformFollower(
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 import itertools
 import json
 from typing import Any
@@ -18,6 +17,7 @@
 from features.fakes.fake_entry_parts import FakeClock
 from features.fakes.fake_platform import FakeCopy
 from features.fakes.fake_platform import FakePlatform
+from features.fakes.recorded_directory import RecordedDirectory
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.catalog import HostEntry
 from trefoilpulley_core.direct.group_state import MemberRecord
@@ -50,21 +50,14 @@
         return result
 
 
-@dataclass
-class _RecordedDirectory:
-    """Members in use by the host."""
-
-    members: dict[str, MemberRecord] = field(default_factory=dict)
+class _BrokenDirectory(RecordedDirectory):
+    """Directory that can't apply the entry of one member."""
 
     def set_member(self, record: MemberRecord) -> None:
         """Add or update a member."""
         if record.member == BROKEN_MEMBER:
             raise RuntimeError('unexpected error of the test')
-        self.members[record.member] = record
-
-    def remove_member(self, member: str) -> None:
-        """Remove a member."""
-        self.members.pop(member, None)
+        super().set_member(record)
 
 
 class FollowingSteps:
@@ -75,7 +68,7 @@
     def list_member(context: Any, member: str) -> None:
         """Create the service and a host that has not read it yet."""
         context.service = _PagedPlatform()
-        context.directory = _RecordedDirectory()
+        context.directory = _BrokenDirectory()
         context.clock = FakeClock()
         context.sequence = itertools.count(1)
         context.follower = PlatformFollower(
--- a/features/steps/silent_watch_steps.py
+++ b/features/steps/silent_watch_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from features.fakes.host_settings import SETTINGS
 from features.fakes.watch_fleet import WatchFleet
 from trefoilpulley_core.direct.watch_pace import WatchPace
 from trefoilpulley_platform.platform_settings import parse_settings
@@ -33,20 +34,6 @@
 MEMBER = 'm6'
 """Member that the service lists."""
 
-SETTINGS = (
-    'node_name=host-1',
-    'region=here',
-    'zone=z0',
-    'ip=127.0.0.1',
-    'port_range=7440,7455',
-    'listen_addrs.front=127.0.0.1:8784',
-    'listen_addrs.ready=127.0.0.1:8785',
-    'platform.address=127.0.0.1:8783',
-    'cloud_api.address=127.0.0.1:8782',
-    'bounds.grace_s=6',
-)
-"""Lines of a settings file without a bound for configurations."""
-
 
 class SilentWatchSteps:
     """Steps on a service that is silent and well again."""
