--- a/features/silent_watch.feature
+++ b/features/silent_watch.feature
@@ -27,6 +27,11 @@
       | 1500 ms | 500  |
       | 60000 ms | 5000 |
 
+  Scenario: the answer of a relay that hears nothing counts as new
+    Given a relay that the service has answered
+    When 2 s pass without another answer
+    Then its answer to another host is 2000 ms old
+
   Scenario: a silent service counts as followed
     Given 8 hosts of 3 zones with a bound of 3 s that follow the service
     When the service is silent for 9 s
--- a/features/steps/silent_watch_steps.py
+++ b/features/steps/silent_watch_steps.py
@@ -8,9 +8,16 @@
 from behave import then
 from behave import when
 
+from features.fakes.fake_entry_parts import FakeClock
 from features.fakes.host_settings import SETTINGS
 from features.fakes.watch_fleet import WatchFleet
+from trefoilpulley_core.direct.change_history import ChangeHistory
 from trefoilpulley_core.direct.watch_pace import WatchPace
+from trefoilpulley_core.direct.watch_relay_messages import ChangesQuestion
+from trefoilpulley_core.direct.watch_relay_messages import ChangesStatus
+from trefoilpulley_core.platform import WatchPosition
+from trefoilpulley_node.direct.change_relay import ChangeRelay
+from trefoilpulley_platform.documents import KvDocuments
 from trefoilpulley_platform.platform_settings import parse_settings
 
 SETTLE_S = 12.0
@@ -94,6 +101,33 @@
         fleet.run(expired_at + RETURN_S - fleet.now)
         fleet.service.put(key, entry.replace(b'"born": 1', b'"born": 2'))
 
+    @staticmethod
+    @given('a relay that the service has answered')
+    def make_relay(context: Any) -> None:
+        """Create a relay whose watch has come to a position."""
+        context.clock = FakeClock()
+        context.position = WatchPosition(1, 100)
+        context.relay = ChangeRelay(
+            ChangeHistory(), KvDocuments(), lambda: None, context.clock
+        )
+        context.relay.on_progress(context.position)
+
+    @staticmethod
+    @when('{duration:d} s pass without another answer')
+    def pass_time(context: Any, duration: int) -> None:
+        """Let time pass."""
+        context.clock.at += duration
+
+    @staticmethod
+    @then('its answer to another host is {age_ms:d} ms old')
+    def check_age(context: Any, age_ms: int) -> None:
+        """Check the age that the relay tells."""
+        position = context.position
+        question = ChangesQuestion(position.era, position.revision, 0)
+        answer = context.relay.on_question(question)
+        assert answer.status is ChangesStatus.OK, answer
+        assert answer.age_ms == age_ms, answer
+
     @staticmethod
     @given('platform settings with a bound of {bound}')
     def set_bound(context: Any, bound: str) -> None:
