--- a/review/common/world.py
+++ b/review/common/world.py
@@ -292,6 +292,18 @@
         return 200
 
 
+def _common(log, other):
+    """Return how many records two logs have in common."""
+    if len(log) <= len(other) and (not log or log[-1] is other[len(log) - 1]):
+        return len(log)
+    count = 0
+    for mine, theirs in zip(log, other):
+        if mine is not theirs:
+            break
+        count += 1
+    return count
+
+
 class Service:
     """Members of one service and the replication between them."""
 
@@ -329,8 +341,9 @@
             return
         if other.is_primary:
             return
-        count = len(other.log)
-        other.log += primary.log[count:]
+        common = _common(other.log, primary.log)
+        del other.log[common:]
+        other.log += primary.log[common:]
         other.term = primary.term
 
     def promote(self, member):
@@ -343,13 +356,9 @@
         for other in self.members.values():
             other.is_primary = False
             other.held_term = 0
-            if other is not member:
-                common = 0
-                for mine, theirs in zip(other.log, member.log):
-                    if mine is not theirs:
-                        break
-                    common += 1
-                del other.log[common:]
+            # One that is down comes back with its log.
+            if other is not member and other.is_running:
+                del other.log[_common(other.log, member.log) :]
         member.is_primary = True
         member.term = self.term
         for other in self.members.values():
@@ -388,6 +397,7 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.is_running = True
+        self.held_term = 0
         self._beat = asyncio.create_task(self._run_beat())
 
     def crash(self):
@@ -568,6 +578,8 @@
             'values': dict(self.values),
             'at': time.monotonic(),
             'log': member.applied(),
+            'entries': tuple(member.log[: member.applied()]),
+            'position': member.position(),
         }
         await asyncio.sleep(member.work_s)
         rows, outcome = handler(rest)
@@ -941,7 +953,9 @@
                 if time.monotonic() > deadline:
                     raise CannotRun(f'{host.name} is not ready')
                 if host.process.returncode is not None:
-                    raise CannotRun(f'{host.name} has ended')
+                    # A port was taken meanwhile.
+                    host.front, host.ready, host.peer = free_ports(3)
+                    await host.start()
                 await asyncio.sleep(0.1)
         self.record.line('script', 'all hosts are ready')
 
