--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import world as w
 
@@ -121,4 +121,4 @@
         await asyncio.sleep(0.03)
 
 
-w.main(script, __file__)
+w.main(script, Path(__file__).with_name('record.txt'))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import world as w
 
@@ -93,4 +93,4 @@
     return broken
 
 
-w.main(script, __file__)
+w.main(script, Path(__file__).with_name('record.txt'))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import world as w
 
@@ -89,4 +89,4 @@
     client.close()
 
 
-w.main(script, __file__)
+w.main(script, Path(__file__).with_name('record.txt'))
--- a/review/found/frozen-holder/case.py
+++ b/review/frozen_holder.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 import world as w
 
@@ -91,4 +91,4 @@
     return broken
 
 
-w.main(script, __file__)
+w.main(script, Path(__file__).with_suffix('.record.txt'))
--- a/review/common/world.py
+++ b/review/world.py
@@ -19,7 +19,7 @@
 import urllib.parse
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HEARTBEAT_S = 1.2
 RECEIVE_S = 0.003
@@ -1049,11 +1049,11 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(script, here):
-    """Run a case and exit with its result."""
+def main(script, record):
+    """Run a case, write its record.txt, and exit with its result."""
 
     async def run():
-        world = World(Path(here).parent / 'record.txt')
+        world = World(record)
         world.record.line('script', f'TROUBLE={int(TROUBLE)}')
         try:
             if not (ROOT / 'target/deps/trefoilpulley_platform').is_dir():
