Write each text of a caller as one field of a line

Callers ran the prepared shapes of other callers, with success: once a caller had prepared "q2c READ k9", every caller of the connection that had prepared "q2c" ran "k9 READ q2c READ k9" (PINNED), the caller's own arguments reached the member changed (UNASKED), and longer shapes were unknown though their preparing was acknowledged.

Cause: alias_of() made the name on the shared connection of the shape as it is, and format_call() wrote it as one field of PREPARE and EXEC, which a blank ends.

--- a/features/platform_adapter_codec.feature
+++ b/features/platform_adapter_codec.feature
@@ -6,6 +6,23 @@
   Scenario: a line break inside a request cannot inject another request
     Then requests with a lone line feed or carriage return are rejected
 
+  # Guards against a shape with blanks that ran another caller's statement.
+  Scenario: a prepared shape with blanks does not run as another shape
+    Then prepared shapes reach the member under one name each, unchanged:
+      | shape                  |
+      | q2c                    |
+      | q2c READ k9            |
+      | w7e WRITE k9           |
+      | all orders of an owner |
+      | q2c%20READ%20k9        |
+      | q2c  k9                |
+    And 500 generated shapes reach the member under one name each, unchanged
+
+  # Guards against text that changes the fields which follow it on a line.
+  Scenario: a call whose text is not one field of a line is not written
+    Then no line is written for a name with a blank, a line break or no text
+    And a call that cannot be written reaches no member and has not run
+
   Scenario: any reply of a member is parsed or rejected as a protocol error
     Then 500 generated member replies are parsed or rejected as protocol errors
 
--- a/features/steps/platform_adapter_codec_steps.py
+++ b/features/steps/platform_adapter_codec_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from typing import Any
 
 from behave import given
@@ -12,16 +13,28 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.commands import InvalidCommand
+from trefoilpulley_core.direct.session_state import alias_of
+from trefoilpulley_core.direct.session_state import ConnectionState
+from trefoilpulley_core.direct.session_state import plan_setup
+from trefoilpulley_core.direct.session_state import SessionState
 from trefoilpulley_core.direct.upstream_session import AskStatus
+from trefoilpulley_core.direct.upstream_session import AssignValue
 from trefoilpulley_core.direct.upstream_session import CommitTransaction
+from trefoilpulley_core.direct.upstream_session import PrepareShape
+from trefoilpulley_core.direct.upstream_session import ResetSession
+from trefoilpulley_core.direct.upstream_session import RunStatement
 from trefoilpulley_core.failure import failures_by_code
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_platform.documents import KvDocuments
 from trefoilpulley_platform.line_codec import ENCODING
+from trefoilpulley_platform.line_codec import format_call
 from trefoilpulley_platform.line_codec import format_failure
+from trefoilpulley_platform.line_codec import LineFormatError
 from trefoilpulley_platform.line_codec import LineProtocolError
 from trefoilpulley_platform.line_codec import parse_command
 from trefoilpulley_platform.line_codec import parse_reply
+from trefoilpulley_platform.line_socket import LineSocket
+from trefoilpulley_platform.line_upstream import LineUpstream
 from trefoilpulley_platform.platform_settings import parse_settings
 
 NO_EFFECT_CODES = {
@@ -93,6 +106,43 @@
 ).map(' '.join)
 
 
+_SHAPES = strategies.one_of(
+    _LINES,
+    strategies.text(
+        strategies.characters(max_codepoint=255, blacklist_characters='\r\n')
+    ),
+).filter(lambda shape: shape and not {'\r', '\n'} & set(shape))
+"""Shapes that a caller may prepare, in the encoding of the lines."""
+
+
+def _check_shapes(shapes: list[str]) -> None:
+    """Check what a member reads when sessions share its connection."""
+    conn = ConnectionState()
+    prepared: dict[str, tuple[str, str]] = {}
+    for shape in shapes:
+        shape = shape.encode(ENCODING, 'replace').decode(ENCODING)
+        for kind in ('READ', 'WRITE'):
+            statement = parse_command(f'QUERY 1 PREPARE s1 {kind} {shape}')
+            for call in plan_setup(conn, SessionState(), statement):
+                fields = format_call(call).split(' ', 5)[2:]
+                assert fields[0] == 'PREPARE', fields
+                name, *described = fields[1:]
+                assert name not in prepared, name
+                prepared[name] = tuple(described)
+            call = RunStatement('2', 'k v', alias_of(statement))
+            *_, name, arguments = format_call(call).split(' ', 4)[2:]
+            assert prepared[name] == (kind, shape), (name, shape)
+            assert arguments == 'k v', arguments
+
+
+def _is_refused(call: Any) -> bool:
+    try:
+        format_call(call)
+    except LineFormatError:
+        return True
+    return False
+
+
 class LineCodecSteps:
     """Steps for the codec of the line protocol."""
 
@@ -119,6 +169,74 @@
                 command = parse_command('QUERY 1 ' + text.format(line_break))
                 assert isinstance(command, InvalidCommand), command
 
+    @staticmethod
+    @then('prepared shapes reach the member under one name each, unchanged:')
+    def check_shapes(context: Any) -> None:
+        """Prepare and execute the shapes of the step's table."""
+        _check_shapes([row['shape'] for row in context.table])
+
+    @staticmethod
+    @then(
+        '{count:d} generated shapes reach the member under one name each, '
+        'unchanged'
+    )
+    def check_generated_shapes(context: Any, count: int) -> None:
+        """Prepare and execute pairs of shapes of protocol tokens and text."""
+
+        @hypothesis.settings(
+            max_examples=count, derandomize=True, database=None, deadline=None
+        )
+        @hypothesis.given(strategies.lists(_SHAPES, min_size=1, max_size=3))
+        def check(shapes: list[str]) -> None:
+            _check_shapes(shapes)
+
+        check()
+
+    @staticmethod
+    @then('the statement "{text}" is rejected as invalid')
+    def check_statement_rejected(context: Any, text: str) -> None:
+        """Check that a statement is invalid, also with a blank at its end."""
+        for line in (f'QUERY 1 {text}', f'QUERY 1 {text} '):
+            command = parse_command(line)
+            assert isinstance(command, InvalidCommand), command
+
+    @staticmethod
+    @then(
+        'no line is written for a name with a blank, a line break or no text'
+    )
+    def check_fields_checked(context: Any) -> None:
+        """Try to format calls with a field that is not one word."""
+        for word in ('', 'a b', ' a', 'a\n', 'a\rb'):
+            for call in (
+                PrepareShape(word, 'q2c', False),
+                AssignValue(word, 'x'),
+                RunStatement('q1', 'k', word or 'a b'),
+                RunStatement(word, 'READ k'),
+                CommitTransaction(word),
+            ):
+                assert _is_refused(call), call
+        for text in ('a\nb', 'a\rb', 'a\r\nQUERY 2 WRITE b c'):
+            for call in (
+                PrepareShape('a', text, False),
+                AssignValue('a', text),
+                RunStatement('q1', text),
+                RunStatement('q1', text, 'a'),
+            ):
+                assert _is_refused(call), call
+
+    @staticmethod
+    @then('a call that cannot be written reaches no member and has not run')
+    def check_unwritable_call(context: Any) -> None:
+        """Send a valid call together with one that cannot be written."""
+        ours, theirs = socket.socketpair()
+        upstream = LineUpstream(LineSocket(ours))
+        calls = (ResetSession(), RunStatement('a b', 'WRITE k v'))
+        failure = upstream.exchange(calls, 1.0).failure()
+        assert failure.run_state is RunState.NOT_RUN, failure
+        assert not upstream.is_usable
+        assert theirs.recv(100) == b''
+        theirs.close()
+
     @staticmethod
     @then(
         '{count:d} generated member replies are parsed or rejected as '
--- a/packages/core/src/trefoilpulley_core/direct/session_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/session_state.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from hashlib import sha256
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 from trefoilpulley_core.direct.upstream_session import AssignValue
 from trefoilpulley_core.direct.upstream_session import PrepareShape
@@ -21,6 +23,9 @@
 MAX_ALIASES = 256
 """Maximum number of prepared statements before a connection is reset."""
 
+MAX_QUOTED_SHAPE_CHARS = 64
+"""Maximum length of a quoted shape that is part of an alias."""
+
 
 @dataclass
 class SessionState:
@@ -54,9 +59,16 @@
     The name depends on the statement's shape and on whether it writes, not
     on the name that the caller chose. Sessions that prepare the same
     statement therefore share the prepared statement.
+
+    Statements that differ have different names. The name is one word of
+    printable ASCII characters: a shape, which may be any text, is quoted, or
+    replaced by its hash if it is long.
     """
     kind = 'w' if statement.is_write else 'r'
-    return f'{kind}.{statement.shape}'
+    quoted = quote(statement.shape, safe='')
+    if len(quoted) <= MAX_QUOTED_SHAPE_CHARS:
+        return f'{kind}.{quoted}'
+    return f'{kind}-{sha256(quoted.encode()).hexdigest()}'
 
 
 def plan_setup(
