Refuse statements with an empty name, item or shape

"EXEC WRITE a b", with an empty name, ran "WRITE a b" as a plain statement that no caller had sent, and as a read, which may be sent to a second member. EXEC without an item, SET without a name and PREPARE without a name or a shape were written to members with empty fields.

Cause: the parser took the words of a line without a check that each is there, and an empty name of a prepared statement stands for plain text.

The protocol asks for a name and an item, a name and a value, a name and a shape, so that no valid statement is refused.

--- a/features/platform_adapter_codec.feature
+++ b/features/platform_adapter_codec.feature
@@ -18,6 +18,19 @@
       | q2c  k9                |
     And 500 generated shapes reach the member under one name each, unchanged
 
+  # Guards against the arguments of EXEC that ran as a statement of their own.
+  Scenario Outline: a statement with an empty field is not sent to a member
+    Then the statement "<text>" is rejected as invalid
+
+    Examples:
+      | text                   |
+      | EXEC  WRITE a b        |
+      | EXEC s1                |
+      | EXEC                   |
+      | SET  x                 |
+      | PREPARE  READ q2c      |
+      | PREPARE s1 READ        |
+
   # Guards against text that changes the fields which follow it on a line.
   Scenario: a call whose text is not one field of a line is not written
     Then no line is written for a name with a blank, a line break or no text
