Promote no member whose log has left the log of its group

Callers read at primary freshness without commits that had been acknowledged (STALE), and over 100 acknowledged commits of a later primary were gone: a former primary with commits that its successor never had was promoted again.

Cause: choose_target() takes the greatest received position, and the fork's 1.183 is greater than the 1.123 of the remaining replica, though term 2 began at 124. Relief, handover and the wait for a demoted primary's log compared in the same way. LogLineage keeps where each term began: from the status of the new primary, the end of its log before the promotion, and proved positions. The starts go with the claim, so that a host that has restarted knows them, and with the notice of a leader while the service is out. A log of an older term that has reached such a start is not promoted, nor is an empty log where records are known. If no other member answers, the group waits for one.

Why it works: a record with an older term at or beyond the start of a later term can't be in the log of that term's primary, whatever its number.

--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -61,6 +61,11 @@
         """Return the log of the replica, which does not lead yet."""
         return {'replica': LogStatus(False, 1, Position(1, 5))}
 
+    def read_status(self, group: Group, member: str) -> LogStatus:
+        """Return the log of the replica, which leads after the promotion."""
+        is_primary = self.verify_leader(group, member)
+        return LogStatus(is_primary, 1 + is_primary, Position(1, 5))
+
     def verify_leader(self, group: Group, member: str) -> bool:
         """Return whether the promotion has taken effect."""
         return member == 'replica' and self.time.clock.now() >= self.leads_at
--- a/packages/core/src/trefoilpulley_core/direct/evidence.py
+++ b/packages/core/src/trefoilpulley_core/direct/evidence.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.direct.log_lineage import LogLineage
 from trefoilpulley_core.direct.routes import ReadFreshness
 from trefoilpulley_core.position import BEGINNING
 
@@ -62,6 +63,8 @@
 
     def __init__(self) -> None:
         self._entries: deque[Evidence] = deque()
+        self.lineage = LogLineage()
+        """Starts of the group's terms."""
 
     @property
     def newest(self) -> Evidence | None:
@@ -80,6 +83,7 @@
         """
         if position.index == 0:
             return
+        self.lineage.on_position(position)
         entries = self._entries
         if entries and (
             at < entries[-1].at or position < entries[-1].position
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.position import TermStart
 from trefoilpulley_core.rendezvous import rank_hosts
 
 if TYPE_CHECKING:
@@ -74,6 +76,9 @@
     target: str
     """Member to promote."""
 
+    term_starts: tuple[TermStart, ...] = field(default=(), compare=False)
+    """Starts of the group's terms that the writer of the claim knows."""
+
 
 @dataclass(frozen=True, slots=True)
 class Round:
@@ -113,6 +118,9 @@
     round: int = 0
     """Number of the change that promoted the member."""
 
+    term_starts: tuple[TermStart, ...] = ()
+    """Starts of the group's terms that the reporting host knows."""
+
 
 @dataclass(frozen=True, slots=True)
 class OrderNotice:
@@ -344,16 +352,19 @@
 def choose_target(
     group: GroupState, statuses: Mapping[str, LogStatus]
 ) -> str | None:
-    """Return the member to promote, or ``None`` if no member answers.
+    """Return the member to promote, or ``None`` if no member can be.
 
     The member with the most advanced log is chosen, because log records
     that the new primary lacks are lost. Among members with equal logs, a
-    member that is not leaving is preferred.
+    member that is not leaving is preferred. A member whose log has left the
+    group's log is not chosen: its records would come back into force, and
+    reads that were answered without them would have been stale. Neither is
+    one that has lost its log.
     """
     best = None
     for member, status in sorted(statuses.items()):
         health = group.members.get(member)
-        if health is None:
+        if health is None or not group.lineage.may_lead(status.received):
             continue
         key = (status.received, not health.record.is_leaving)
         if best is None or key > best[0]:
@@ -380,3 +391,12 @@
         and not group.members[member].record.is_leaving
     }
     return choose_target(group, staying)
+
+
+def has_caught_up(
+    group: GroupState, status: LogStatus, demoted: LogStatus
+) -> bool:
+    """Return whether a replica has the whole log of a demoted primary."""
+    if group.lineage.has_left(status.received):
+        return False
+    return status.received >= demoted.received
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -20,6 +20,7 @@
     from collections.abc import Mapping
 
     from trefoilpulley_core.catalog import Endpoint
+    from trefoilpulley_core.direct.log_lineage import LogLineage
     from trefoilpulley_core.position import Position
 
 INITIAL_LATENCY_S = 0.025
@@ -322,6 +323,11 @@
         self.last_request_at = float('-inf')
         """Time of the last request for the group, in seconds."""
 
+    @property
+    def lineage(self) -> LogLineage:
+        """Starts of the group's terms, as far as they are known."""
+        return self.evidence.lineage
+
     def expect_change(self, due_at: float) -> None:
         """Expect a change of primary until a time, in seconds."""
         self.primary_change_due_at = due_at
--- a/packages/core/src/trefoilpulley_core/direct/lag_relief.py
+++ b/packages/core/src/trefoilpulley_core/direct/lag_relief.py
@@ -89,6 +89,7 @@
         for member, status in sorted(statuses.items())
         if member in group.members
         and _can_lead(group.members[member])
+        and not group.lineage.has_left(status.received)
         and status.received >= primary_status.received
     }
     return max(complete, key=complete.__getitem__, default=None)
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -16,16 +16,19 @@
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.direct.failover import Round
+from trefoilpulley_core.direct.log_lineage import LogLineage
 from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.entry_fields import read_count
 from trefoilpulley_core.failure import MalformedMessage
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_core.platform import RevisionConflict
+from trefoilpulley_core.position import TermStart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from typing import Any
 
     from returns.result import Result
 
@@ -90,6 +93,7 @@
         self._clock = clock
         self._newest_claims: dict[str, KnownClaim] = {}
         self._publications_due: dict[str, float] = {}
+        self._lineages: dict[str, LogLineage] = {}
 
     def last_round(self, group: str) -> int:
         """Return the round of a group's newest claim, or 0."""
@@ -103,6 +107,7 @@
 
         A claim that was written again announces none.
         """
+        self.record_term_starts(group, claim.term_starts)
         newest = self._newest_claims.get(group)
         if newest is None:
             self._newest_claims[group] = KnownClaim(claim, revision, era)
@@ -130,6 +135,29 @@
         self._publications_due.pop(group, None)
         return is_higher or (is_other and bool(claim.target))
 
+    def term_starts(self, group: str) -> tuple[TermStart, ...]:
+        """Return the starts of a group's terms that claims have told."""
+        lineage = self._lineages.get(group)
+        return lineage.starts if lineage else ()
+
+    def record_term_starts(
+        self, group: str, starts: Iterable[TermStart]
+    ) -> None:
+        """Record starts of terms, which the next claim passes on."""
+        self._lineages.setdefault(group, LogLineage()).merge(starts)
+
+    def publish_term_starts(
+        self, group: str, starts: Iterable[TermStart]
+    ) -> None:
+        """Write starts of terms to the group's claim.
+
+        Hosts that start later can't learn them from the members.
+        """
+        known = self.term_starts(group)
+        self.record_term_starts(group, starts)
+        if self.term_starts(group) != known and group in self._newest_claims:
+            self._publications_due[group] = self._clock.now()
+
     def use_round(self, group: str, round_number: int) -> Round:
         """Return a round that this host uses without a claim."""
         self.advance_round(group, round_number)
@@ -157,21 +185,26 @@
             self._publications_due[group] = self._clock.now()
 
     def publish(self) -> None:
-        """Write the rounds that the service does not know.
+        """Write the rounds and starts of terms that the service lacks.
 
-        A host that does not know them either then can't claim one of these
-        rounds.
+        A host that does not know the rounds either then can't claim one of
+        them.
         """
         for group, due_at in tuple(self._publications_due.items()):
             if self._clock.now() < due_at:
                 continue
             newest = self._newest_claims[group]
-            value = json.dumps(asdict(newest.claim)).encode()
+            starts = self.term_starts(group)
+            claim = replace(newest.claim, term_starts=starts)
             result = self._platform.compare_and_swap(
-                claim_key(group), newest.revision, value, era=newest.era
+                claim_key(group),
+                newest.revision,
+                _encode_claim(claim),
+                era=newest.era,
             )
             if isinstance(result, Success):
-                self._on_published(group, newest, result.unwrap())
+                written = replace(newest, claim=claim)
+                self._on_published(group, written, result.unwrap())
             elif isinstance(result.failure(), RevisionConflict):
                 # Another host has published the same or a later round.
                 self._publications_due.pop(group, None)
@@ -180,7 +213,9 @@
         self, group: str, written: KnownClaim, revision: int
     ) -> None:
         newest = self._newest_claims[group]
-        if newest.claim == written.claim:
+        starts = self.term_starts(group)
+        is_complete = starts == written.claim.term_starts
+        if newest.claim == written.claim and is_complete:
             self._publications_due.pop(group, None)
         if newest.version == written.version:
             # A later round may have been used during the write.
@@ -202,8 +237,9 @@
         if self.last_round(group) != after_round:
             return Failed(RevisionConflict(group))
         known = self._known(group)
-        claim = Claim(self._host, after_round + 1, target)
-        value = json.dumps(asdict(claim)).encode()
+        starts = self.term_starts(group)
+        claim = Claim(self._host, after_round + 1, target, starts)
+        value = _encode_claim(claim)
         result = self._call(
             lambda: self._platform.compare_and_swap(
                 claim_key(group), known.revision, value, era=known.era
@@ -282,7 +318,19 @@
                 str(fields['holder']),
                 read_count(fields, 'round'),
                 str(fields['target']),
+                _read_term_starts(fields.get('term_starts', [])),
             )
         )
     except DECODE_ERRORS as exc:
         return Failed(MalformedMessage(f'{entry.key}: {exc!r}'))
+
+
+def _encode_claim(claim: Claim) -> bytes:
+    return json.dumps(asdict(claim)).encode()
+
+
+def _read_term_starts(entries: list[dict[str, Any]]) -> tuple[TermStart, ...]:
+    return tuple(
+        TermStart(read_count(e, 'term'), read_count(e, 'index'))
+        for e in entries
+    )
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -11,6 +11,7 @@
 from trefoilpulley_core.direct.failover import choose_staying_target
 from trefoilpulley_core.direct.failover import choose_target
 from trefoilpulley_core.direct.failover import failover_delay_s
+from trefoilpulley_core.direct.failover import has_caught_up
 from trefoilpulley_core.direct.failover import has_every_commit
 from trefoilpulley_core.direct.failover import order_delay_s
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
@@ -150,8 +151,12 @@
         ):
             self._back_off(group)
             return
+        self._update_lineage(group, statuses)
         target = choose_target(state, statuses)
         if target is None:
+            if statuses:
+                # Another member has to come back first.
+                self._back_off(group)
             return
         claimed = self._claim_round(group, after_round, target)
         if claimed is None:
@@ -159,16 +164,18 @@
                 group, after_round, target, lost_primary, reports
             )
         if claimed is not None and group.synchronous_replicas:
-            target = self._choose_complete_replica(
-                group, lost_primary, statuses
-            )
+            statuses = self._pause_replicas(group, lost_primary, statuses)
+            target = choose_target(state, statuses)
         if claimed is None and self._has_begun(group, after_round):
             # Requests wait for the change that another host carries out.
             return
         if claimed is None or target is None:
             self._back_off(group)
         else:
-            self._promotions.promote(group, target, claimed, None)
+            received = statuses[target].received
+            self._promotions.promote(
+                group, target, claimed, None, received=received
+            )
 
     def hand_over(self, group: Group, leaving: str) -> None:
         """Promote another member before the present primary stops."""
@@ -178,6 +185,7 @@
         statuses = self._prober.read_statuses(
             group, tuple(group.state.members)
         )
+        self._update_lineage(group, statuses)
         old_status = statuses.pop(leaving, None)
         if old_status is None:
             return
@@ -198,6 +206,7 @@
         statuses = self._prober.read_statuses(
             group, group.state.members_except(primary)
         )
+        self._update_lineage(group, {primary: old_status, **statuses})
         target = choose_relief_target(group.state, old_status, statuses)
         events.HANDOVER_STEP.log(
             group=group.state.group,
@@ -263,6 +272,7 @@
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Check whether the announced member leads; return the notice."""
         self._claims.advance_round(notice.group, notice.round)
+        self._claims.record_term_starts(notice.group, notice.term_starts)
         group = self._groups.get(notice.group)
         if group is not None and group.state.primary != notice.member:
             self._prober.verify_leader(group, notice.member)
@@ -274,15 +284,38 @@
         self._backoff_until[group.state.group] = deadline
         group.state.no_primary_change_until = deadline
 
-    def _choose_complete_replica(
+    def _update_lineage(
+        self, group: Group, statuses: Mapping[str, LogStatus]
+    ) -> None:
+        """Record what claims and logs show of the starts of terms."""
+        state = group.state
+        state.lineage.merge(self._claims.term_starts(state.group))
+        for status in statuses.values():
+            state.lineage.on_status(status)
+        forked = {
+            member: f'{status.received.term}.{status.received.index}'
+            for member, status in statuses.items()
+            if state.lineage.has_left(status.received)
+        }
+        if forked:
+            events.LOGS_FORKED.log(
+                group=state.group,
+                received=forked,
+                term_starts=[
+                    f'{s.term}.{s.index}' for s in state.lineage.starts
+                ],
+            )
+
+    def _pause_replicas(
         self,
         group: Group,
         lost_primary: str | None,
         statuses: dict[str, LogStatus],
-    ) -> str | None:
-        """Return the member to promote where replicas confirm commits.
+    ) -> dict[str, LogStatus]:
+        """Pause the replicas that confirm commits; return their statuses.
 
-        Replication to the replicas is paused first. Only the host that holds
+        Empty, with replication resumed, if no replica that answers is known to
+        have every commit. Only the host that holds
         the claim pauses and resumes replication: if another host resumed it, a
         replica that is not promoted could confirm a commit, and the new
         primary would lack the commit.
@@ -290,8 +323,11 @@
         synchronous = group.synchronous_replicas
         paused_statuses = self._prober.pause_replication(group, statuses)
         replicas = len(group.state.members) - 1
-        if has_every_commit(replicas, len(paused_statuses), synchronous):
-            return choose_target(group.state, paused_statuses)
+        is_complete = has_every_commit(
+            replicas, len(paused_statuses), synchronous
+        )
+        if is_complete and choose_target(group.state, paused_statuses):
+            return paused_statuses
         self._prober.resume_replication(group, statuses)
         events.PRIMARY_KEPT.log(
             group=group.state.group,
@@ -300,7 +336,7 @@
             answering=len(paused_statuses),
             synchronous=synchronous,
         )
-        return None
+        return {}
 
     def _demote_and_catch_up(
         self, group: Group, leaving: str, old_status: LogStatus, target: str
@@ -310,7 +346,7 @@
         deadline = self._clock.now() + CATCH_UP_TIMEOUT_S
         while demoted is not None and self._clock.now() < deadline:
             status = self._prober.read_status(group, target)
-            if status is not None and status.received >= demoted.received:
+            if status and has_caught_up(group.state, status, demoted):
                 return True
             gevent.sleep(CATCH_UP_POLL_INTERVAL_S)
         return False
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -12,6 +12,7 @@
 from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
+from trefoilpulley_core.position import TermStart
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import LogStatus
     from trefoilpulley_core.platform import Lease
+    from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import Group
@@ -111,11 +113,27 @@
         claimed: Round,
         old_status: tuple[str, LogStatus] | None,
         cause: str = 'lost',
+        received: Position | None = None,
     ) -> None:
         """Order a promotion and wait until it takes effect.
 
         A promotion without effect is not repeated here. The next check of the
         group decides again from the state of the members at that time.
+
+        Parameters
+        ----------
+        group : Group
+            Group whose primary changes.
+        target : str
+            Member to promote.
+        claimed : Round
+            Round of the change.
+        old_status : tuple[str, LogStatus] or None
+            Primary to demote, with its status; ``None`` if there is none.
+        cause : str
+            Cause of the change, for the metrics.
+        received : Position or None
+            End of the target's log if the target receives nothing more.
         """
         state = group.state
         began_at = self._clock.now()
@@ -135,6 +153,10 @@
                 took_ms=round(1000 * duration_s),
             )
             self._announce_leader(group, target, claimed.number)
+            self._record_term_start(group, target, received)
+            if not claimed.is_claimed:
+                # Nothing but another notice tells the other hosts the start.
+                self._announce_leader(group, target, claimed.number)
         state.primary_change_due_at = float('-inf')
 
     def demote(
@@ -195,6 +217,22 @@
             gevent.sleep(LEAD_POLL_INTERVAL_S)
         return False
 
+    def _record_term_start(
+        self, group: Group, member: str, received: Position | None
+    ) -> None:
+        """Record and publish where the term of a new primary begins.
+
+        The primary may have made commits since it leads. They do not show
+        where the term began, but the end of its log before the promotion does.
+        """
+        lineage = group.state.lineage
+        status = self._prober.read_status(group, member)
+        if status is not None and status.is_primary:
+            lineage.on_status(status)
+            if received is not None and received.term < status.term:
+                lineage.record(TermStart(status.term, received.index + 1))
+        self._claims.publish_term_starts(group.state.group, lineage.starts)
+
     def _announce_leader(
         self, group: Group, member: str, round_number: int
     ) -> None:
@@ -204,7 +242,12 @@
         this notice only.
         """
         self._notify_hosts(
-            LeaderNotice(group.state.group, member, round_number)
+            LeaderNotice(
+                group.state.group,
+                member,
+                round_number,
+                group.state.lineage.starts,
+            )
         )
 
     def _notify_hosts(self, notice: LeaderNotice | OrderNotice) -> None:
