Record a proof for the group of the member that answered

Callers read on a bounded route without commits that had been acknowledged up to six seconds before, with a limit of 1.5 s (STALE).

Cause: a transaction was open while a configuration moved its route. Each of its requests was made with the route now in force, so that the reply to COMMIT was recorded as evidence of the new service: a position of another log as a floor for its replicas, and a member of another service as its primary. A transaction now keeps the route and group with which it was opened, and record_proof() takes a proof only of a member that the group has.

Why it works: every proof passes record_proof(), which compares the access of the member with that of the group by identity.

--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -42,6 +42,7 @@
     from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.direct.routes import RouteTable
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.session_factory import SessionFactory
 
 SERVED_REQUESTS_PER_EVENT = 200
@@ -352,10 +353,10 @@
     def _make_request(
         self, run: Run, prepared: Prepare | None, customer: Customer | None
     ) -> StatementRequest | None:
-        route = self._route()
-        group = self._factory.directory.find_group(route) if route else None
-        if group is None:
+        served_by = self._served_by()
+        if served_by is None:
             return None
+        route, group = served_by
         now = self._factory.clock.now()
         group.state.last_request_at = now
         return StatementRequest(
@@ -370,6 +371,19 @@
             customer.name if customer is not None else '',
         )
 
+    def _served_by(self) -> tuple[Route, Group] | None:
+        """Return the route and the group of the next statement.
+
+        ``None`` if the database has no route. The statements of a transaction
+        belong to the route and the group with which it was opened.
+        """
+        route = self._route()
+        group = self._factory.directory.find_group(route) if route else None
+        if route is None or group is None:
+            return None
+        opened = self._transaction.served_by if self._transaction else None
+        return opened or (route, group)
+
     def _customer(self) -> Result[Customer | None, Failure]:
         """Return the customer for which the next statement runs.
 
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -30,8 +30,10 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.placement import Placement
+    from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.exchange import Exchanger
     from trefoilpulley_node.direct.member_access import MemberAccess
     from trefoilpulley_node.direct.member_session import MemberSession
@@ -88,6 +90,7 @@
         self._clock = clock
         self._access: MemberAccess | None = None
         self._conn: MemberSession | None = None
+        self._served_by: tuple[Route, Group] | None = None
         self._has_written = False
         self._has_opened = False
         self.is_failed = False
@@ -96,6 +99,15 @@
         self.has_sent_statement = False
         """Whether a statement of the caller was sent to a member."""
 
+    @property
+    def served_by(self) -> tuple[Route, Group] | None:
+        """Route and group of the member at which the transaction is open.
+
+        ``None`` before the first statement. A change of the route applies from
+        the next transaction onward.
+        """
+        return self._served_by if self._conn is not None else None
+
     def run(self, request: StatementRequest) -> Result[Reply, Failure]:
         """Run a statement inside the transaction."""
         if self._conn is None:
@@ -331,6 +343,7 @@
             access.release(conn)
             return result
         self._access, self._conn = access, conn
+        self._served_by = request.route, request.group
         return result
 
     def _abort(
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -194,8 +194,13 @@
 def record_proof(
     group: Group, access: MemberAccess, sent_at: float, position: Position
 ) -> None:
-    """Record that a member has proved its leadership of a group."""
+    """Record that a member has proved its leadership of a group.
+
+    A member that is not, or no longer, one of the group proves nothing of it.
+    """
     member = access.health.record.member
+    if group.find_access(member) is not access:
+        return
     if group.state.on_leadership_proof(member, sent_at, position):
         group.notify_primary_changed()
 
