Keep the newest commit of a session for each service

A session read "first" after its own commit of "mine" (STALE), once its route had moved to another service and back within the greatest age of its reads.

Cause: a session kept one position for all services. Its commit at the second service replaced that of the first one, and its reads there took the older evidence of the service as their floor.

Why it works: positions are compared only with positions of the same service.

--- a/features/fakes/route_rig.py
+++ b/features/fakes/route_rig.py
@@ -353,7 +353,8 @@
         session = self._factory.open(query.database, key)
         if query.floor is not None:
             at = self.clock.at - query.floor_age_s
-            session._floor = SessionFloor(at, query.floor)
+            floor = session.floor_of(GROUP)
+            floor.at, floor.position = at, query.floor
         if query.is_transaction:
             reply = session.handle(Begin(not query.is_write))
             if reply.failure is not None:
--- a/features/moved_routes.feature
+++ b/features/moved_routes.feature
@@ -19,3 +19,12 @@
     And the route of "orders" moves to "archive"
     And the transaction writes once more and commits
     Then all its writes are at "ledger" and none is at "archive"
+
+  # Guards against a floor of one service that hides the floor of another one.
+  Scenario: a session reads its own commit after its route has moved there and back
+    Given replicas of "ledger" that apply no further commit
+    When a session of "orders" writes "mine" to "k" through host 0
+    And the route of "orders" moves to "archive"
+    And the session writes "other" to "k"
+    And the route of "orders" moves to "ledger"
+    Then each of 20 reads of "k" in the session returns "mine"
--- a/packages/core/src/trefoilpulley_core/direct/evidence.py
+++ b/packages/core/src/trefoilpulley_core/direct/evidence.py
@@ -44,7 +44,7 @@
 
 @dataclass
 class SessionFloor:
-    """Newest commit of a session."""
+    """Newest commit of a session at one group."""
 
     at: float = float('-inf')
     """Time at which the commit's acknowledgement arrived, in seconds."""
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -83,7 +83,7 @@
         self._identified_by: RouteTable | None = None
         self._identity: Result[Customer | None, Failure] = Success(None)
         self._state = SessionState()
-        self._floor = SessionFloor()
+        self._floors: dict[str, SessionFloor] = {}
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
         self._transaction_customer: Customer | None = None
@@ -123,6 +123,10 @@
         """Time after which an idle transaction is aborted, in seconds."""
         return self._factory.directory.table.transaction_idle_timeout_s
 
+    def floor_of(self, group: str) -> SessionFloor:
+        """Return the newest commit of the session at a group."""
+        return self._floors.setdefault(group, SessionFloor())
+
     def handle(self, command: Command) -> Reply:
         """Handle one command and return its reply."""
         self.is_busy = self._has_handled = True
@@ -365,7 +369,7 @@
             route,
             group,
             self._state,
-            self._floor,
+            self.floor_of(group.state.group),
             now,
             now + route.timeout_s,
             customer.name if customer is not None else '',
