Count the time of a leaving member from its announcement

Requests reached a member later than drain_ms after it had announced its stop (DRAIN): a leaving replica was promoted, and got requests for 5 s from then on, or until the handover to another member was done.

Cause: leaving_since was set for the primary alone, when a host first checked it in that role; a host that restarted granted the time anew. The announcement is dated now where the entry is read, for every member: by the last answer of an unbroken watch, or by the start of the last read, and never by a host that has just started. An answer that a paused host reads late counts for the time at which it was due. The time follows from bounds.drain_ms, less 2 s, instead of a constant of 5 s.

Why it works: the date is kept with the entry and can only be too early, so that neither a role nor a restart, a silence or a pause makes it later. The fakes of four features dated the announcement themselves and pass it now.

--- a/features/fakes/route_rig.py
+++ b/features/fakes/route_rig.py
@@ -267,10 +267,9 @@
                     zone,
                     number == 0,
                     member in leaving,
+                    leaving_since=self.clock.at if member in leaving else None,
                 )
             )
-        for health in self.group.state.members.values():
-            health.update_leaving(self.clock.at)
 
     def set_hosts(self, zones: dict[str, tuple[str, ...]]) -> None:
         """Set the live hosts by availability zone."""
--- a/features/fakes/route_states.py
+++ b/features/fakes/route_states.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import random
 
 from features.fakes.route_rig import GROUP
@@ -98,8 +99,9 @@
     health.latency_s = rng.choice((0.01, 0.03, 0.1, 0.8))
     health.last_served_at = now - rng.uniform(0, 3)
     health.in_flight = rng.choice((0, 0, 1, 4))
-    if health.leaving_since is not None:
-        health.leaving_since = now - rng.uniform(0, 8)
+    if health.record.leaving_since is not None:
+        since = now - rng.uniform(0, 8)
+        health.record = replace(health.record, leaving_since=since)
     if rng.random() < 0.3:
         health.on_floor_missing(rng.uniform(0.1, 2), now - rng.uniform(0, 1))
     if rng.random() < 0.2:
--- a/features/fakes/watch_fleet.py
+++ b/features/fakes/watch_fleet.py
@@ -180,7 +180,9 @@
         with mock.patch(
             'trefoilpulley_platform.kv_calls.JsonClient', lambda _: self.link
         ):
-            self.store = KvStore(endpoint, metrics, fleet.bound_s)
+            self.store = KvStore(
+                endpoint, metrics, fleet.bound_s, fleet.time.clock
+            )
         self.directory = _Directory(name, zone, None, None, clock)
         self.holder = ConfigHolder(KvDocuments(), self.directory)
         self.relayed = RelayedPlatform(
--- a/features/steps/host_costs_steps.py
+++ b/features/steps/host_costs_steps.py
@@ -80,7 +80,9 @@
         """Create the watcher of a host that has read the entries."""
         context.time = VirtualSleep()
         context.service = _WatchedService(context.time)
-        context.watcher = KvWatcher(context.service, WatchPace())
+        context.watcher = KvWatcher(
+            context.service, WatchPace(), context.time.clock
+        )
         context.watcher.on_read(
             KeyValue(f'{HOST_PREFIX}old-{n}', b'{}', 1) for n in range(count)
         )
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -227,13 +227,16 @@
         context.group.state.update(
             [
                 MemberRecord(
-                    'p', 'ledger', Endpoint('127.0.0.1', 1), 'a', True, True
+                    'p',
+                    'ledger',
+                    Endpoint('127.0.0.1', 1),
+                    'a',
+                    True,
+                    True,
+                    leaving_since=context.clock.now() - leaving_s,
                 )
             ]
         )
-        health = context.group.state.members['p']
-        health.update_leaving(context.clock.now() - leaving_s)
-        health.update_leaving(context.clock.now())
 
     @staticmethod
     @then('the primary still gets requests')
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -91,6 +91,12 @@
     sequence: int = field(default=0, compare=False)
     """Count of the entry since the member's start."""
 
+    leaving_since: float | None = field(default=None, compare=False)
+    """Earliest time at which the member may have announced its stop.
+
+    In seconds on this host's clock; ``None`` if the member is not leaving.
+    """
+
 
 class MemberHealth:
     """Latency, lag and failures of one member as seen by this host.
@@ -153,12 +159,6 @@
         member that answers through other hosts is not failing.
         """
 
-        self.leaving_since: float | None = None
-        """Time at which this host learned that the member is leaving.
-
-        ``None`` if the member is not leaving; otherwise in seconds.
-        """
-
         self.avoid_until = float('-inf')
         """Time until which reads avoid the member, in seconds."""
 
@@ -262,13 +262,6 @@
         self.lag_s = max(lag_s, INITIAL_LAG_S)
         self.lag_measured_at = now
 
-    def update_leaving(self, now: float) -> None:
-        """Update ``leaving_since`` from the member's entry."""
-        if not self.record.is_leaving:
-            self.leaving_since = None
-        elif self.leaving_since is None:
-            self.leaving_since = now
-
     def on_busy(self, now: float) -> None:
         """Record that the member refused a statement for load."""
         self.overload.on_refused(now)
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -335,7 +335,7 @@
 
     @cached_property
     def _primary_wait(self) -> PrimaryWait:
-        return PrimaryWait(self._clock)
+        return PrimaryWait(self._clock, self._cfg.drain_s)
 
     @cached_property
     def _host_entry(self) -> HostEntry:
--- a/packages/node/src/trefoilpulley_node/direct/direct_settings.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_settings.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from trefoilpulley_core.direct.customer_limit import LimitBounds
+from trefoilpulley_node.direct.primary_wait import DEFAULT_DRAIN_S
 
 if TYPE_CHECKING:
     from trefoilpulley_core.catalog import Endpoint
@@ -37,6 +38,12 @@
     grace_s: float = 6.0
     """Time from a planned stop until the process is killed, in seconds."""
 
+    drain_s: float = DEFAULT_DRAIN_S
+    """Time for which a leaving member serves, in seconds.
+
+    Counted from the announcement of its stop.
+    """
+
     capacity: float = 1.0
     """Processor capacity of the host, relative to other hosts."""
 
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent
@@ -111,6 +112,8 @@
         self._watch_failed = Event()
         self._failure: Failure | None = None
         self._answered_at = clock.now()
+        self._known_at = float('-inf')
+        self._leaving: dict[str, MemberRecord] = {}
         self._is_answered = False
         self._is_read = False
         self._backoff_s = MIN_BACKOFF_S
@@ -161,6 +164,7 @@
         for member, at in list(self._removals_due.items()):
             if known_at >= at:
                 del self._removals_due[member]
+                self._leaving.pop(member, None)
                 self._directory.remove_member(member)
 
     def _restart_grace_periods(self) -> None:
@@ -206,7 +210,10 @@
             self._watch_failed.wait()
 
     def _on_answer(self, age_s: float) -> None:
-        self._answered_at = max(self._answered_at, self._clock.now() - age_s)
+        known_at = self._clock.now() - age_s
+        self._answered_at = max(self._answered_at, known_at)
+        if self._is_read:
+            self._known_at = max(self._known_at, known_at)
         self._is_answered = True
         self._update_following()
 
@@ -237,6 +244,7 @@
         # A single call limits the load on the service, since all hosts may
         # start at the same time.
         self._revisions.begin_read()
+        asked_at = self._clock.now()
         result = self._platform.get_prefix('')
         if not isinstance(result, Success):
             self._revisions.end_read(None)
@@ -250,6 +258,7 @@
             self._on_change(entry)
         for key in self._revisions.end_read(read):
             self._apply(KeyValue(key, b'', read.revision, era=read.era))
+        self._known_at = max(self._known_at, asked_at)
         self._on_read(read.era)
         return True
 
@@ -296,12 +305,28 @@
     def _set_member(self, record: MemberRecord, era: int) -> None:
         if self._members.accept(record, era):
             self._removals_due.pop(record.member, None)
-            self._directory.set_member(record)
+            self._directory.set_member(self._date_leaving(record))
         else:
             events.MEMBER_OUTDATED.log(
                 member=record.member, era=era, sequence=record.sequence
             )
 
+    def _date_leaving(self, record: MemberRecord) -> MemberRecord:
+        """Return the record with the time since which the member may leave.
+
+        The announcement is not older than the last state of the service that
+        this host knows. A host that has just started knows none.
+        """
+        known = self._leaving.pop(record.member, None)
+        if not record.is_leaving:
+            return record
+        since = self._known_at
+        if known is not None and known.incarnation == record.incarnation:
+            since = known.leaving_since
+        dated = replace(record, leaving_since=since)
+        self._leaving[record.member] = dated
+        return dated
+
     def _on_host(self, entry: KeyValue) -> None:
         name = entry.key.removeprefix(HOST_PREFIX)
         result = read_host(entry) if entry.value else None
--- a/packages/node/src/trefoilpulley_node/direct/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_wait.py
@@ -30,11 +30,17 @@
 Counted from its first failure since its last answer.
 """
 
-MAX_LEAVING_S = 5.0
-"""Time for which a leaving primary gets new requests, in seconds.
+DEFAULT_DRAIN_S = 7.0
+"""Time after its announcement for which a leaving member serves, in seconds.
 
-A handover takes less than a second; the time leaves room for two failed
-attempts.
+Applies where the settings do not tell another one.
+"""
+
+LEAVING_MARGIN_S = 2.0
+"""Part of that time in which a leaving primary gets no requests, in seconds.
+
+Covers the wait of a request for a connection, here or at a holder, and a
+retry.
 """
 
 RUN_TIME_FACTOR = 0.15
@@ -48,10 +54,14 @@
     ----------
     clock : Clock
         Monotonic time.
+    drain_s : float
+        Time after its announcement for which a leaving member serves, in
+        seconds.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, drain_s: float = DEFAULT_DRAIN_S) -> None:
         self._clock = clock
+        self._max_leaving_s = max(0.0, drain_s - LEAVING_MARGIN_S)
 
     def is_lost(self, group: Group) -> bool:
         """Return whether the primary does not answer this host."""
@@ -60,8 +70,11 @@
         if health is None:
             return True
         now = self._clock.now()
-        leaving_since = health.leaving_since
-        if leaving_since is not None and now - leaving_since > MAX_LEAVING_S:
+        leaving_since = health.record.leaving_since
+        if (
+            leaving_since is not None
+            and now - leaving_since > self._max_leaving_s
+        ):
             return True
         failing_since = health.failing_since
         return (
--- a/packages/node/src/trefoilpulley_node/direct/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_watch.py
@@ -177,7 +177,6 @@
             return
         self._leaderless_since = None
         now = self._clock.now()
-        health.update_leaving(now)
         if self._check.is_suspect(health, now):
             self._check_suspect(health)
         elif health.record.is_leaving:
--- a/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_platform.py
@@ -384,16 +384,20 @@
         question = ChangesQuestion(
             position.era, position.revision, step.wait_ms
         )
+        due_at = self._clock.now() + step.wait_ms / 1000
         answer = self._ask_relay(step.relay, question, self._wake)
         if self._is_ended:
             return
         if answer is not None:
-            self._on_answer(step.relay, answer)
+            late_s = max(0.0, self._clock.now() - due_at)
+            self._on_answer(step.relay, answer, late_s)
         elif not self._wake.is_set():
             self._choice.on_silence(step.relay, self._clock.now())
         gevent.sleep(MIN_QUESTION_INTERVAL_S)
 
-    def _on_answer(self, relay: str, answer: ChangesAnswer) -> None:
+    def _on_answer(
+        self, relay: str, answer: ChangesAnswer, late_s: float
+    ) -> None:
         position = self._history.position
         told = WatchPosition(answer.era, answer.revision)
         is_over = position is None or told.era > position.era
@@ -413,7 +417,7 @@
                 self._relay.record(entry)
                 self._on_change(entry)
         self._history.advance(told)
-        self._on_service_answer(answer.age_ms / 1000)
+        self._on_service_answer(answer.age_ms / 1000 + late_s)
 
     def _end(self, failure: Failure) -> None:
         self.cancel()
