Take the start of a term from the status of its primary where it is exact

Nothing was seen by callers. The end of a log before a promotion was taken for the start of the term even where the status of the new primary tells a later one: a primary that is cut off from the hosts, but not from its replicas, goes on replicating meanwhile. In a group without further commits, replicas with these records would have counted as forks for good, and no handover could have chosen them. Found by reading the change again.

The end before the promotion counts only where a commit of the new term hides the start. The expected end of a change no longer waits for the status, and event 1610 is logged once for each set of forks.

Evidence: the example 1.130 of the new scenario outline gave 124 instead of 131 before, and passes now with the three others.

--- a/features/log_lineage.feature
+++ b/features/log_lineage.feature
@@ -54,6 +54,20 @@
       | 2.130   | x=1.182 y=2.130  | y        | y      | y         |
       | 1.123   | x=2.124 y=1.123  | x        | x      | x y       |
 
+  # Guards against a start before the records that a replica has from the
+  # former primary.
+  Scenario Outline: the start of a term is as late as the new primary shows
+    Given a host that promotes a member which had received 1.123
+    When the member leads term 2 and has received <received>
+    Then the host knows that term 2 began at <start>
+
+    Examples:
+      | received | start |
+      | 1.123    | 124   |
+      | 1.130    | 131   |
+      | 2.124    | 124   |
+      | 2.126    | 124   |
+
   # Guards against a restart that makes a host forget where a term began.
   Scenario: a host that starts later learns from the claim where a term began
     Given two hosts that know round 1 of a group
--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -10,26 +10,34 @@
 from behave import then
 from behave import when
 import gevent
+from returns.result import Success
 
 from features.fakes.asking import execute_once
 from features.fakes.asking import wait_until
+from features.fakes.fake_entry_parts import FakeClock
+from features.fakes.fake_platform import FakePlatform
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.failover import choose_staying_target
 from trefoilpulley_core.direct.failover import choose_target
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import has_caught_up
 from trefoilpulley_core.direct.failover import LeaderNotice
+from trefoilpulley_core.direct.failover import Round
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
 from trefoilpulley_core.direct.upstream_session import LogStatus
+from trefoilpulley_core.platform import Lease
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.position import TermStart
 from trefoilpulley_node.direct.claim_store import claim_key
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.claim_store import read_claim
+from trefoilpulley_node.direct.direct_metrics import DirectMetrics
+from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
+from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -235,6 +243,66 @@
         LineageDecisionSteps.check_caught_up(context, '')
 
 
+class _PromotedMember:
+    """Member that leads, as its prober finds it, and its platform."""
+
+    def __init__(self, status: LogStatus) -> None:
+        self.status = status
+
+    def promote(self, *order: Any) -> Any:
+        """Accept an order."""
+        return Success(None)
+
+    def verify_leader(self, group: Group, member: str) -> bool:
+        """Return that the member leads."""
+        return True
+
+    def read_status(self, group: Group, member: str) -> LogStatus:
+        """Return the status of the member."""
+        return self.status
+
+
+class TermStartSteps:
+    """Steps for the start of a term that a promotion begins."""
+
+    @staticmethod
+    @given('a host that promotes a member which had received {received}')
+    def note_received(context: Any, received: str) -> None:
+        """Note the log of the member before its promotion."""
+        context.received = _position(received)
+
+    @staticmethod
+    @when('the member leads term {term:d} and has received {received}')
+    def promote(context: Any, term: int, received: str) -> None:
+        """Promote the member."""
+        clock = FakeClock()
+        status = LogStatus(True, term, _position(received))
+        member = _PromotedMember(status)
+        context.claims = ClaimStore('h', FakePlatform(), list, clock)
+        runner = PromotionRunner(
+            'h',
+            member,
+            context.claims,
+            member,
+            None,
+            dict,
+            lambda: Lease(1, 30, 1),
+            clock,
+            DirectMetrics(),
+        )
+        group = Group('ledger')
+        runner.promote(
+            group, 'y', Round(1, 0), None, received=context.received
+        )
+
+    @staticmethod
+    @then('the host knows that term {term:d} began at {index:d}')
+    def check_start(context: Any, term: int, index: int) -> None:
+        """Compare the start that the host publishes."""
+        starts = context.claims.term_starts('ledger')
+        assert TermStart(term, index) in starts, starts
+
+
 class LineageClaimSteps:
     """Steps on starts of terms in claims and notices."""
 
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -109,6 +109,7 @@
         self._groups = groups
         self._clock = clock
         self._backoff_until: dict[str, float] = {}
+        self._reported_forks: dict[str, dict[str, str]] = {}
 
     def fail_over(self, group: Group, lost_primary: str | None) -> None:
         """Promote another member where most voters can't reach the primary.
@@ -297,7 +298,7 @@
             for member, status in statuses.items()
             if state.lineage.has_left(status.received)
         }
-        if forked:
+        if forked and forked != self._reported_forks.get(state.group):
             events.LOGS_FORKED.log(
                 group=state.group,
                 received=forked,
@@ -305,6 +306,7 @@
                     f'{s.term}.{s.index}' for s in state.lineage.starts
                 ],
             )
+        self._reported_forks[state.group] = forked
 
     def _pause_replicas(
         self,
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -153,11 +153,12 @@
                 took_ms=round(1000 * duration_s),
             )
             self._announce_leader(group, target, claimed.number)
+        state.primary_change_due_at = float('-inf')
+        if has_taken_effect:
             self._record_term_start(group, target, received)
             if not claimed.is_claimed:
                 # Nothing but another notice tells the other hosts the start.
                 self._announce_leader(group, target, claimed.number)
-        state.primary_change_due_at = float('-inf')
 
     def demote(
         self, group: Group, leaving: str, old_status: LogStatus
@@ -222,14 +223,15 @@
     ) -> None:
         """Record and publish where the term of a new primary begins.
 
-        The primary may have made commits since it leads. They do not show
-        where the term began, but the end of its log before the promotion does.
+        A commit that the primary has made since then hides the start. The end
+        of its log before the promotion is then the latest that is certain.
         """
         lineage = group.state.lineage
         status = self._prober.read_status(group, member)
         if status is not None and status.is_primary:
             lineage.on_status(status)
-            if received is not None and received.term < status.term:
+            has_commit = status.received.term == status.term
+            if has_commit and received is not None:
                 lineage.record(TermStart(status.term, received.index + 1))
         self._claims.publish_term_starts(group.state.group, lineage.starts)
 
