--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -316,9 +316,9 @@
     ) -> dict[str, LogStatus]:
         """Pause the replicas that confirm commits; return their statuses.
 
-        Empty, with replication resumed, if no replica that answers is known to
-        have every commit. Only the host that holds
-        the claim pauses and resumes replication: if another host resumed it, a
+        The result is empty, and replication resumed, if no replica that
+        answers is known to have every commit. Only the host that holds the
+        claim pauses and resumes replication: if another host resumed it, a
         replica that is not promoted could confirm a commit, and the new
         primary would lack the commit.
         """
