--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -112,7 +112,9 @@
         self._watch_failed = Event()
         self._failure: Failure | None = None
         self._answered_at = clock.now()
+        # Last time for which this host knows the whole state of the service.
         self._known_at = float('-inf')
+        # Newest entry of each member that has announced its stop.
         self._leaving: dict[str, MemberRecord] = {}
         self._is_answered = False
         self._is_read = False
