--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -33,6 +33,8 @@
 from trefoilpulley_wire.peer_codec import PEER_CODEC
 
 if TYPE_CHECKING:
+    from trefoilpulley_core.direct.routes import Route
+    from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.statement_request import StatementRequest
 
 PUBLIC = 'lookups'
@@ -45,6 +47,7 @@
 
     requests: list[StatementRequest] = field(default_factory=list)
     is_failed: bool = False
+    served_by: tuple[Route, Group] | None = None
 
     def read(self, request: StatementRequest) -> Result[Reply, Failure]:
         """Record a statement."""
