--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -326,9 +326,9 @@
     )
     def notify(context: Any) -> None:
         """Hand the notice to the second host."""
-        changer = PrimaryChanger.__new__(PrimaryChanger)
-        changer._claims = context.second
-        changer._groups = {}
+        changer = PrimaryChanger(
+            'h', None, None, context.second, None, dict, list, {}, None
+        )
         changer.on_leader_notice(LeaderNotice('ledger', 'y', 1, (TERM_START,)))
 
     @staticmethod
--- a/features/steps/platform_adapter_codec_steps.py
+++ b/features/steps/platform_adapter_codec_steps.py
@@ -37,6 +37,9 @@
 from trefoilpulley_platform.line_upstream import LineUpstream
 from trefoilpulley_platform.platform_settings import parse_settings
 
+LONG_SHAPE_CHARS = 100
+"""Length that a name on a shared connection does not repeat."""
+
 NO_EFFECT_CODES = {
     'BUSY',
     'ABORTED',
@@ -173,7 +176,9 @@
     @then('prepared shapes reach the member under one name each, unchanged:')
     def check_shapes(context: Any) -> None:
         """Prepare and execute the shapes of the step's table."""
-        _check_shapes([row['shape'] for row in context.table])
+        shapes = [row['shape'] for row in context.table]
+        long_shapes = [f'{s} {"x" * LONG_SHAPE_CHARS} y' for s in shapes]
+        _check_shapes(shapes + long_shapes)
 
     @staticmethod
     @then(
--- a/packages/core/src/trefoilpulley_core/direct/session_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/session_state.py
@@ -65,10 +65,13 @@
     replaced by its hash if it is long.
     """
     kind = 'w' if statement.is_write else 'r'
-    quoted = quote(statement.shape, safe='')
-    if len(quoted) <= MAX_QUOTED_SHAPE_CHARS:
-        return f'{kind}.{quoted}'
-    return f'{kind}-{sha256(quoted.encode()).hexdigest()}'
+    shape = statement.shape
+    if len(shape) <= MAX_QUOTED_SHAPE_CHARS:
+        quoted = quote(shape, safe='')
+        if len(quoted) <= MAX_QUOTED_SHAPE_CHARS:
+            return f'{kind}.{quoted}'
+    # Quoting a shape of 1 MB would hold up every caller of the host.
+    return f'{kind}-{sha256(shape.encode()).hexdigest()}'
 
 
 def plan_setup(
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import gevent
@@ -83,7 +84,7 @@
         self._identified_by: RouteTable | None = None
         self._identity: Result[Customer | None, Failure] = Success(None)
         self._state = SessionState()
-        self._floors: dict[str, SessionFloor] = {}
+        self._floors: dict[str, SessionFloor] = defaultdict(SessionFloor)
         self._served_count = 0
         self._transaction: CallerTransaction | None = None
         self._transaction_customer: Customer | None = None
@@ -125,7 +126,7 @@
 
     def floor_of(self, group: str) -> SessionFloor:
         """Return the newest commit of the session at a group."""
-        return self._floors.setdefault(group, SessionFloor())
+        return self._floors[group]
 
     def handle(self, command: Command) -> Reply:
         """Handle one command and return its reply."""
