Log which members the judgement of a complete log counts

The hosts' logs tell the claim and the order, but not what was counted: that the number of members had fallen, that a paused replica had answered twice, and that the pause was skipped all read the same.

Event 1611 commits-judged names the members that were counted, what the answering ones have received, and the verdict.

--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -328,6 +328,16 @@
         is_complete = has_every_commit(
             replicas, len(paused_statuses), synchronous
         )
+        events.COMMITS_JUDGED.log(
+            group=group.state.group,
+            members=sorted(group.state.members),
+            received={
+                m: f'{s.received.term}.{s.received.index}'
+                for m, s in paused_statuses.items()
+            },
+            synchronous=synchronous,
+            is_complete=is_complete,
+        )
         if is_complete and choose_target(group.state, paused_statuses):
             return paused_statuses
         self._prober.resume_replication(group, statuses)
