--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -8,14 +8,14 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.failover import can_choose_target
-from trefoilpulley_core.direct.failover import choose_staying_target
-from trefoilpulley_core.direct.failover import choose_target
 from trefoilpulley_core.direct.failover import failover_delay_s
-from trefoilpulley_core.direct.failover import has_caught_up
-from trefoilpulley_core.direct.failover import has_every_commit
 from trefoilpulley_core.direct.failover import order_delay_s
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
 from trefoilpulley_core.direct.lag_relief import RECEIPT_DELAY_S
+from trefoilpulley_core.direct.target_choice import choose_staying_target
+from trefoilpulley_core.direct.target_choice import choose_target
+from trefoilpulley_core.direct.target_choice import has_caught_up
+from trefoilpulley_core.direct.target_choice import has_every_commit
 from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node import events
