Count lost members until a primary has shown what they confirmed

A commit is on the primary and one replica, so all but one of the members have to answer before a log is known to be complete. has_every_commit() was given the number of members that are listed at that moment. Entries of members that are down expire, 3.6 s and a grace period of 3 s later, and with both gone the one replica left was all of its group.

CommitRoster holds the members that may have confirmed commits, listed or not, in the platform's service, so that a host that has just started counts the same. A lost member leaves it only when a primary that was asked after the loss has shown the end of its log: what the member confirmed is at or before that position, which the next primary must have received from then on (floor). The successor of a member that left stands for it; a member that was started again does not count with an empty log. Who decides without the service gets the voters' rosters with their reports. Where the logs are not complete, no claim is written, and requests are refused at once until the next look.

--- a/features/fakes/watch_fleet.py
+++ b/features/fakes/watch_fleet.py
@@ -200,6 +200,7 @@
             self.directory,
             lambda hosts: self.update_hosts(),
             lambda group, claim, entry: None,
+            lambda group, roster, entry: None,
             lambda era: self.registration.begin_era(era),
             clock,
         )
--- a/features/steps/leaving_members_steps.py
+++ b/features/steps/leaving_members_steps.py
@@ -57,6 +57,7 @@
             directory,
             lambda hosts: None,
             lambda group, claim, entry: None,
+            lambda group, roster, entry: None,
             lambda era: None,
             clock,
         )
--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -327,7 +327,7 @@
     def notify(context: Any) -> None:
         """Hand the notice to the second host."""
         changer = PrimaryChanger(
-            'h', None, None, context.second, None, dict, list, {}, None
+            'h', None, None, context.second, None, None, dict, list, {}, None
         )
         changer.on_leader_notice(LeaderNotice('ledger', 'y', 1, (TERM_START,)))
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -161,6 +161,7 @@
             self.directory,
             lambda hosts: None,
             lambda group, claim, entry: self.claims.update({group: claim}),
+            lambda group, roster, entry: None,
             lambda era: None,
             self.clock,
         )
--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -30,6 +30,7 @@
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
+from trefoilpulley_node.direct.roster_store import RosterStore
 
 HOSTS = rank_hosts('ledger', ('one', 'two'))
 """Hosts in their rank for the group."""
@@ -201,6 +202,7 @@
             _AgreedVote(),
             claims,
             runner,
+            RosterStore(FakePlatform()),
             lambda: dict.fromkeys(HOSTS, 'a'),
             lambda: live,
             {'ledger': group},
--- a/features/steps/proxy_following_steps.py
+++ b/features/steps/proxy_following_steps.py
@@ -78,6 +78,7 @@
             context.directory,
             lambda hosts: None,
             lambda group, claim, entry: None,
+            lambda group, roster, entry: None,
             lambda era: None,
             context.clock,
         )
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.direct.commit_roster import CommitRoster
 from trefoilpulley_core.position import TermStart
 from trefoilpulley_core.rendezvous import rank_hosts
 
@@ -147,6 +148,9 @@
     is_reached: bool
     """Whether the member answers the reporting host."""
 
+    roster: CommitRoster | None = None
+    """Roster that the reporting host knows, where a group has one."""
+
 
 def fencing_token(claimed: Round, holder: Lease) -> int:
     """Return the fencing token of a claim holder in a round.
@@ -270,6 +274,18 @@
     return ranked.index(host) * PUBLICATION_RANK_DELAY_S
 
 
+def roster_delay_s(
+    group: str, host: str, registered: Mapping[str, str]
+) -> float:
+    """Return how long a host waits before it writes a group's roster.
+
+    The delay is in seconds. The voters write first, since they hold
+    connections to the members.
+    """
+    preceding = _preceding_hosts(group, host, registered)
+    return len(preceding) * PUBLICATION_RANK_DELAY_S
+
+
 def has_loss_quorum(
     reports: Iterable[ReachReport],
     registered: Mapping[str, str],
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -16,6 +16,7 @@
 from trefoilpulley_core.position import BEGINNING
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -287,6 +288,12 @@
         self.members: dict[str, MemberHealth] = {}
         """Members by identifier."""
 
+        self.listed: tuple[MemberRecord, ...] = ()
+        """Entries that the platform's service has.
+
+        A member without one remains in `members` for a grace period.
+        """
+
         self.primary: str | None = None
         """Member that last proved its leadership, else the listed primary."""
 
@@ -326,9 +333,24 @@
         self.primary_change_due_at = due_at
         self.no_primary_change_until = float('-inf')
 
-    def update(self, records: Iterable[MemberRecord]) -> None:
-        """Apply the platform's current entries of the group."""
+    def update(
+        self,
+        records: Iterable[MemberRecord],
+        unlisted: Container[str] = (),
+    ) -> None:
+        """Apply the platform's entries of the group.
+
+        Parameters
+        ----------
+        records : Iterable[MemberRecord]
+            Newest entry of each member of the group.
+        unlisted : Container[str], optional
+            Members whose entries have been removed.
+        """
         by_name = {r.member: r for r in records}
+        self.listed = tuple(
+            r for r in by_name.values() if r.member not in unlisted
+        )
         self._remove_absent(by_name)
         for record in by_name.values():
             health = self.members.get(record.member)
@@ -371,6 +393,7 @@
         is_change = self.primary != member
         if is_change:
             self.primary_since = sent_at
+            self.no_primary_change_until = float('-inf')
         self.primary = member
         self._on_primary(member)
         return is_change
--- a/packages/core/src/trefoilpulley_core/direct/log_lineage.py
+++ b/packages/core/src/trefoilpulley_core/direct/log_lineage.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.position import Position
 from trefoilpulley_core.position import TermStart
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from trefoilpulley_core.direct.upstream_session import LogStatus
-    from trefoilpulley_core.position import Position
 
 MAX_TERMS = 32
 """Number of terms whose starts are kept; the newest ones."""
@@ -84,3 +84,13 @@
             term > position.term and position.index >= first
             for term, first in self._first_indexes.items()
         )
+
+    def last_before_later_terms(self, position: Position) -> Position:
+        """Return the last position up to one that no later term replaced."""
+        later = [
+            first
+            for term, first in self._first_indexes.items()
+            if term > position.term
+        ]
+        index = min([position.index, *(first - 1 for first in later)])
+        return Position(position.term, index)
--- a/packages/core/src/trefoilpulley_core/direct/target_choice.py
+++ b/packages/core/src/trefoilpulley_core/direct/target_choice.py
@@ -2,13 +2,33 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.position import Position
+
+
+@dataclass(frozen=True, slots=True)
+class LogJudgement:
+    """Whether the logs of the answering members hold every commit."""
+
+    is_complete: bool
+    """Whether the chosen log holds every acknowledged commit."""
+
+    missed: tuple[str, ...]
+    """Members whose logs are not known."""
+
+    needed: int
+    """Number of the missed members that must answer first; 0 if none."""
+
+    floor: Position
+    """Position that the chosen log must have reached."""
 
 
 def has_every_commit(replicas: int, answering: int, synchronous: int) -> bool:
@@ -84,3 +104,46 @@
     if group.lineage.has_left(status.received):
         return False
     return status.received >= demoted.received
+
+
+def judge_logs(
+    roster: CommitRoster,
+    group: GroupState,
+    statuses: Mapping[str, LogStatus],
+    target: str | None,
+    synchronous: int,
+) -> LogJudgement:
+    """Return whether a member holds every commit that was acknowledged.
+
+    A commit is acknowledged once the primary and ``synchronous`` replicas
+    have received it, so that as many members may be missing.
+
+    Parameters
+    ----------
+    roster : CommitRoster
+        Members that may have confirmed commits.
+    group : GroupState
+        Listed members and the starts of the terms.
+    statuses : Mapping[str, LogStatus]
+        Logs of the members that answer.
+    target : str or None
+        Member with the most advanced of these logs that may lead.
+    synchronous : int
+        Number of replicas that receive a commit before its acknowledgement.
+    """
+    listed = group.listed
+    current = roster.with_listed(listed)
+    names = current.names
+    missed = current.find_unknown(listed, statuses)
+    has_enough = has_every_commit(
+        len(names) - 1, len(names) - len(missed), synchronous
+    )
+    is_floor_reached = target is not None and current.is_floor_reached(
+        statuses[target].received, group.lineage
+    )
+    return LogJudgement(
+        not synchronous or (has_enough and is_floor_reached),
+        missed,
+        max(0, len(missed) - synchronous),
+        current.floor,
+    )
--- a/packages/core/src/trefoilpulley_core/keys.py
+++ b/packages/core/src/trefoilpulley_core/keys.py
@@ -27,6 +27,9 @@
 CLAIM_PREFIX = f'{PROXY_PREFIX}claim/'
 """Prefix of the hosts' claims to change a group's primary."""
 
+ROSTER_PREFIX = f'{PROXY_PREFIX}roster/'
+"""Prefix of the members whose logs may hold a group's acknowledged commits."""
+
 
 def duty_key(shard: int) -> str:
     """Return the key that a shard's coordinator holds with its lease."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -51,6 +51,8 @@
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.relay_server import RelayServer
 from trefoilpulley_node.direct.relayed_platform import RelayedPlatform
+from trefoilpulley_node.direct.roster_keeper import RosterKeeper
+from trefoilpulley_node.direct.roster_store import RosterStore
 from trefoilpulley_node.direct.session_factory import SessionFactory
 from trefoilpulley_node.direct.session_registry import SessionRegistry
 from trefoilpulley_node.direct.statement_runner import StatementRunner
@@ -65,6 +67,7 @@
     from collections.abc import Callable
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
     from trefoilpulley_core.direct.promotion_service import PromotionService
@@ -395,6 +398,21 @@
             self._clock,
         )
 
+    @cached_property
+    def _rosters(self) -> RosterStore:
+        return RosterStore(self._platform)
+
+    @cached_property
+    def _roster_keeper(self) -> RosterKeeper:
+        return RosterKeeper(
+            self._cfg.host,
+            self._rosters,
+            self._prober,
+            self._vote,
+            self._registered_hosts,
+            self._clock,
+        )
+
     @cached_property
     def _prober(self) -> MemberProber:
         return MemberProber(self._exchanger, self._dialer, self._clock)
@@ -424,6 +442,7 @@
             self._registered_hosts,
             self.directory.groups,
             self._clock,
+            self.find_roster,
         )
 
     @cached_property
@@ -435,6 +454,7 @@
             self._vote,
             self._claims,
             self._promotion_runner,
+            self._rosters,
             self._registered_hosts,
             lambda: self._hosts.live,
             self.directory.groups,
@@ -464,6 +484,7 @@
             self.directory,
             self._on_host_list,
             self._on_claim,
+            self._on_roster,
             self._on_read,
             self._clock,
         )
@@ -517,6 +538,7 @@
             self.directory,
             self._follower,
             self._claims,
+            self._roster_keeper,
             self.relay_server,
             self.sessions,
             self._primary_wait,
@@ -601,8 +623,14 @@
         if is_announced and self._follower.is_synchronized:
             self.changer.on_claim(name, claim)
 
+    def _on_roster(
+        self, name: str, roster: CommitRoster, entry: KeyValue
+    ) -> None:
+        self._rosters.record(name, roster, entry.mod_revision, entry.era)
+
     def _on_read(self, era: int) -> None:
         self._claims.begin_era(era)
+        self._rosters.begin_era(era)
         self._registration.begin_era(era)
 
     def _register_gauges(self) -> None:
@@ -629,6 +657,14 @@
         register('lease_age_seconds', lambda: self._registration.lease_age_s)
         register('live_hosts', lambda: len(self._hosts.live))
 
+    def find_roster(self, group: str) -> CommitRoster | None:
+        """Return the members that may have confirmed a group's commits.
+
+        ``None`` if the host knows none.
+        """
+        roster = self._rosters.find(group).in_force
+        return roster if roster.members else None
+
     def dump(self) -> ProxyState:
         """Return the state of the host."""
         return make_state(
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -105,6 +105,7 @@
         self._clock = clock
         self._metrics = metrics
         self._records: dict[str, MemberRecord] = {}
+        self._unlisted: set[str] = set()
         self._live: dict[str, tuple[str, ...]] = {zone: (host,)}
         self._capacities: dict[str, float] = {}
         self.table = RouteTable()
@@ -202,8 +203,10 @@
 
     def set_member(self, record: MemberRecord) -> None:
         """Add or update a member by its entry."""
-        if self._records.get(record.member) == record:
+        is_known = self._records.get(record.member) == record
+        if is_known and record.member not in self._unlisted:
             return
+        self._unlisted.discard(record.member)
         self._records[record.member] = record
         events.MEMBER_LISTED.log(
             member=record.member,
@@ -215,8 +218,16 @@
         )
         self._update_group(record.group)
 
+    def mark_unlisted(self, member: str) -> None:
+        """Note that a member's entry was deleted; the member is kept."""
+        record = self._records.get(member)
+        if record is not None:
+            self._unlisted.add(member)
+            self._update_group(record.group)
+
     def remove_member(self, member: str) -> None:
         """Remove a member whose entry was deleted."""
+        self._unlisted.discard(member)
         record = self._records.pop(member, None)
         if record is not None:
             events.MEMBER_UNLISTED.log(member=member, group=record.group)
@@ -266,7 +277,8 @@
             return
         primary = group.state.primary
         group.state.update(
-            r for r in self._records.values() if r.group == name
+            (r for r in self._records.values() if r.group == name),
+            self._unlisted,
         )
         for member, access in list(group.accesses.items()):
             health = group.state.members.get(member)
--- a/packages/node/src/trefoilpulley_node/direct/host_maintenance.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_maintenance.py
@@ -17,6 +17,7 @@
     from trefoilpulley_node.direct.platform_follower import PlatformFollower
     from trefoilpulley_node.direct.primary_wait import PrimaryWait
     from trefoilpulley_node.direct.relay_server import RelayServer
+    from trefoilpulley_node.direct.roster_keeper import RosterKeeper
     from trefoilpulley_node.direct.session_registry import SessionRegistry
 
 MAINTENANCE_INTERVAL_S = 0.25
@@ -34,6 +35,8 @@
         Follows the platform's service.
     claims : ClaimStore
         Claims that the service may lack.
+    rosters : RosterKeeper
+        Members that may have confirmed commits.
     relay_server : RelayServer
         Leases of other hosts.
     sessions : SessionRegistry
@@ -49,6 +52,7 @@
         directory: GroupDirectory,
         follower: PlatformFollower,
         claims: ClaimStore,
+        rosters: RosterKeeper,
         relay_server: RelayServer,
         sessions: SessionRegistry,
         primary_wait: PrimaryWait,
@@ -57,6 +61,7 @@
         self._directory = directory
         self._follower = follower
         self._claims = claims
+        self._rosters = rosters
         self._relay_server = relay_server
         self._sessions = sessions
         self._primary_wait = primary_wait
@@ -99,3 +104,4 @@
             self._sessions.close_idle()
         if self._follower.is_following:
             self._claims.publish()
+            self._rosters.check(self._directory.groups.values())
--- a/packages/node/src/trefoilpulley_node/direct/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_vote.py
@@ -18,6 +18,7 @@
     from collections.abc import Sequence
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.peers import Peers
@@ -46,6 +47,8 @@
         Groups by name.
     clock : Clock
         Monotonic time.
+    find_roster : Callable[[str], CommitRoster | None], optional
+        Returns the roster that this host knows of a group.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         registered_hosts: Callable[[], Mapping[str, str]],
         groups: Mapping[str, Group],
         clock: Clock,
+        find_roster: Callable[[str], CommitRoster | None] = lambda _: None,
     ) -> None:
         self._host = host
         self._prober = prober
@@ -63,6 +67,7 @@
         self._registered_hosts = registered_hosts
         self._groups = groups
         self._clock = clock
+        self._find_roster = find_roster
 
     def collect_reports(
         self, group: Group, lost_member: str | None
@@ -138,12 +143,13 @@
         group = self._groups.get(question.group)
         if group is None:
             return ReachReport(self._host, is_reached=False)
+        roster = self._find_roster(question.group)
         access = group.find_access(question.member)
         now = self._clock.now()
         if access is not None:
             answered_at = access.local_pool.reach.own.last_answer_at
             if now - answered_at < MAX_RECENT_ANSWER_AGE_S:
-                return ReachReport(self._host, is_reached=True)
+                return ReachReport(self._host, True, roster)
         is_reachable = self._prober.can_connect(group, question.member)
         if not is_reachable:
             if access is not None and access.is_relayed:
@@ -152,4 +158,4 @@
                 # is checked; requests may still reach it through its holders.
                 access.local_pool.on_unreachable(now)
             group.check_requested.set()
-        return ReachReport(self._host, is_reachable)
+        return ReachReport(self._host, is_reachable, roster)
--- a/packages/node/src/trefoilpulley_node/direct/platform_follower.py
+++ b/packages/node/src/trefoilpulley_node/direct/platform_follower.py
@@ -13,11 +13,13 @@
 from trefoilpulley_core.direct.member_versions import MemberVersions
 from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.keys import HOST_PREFIX
+from trefoilpulley_core.keys import ROSTER_PREFIX
 from trefoilpulley_core.platform import KeyValue
 from trefoilpulley_core.platform import WatchExpired
 from trefoilpulley_node.direct.claim_store import read_claim
 from trefoilpulley_node.direct.config_holder import SERVICE
 from trefoilpulley_node.direct.host_registration import read_host
+from trefoilpulley_node.direct.roster_store import read_roster
 from trefoilpulley_node import events
 from trefoilpulley_node.service import Service
 
@@ -26,6 +28,7 @@
 
     from trefoilpulley_core.catalog import HostEntry
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_core.direct.failover import Claim
     from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.platform_documents import PlatformDocuments
@@ -74,6 +77,8 @@
         Called with the hosts that hold a lease.
     on_claim : Callable[[str, Claim, KeyValue], None]
         Called with a group, its claim and the claim's entry.
+    on_roster : Callable[[str, CommitRoster, KeyValue], None]
+        Called with a group, its roster and the roster's entry.
     on_read : Callable[[int], None]
         Called with the era of a read after its entries have been applied.
     clock : Clock
@@ -88,6 +93,7 @@
         directory: GroupDirectory,
         on_hosts: Callable[[tuple[HostEntry, ...]], None],
         on_claim: Callable[[str, Claim, KeyValue], None],
+        on_roster: Callable[[str, CommitRoster, KeyValue], None],
         on_read: Callable[[int], None],
         clock: Clock,
     ) -> None:
@@ -97,6 +103,7 @@
         self._directory = directory
         self._on_hosts = on_hosts
         self._on_claim = on_claim
+        self._on_roster = on_roster
         self._on_read = on_read
         self._clock = clock
         self._revisions = EntryRevisions()
@@ -285,6 +292,8 @@
             self._on_host(entry)
         elif entry.key.startswith(CLAIM_PREFIX) and entry.value:
             self._on_claim_entry(entry)
+        elif entry.key.startswith(ROSTER_PREFIX) and entry.value:
+            self._on_roster_entry(entry)
 
     def _on_routes(self, entry: KeyValue) -> None:
         result = self._configuration.apply(entry.value, SERVICE)
@@ -303,6 +312,7 @@
         self._removals_due.setdefault(
             member, self._clock.now() + REMOVAL_GRACE_S
         )
+        self._directory.mark_unlisted(member)
 
     def _set_member(self, record: MemberRecord, era: int) -> None:
         if self._members.accept(record, era):
@@ -360,6 +370,14 @@
         else:
             self._log_unreadable(entry, result.failure())
 
+    def _on_roster_entry(self, entry: KeyValue) -> None:
+        result = read_roster(entry)
+        if isinstance(result, Success):
+            group = entry.key.removeprefix(ROSTER_PREFIX)
+            self._on_roster(group, result.unwrap(), entry)
+        else:
+            self._log_unreadable(entry, result.failure())
+
     def _log_unreadable(self, entry: KeyValue, failure: Failure) -> None:
         if entry.key in self._unreadable:
             return
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -15,7 +15,7 @@
 from trefoilpulley_core.direct.target_choice import choose_staying_target
 from trefoilpulley_core.direct.target_choice import choose_target
 from trefoilpulley_core.direct.target_choice import has_caught_up
-from trefoilpulley_core.direct.target_choice import has_every_commit
+from trefoilpulley_core.direct.target_choice import judge_logs
 from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node import events
@@ -32,12 +32,15 @@
     from trefoilpulley_core.direct.failover import OrderNotice
     from trefoilpulley_core.direct.failover import ReachReport
     from trefoilpulley_core.direct.failover import Round
+    from trefoilpulley_core.direct.target_choice import LogJudgement
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.host_vote import HostVote
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.direct.promotion_runner import PromotionRunner
+    from trefoilpulley_node.direct.roster_store import RosterStore
 
 CATCH_UP_TIMEOUT_S = 1.5
 """Timeout for the next primary to receive the whole log, in seconds."""
@@ -61,6 +64,9 @@
 reach.
 """
 
+RECHECK_S = 1.0
+"""Longest time in which a host decides on a failover, in seconds."""
+
 
 class PrimaryChanger:
     """Carries out the primary changes that this host is responsible for.
@@ -77,6 +83,8 @@
         Newest claim of each group.
     promotions : PromotionRunner
         Carries out the promotions.
+    rosters : RosterStore
+        Members of each group that may have confirmed commits.
     registered_hosts : Callable[[], Mapping[str, str]]
         Availability zone of each registered host, this one included.
     live_hosts : Callable[[], Collection[str]]
@@ -94,6 +102,7 @@
         vote: HostVote,
         claims: ClaimStore,
         promotions: PromotionRunner,
+        rosters: RosterStore,
         registered_hosts: Callable[[], Mapping[str, str]],
         live_hosts: Callable[[], Collection[str]],
         groups: Mapping[str, Group],
@@ -104,12 +113,14 @@
         self._vote = vote
         self._claims = claims
         self._promotions = promotions
+        self._rosters = rosters
         self._registered_hosts = registered_hosts
         self._live_hosts = live_hosts
         self._groups = groups
         self._clock = clock
         self._backoff_until: dict[str, float] = {}
         self._reported_forks: dict[str, dict[str, str]] = {}
+        self._reported_judgements: dict[str, LogJudgement] = {}
 
     def fail_over(self, group: Group, lost_primary: str | None) -> None:
         """Promote another member where most voters can't reach the primary.
@@ -144,6 +155,13 @@
             return
         if self._has_leader(group, lost_primary, statuses):
             return
+        self._update_lineage(group, statuses)
+        self._add_reported_rosters(group, reports)
+        target = choose_target(state, statuses)
+        if target and not self._has_every_commit(group, statuses, target):
+            # No claim: the other hosts would let requests wait for a change.
+            self._refuse_change(group)
+            return
         if not can_choose_target(
             len(state.members),
             len(statuses),
@@ -152,13 +170,12 @@
         ):
             self._back_off(group)
             return
-        self._update_lineage(group, statuses)
-        target = choose_target(state, statuses)
         if target is None:
             if statuses:
                 # Another member has to come back first.
                 self._back_off(group)
             return
+        state.no_primary_change_until = float('-inf')
         claimed = self._claim_round(group, after_round, target)
         if claimed is None:
             claimed = self._claim_without_service(
@@ -285,6 +302,11 @@
         self._backoff_until[group.state.group] = deadline
         group.state.no_primary_change_until = deadline
 
+    def _refuse_change(self, group: Group) -> None:
+        """Let no request wait until the members have been asked once more."""
+        self._back_off(group)
+        group.state.no_primary_change_until += RECHECK_S
+
     def _update_lineage(
         self, group: Group, statuses: Mapping[str, LogStatus]
     ) -> None:
@@ -322,34 +344,49 @@
         replica that is not promoted could confirm a commit, and the new
         primary would lack the commit.
         """
-        synchronous = group.synchronous_replicas
         paused_statuses = self._prober.pause_replication(group, statuses)
-        replicas = len(group.state.members) - 1
-        is_complete = has_every_commit(
-            replicas, len(paused_statuses), synchronous
-        )
-        events.COMMITS_JUDGED.log(
-            group=group.state.group,
-            members=sorted(group.state.members),
-            received={
-                m: f'{s.received.term}.{s.received.index}'
-                for m, s in paused_statuses.items()
-            },
-            synchronous=synchronous,
-            is_complete=is_complete,
-        )
-        if is_complete and choose_target(group.state, paused_statuses):
+        target = choose_target(group.state, paused_statuses)
+        if target and self._has_every_commit(group, paused_statuses, target):
             return paused_statuses
         self._prober.resume_replication(group, statuses)
-        events.PRIMARY_KEPT.log(
-            group=group.state.group,
-            member=lost_primary,
-            replicas=replicas,
-            answering=len(paused_statuses),
-            synchronous=synchronous,
-        )
         return {}
 
+    def _has_every_commit(
+        self, group: Group, statuses: Mapping[str, LogStatus], target: str
+    ) -> bool:
+        """Return whether a member is known to have every commit."""
+        synchronous = group.synchronous_replicas
+        if not synchronous:
+            return True
+        name = group.state.group
+        roster = self._rosters.find(name).in_force
+        judgement = judge_logs(
+            roster, group.state, statuses, target, synchronous
+        )
+        if judgement != self._reported_judgements.get(name):
+            self._reported_judgements[name] = judgement
+            events.COMMITS_JUDGED.log(
+                group=name,
+                is_complete=judgement.is_complete,
+                members=roster.names,
+                missed=judgement.missed,
+                needed=judgement.needed,
+                floor=_format_position(judgement.floor),
+                received={
+                    m: _format_position(s.received)
+                    for m, s in statuses.items()
+                },
+            )
+        return judgement.is_complete
+
+    def _add_reported_rosters(
+        self, group: Group, reports: Sequence[ReachReport]
+    ) -> None:
+        """Learn of members that the service could not tell this host."""
+        for report in reports:
+            if report.roster is not None:
+                self._rosters.add_reported(group.state.group, report.roster)
+
     def _demote_and_catch_up(
         self, group: Group, leaving: str, old_status: LogStatus, target: str
     ) -> bool:
@@ -503,3 +540,7 @@
             self._prober.verify_leader(group, m)
             for m in tuple(group.state.members)
         )
+
+
+def _format_position(position: Position) -> str:
+    return f'{position.term}.{position.index}'
