--- a/features/steps/synchronous_failover_steps.py
+++ b/features/steps/synchronous_failover_steps.py
@@ -155,6 +155,15 @@
         """Wait until the rosters have all members."""
         _wait_counted(context, set(context.deployment.group.servers))
 
+    @staticmethod
+    @then('the state dump names the members that count and the floor')
+    def check_dump(context: Any) -> None:
+        """Read the state of a host."""
+        (group,) = context.deployment.hosts[0].proxy.dump().groups
+        members = context.deployment.group.servers
+        assert set(group.confirming_members) == set(members), group
+        assert group.commit_floor is not None
+
     @staticmethod
     @when('the hosts count the successor')
     def wait_succeeded(context: Any) -> None:
--- a/features/synchronous_failover.feature
+++ b/features/synchronous_failover.feature
@@ -77,3 +77,8 @@
     And the primary crashes
     Then a write is acknowledged after a promotion
     And every acknowledged commit is still there
+
+  Scenario: the state dump names the members that count
+    Given a group of 3 members of which 1 must confirm a commit
+    When the hosts have stored which members count
+    Then the state dump names the members that count and the floor
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -677,6 +677,7 @@
             self.configuration.source,
             self._limits,
             self._relayed.relays if self._relayed else (),
+            self.find_roster,
             self._clock.now(),
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_core.direct.customer_limit import CustomerLimits
     from trefoilpulley_core.direct.customers import CustomerFault
     from trefoilpulley_core.direct.customers import CustomerTable
@@ -93,6 +95,15 @@
     members: tuple[MemberDump, ...]
     """Members of the group."""
 
+    confirming_members: tuple[str, ...] = ()
+    """Members, also lost ones, that may have confirmed commits.
+
+    Empty without synchronous replicas.
+    """
+
+    commit_floor: str | None = None
+    """Log position that the next primary must have received."""
+
 
 @dataclass(frozen=True, slots=True)
 class CustomerDump:
@@ -183,6 +194,7 @@
     source: str,
     limits: CustomerLimits,
     watch_relays: tuple[str, ...],
+    find_roster: Callable[[str], CommitRoster | None],
     now: float,
 ) -> ProxyState:
     """Return the state of a host."""
@@ -195,7 +207,10 @@
         isolation.is_isolated,
         tuple(live),
         tuple(sorted(registered)),
-        tuple(_dump_group(g, now) for g in directory.groups.values()),
+        tuple(
+            _dump_group(g, find_roster(g.state.group), now)
+            for g in directory.groups.values()
+        ),
         source,
         _dump_customers(directory.table.customers, limits, now),
         directory.table.customers.faults if directory.table.customers else (),
@@ -231,7 +246,9 @@
     return None if tokens is None else round(tokens, 1)
 
 
-def _dump_group(group: Group, now: float) -> GroupDump:
+def _dump_group(
+    group: Group, roster: CommitRoster | None, now: float
+) -> GroupDump:
     state = group.state
     newest = state.evidence.newest
     return GroupDump(
@@ -240,6 +257,8 @@
         state.term,
         round(1000 * (now - newest.at)) if newest else None,
         tuple(_dump_member(a, now) for a in group.accesses.values()),
+        roster.names if roster else (),
+        f'{roster.floor.term}.{roster.floor.index}' if roster else None,
     )
 
 
