Reach a member that is not listed at the address of the roster

Found by reading: a member that is cut off from the service alone goes on confirming commits. It was not settled while the hosts still had an access to it, but once they had dropped it, nobody could reach it and its place in the roster was lost: commits that it alone confirms afterwards would not count (LOST). Votes on a loss carry the address that the roster has.

Scenario 'a member that has lost its entry alone still counts' failed before (the roster lacked ledger-2) and passes now. Before the first roster is written, members in their grace period count as well.

--- a/features/steps/commit_roster_steps.py
+++ b/features/steps/commit_roster_steps.py
@@ -13,7 +13,6 @@
 from features.fakes.virtual_time import VirtualTime
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.commit_roster import CommitRoster
-from trefoilpulley_core.direct.commit_roster import format_address
 from trefoilpulley_core.direct.commit_roster import RosterMember
 from trefoilpulley_core.direct.failover import has_loss_quorum
 from trefoilpulley_core.direct.failover import ReachReport
@@ -72,7 +71,7 @@
 
 def _roster(text: str, floor: str = '-', version: int = 0) -> CommitRoster:
     members = tuple(
-        RosterMember(r.member, format_address(r.endpoint), r.incarnation)
+        RosterMember(r.member, r.endpoint, r.incarnation)
         for r in _records(text)
     )
     return CommitRoster(members, _position(floor), version)
@@ -396,11 +395,13 @@
         self.is_answering = self.is_leading = self.is_replicating = True
         self.is_reached_here = self.is_reached_there = False
 
-    def can_connect(self, group: Group, member: str) -> bool:
+    def can_connect(
+        self, group: Group, member: str, endpoint: Endpoint
+    ) -> bool:
         return self.is_reached_here
 
     def collect_reports(
-        self, group: Group, member: str
+        self, group: Group, member: str, endpoint: Endpoint
     ) -> tuple[ReachReport, ...]:
         return tuple(
             ReachReport(h, self.is_reached_there) for h in ('h2', 'h3')
--- a/features/steps/synchronous_failover_steps.py
+++ b/features/steps/synchronous_failover_steps.py
@@ -14,6 +14,7 @@
 from features.fakes.asking import wait_until
 from trefoilpulley_emulator.deployment import EmulatedDeployment
 from trefoilpulley_node.direct.primary_changer import FAILOVER_BACKOFF_S
+from trefoilpulley_node.direct.roster_keeper import UPDATE_INTERVAL_S
 from trefoilpulley_node import events
 
 ZONES = ('north', 'south', 'east', 'west')
@@ -164,6 +165,33 @@
         assert set(group.confirming_members) == set(members), group
         assert group.commit_floor is not None
 
+    @staticmethod
+    @when('the entry of the last replica is removed while it runs on')
+    def remove_entry(context: Any) -> None:
+        """Remove the entry of a member that goes on confirming."""
+        context.deployment.group.expire(context.last)
+
+    @staticmethod
+    @when('the hosts have no access to it any more')
+    def wait_dropped(context: Any) -> None:
+        """Wait until every host has dropped the member."""
+        hosts = context.deployment.hosts
+        wait_until(
+            lambda: all(
+                context.last
+                not in host.proxy.directory.groups['ledger'].accesses
+                for host in hosts
+            )
+        )
+
+    @staticmethod
+    @then('the hosts still count it')
+    def check_counted(context: Any) -> None:
+        """Compare the rosters after some more checks."""
+        gevent.sleep(5 * UPDATE_INTERVAL_S)
+        for roster in _rosters(context):
+            assert context.last in roster.names, roster
+
     @staticmethod
     @when('the hosts count the successor')
     def wait_succeeded(context: Any) -> None:
--- a/features/synchronous_failover.feature
+++ b/features/synchronous_failover.feature
@@ -41,6 +41,14 @@
     And the entries of the crashed members expire
     Then no member is promoted while the hosts know the last replica alone
 
+  # Guards against a member that goes on confirming while nobody counts it.
+  Scenario: a member that has lost its entry alone still counts
+    Given a group of 3 members of which 1 must confirm a commit
+    When the hosts have stored which members count
+    And the entry of the last replica is removed while it runs on
+    And the hosts have no access to it any more
+    Then the hosts still count it
+
   # Guards against a group that can't fail over any more after one loss.
   Scenario: a group that has lost a member for good still fails over
     Given a group of 4 members of which 1 must confirm a commit
--- a/packages/core/src/trefoilpulley_core/direct/commit_roster.py
+++ b/packages/core/src/trefoilpulley_core/direct/commit_roster.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
 
@@ -14,7 +15,6 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.direct.log_lineage import LogLineage
     from trefoilpulley_core.direct.upstream_session import LogStatus
@@ -27,8 +27,8 @@
     member: str
     """Identifier of the member."""
 
-    address: str
-    """IP address and port of the member."""
+    endpoint: Endpoint
+    """Address of the member."""
 
     incarnation: int
     """Start time of the member; changes at each restart."""
@@ -69,19 +69,19 @@
         which its log is transferred.
         """
         listed_names = {r.member for r in listed}
-        listed_addresses = {format_address(r.endpoint) for r in listed}
+        listed_endpoints = {r.endpoint for r in listed}
         known = {
             m.member: m
             for m in self.members
             if m.member in listed_names
             or not m.is_leaving
-            or m.address not in listed_addresses
+            or m.endpoint not in listed_endpoints
         }
         for record in listed:
             former = known.get(record.member)
             known[record.member] = RosterMember(
                 record.member,
-                format_address(record.endpoint),
+                record.endpoint,
                 former.incarnation if former else record.incarnation,
                 record.is_leaving,
             )
@@ -89,14 +89,14 @@
 
     def find_unsettled(
         self, listed: Collection[MemberRecord]
-    ) -> tuple[str, ...]:
+    ) -> tuple[RosterMember, ...]:
         """Return members that are lost, or may have lost their logs.
 
         The latter have been started again since they were entered.
         """
         incarnations = {r.member: r.incarnation for r in listed}
         return tuple(
-            m.member
+            m
             for m in self.members
             if incarnations.get(m.member) != m.incarnation
         )
@@ -150,7 +150,7 @@
         The empty log of a member that was started again shows nothing of
         what the member had confirmed.
         """
-        restarted = self.find_unsettled(listed)
+        restarted = {m.member for m in self.find_unsettled(listed)}
         return tuple(
             name
             for name in self.names
@@ -176,8 +176,3 @@
     def _with_members(self, members: Iterable[RosterMember]) -> CommitRoster:
         ordered = tuple(sorted(members, key=lambda m: m.member))
         return replace(self, members=ordered)
-
-
-def format_address(endpoint: Endpoint) -> str:
-    """Return an endpoint in the form of a roster."""
-    return f'{endpoint.address}:{endpoint.port}'
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.commit_roster import CommitRoster
 from trefoilpulley_core.position import TermStart
 from trefoilpulley_core.rendezvous import rank_hosts
@@ -103,6 +104,9 @@
     member: str
     """Identifier of the member."""
 
+    endpoint: Endpoint | None = None
+    """Address of a member that may not be listed any more."""
+
 
 @dataclass(frozen=True, slots=True)
 class LeaderNotice:
--- a/packages/core/src/trefoilpulley_core/direct/target_choice.py
+++ b/packages/core/src/trefoilpulley_core/direct/target_choice.py
@@ -132,6 +132,8 @@
         Number of replicas that receive a commit before its acknowledgement.
     """
     listed = group.listed
+    if not roster.version:
+        roster = roster.with_listed([h.record for h in group.members.values()])
     current = roster.with_listed(listed)
     names = current.names
     missed = current.find_unknown(listed, statuses)
--- a/packages/node/src/trefoilpulley_node/direct/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_vote.py
@@ -17,6 +17,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.commit_roster import CommitRoster
     from trefoilpulley_node.direct.directory import Group
@@ -70,12 +71,25 @@
         self._find_roster = find_roster
 
     def collect_reports(
-        self, group: Group, lost_member: str | None
+        self,
+        group: Group,
+        lost_member: str | None,
+        endpoint: Endpoint | None = None,
     ) -> tuple[ReachReport, ...]:
-        """Return the reports of the voters that answer before the timeout."""
+        """Return the reports of the voters that answer before the timeout.
+
+        Parameters
+        ----------
+        group : Group
+            Group of the member.
+        lost_member : str or None
+            Member that this host does not reach.
+        endpoint : Endpoint, optional
+            Address of the member if it may not be listed any more.
+        """
         if lost_member is None:
             return ()
-        question = ReachQuestion(group.state.group, lost_member)
+        question = ReachQuestion(group.state.group, lost_member, endpoint)
         voters = [h for h in self.voters(group) if h != self._host]
         greenlets = [
             gevent.spawn(self._peers.call_host, host, question, VOTE_TIMEOUT_S)
@@ -150,7 +164,9 @@
             answered_at = access.local_pool.reach.own.last_answer_at
             if now - answered_at < MAX_RECENT_ANSWER_AGE_S:
                 return ReachReport(self._host, True, roster)
-        is_reachable = self._prober.can_connect(group, question.member)
+        is_reachable = self._prober.can_connect(
+            group, question.member, question.endpoint
+        )
         if not is_reachable:
             if access is not None and access.is_relayed:
                 # This host sends no statements of its own to the member, so
--- a/packages/node/src/trefoilpulley_node/direct/member_prober.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_prober.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.connection_request import ConnectionRequest
+from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.direct.session_state import SessionState
 from trefoilpulley_core.direct.upstream_session import AskStatus
 from trefoilpulley_core.direct.upstream_session import ConnectionLimitReached
@@ -23,6 +24,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.upstream_session import Call
     from trefoilpulley_core.direct.upstream_session import LogStatus
@@ -92,21 +94,37 @@
                 return True
         return group.state.primary is not None
 
-    def can_connect(self, group: Group, member: str) -> bool:
-        """Return whether a member accepts a new connection."""
+    def can_connect(
+        self, group: Group, member: str, endpoint: Endpoint | None = None
+    ) -> bool:
+        """Return whether a member accepts a new connection.
+
+        Parameters
+        ----------
+        group : Group
+            Group of the member.
+        member : str
+            Identifier of the member.
+        endpoint : Endpoint, optional
+            Address to use if the member is not in use any more.
+        """
         access = group.find_access(member)
-        if access is None:
+        if access is not None:
+            record = access.health.record
+        elif endpoint is not None:
+            record = MemberRecord(
+                member, group.state.group, endpoint, '', False, False
+            )
+        else:
             return False
-        dialled = self._dialer.dial(access.health.record, PROBE_TIMEOUT_S)
-        now = self._clock.now()
+        dialled = self._dialer.dial(record, PROBE_TIMEOUT_S)
         if isinstance(dialled, Success):
             dialled.unwrap().close()
-            access.local_pool.reach.on_answer(now)
-            return True
-        if isinstance(dialled.failure(), ConnectionLimitReached):
-            access.local_pool.reach.on_answer(now)
-            return True
-        return False
+        elif not isinstance(dialled.failure(), ConnectionLimitReached):
+            return False
+        if access is not None:
+            access.local_pool.reach.on_answer(self._clock.now())
+        return True
 
     def read_status(
         self,
--- a/packages/node/src/trefoilpulley_node/direct/roster_keeper.py
+++ b/packages/node/src/trefoilpulley_node/direct/roster_keeper.py
@@ -18,6 +18,7 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.commit_roster import CommitRoster
+    from trefoilpulley_core.direct.commit_roster import RosterMember
     from trefoilpulley_core.direct.group_state import MemberRecord
     from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.directory import Group
@@ -132,9 +133,9 @@
         roster = self._rosters.add_listed(group.state.group, listed)
         names = {r.member for r in listed}
         return tuple(
-            m
+            m.member
             for m in roster.find_unsettled(listed)
-            if m in names or self._is_lost(group, m)
+            if m.member in names or self._is_lost(group, m)
         )
 
     def _read_received_position(self, group: Group) -> Position | None:
@@ -163,11 +164,12 @@
         is_primary = status is not None and status.is_primary
         return status.received if is_primary else None
 
-    def _is_lost(self, group: Group, member: str) -> bool:
-        if self._prober.can_connect(group, member):
+    def _is_lost(self, group: Group, lost: RosterMember) -> bool:
+        name, endpoint = lost.member, lost.endpoint
+        if self._prober.can_connect(group, name, endpoint):
             return False
-        reports = self._vote.collect_reports(group, member)
-        return self._vote.is_lost(group, member, reports, True)
+        reports = self._vote.collect_reports(group, name, endpoint)
+        return self._vote.is_lost(group, name, reports, True)
 
     def _publish(self, name: str, roster: CommitRoster) -> None:
         result = self._rosters.publish(name, roster)
--- a/packages/node/src/trefoilpulley_node/direct/roster_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/roster_store.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.direct.commit_roster import CommitRoster
 from trefoilpulley_core.direct.commit_roster import RosterMember
 from trefoilpulley_core.entry_fields import DECODE_ERRORS
+from trefoilpulley_core.entry_fields import make_endpoint
 from trefoilpulley_core.entry_fields import read_count
 from trefoilpulley_core.entry_fields import read_text
 from trefoilpulley_core.failure import MalformedMessage
@@ -176,7 +177,7 @@
 def _read_member(fields: Mapping[str, Any]) -> RosterMember:
     return RosterMember(
         read_text(fields, 'member'),
-        read_text(fields, 'address'),
+        make_endpoint(**fields['endpoint']),
         read_count(fields, 'incarnation'),
         fields['is_leaving'] is True,
     )
