Test the guard of record_proof by itself

Without the guard all scenarios passed, since the transaction's own route hides it. Both examples of the new scenario fail without it (evidence 9.9 at the group that has none) and pass with it.

--- a/features/moved_routes.feature
+++ b/features/moved_routes.feature
@@ -28,3 +28,14 @@
     And the session writes "other" to "k"
     And the route of "orders" moves to "ledger"
     Then each of 20 reads of "k" in the session returns "mine"
+
+  # Guards against a late proof of a member that is not one of the group's own.
+  Scenario Outline: a proof by an access that is not the group's own is not recorded
+    When the route of "orders" moves to "archive"
+    And a proof of <member> arrives for "archive"
+    Then host 0 knows no position or primary of "archive" that is not its own
+
+    Examples:
+      | member                               |
+      | the primary of "ledger"              |
+      | a former access to its own primary   |
--- a/features/steps/moved_routes_steps.py
+++ b/features/steps/moved_routes_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import Any
 
 from behave import given
@@ -10,10 +11,12 @@
 
 from features.fakes.asking import execute_once
 from features.fakes.asking import wait_until
+from trefoilpulley_core.position import Position
 from trefoilpulley_emulator.deployment import configuration
 from trefoilpulley_emulator.deployment import DATABASES
 from trefoilpulley_emulator.deployment import ZONES
 from trefoilpulley_emulator.group import EmulatedGroup
+from trefoilpulley_node.direct.exchange import record_proof
 
 NO_APPLICATION_LAG_S = 600.0
 """Lag of a replica that applies nothing during a scenario, in seconds."""
@@ -90,6 +93,25 @@
         """Change the configuration and wait until host 0 applies it."""
         MovedRouteSteps._configure(context, service)
 
+    @staticmethod
+    @when('a proof of the primary of "{other}" arrives for "{service}"')
+    def prove_foreign(context: Any, other: str, service: str) -> None:
+        """Record a proof with the access to a member of another service."""
+        groups = context.deployment.hosts[0].proxy.directory.groups
+        primary = context.services[other].primary.state.member
+        access = groups[other].accesses[primary]
+        record_proof(groups[service], access, 1.0, Position(9, 9))
+
+    @staticmethod
+    @when('a proof of a former access to its own primary arrives for "{name}"')
+    def prove_former(context: Any, name: str) -> None:
+        """Record a proof with an access that has been replaced."""
+        groups = context.deployment.hosts[0].proxy.directory.groups
+        group = groups[name]
+        primary = context.services[name].primary.state.member
+        former = copy.copy(group.accesses[primary])
+        record_proof(group, former, 1.0, Position(9, 9))
+
     @staticmethod
     @when('the transaction commits')
     def commit(context: Any) -> None:
