--- a/features/soak.feature
+++ b/features/soak.feature
@@ -192,6 +192,27 @@
       | seed | hosts | connections |
       | 2    | 3     | 4           |
 
+  Scenario: the losses of members depend on the seed alone
+    Then seed 7 loses at most one member for good, and the same way each time
+
+  Scenario Outline: the emulated group knows which confirmed commits a new primary lacks
+    Given an emulated primary whose commit is confirmed by 1 of 2 replicas
+    When the replica <which> the commit is promoted
+    Then <count> confirmed commits are lost
+
+    Examples:
+      | which   | count |
+      | with    | 0     |
+      | without | 1     |
+
+  Scenario Outline: no confirmed commit is lost with the members that have it
+    When members are lost under faults with seed <seed>, <hosts> hosts and <connections> connections
+    Then the checker reports no violation
+
+    Examples: a seed that promoted the only member listed, without 66 commits
+      | seed | hosts | connections |
+      | 4    | 3     | 16          |
+
   Scenario Outline: a customer's work runs under its name and its keys alone
     When the customers change under faults with seed <seed>, <hosts> hosts and <connections> connections
     Then the checker reports no violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,7 @@
 
 from trefoilpulley_emulator.member_log import GroupLog
 from trefoilpulley_emulator.member_log import Record
+from trefoilpulley_emulator.soak.faults import draw_confirmed
 from trefoilpulley_emulator.soak.faults import draw_faults
 from trefoilpulley_emulator.soak.faults import draw_restores
 from trefoilpulley_emulator.soak.faults import draw_rolls
@@ -441,6 +442,60 @@
             context, Soak(seed, hosts, 0.0, connections, Profile.SILENCES)
         )
 
+    @staticmethod
+    @then(
+        'seed {seed:d} loses at most one member for good, and the same way '
+        'each time'
+    )
+    def check_losses_by_seed(context: Any, seed: int) -> None:
+        """Check the faults of a seed."""
+        members = ('m0', 'm1', 'm2')
+        faults = draw_confirmed(seed, ('h0', 'h1'), members)
+        assert faults == draw_confirmed(seed, ('h0', 'h1'), members)
+        kinds = [f.kind for f in faults]
+        assert kinds.count(FaultKind.LOSE_MEMBER) <= 1, faults
+        crashed = [
+            f.target for f in faults if f.kind is FaultKind.CRASH_MEMBER
+        ]
+        assert 'm0' in crashed, faults
+
+    @staticmethod
+    @given('an emulated primary whose commit is confirmed by 1 of 2 replicas')
+    def confirm_commit(context: Any) -> None:
+        """Commit while one of two replicas receives nothing."""
+        log = context.group_log = GroupLog(('p', 'with', 'without'))
+        log.synchronous_replicas = 1
+        log.members['without'].is_deaf = True
+        record = log.commit(log.primary, (('a', 'a.1'),))
+        assert log.confirm(log.primary, record)
+        log.members['p'].is_running = False
+
+    @staticmethod
+    @when('the replica {which} the commit is promoted')
+    def promote_replica(context: Any, which: str) -> None:
+        """Promote one of the replicas."""
+        assert context.group_log.promote(which)
+
+    @staticmethod
+    @then('{count:d} confirmed commits are lost')
+    def check_lost_commits(context: Any, count: int) -> None:
+        """Count the commits that the new primary lacks."""
+        lost = context.group_log.lost_commits
+        assert sum(map(len, lost.values())) == count, lost
+
+    @staticmethod
+    @when(
+        'members are lost under faults with seed {seed:d}, {hosts:d} hosts '
+        'and {connections:d} connections'
+    )
+    def run_confirmed(
+        context: Any, seed: int, hosts: int, connections: int
+    ) -> None:
+        """Run a seed with synchronous replicas; keep a failure's logs."""
+        SoakSteps._run(
+            context, Soak(seed, hosts, 0.0, connections, Profile.CONFIRMED)
+        )
+
     @staticmethod
     def _run(context: Any, soak: Soak) -> None:
         context.violations = soak.run()
