Count the roster for the majority that has to answer a failover

The lost member was settled, but in its grace period still one of the four of which a majority had to answer, and the decision was put off by 0.7 s, and again.

'a majority of the members that count may fail over' failed before in its first example (0 orders); the others are as before. Further scenarios: a service that comes to synchronous replicas, one that gives them up, a planned stop.

--- a/features/commit_roster.feature
+++ b/features/commit_roster.feature
@@ -129,6 +129,19 @@
     When the primary "a" is back at 1.9
     Then after some checks the service has the roster a b c d with 1.9
 
+  # Guards against a wait for the grace period of a member that is settled.
+  Scenario Outline: a majority of the members that count may fail over
+    Given a host that has lost the primary "a" of the members a b c d
+    And the service has the roster <roster>, and the entries of a and d are gone
+    When the logs b=1.9 c=1.9 answer a failover of a group with <sync> synchronous replicas
+    Then <orders> promotion is ordered
+
+    Examples:
+      | roster  | sync | orders |
+      | a b c   | 1    | 1      |
+      | a b c d | 1    | 0      |
+      | a b c   | 0    | 0      |
+
   Scenario: many checks write once
     Given a host that watches the members a b c d with the primary "a" at 1.9
     When the entry of "d" is gone and nobody reaches it
--- a/features/steps/commit_roster_steps.py
+++ b/features/steps/commit_roster_steps.py
@@ -27,7 +27,9 @@
 from trefoilpulley_core.position import BEGINNING
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.position import TermStart
+from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.directory import Group
+from trefoilpulley_node.direct.primary_changer import PrimaryChanger
 from trefoilpulley_node.direct.roster_keeper import RosterKeeper
 from trefoilpulley_node.direct.roster_store import read_roster
 from trefoilpulley_node.direct.roster_store import roster_key
@@ -384,9 +386,97 @@
         context.group.state.update(_records(members))
 
 
+class MajoritySteps:
+    """Steps on the members of which a majority has to answer."""
+
+    @staticmethod
+    @given('a host that has lost the primary "a" of the members {members}')
+    def lose_primary(context: Any, members: str) -> None:
+        """Make a group whose members are in their grace period."""
+        context.kv = FakePlatform()
+        context.rosters = RosterStore(context.kv)
+        context.group = Group('ledger')
+        context.group.state.update(_records(members), unlisted=['a', 'd'])
+
+    @staticmethod
+    @given(
+        'the service has the roster {members}, and the entries of a and d are '
+        'gone'
+    )
+    def store_roster(context: Any, members: str) -> None:
+        """Write the roster."""
+        context.rosters.publish('ledger', _roster(members)).unwrap()
+
+    @staticmethod
+    @when(
+        'the logs {logs} answer a failover of a group with {count:d} '
+        'synchronous replicas'
+    )
+    def fail_over(context: Any, logs: str, count: int) -> None:
+        """Fail over with a vote that has lost the primary."""
+        pairs = (text.split('=') for text in logs.split())
+        world = context.world = _FailoverWorld(
+            {m: LogStatus(False, 1, _position(p)) for m, p in pairs}
+        )
+        context.group.limits = GroupLimits(16, count)
+        clock = VirtualTime().clock
+        changer = PrimaryChanger(
+            'h1',
+            world,
+            world,
+            ClaimStore('h1', context.kv, lambda: HOSTS, clock),
+            world,
+            context.rosters,
+            lambda: HOSTS,
+            lambda: HOSTS,
+            {'ledger': context.group},
+            clock,
+        )
+        changer.fail_over(context.group, 'a')
+
+    @staticmethod
+    @then('{count:d} promotion is ordered')
+    def check_orders(context: Any, count: int) -> None:
+        """Count the orders."""
+        assert context.world.order_count == count, context.world.order_count
+
+
 KEY = roster_key('ledger')
 
 
+class _FailoverWorld:
+    """Members, voters and promotions of a lost primary."""
+
+    def __init__(self, statuses: dict[str, LogStatus]) -> None:
+        self.order_count = 0
+        self._statuses = statuses
+
+    def collect_reports(self, *question: Any) -> tuple[ReachReport, ...]:
+        return ()
+
+    def is_lost(self, *question: Any) -> bool:
+        return True
+
+    def voters(self, group: Group) -> dict[str, str]:
+        return HOSTS
+
+    def read_statuses(
+        self, group: Group, members: tuple[str, ...]
+    ) -> dict[str, LogStatus]:
+        return self._statuses
+
+    def pause_replication(
+        self, group: Group, statuses: dict[str, LogStatus]
+    ) -> dict[str, LogStatus]:
+        return statuses
+
+    def verify_leader(self, group: Group, member: str) -> bool:
+        return False
+
+    def promote(self, *order: Any, **details: Any) -> None:
+        self.order_count += 1
+
+
 class _World:
     """Members and voters as a host sees them."""
 
--- a/features/steps/synchronous_failover_steps.py
+++ b/features/steps/synchronous_failover_steps.py
@@ -12,6 +12,7 @@
 
 from features.fakes.asking import execute_once
 from features.fakes.asking import wait_until
+from trefoilpulley_emulator.deployment import DATABASES
 from trefoilpulley_emulator.deployment import EmulatedDeployment
 from trefoilpulley_node.direct.primary_changer import FAILOVER_BACKOFF_S
 from trefoilpulley_node.direct.roster_keeper import UPDATE_INTERVAL_S
@@ -27,11 +28,14 @@
     """Steps that change the members of an emulated group."""
 
     @staticmethod
-    @given('a group of {count:d} members of which 1 must confirm a commit')
-    def start_group(context: Any, count: int) -> None:
-        """Start a deployment and wait until its roster is stored."""
+    @given(
+        'a group of {count:d} members of which {required:d} must confirm a '
+        'commit'
+    )
+    def start_group(context: Any, count: int, required: int) -> None:
+        """Start a deployment and wait until every host serves writes."""
         context.deployment = EmulatedDeployment(
-            HOST_COUNT, zones=ZONES[:count], synchronous_replicas=1
+            HOST_COUNT, zones=ZONES[:count], synchronous_replicas=required
         )
         context.cleanups.append(context.deployment.stop)
         context.deployment.start()
@@ -128,6 +132,14 @@
         group.servers[context.primary].start()
         group.publish_member(context.primary)
 
+    @staticmethod
+    @when('the configuration requires {count:d} replicas to confirm')
+    def configure(context: Any, count: int) -> None:
+        """Write a configuration with other synchronous replicas."""
+        deployment = context.deployment
+        deployment.synchronous_replicas = count
+        deployment.configure(dict(DATABASES))
+
     @staticmethod
     @when('every host is replaced by one that has just started')
     def replace_hosts(context: Any) -> None:
--- a/features/synchronous_failover.feature
+++ b/features/synchronous_failover.feature
@@ -90,3 +90,34 @@
     Given a group of 3 members of which 1 must confirm a commit
     When the hosts have stored which members count
     Then the state dump names the members that count and the floor
+
+  Scenario: an operator gives up the commits of members that are lost for good
+    Given a group of 3 members of which 1 must confirm a commit
+    When the last replica receives nothing
+    And 5 writes are acknowledged
+    And the other replica is lost for good
+    And the primary crashes
+    And the entries of the crashed members expire
+    Then no member is promoted while the hosts know the last replica alone
+    When the configuration requires 0 replicas to confirm
+    Then a write is acknowledged after a promotion
+
+  # Guards against a count that begins with the configuration alone.
+  Scenario: a group that comes to synchronous replicas counts its members from then on
+    Given a group of 3 members of which 0 must confirm a commit
+    When 5 writes are acknowledged
+    And the configuration requires 1 replicas to confirm
+    And the hosts have stored which members count
+    And the last replica receives nothing
+    And 5 writes are acknowledged
+    And the other replica is lost for good
+    And the primary crashes
+    And the entries of the crashed members expire
+    Then no member is promoted while the hosts know the last replica alone
+
+  Scenario: a planned stop of a primary keeps every confirmed commit
+    Given a group of 3 members of which 1 must confirm a commit
+    When 5 writes are acknowledged
+    And the primary announces that it will stop
+    Then another member eventually becomes primary
+    And every acknowledged commit is still there
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -163,7 +163,7 @@
             self._refuse_change(group)
             return
         if not can_choose_target(
-            len(state.members),
+            self._count_members(group),
             len(statuses),
             reports,
             self._vote.voters(group),
@@ -379,6 +379,16 @@
             )
         return judgement.is_complete
 
+    def _count_members(self, group: Group) -> int:
+        """Return of how many members a majority has to answer.
+
+        A member that is settled may still be in its grace period.
+        """
+        roster = self._rosters.find(group.state.group).in_force
+        if not group.synchronous_replicas or not roster.version:
+            return len(group.state.members)
+        return len(roster.with_listed(group.state.listed).names)
+
     def _add_reported_rosters(
         self, group: Group, reports: Sequence[ReachReport]
     ) -> None:
