Split the judgement of logs from the changes of a primary

CommitJudge takes what PrimaryChanger asks of the rosters; positions format themselves. The rank of a host among all hosts is worked out once for a roster that has to be written, not at each check four times a second: with 2,500 groups that come to synchronous replicas at once it would have been 10,000 rankings a second.

--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -26,6 +26,7 @@
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.rendezvous import rank_hosts
 from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
@@ -202,7 +203,7 @@
             _AgreedVote(),
             claims,
             runner,
-            RosterStore(FakePlatform()),
+            CommitJudge(RosterStore(FakePlatform())),
             lambda: dict.fromkeys(HOSTS, 'a'),
             lambda: live,
             {'ledger': group},
--- a/packages/core/src/trefoilpulley_core/position.py
+++ b/packages/core/src/trefoilpulley_core/position.py
@@ -22,6 +22,11 @@
     index: int = 0
     """One-based index of the record; 0 is before the first record."""
 
+    @property
+    def as_text(self) -> str:
+        """Term and index as logs and dumps show them."""
+        return f'{self.term}.{self.index}'
+
 
 BEGINNING = Position()
 """Position before the first record of a log."""
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -30,6 +30,7 @@
 from trefoilpulley_core.platform import PositionedPlatform
 from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
 from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.config_exchange import ConfigExchange
 from trefoilpulley_node.direct.config_holder import ConfigHolder
 from trefoilpulley_node.direct.direct_state import make_state
@@ -454,7 +455,7 @@
             self._vote,
             self._claims,
             self._promotion_runner,
-            self._rosters,
+            CommitJudge(self._rosters),
             self._registered_hosts,
             lambda: self._hosts.live,
             self.directory.groups,
--- a/packages/node/src/trefoilpulley_node/direct/direct_state.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_state.py
@@ -258,7 +258,7 @@
         round(1000 * (now - newest.at)) if newest else None,
         tuple(_dump_member(a, now) for a in group.accesses.values()),
         roster.names if roster else (),
-        f'{roster.floor.term}.{roster.floor.index}' if roster else None,
+        roster.floor.as_text if roster else None,
     )
 
 
@@ -272,7 +272,7 @@
         None if failing_since is None else round(1000 * (now - failing_since)),
         round(1000 * health.expected_latency_s(now), 1),
         round(1000 * health.expected_lag_s(now)),
-        f'{health.position.term}.{health.position.index}',
+        health.position.as_text,
         access.local_pool.open_connections,
         access.local_pool.share.equal_share,
         access.local_pool.waiting,
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -15,7 +15,6 @@
 from trefoilpulley_core.direct.target_choice import choose_staying_target
 from trefoilpulley_core.direct.target_choice import choose_target
 from trefoilpulley_core.direct.target_choice import has_caught_up
-from trefoilpulley_core.direct.target_choice import judge_logs
 from trefoilpulley_core.platform import EraChanged
 from trefoilpulley_core.platform import RevisionConflict
 from trefoilpulley_node import events
@@ -32,15 +31,13 @@
     from trefoilpulley_core.direct.failover import OrderNotice
     from trefoilpulley_core.direct.failover import ReachReport
     from trefoilpulley_core.direct.failover import Round
-    from trefoilpulley_core.direct.target_choice import LogJudgement
     from trefoilpulley_core.direct.upstream_session import LogStatus
-    from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.claim_store import ClaimStore
+    from trefoilpulley_node.direct.commit_judge import CommitJudge
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.host_vote import HostVote
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.direct.promotion_runner import PromotionRunner
-    from trefoilpulley_node.direct.roster_store import RosterStore
 
 CATCH_UP_TIMEOUT_S = 1.5
 """Timeout for the next primary to receive the whole log, in seconds."""
@@ -83,8 +80,8 @@
         Newest claim of each group.
     promotions : PromotionRunner
         Carries out the promotions.
-    rosters : RosterStore
-        Members of each group that may have confirmed commits.
+    judge : CommitJudge
+        Judges whether a member has every acknowledged commit.
     registered_hosts : Callable[[], Mapping[str, str]]
         Availability zone of each registered host, this one included.
     live_hosts : Callable[[], Collection[str]]
@@ -102,7 +99,7 @@
         vote: HostVote,
         claims: ClaimStore,
         promotions: PromotionRunner,
-        rosters: RosterStore,
+        judge: CommitJudge,
         registered_hosts: Callable[[], Mapping[str, str]],
         live_hosts: Callable[[], Collection[str]],
         groups: Mapping[str, Group],
@@ -113,14 +110,13 @@
         self._vote = vote
         self._claims = claims
         self._promotions = promotions
-        self._rosters = rosters
+        self._judge = judge
         self._registered_hosts = registered_hosts
         self._live_hosts = live_hosts
         self._groups = groups
         self._clock = clock
         self._backoff_until: dict[str, float] = {}
         self._reported_forks: dict[str, dict[str, str]] = {}
-        self._reported_judgements: dict[str, LogJudgement] = {}
 
     def fail_over(self, group: Group, lost_primary: str | None) -> None:
         """Promote another member where most voters can't reach the primary.
@@ -156,14 +152,16 @@
         if self._has_leader(group, lost_primary, statuses):
             return
         self._update_lineage(group, statuses)
-        self._add_reported_rosters(group, reports)
+        self._judge.add_rosters(group, reports)
         target = choose_target(state, statuses)
-        if target and not self._has_every_commit(group, statuses, target):
+        if target and not self._judge.has_every_commit(
+            group, statuses, target
+        ):
             # No claim: the other hosts would let requests wait for a change.
             self._refuse_change(group)
             return
         if not can_choose_target(
-            self._count_members(group),
+            self._judge.count_members(group),
             len(statuses),
             reports,
             self._vote.voters(group),
@@ -316,7 +314,7 @@
         for status in statuses.values():
             state.lineage.on_status(status)
         forked = {
-            member: f'{status.received.term}.{status.received.index}'
+            member: status.received.as_text
             for member, status in statuses.items()
             if state.lineage.has_left(status.received)
         }
@@ -346,57 +344,13 @@
         """
         paused_statuses = self._prober.pause_replication(group, statuses)
         target = choose_target(group.state, paused_statuses)
-        if target and self._has_every_commit(group, paused_statuses, target):
+        if target and self._judge.has_every_commit(
+            group, paused_statuses, target
+        ):
             return paused_statuses
         self._prober.resume_replication(group, statuses)
         return {}
 
-    def _has_every_commit(
-        self, group: Group, statuses: Mapping[str, LogStatus], target: str
-    ) -> bool:
-        """Return whether a member is known to have every commit."""
-        synchronous = group.synchronous_replicas
-        if not synchronous:
-            return True
-        name = group.state.group
-        roster = self._rosters.find(name).in_force
-        judgement = judge_logs(
-            roster, group.state, statuses, target, synchronous
-        )
-        if judgement != self._reported_judgements.get(name):
-            self._reported_judgements[name] = judgement
-            events.COMMITS_JUDGED.log(
-                group=name,
-                is_complete=judgement.is_complete,
-                members=roster.names,
-                missed=judgement.missed,
-                needed=judgement.needed,
-                floor=_format_position(judgement.floor),
-                received={
-                    m: _format_position(s.received)
-                    for m, s in statuses.items()
-                },
-            )
-        return judgement.is_complete
-
-    def _count_members(self, group: Group) -> int:
-        """Return of how many members a majority has to answer.
-
-        A member that is settled may still be in its grace period.
-        """
-        roster = self._rosters.find(group.state.group).in_force
-        if not group.synchronous_replicas or not roster.version:
-            return len(group.state.members)
-        return len(roster.with_listed(group.state.listed).names)
-
-    def _add_reported_rosters(
-        self, group: Group, reports: Sequence[ReachReport]
-    ) -> None:
-        """Learn of members that the service could not tell this host."""
-        for report in reports:
-            if report.roster is not None:
-                self._rosters.add_reported(group.state.group, report.roster)
-
     def _demote_and_catch_up(
         self, group: Group, leaving: str, old_status: LogStatus, target: str
     ) -> bool:
@@ -550,7 +504,3 @@
             self._prober.verify_leader(group, m)
             for m in tuple(group.state.members)
         )
-
-
-def _format_position(position: Position) -> str:
-    return f'{position.term}.{position.index}'
--- a/packages/node/src/trefoilpulley_node/direct/roster_keeper.py
+++ b/packages/node/src/trefoilpulley_node/direct/roster_keeper.py
@@ -91,8 +91,12 @@
             self._current[name] = self._rosters.find(name), listed
             return
         now = self._clock.now()
-        delay_s = roster_delay_s(name, self._host, self._registered_hosts())
-        if now >= self._updates_due.setdefault(name, now + delay_s):
+        if name not in self._updates_due:
+            # The rank among all hosts is not worked out at every check.
+            self._updates_due[name] = now + roster_delay_s(
+                name, self._host, self._registered_hosts()
+            )
+        if now >= self._updates_due[name]:
             self._updates_due[name] = now + UPDATE_INTERVAL_S
             gevent.spawn(self._update, group)
 
@@ -177,6 +181,6 @@
         events.ROSTER_WRITTEN.log(
             group=name,
             members=roster.names,
-            floor=f'{roster.floor.term}.{roster.floor.index}',
+            floor=roster.floor.as_text,
             failure=failure.code if failure else None,
         )
