Check who holds connections, not who has asked whether a member answers

Cause: a stalled process takes a member for silent and asks the voters. The voter connects, sends nothing and closes the connection. A trace of the member shows this: host-1 has opened one or two connections and has run no statement on any of them, host-0 all of them. The design notes have voters check a member in this way, so that the old check asked for more than the product promises, and depended on the wall clock.

The check now asks which hosts have run a statement, and which still have a connection: one host at most, as before.

--- a/features/proxy_relay_path.feature
+++ b/features/proxy_relay_path.feature
@@ -9,7 +9,7 @@
     And a caller of "filings" reads "one" from "a" through host 1
     And a caller of "filings" reads "one" from "a" through host 2
     And a caller of "filings" reads "one" from "a" through host 3
-    And only one host has connected to each member
+    And only one host holds connections to each member
 
   Scenario: a relayed transaction is atomic and isolated
     Given a caller of "orders" connected to host 1
