Review: show that an abandoned failover stops all writes for good

With sync_replicas 1 a host tells the replicas to hold before it orders a promotion, and nothing resumes them where the promotion fails.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 import sys
 
@@ -16,6 +15,7 @@
 
 from lab_2 import is_troubled
 from lab_2 import Lab
+from lab_2 import run_case
 from lab_2 import Writer
 
 DRAIN_S = 7.3
@@ -25,11 +25,7 @@
 
 def main() -> int:
     lab = Lab(Path(__file__).parent, synchronous=1)
-    gevent.spawn_later(110, lambda: (lab.stop(), os._exit(2)))
-    try:
-        return play(lab)
-    finally:
-        lab.stop()
+    return run_case(lab, play)
 
 
 def play(lab: Lab) -> int:
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -15,11 +15,15 @@
 import shutil
 import signal
 import socket as plain_socket
+import struct
 import subprocess
 import tempfile
 import time
+import traceback
+from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
@@ -27,6 +31,9 @@
 from trefoilpulley_emulator.group import EmulatedGroup
 from trefoilpulley_emulator.kv_server import KvServer
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ('gr-north-a', 'gr-north-b', 'gr-north-c')
 PROMOTE_S = 0.6
@@ -53,6 +60,28 @@
 }
 
 
+LIMIT_S = 110
+"""Time after which a script gives up, in seconds."""
+
+
+def run_case(lab: Lab, play: Callable[[Lab], int]) -> int:
+    """Play a case and return the exit status; 2 if it couldn't run."""
+
+    def give_up() -> None:
+        lab.record.say('the script takes too long')
+        lab.stop()
+        os._exit(2)
+
+    gevent.spawn_later(LIMIT_S, give_up)
+    try:
+        return play(lab)
+    except Exception:
+        traceback.print_exc()
+        return 2
+    finally:
+        lab.stop()
+
+
 def is_troubled() -> bool:
     """Return whether the script makes its disruption."""
     return os.environ.get('TROUBLE', '1') != '0'
@@ -109,22 +138,35 @@
 
 
 class Link:
-    """Forwards connections to one member; can go silent."""
+    """Forwards connections to one address; can go silent or refuse."""
 
     def __init__(self, port: int, target: int) -> None:
         self.port = port
         self.target = target
-        self._is_open = gevent.event.Event()
+        self._is_open = Event()
         self._is_open.set()
-        self._server = StreamServer(('127.0.0.1', port), self._serve)
+        self._sockets: set[socket.socket] = set()
+        self._server: StreamServer | None = None
 
     def start(self) -> None:
         """Listen."""
+        self._server = StreamServer(('127.0.0.1', self.port), self._serve)
         self._server.start()
 
     def stop(self) -> None:
         """Listen no more."""
-        self._server.stop(timeout=0)
+        if self._server is not None:
+            self._server.stop(timeout=0)
+            self._server = None
+
+    def refuse(self) -> None:
+        """Reset the connections, and refuse new ones until the link heals."""
+        self.stop()
+        for sock in tuple(self._sockets):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            sock.close()
 
     def cut(self) -> None:
         """Hold every byte until the link heals."""
@@ -133,6 +175,8 @@
     def heal(self) -> None:
         """Forward again, first what was held."""
         self._is_open.set()
+        if self._server is None:
+            self.start()
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         self._is_open.wait()
@@ -141,13 +185,16 @@
         except OSError:
             sock.close()
             return
+        pair = {sock, member}
+        self._sockets |= pair
         pumps = [
             gevent.spawn(self._pump, sock, member),
             gevent.spawn(self._pump, member, sock),
         ]
         gevent.joinall(pumps)
-        sock.close()
-        member.close()
+        self._sockets -= pair
+        for end in pair:
+            end.close()
 
     def _pump(self, source: socket.socket, sink: socket.socket) -> None:
         try:
@@ -194,18 +241,15 @@
         self.is_down = False
         """Calls get 503, and nothing is done."""
 
-        self.is_silent = False
-        """Calls reach nobody and get no answer, as behind a cut."""
-
         self.on_promoted = lambda member: None
         """Called when a member is about to lead."""
 
         self._server = WSGIServer(('127.0.0.1', 0), self._serve, log=None)
 
     @property
-    def address(self) -> str:
-        """Address of the service."""
-        return f'127.0.0.1:{self._server.server_port}'
+    def port(self) -> int:
+        """Port of the service on 127.0.0.1."""
+        return self._server.server_port
 
     def start(self) -> None:
         """Listen on a free port."""
@@ -221,18 +265,15 @@
         token = int(environ['HTTP_FENCING_TOKEN'])
         member = body['id']
         call = f'promotion of {member} by {holder}, fence {token}'
-        if self.is_silent:
-            self._record.add(f'{call}: cut off, not received')
-            gevent.sleep(30)
-            start_response('503 -', [('Content-Length', '0')])
-            return ()
         if self.is_down:
             self._record.add(f'{call}: 503, the service is down')
             start_response('503 -', [('Content-Length', '0')])
             return ()
         if self.late_s is not None:
             self._record.add(f'{call}: no answer, done {self.late_s} s later')
-            gevent.spawn_later(self.late_s, self._carry_out, call, member, token)
+            gevent.spawn_later(
+                self.late_s, self._carry_out, call, member, token
+            )
             gevent.sleep(30)
             start_response('503 -', [('Content-Length', '0')])
             return ()
@@ -312,7 +353,7 @@
             'platform.history_s': '20',
             'platform.value_bytes': '1048576',
             'platform.ttl_min_ms': '1000',
-            'cloud_api.address': lab.promotions.address,
+            'cloud_api.address': f'127.0.0.1:{lab.promotion_link.port}',
             'cloud_api.rate_per_s': '50.0',
             'cloud_api.duties': 'promote',
             'cloud_api.duty_per_s': '50.0',
@@ -385,6 +426,10 @@
         self._sock.sendall(f'START {database} client\r\n'.encode())
         self.greeting = self._read_line()
 
+    def next_id(self) -> str:
+        """Return the id of the next statement of any client."""
+        return f'{Client._number + 1:016x}'
+
     def send(self, text: str) -> str:
         """Send a statement; return its id."""
         Client._number += 1
@@ -449,6 +494,10 @@
         self.promotions = PromotionService(self.group, self.record)
         self.promotions.start()
         self.links: dict[str, Link] = {}
+        port = self.ports.next()
+        self.ports.release(port)
+        self.promotion_link = Link(port, self.promotions.port)
+        self.promotion_link.start()
         self._synchronous = synchronous
         self._max_connections = max_connections
         self.routes = routes or {'filings': 'primary'}
@@ -524,7 +573,7 @@
         for host in self.hosts:
             host.send(signal.SIGCONT)
             host.kill()
-        for link in self.links.values():
+        for link in (*self.links.values(), self.promotion_link):
             link.stop()
         self.group.stop()
         self.promotions.stop()
