--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,7 +22,7 @@
 GREY_MEMBER = 'ledger-0'
 GREY_SHARE = 0.4
 GREY_S = 6.5
-CLIENTS = 12
+CLIENTS = 36
 
 expected: dict[str, dict[str, str]] = {}
 """Values that were acknowledged to its client, by request."""
@@ -122,10 +122,10 @@
         outcome, _, _ = client.ask(f'PREPARE s1 WRITE {shape}')
         if not outcome.startswith('DONE'):
             raise ConnectionError(outcome)
-        for number in range(20):
+        for number in range(8):
             if self.is_stopping:
                 break
-            gevent.sleep(rng.uniform(0.02, 0.1))
+            gevent.sleep(rng.uniform(0.1, 0.3))
             data = f'{self._number}.{number}'
             text = rng.choice(
                 (f'READ i{number}', f'WRITE i{number} {data}')
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -24,9 +24,9 @@
 
 import gevent
 from gevent.event import Event
-from gevent import socket
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
+from gevent import socket
 
 from trefoilpulley_emulator.group import EmulatedGroup
 from trefoilpulley_emulator.kv_server import KvServer
