Review: show two hosts that order promotions in turn

A host that has waited in vain for the member that it promoted forgets that another host has claimed the next change meanwhile, and orders too.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -60,7 +60,7 @@
     gevent.sleep(3)
     record.say('planned: ledger-2 announces its stop')
     lab.group.announce_stop('ledger-2')
-    release = gevent.spawn_later(DRAIN_S, replace, lab)
+    release = gevent.spawn_later(DRAIN_S, lab.replace, 'ledger-2', 'ledger-3')
     gevent.sleep(4)
     if is_troubled():
         record.say(f'ledger-0 goes dark for {DARK_S} s')
@@ -102,13 +102,5 @@
             state.is_deaf = is_dark
 
 
-def replace(lab: Lab) -> None:
-    """End ledger-2; its log goes to a new member at its address."""
-    lab.record.say('planned: ledger-2 ends, ledger-3 is at its address')
-    former = lab.group.servers['ledger-2']
-    lab.group.replace('ledger-2', 'ledger-3')
-    lab.links['ledger-2'].target = former.port
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=target/deps:target/review-2
+exec python3 -S review/9/case.py
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -30,6 +30,8 @@
 
 from trefoilpulley_emulator.group import EmulatedGroup
 from trefoilpulley_emulator.kv_server import KvServer
+from trefoilpulley_emulator.member_log import GroupLog
+from trefoilpulley_emulator.member_log import MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -210,6 +212,19 @@
                 pass
 
 
+class ZonedLog(GroupLog):
+    """Logs of members some of which may be cut off from the others."""
+
+    def __init__(self, members: tuple[str, ...]) -> None:
+        super().__init__(members)
+        self.cut: set[str] = set()
+        """Members that reach neither the other ones nor the store."""
+
+    def _follow(self, other: MemberState, primary: MemberState) -> None:
+        if (other.member in self.cut) == (primary.member in self.cut):
+            super()._follow(other, primary)
+
+
 class Store(KvServer):
     """Store of the platform, whose answers name no era, as in PROTOCOL.md."""
 
@@ -229,12 +244,20 @@
         Members.
     record : Record
         Told of every call.
+    promote_s : float
+        Time from an order to the lead, in seconds.
     """
 
-    def __init__(self, group: EmulatedGroup, record: Record) -> None:
+    def __init__(
+        self, group: EmulatedGroup, record: Record, promote_s: float
+    ) -> None:
         self._group = group
         self._record = record
+        self._promote_s = promote_s
         self._token = -1
+        self.calls: list[tuple[float, str, str, int]] = []
+        """Time, holder, member and fence number of each call."""
+
         self.late_s: float | None = None
         """Calls get no answer and are carried out so much later."""
 
@@ -264,6 +287,7 @@
         holder = environ['HTTP_DUTY_HOLDER']
         token = int(environ['HTTP_FENCING_TOKEN'])
         member = body['id']
+        self.calls.append((self._record.now, holder, member, token))
         call = f'promotion of {member} by {holder}, fence {token}'
         if self.is_down:
             self._record.add(f'{call}: 503, the service is down')
@@ -285,7 +309,7 @@
         status = self._check(member, token)
         self._record.add(f'{call}: {status}')
         if status == 200:
-            gevent.spawn_later(PROMOTE_S, self._promote, member)
+            gevent.spawn_later(self._promote_s, self._promote, member)
         return status
 
     def _check(self, member: str, token: int) -> int:
@@ -300,7 +324,11 @@
         if not state.is_running or state.is_primary:
             return
         self.on_promoted(member)
-        self._group.promote(member)
+        log = self._group.log
+        log.promote(member)
+        for name, server in self._group.servers.items():
+            if server.state.is_running and name not in log.cut:
+                self._group.publish_member(name)
         self._record.say(f'{member} leads term {state.term}')
 
 
@@ -474,6 +502,10 @@
         Route type by database name.
     hosts : tuple[str, ...]
         Zone of each entry host.
+    max_connections : int
+        Connections that each member accepts.
+    promote_s : float
+        Time from an order of promotion to the lead, in seconds.
     """
 
     def __init__(
@@ -483,6 +515,7 @@
         routes: dict[str, str] | None = None,
         hosts: tuple[str, ...] = ZONES,
         max_connections: int = 16,
+        promote_s: float = PROMOTE_S,
     ) -> None:
         self.record = Record(folder / 'record.txt')
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
@@ -490,8 +523,9 @@
         self.store = Store()
         self.store.start()
         self.group = EmulatedGroup(SERVICE, ZONES, self.store, max_connections)
+        self._use_zoned_log()
         self.group.log.synchronous_replicas = synchronous
-        self.promotions = PromotionService(self.group, self.record)
+        self.promotions = PromotionService(self.group, self.record, promote_s)
         self.promotions.start()
         self.links: dict[str, Link] = {}
         port = self.ports.next()
@@ -535,6 +569,37 @@
             gevent.sleep(0.1)
         self.record.say(f'{len(self.hosts)} hosts are ready')
 
+    def cut(self, member: str) -> None:
+        """Cut a member off from hosts, members and store, silently."""
+        self.links[member].cut()
+        self.group.log.cut.add(member)
+
+    def heal(self, member: str) -> None:
+        """End the cut of a member."""
+        self.group.log.cut.discard(member)
+        self.links[member].heal()
+        leader = self.group.log.primary
+        for state in self.group.log.members.values():
+            state.is_primary = state is leader
+        self.group.log.replicate(leader)
+        self.group.publish_member(member)
+
+    def replace(self, member: str, successor: str) -> None:
+        """End a member; its log goes to a new one at its address."""
+        self.record.say(f'planned: {member} ends, {successor} takes its place')
+        port = self.group.servers[member].port
+        self.links[successor] = self.links.pop(member)
+        self.group.replace(member, successor)
+        self.links[successor].target = port
+
+    def _use_zoned_log(self) -> None:
+        group = self.group
+        log = ZonedLog(tuple(group.log.members))
+        log.members = group.log.members
+        group.log = log
+        for server in group.servers.values():
+            server.log = log
+
     def configure(self) -> None:
         """Write the configuration as the operator."""
         self.version += 2
