--- a/review/10/case.py
+++ b/review/10/case.py
@@ -19,6 +19,7 @@
 from lab_2 import run_case
 from trefoilpulley_emulator import member_server
 
+RECORD_PATH = Path(__file__).with_name('record.txt')
 GREY_MEMBER = 'ledger-0'
 GREY_SHARE = 0.4
 GREY_S = 6.5
@@ -144,7 +145,7 @@
 
 
 member_server._MemberConnection = GreyConnection
-lab = Lab(Path(__file__).parent)
+lab = Lab(RECORD_PATH)
 
 
 def main() -> int:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,13 +18,14 @@
 from lab_2 import run_case
 from lab_2 import Writer
 
+RECORD_PATH = Path(__file__).with_name('record.txt')
 DRAIN_S = 7.3
 DARK_S = 1.6
 LATE_S = 8.0
 
 
 def main() -> int:
-    lab = Lab(Path(__file__).parent, synchronous=1)
+    lab = Lab(RECORD_PATH, synchronous=1)
     return run_case(lab, play)
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -18,6 +18,7 @@
 from lab_2 import run_case
 from lab_2 import Writer
 
+RECORD_PATH = Path(__file__).with_name('record.txt')
 ROUNDS = 8
 ROUND_S = 11.0
 PROMOTE_S = 0.8
@@ -32,7 +33,7 @@
 
 def main() -> int:
     zones = ('gr-north-a', 'gr-north-c')
-    lab = Lab(Path(__file__).parent, hosts=zones, promote_s=PROMOTE_S)
+    lab = Lab(RECORD_PATH, hosts=zones, promote_s=PROMOTE_S)
     return run_case(lab, play)
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,6 +19,7 @@
 from lab_2 import run_case
 from lab_2 import Writer
 
+RECORD_PATH = Path(__file__).with_name('record.txt')
 CUT_S = 5.5
 DOWN_S = 1.4
 JUDGED_S = 12.0
@@ -27,7 +28,7 @@
 
 def main() -> int:
     lab = Lab(
-        Path(__file__).parent,
+        RECORD_PATH,
         synchronous=1,
         hosts=('gr-north-b', 'gr-north-b', 'gr-north-c', 'gr-north-c'),
     )
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -90,7 +90,7 @@
 
 
 class Record:
-    """Writes what happens to record.txt beside the script."""
+    """Writes what happens to the file of a case."""
 
     def __init__(self, path: Path) -> None:
         self._file = path.open('w', encoding='utf-8')
@@ -494,8 +494,8 @@
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case, which gets record.txt.
+    record_path : Path
+        File for what was sent, answered and run.
     synchronous : int
         ``sync_replicas`` of the service.
     routes : dict[str, str]
@@ -510,14 +510,14 @@
 
     def __init__(
         self,
-        folder: Path,
+        record_path: Path,
         synchronous: int = 0,
         routes: dict[str, str] | None = None,
         hosts: tuple[str, ...] = ZONES,
         max_connections: int = 16,
         promote_s: float = PROMOTE_S,
     ) -> None:
-        self.record = Record(folder / 'record.txt')
+        self.record = Record(record_path)
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.ports = Ports()
         self.store = Store()
