Keep hosts from ordering promotions in turn

What callers saw: changes of primary 1.2 s apart, ordered by host A, host B and host A again within 2.5 s (ONE). Each cuts open transactions and lets writes wait.

Cause: PromotionRunner.promote() set primary_change_due_at to -inf at its end, and so dropped the time that on_claim() had set for the claim of B. Behind it, a second cause: a host left a change to another one for 1.1 s only, so that two hosts that both wait in full alternate within 2.3 s.

Change: a change clears only its own time; ChangeTurn keeps a host whose order was followed by another host's change from ordering for 3.3 s after its own last order; the claim is checked again before each attempt.

Why it works: the turn is longer than the lease of 3 s, and begins with the host's own order, whatever paths announce the other host's change. The other host goes on at once, so that a failover is not later.

--- a/features/primary_order.feature
+++ b/features/primary_order.feature
@@ -24,3 +24,11 @@
     Given two hosts that have lost a primary and the service, and the first has stopped
     When the other host starts a failover
     Then it has ordered a promotion after the delay of one rank
+
+  # Guards against two hosts that order in turn while the member that the first
+  # one has promoted is cut off (ONE).
+  Scenario: hosts do not order in turn while a promoted member is cut off
+    Given two hosts that have lost a primary, and a member that is cut off once it is promoted
+    When both look for a primary for 20 s
+    Then each host has ordered a promotion
+    And no host orders within 3 s of its last order if another one has ordered since
--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Any
 
 from behave import given
@@ -21,15 +22,18 @@
 from trefoilpulley_core.direct.failover import RANK_DELAY_S
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.direct.upstream_session import LogStatus
+from trefoilpulley_core.keys import CLAIM_PREFIX
 from trefoilpulley_core.platform import Lease
 from trefoilpulley_core.platform import PlatformDown
 from trefoilpulley_core.position import Position
 from trefoilpulley_core.rendezvous import rank_hosts
 from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.claim_store import read_claim
 from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
+from trefoilpulley_node.direct.primary_watch import CHECK_INTERVAL_S
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 from trefoilpulley_node.direct.roster_store import RosterStore
 
@@ -122,10 +126,66 @@
         context.groups = []
         context.peers.is_cut = 'lose' in link
         live = HOSTS[1:] if 'stopped' in link else HOSTS
+        platform = FakePlatform(is_down=True)
         context.failovers = [
-            PrimaryOrderSteps._make_host(context, name, live) for name in HOSTS
+            PrimaryOrderSteps._make_host(context, name, live, platform)
+            for name in HOSTS
         ]
 
+    @staticmethod
+    @given(
+        'two hosts that have lost a primary, and a member that is cut off '
+        'once it is promoted'
+    )
+    def make_claiming_hosts(context: Any) -> None:
+        """Create two hosts that claim changes; no promoted member answers."""
+        context.world = _World()
+        context.peers = _DirectPeers()
+        context.groups = []
+        platform = FakePlatform()
+        context.failovers = [
+            PrimaryOrderSteps._make_host(context, name, HOSTS, platform)
+            for name in HOSTS
+        ]
+
+    @staticmethod
+    @when('both look for a primary for {duration_s:d} s')
+    def search(context: Any, duration_s: int) -> None:
+        """Let both hosts check the group, as their monitoring does."""
+        context.world.promotion_s = float('inf')
+        clock = context.world.time.clock
+        end = clock.now() + duration_s
+
+        def check_often(fail_over: Any) -> None:
+            while clock.now() < end:
+                fail_over()
+                gevent.sleep(CHECK_INTERVAL_S)
+
+        context.world.time.run(
+            *(partial(check_often, f) for f in context.failovers)
+        )
+
+    @staticmethod
+    @then('each host has ordered a promotion')
+    def check_all_order(context: Any) -> None:
+        """Check that no host waits for the other one for good."""
+        ordering = {host for host, _ in context.world.orders}
+        assert ordering == set(HOSTS), context.world.orders
+
+    @staticmethod
+    @then(
+        'no host orders within {lease_s:d} s of its last order if another one '
+        'has ordered since'
+    )
+    def check_turns(context: Any, lease_s: int) -> None:
+        """Find orders of one host with another host's order between them."""
+        orders = context.world.orders
+        for number, (host, at) in enumerate(orders):
+            later = [o for o in orders[number:] if o[1] < at + lease_s]
+            names = [h for h, _ in later]
+            other = next((i for i, h in enumerate(names) if h != host), None)
+            assert other is None or host not in names[other:], later
+
     @staticmethod
     @when('both start a failover and a promotion takes {duration_ms:d} ms')
     def run_both(context: Any, duration_ms: int) -> None:
@@ -172,7 +232,9 @@
         assert abs(at - context.began_at - waited_s) < 1e-6, at
 
     @staticmethod
-    def _make_host(context: Any, name: str, live: Any) -> Any:
+    def _make_host(
+        context: Any, name: str, live: Any, platform: FakePlatform
+    ) -> Any:
         world, peers = context.world, context.peers
         group = Group('ledger')
         context.groups.append(group)
@@ -183,9 +245,7 @@
             for member, is_primary in (('primary', True), ('replica', False))
         )
         group.state.members['primary'].on_unreachable(world.time.clock.now())
-        claims = ClaimStore(
-            name, FakePlatform(is_down=True), lambda: HOSTS, world.time.clock
-        )
+        claims = ClaimStore(name, platform, lambda: HOSTS, world.time.clock)
         runner = PromotionRunner(
             name,
             world,
@@ -209,4 +269,13 @@
             {'ledger': group},
             world.time.clock,
         )
+
+        def on_change(entry: Any) -> None:
+            claim = read_claim(entry).unwrap()
+            if claims.record_claim(
+                'ledger', claim, entry.mod_revision, entry.era
+            ):
+                changer.on_claim('ledger', claim)
+
+        platform.watch(CLAIM_PREFIX, on_change, lambda failure: None)
         return lambda: changer.fail_over(group, 'primary')
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from trefoilpulley_core.direct.change_turn import ChangeTurn
 from trefoilpulley_core.direct.evidence import EvidenceLog
 from trefoilpulley_core.direct.failure_rate import FailureRate
 from trefoilpulley_core.direct.member_pace import GroupBaseline
@@ -320,6 +321,9 @@
         self.no_primary_change_until = float('-inf')
         """Time until which no change of primary is expected, in seconds."""
 
+        self.turn = ChangeTurn()
+        """Turn of this host to change the primary."""
+
         self.last_request_at = float('-inf')
         """Time of the last request for the group, in seconds."""
 
@@ -333,6 +337,17 @@
         self.primary_change_due_at = due_at
         self.no_primary_change_until = float('-inf')
 
+    def end_change(self, due_at: float) -> None:
+        """Expect a change no more, unless another one is expected by now.
+
+        Parameters
+        ----------
+        due_at : float
+            Time until which the change was expected, in seconds.
+        """
+        if self.primary_change_due_at == due_at:
+            self.primary_change_due_at = float('-inf')
+
     def update(
         self,
         records: Iterable[MemberRecord],
--- a/packages/core/src/trefoilpulley_core/direct/promotion_service.py
+++ b/packages/core/src/trefoilpulley_core/direct/promotion_service.py
@@ -21,6 +21,13 @@
     code = 'promotion-refused'
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimOutdated(NotRun):
+    """Another host has claimed a later change; nothing was ordered."""
+
+    code = 'claim-outdated'
+
+
 class PromotionService(abc.ABC):
     """Promotes members; a fencing token rejects outdated requests."""
 
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -7,6 +7,7 @@
 import gevent
 from returns.result import Success
 
+from trefoilpulley_core.direct.change_turn import CLAIM_HOLDER_TIMEOUT_S
 from trefoilpulley_core.direct.failover import can_choose_target
 from trefoilpulley_core.direct.failover import failover_delay_s
 from trefoilpulley_core.direct.failover import order_delay_s
@@ -45,12 +46,6 @@
 CATCH_UP_POLL_INTERVAL_S = 0.03
 """Time between two checks of the next primary's log, in seconds."""
 
-CLAIM_HOLDER_TIMEOUT_S = 1.1
-"""Time in which only the host that holds the claim acts, in seconds.
-
-Another host starts no change of the same group before this time is over.
-"""
-
 TURN_CHECK_INTERVAL_S = 0.1
 """Time between two checks whether a preceding host has stopped, in seconds."""
 
@@ -130,7 +125,7 @@
         """
         now = self._clock.now()
         state = group.state
-        if now < state.primary_change_due_at:
+        if not self._is_due(group):
             return
         if now < self._backoff_until.get(state.group, now):
             return
@@ -237,7 +232,7 @@
     def _begin_handover(self, group: Group, old_primary: str) -> int | None:
         """Wait for this host's turn; return the last round if it may act."""
         state = group.state
-        if self._clock.now() < state.primary_change_due_at:
+        if not self._is_due(group):
             return None
         after_round = self._claims.last_round(state.group)
         if not self._wait_turn(group, after_round):
@@ -268,7 +263,7 @@
         group = self._groups.get(name)
         if group is None or claim.holder == self._host:
             return
-        group.state.expect_change(self._clock.now() + CLAIM_HOLDER_TIMEOUT_S)
+        self._leave_to_other(group)
         group.check_requested.set()
 
     def on_order_notice(self, notice: OrderNotice) -> OrderNotice:
@@ -280,9 +275,7 @@
             self._claims.advance_round(notice.group, notice.round)
             group = self._groups.get(notice.group)
             if group is not None:
-                group.state.expect_change(
-                    self._clock.now() + CLAIM_HOLDER_TIMEOUT_S
-                )
+                self._leave_to_other(group)
         return notice
 
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
@@ -398,7 +391,19 @@
         """Return whether no other host has begun the change."""
         if self._has_begun(group, after_round):
             return False
-        return self._clock.now() >= group.state.primary_change_due_at
+        return self._is_due(group)
+
+    def _is_due(self, group: Group) -> bool:
+        """Return whether no change of another host is on its way."""
+        now = self._clock.now()
+        state = group.state
+        return now >= state.primary_change_due_at and state.turn.is_due(now)
+
+    def _leave_to_other(self, group: Group) -> None:
+        """Let another host finish the change that it has begun."""
+        now = self._clock.now()
+        group.state.expect_change(now + CLAIM_HOLDER_TIMEOUT_S)
+        group.state.turn.on_other_host(now)
 
     def _has_begun(self, group: Group, after_round: int) -> bool:
         """Return whether a host has begun the change after a round."""
@@ -455,9 +460,7 @@
         if isinstance(failure, RevisionConflict | EraChanged):
             # Another host holds the claim and needs time to finish the change;
             # in a new era, one may hold it.
-            group.state.primary_change_due_at = (
-                self._clock.now() + CLAIM_HOLDER_TIMEOUT_S
-            )
+            self._leave_to_other(group)
         return None
 
     def _claim_without_service(
@@ -474,10 +477,7 @@
         all hosts may continue without a claim. The hosts take turns, and none
         continues once a member leads.
         """
-        if (
-            self._clock.now() < group.state.primary_change_due_at
-            or lost_primary is None
-        ):
+        if lost_primary is None or not self._is_due(group):
             return None
         if not self._vote.is_lost(
             group, lost_primary, reports, is_service_available=False
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -10,6 +10,7 @@
 from trefoilpulley_core.direct.failover import fencing_token
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
+from trefoilpulley_core.direct.promotion_service import ClaimOutdated
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
 from trefoilpulley_core.position import TermStart
@@ -139,7 +140,8 @@
         began_at = self._clock.now()
         if not self._order(group, target, claimed):
             return
-        state.primary_change_due_at = self._clock.now() + EXPECTED_PROMOTION_S
+        due_at = self._clock.now() + EXPECTED_PROMOTION_S
+        state.primary_change_due_at = due_at
         if old_status is not None:
             self._demote_after_delay(group, *old_status)
         has_taken_effect = self._wait_for_lead(group, target)
@@ -153,7 +155,7 @@
                 took_ms=round(1000 * duration_s),
             )
             self._announce_leader(group, target, claimed.number)
-        state.primary_change_due_at = float('-inf')
+        state.end_change(due_at)
         if has_taken_effect:
             self._record_term_start(group, target, received)
             if not claimed.is_claimed:
@@ -184,7 +186,13 @@
             # The other hosts learn of the order by this notice only.
             self._notify_hosts(OrderNotice(name, target, claimed.number))
         token = fencing_token(claimed, holder)
+        failure = None
         for _ in range(MAX_ORDER_ATTEMPTS):
+            if self._claims.last_round(name) > claimed.number:
+                # Another host has begun a change since.
+                failure = failure or ClaimOutdated(f'round {claimed.number}')
+                break
+            group.state.turn.on_ordered(self._clock.now())
             # Repeating the order is safe: once the promotion is carried out, a
             # late repetition is rejected, since the member leads already or
             # the platform has seen a higher token.
