Supersede orders of promotion that got no answer

What callers saw: a primary was silent for 1.6 s and came back; 8 s later another member was promoted without the 237 to 248 commits that had been acknowledged since, with sync_replicas 1 (LOST).

Cause: an order without an answer counted as over after 1.5 s, and no higher token was used after it. A replica that was started meanwhile had not been told to hold and confirmed commits of the old primary.

Change: claims carry the highest known term and whether they are settled, so that every host sees an open change. While the primary leads, a host claims the next round and orders the promotion of the present primary until that is answered with 200, waits for an order that was accepted just before, and settles the claim. With sync_replicas, no write and no COMMIT goes to the primary while a change is open. A change that takes effect needs no further write: the publication of the term's start settles it.

Why it works: the platform checks the fence when it carries an order out, and the confirming order has a higher token. The claim lasts in the service, so that any host, also one that starts later, ends the change.

--- a/features/fakes/holder_world.py
+++ b/features/fakes/holder_world.py
@@ -227,6 +227,18 @@
         return channel.bind(lambda c: c.call(message, timeout_s))
 
 
+class _Settler:
+    """Settler of a group without an open change."""
+
+    def is_open(self, group: Group) -> bool:
+        """Return that no change is open."""
+        return False
+
+    def is_due(self, group: Group) -> bool:
+        """Return that nothing is to be settled."""
+        return False
+
+
 class _Changer:
     """Counts the changes of primary that a host wants to begin."""
 
@@ -280,6 +292,7 @@
             self.prober,
             self.vote,
             self.changer,
+            _Settler(),
             None,
             clock,
             metrics,
--- /dev/null
+++ b/features/steps/open_changes_steps.py
@@ -0,0 +1,87 @@
+"""Steps on orders of promotion that are left open."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+from behave import when
+import gevent
+
+from features.fakes.asking import execute_once
+from features.fakes.asking import wait_until
+from trefoilpulley_node.direct.promotion_runner import MAX_ORDER_ATTEMPTS
+from trefoilpulley_platform.promotion_client import PROMOTION_TIMEOUT_S
+
+
+class LateOrderSteps:
+    """Steps on the emulated promotion service."""
+
+    @staticmethod
+    @when(
+        'orders of promotion get no answer and are carried out {late_s:d} s '
+        'late'
+    )
+    def delay_orders(context: Any, late_s: int) -> None:
+        """Let the promotion service answer nothing."""
+        context.late_s = late_s
+        context.deployment.promotion_server.late_s = late_s
+
+    @staticmethod
+    @when('orders of promotion are answered again')
+    def answer_orders(context: Any) -> None:
+        """Let the promotion service answer; late orders stay out."""
+        context.deployment.promotion_server.late_s = None
+
+    @staticmethod
+    @when('a promotion has been ordered')
+    def wait_ordered(context: Any) -> None:
+        """Wait for the first order without an answer."""
+        server = context.deployment.promotion_server
+        wait_until(lambda: server.late_orders)
+
+    @staticmethod
+    @when('the order has been given up')
+    def wait_given_up(context: Any) -> None:
+        """Wait until the last attempt of the order has got no answer."""
+        server = context.deployment.promotion_server
+        wait_until(lambda: len(server.late_orders) >= MAX_ORDER_ATTEMPTS)
+        gevent.sleep(PROMOTION_TIMEOUT_S)
+
+    @staticmethod
+    @when(
+        'the replica that is not to be promoted is replaced by a member at '
+        'its address'
+    )
+    def replace(context: Any) -> None:
+        """Start a successor, which was never told to hold."""
+        (ordered,) = set(context.deployment.promotion_server.late_orders)
+        group = context.deployment.group
+        (staying,) = set(group.servers) - {context.primary, ordered}
+        group.announce_stop(staying)
+        group.replace(staying, 'ledger-successor')
+
+    @staticmethod
+    @when('the late orders have been carried out')
+    def wait_carried_out(context: Any) -> None:
+        """Wait until the last of them can have had its effect."""
+        gevent.sleep(context.late_s + 0.5)
+
+    @staticmethod
+    @then('a write is acknowledged without another primary')
+    def check_write(context: Any) -> None:
+        """Wait for a write at the old primary."""
+        wait_until(
+            lambda: (
+                execute_once(context, 'orders', 0, 'WRITE k later').code
+                == 'DONE'
+            )
+        )
+        LateOrderSteps.check_primary(context)
+
+    @staticmethod
+    @then('the primary leads as before')
+    def check_primary(context: Any) -> None:
+        """Compare the primary with the first one."""
+        primary = context.deployment.group.primary.state.member
+        assert primary == context.primary, primary
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -62,6 +62,9 @@
 ROUND_BITS = 20
 """Bits of a fencing token for the number of the round."""
 
+UNKNOWN_TERM = -1
+"""Term of a claim whose writer did not tell one."""
+
 
 @dataclass(frozen=True, slots=True)
 class Claim:
@@ -79,6 +82,32 @@
     term_starts: tuple[TermStart, ...] = field(default=(), compare=False)
     """Starts of the group's terms that the writer of the claim knows."""
 
+    term: int = field(default=UNKNOWN_TERM, compare=False)
+    """Highest term that the holder knew when it claimed the change.
+
+    The target leads a higher one once the change has taken effect.
+    """
+
+    is_settled: bool = field(default=False, compare=False)
+    """Whether nothing that was done for the change can take effect later."""
+
+    is_claimed: bool = field(default=True, compare=False)
+    """Whether the holder has claimed the change before it acted."""
+
+    def is_open(self, primary: str | None, term: int) -> bool:
+        """Return whether the change may still have an effect.
+
+        Parameters
+        ----------
+        primary : str or None
+            Member that leads now.
+        term : int
+            Highest term in which a member has proved its leadership.
+        """
+        if self.is_settled or self.term == UNKNOWN_TERM:
+            return False
+        return primary != self.target or term <= self.term
+
 
 @dataclass(frozen=True, slots=True)
 class Round:
@@ -93,6 +122,9 @@
     is_claimed: bool = True
     """Whether the service holds the claim, so that every host sees it."""
 
+    follows_open: bool = False
+    """Whether an order of an earlier change may still be carried out."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReachQuestion:
@@ -141,6 +173,9 @@
     round: int
     """Number of the change."""
 
+    term: int = UNKNOWN_TERM
+    """Highest term that the host which ordered the promotion knew."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReachReport:
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -153,6 +153,8 @@
             opened = self._open(request)
             if not isinstance(opened, Success):
                 return self._abort(request, opened.failure())
+        if self._has_written and self._is_in_doubt(request.group):
+            return self._abort(request, TransactionLost('change of primary'))
         access, conn = self._access, self._conn
         sent_at = self._clock.now()
         result = self._exchanger.exchange(
@@ -225,7 +227,8 @@
                 break
             place = self._place(request, frozenset(excluded))
             if place is None:
-                if self._primary_wait.is_serving(request.group):
+                is_serving = self._primary_wait.is_serving(request.group)
+                if is_serving and not self._is_in_doubt(request.group):
                     # Every member has refused to open the transaction, for
                     # overload or replication lag.
                     break
@@ -302,17 +305,22 @@
         is_timed_out = self._clock.now() - asked_at >= OPEN_TIMEOUT_S
         return is_timed_out and self._primary_wait.is_serving(request.group)
 
+    def _is_in_doubt(self, group: Group) -> bool:
+        """Return whether the transaction's commit could be lost."""
+        return not self._is_read_only and self._primary_wait.is_in_doubt(group)
+
     def _place(
         self, request: StatementRequest, excluded: frozenset[str]
     ) -> Placement | None:
         state = request.group.state
         now = self._clock.now()
+        is_lost = self._primary_wait.is_lost(request.group)
         bounds = find_bounds(
             state,
             request.route,
             request.floor,
             self._is_read_only,
-            self._primary_wait.is_lost(request.group),
+            is_lost or self._is_in_doubt(request.group),
             excluded,
             now,
         )
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -16,6 +16,7 @@
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.direct.failover import Round
+from trefoilpulley_core.direct.failover import UNKNOWN_TERM
 from trefoilpulley_core.direct.log_lineage import LogLineage
 from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.entry_fields import read_count
@@ -33,6 +34,7 @@
     from returns.result import Result
 
     from trefoilpulley_core.clock import Clock
+    from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import KeyValue
     from trefoilpulley_core.platform import Platform
@@ -100,6 +102,35 @@
         newest = self._newest_claims.get(group)
         return newest.claim.round if newest else 0
 
+    def newest(self, group: str) -> Claim | None:
+        """Return a group's newest claim, or ``None`` if none is known."""
+        newest = self._newest_claims.get(group)
+        return newest.claim if newest else None
+
+    def is_open(self, state: GroupState) -> bool:
+        """Return whether a group's newest change may still have an effect.
+
+        A change that was seen to take effect stays over, whatever becomes of
+        the member that it has promoted.
+        """
+        claim = self.newest(state.group)
+        if claim is None or claim.is_settled:
+            return False
+        is_open = claim.is_open(state.primary, state.term)
+        if not is_open:
+            self._mark_settled(state.group, claim.round)
+        return is_open
+
+    def settle(self, group: str, round_number: int) -> None:
+        """Record and publish that a change can have no effect any more."""
+        if self._mark_settled(group, round_number):
+            self._publications_due[group] = self._clock.now()
+
+    def find_round(self, group: str) -> Round:
+        """Return the round of a group's newest claim."""
+        known = self._known(group)
+        return Round(known.claim.round, known.era, known.claim.is_claimed)
+
     def record_claim(
         self, group: str, claim: Claim, revision: int, era: int
     ) -> bool:
@@ -114,6 +145,8 @@
             return True
         if newest.version >= (era, revision):
             return False
+        if claim == newest.claim and newest.claim.is_settled:
+            claim = replace(claim, is_settled=True)
         is_higher = claim.round > newest.claim.round
         is_other = claim != newest.claim
         if not is_higher and is_other and self._is_new(claim, era, newest):
@@ -133,7 +166,7 @@
             return False
         self._newest_claims[group] = KnownClaim(claim, revision, era)
         self._publications_due.pop(group, None)
-        return is_higher or (is_other and bool(claim.target))
+        return is_higher or (is_other and claim.is_claimed)
 
     def term_starts(self, group: str) -> tuple[TermStart, ...]:
         """Return the starts of a group's terms that claims have told."""
@@ -158,9 +191,15 @@
         if self.term_starts(group) != known and group in self._newest_claims:
             self._publications_due[group] = self._clock.now()
 
-    def use_round(self, group: str, round_number: int) -> Round:
+    def use_round(
+        self,
+        group: str,
+        round_number: int,
+        target: str = '',
+        term: int = UNKNOWN_TERM,
+    ) -> Round:
         """Return a round that this host uses without a claim."""
-        self.advance_round(group, round_number)
+        self.advance_round(group, round_number, target, term)
         return Round(round_number, self._known(group).era, is_claimed=False)
 
     def begin_era(self, era: int) -> None:
@@ -176,11 +215,32 @@
                 self._newest_claims[group] = KnownClaim(newest.claim, 0, era)
                 self._publish_in_turn(group)
 
-    def advance_round(self, group: str, round_number: int) -> None:
-        """Record a round that was used without a claim in the service."""
+    def advance_round(
+        self,
+        group: str,
+        round_number: int,
+        target: str = '',
+        term: int = UNKNOWN_TERM,
+    ) -> None:
+        """Record a round that was used without a claim in the service.
+
+        Parameters
+        ----------
+        group : str
+            Group of the change.
+        round_number : int
+            Number of the change.
+        target : str
+            Member whose promotion was ordered; empty if it is not known.
+        term : int
+            Highest term that was known when it was ordered.
+        """
         if round_number > self.last_round(group):
+            claim = Claim(
+                self._host, round_number, target, term=term, is_claimed=False
+            )
             self._newest_claims[group] = replace(
-                self._known(group), claim=Claim(self._host, round_number, '')
+                self._known(group), claim=claim
             )
             self._publications_due[group] = self._clock.now()
 
@@ -214,7 +274,10 @@
     ) -> None:
         newest = self._newest_claims[group]
         starts = self.term_starts(group)
-        is_complete = starts == written.claim.term_starts
+        is_complete = (
+            starts == written.claim.term_starts
+            and newest.claim.is_settled == written.claim.is_settled
+        )
         if newest.claim == written.claim and is_complete:
             self._publications_due.pop(group, None)
         if newest.version == written.version:
@@ -222,10 +285,25 @@
             self._newest_claims[group] = replace(newest, revision=revision)
 
     def try_claim(
-        self, group: str, after_round: int, target: str
+        self,
+        group: str,
+        after_round: int,
+        target: str,
+        term: int = UNKNOWN_TERM,
     ) -> Result[Round, Failure]:
         """Claim the change of a group that follows a round.
 
+        Parameters
+        ----------
+        group : str
+            Group of the change.
+        after_round : int
+            Round that this host has decided on.
+        target : str
+            Member to promote.
+        term : int
+            Highest term that is known.
+
         Returns
         -------
         Result[Round, Failure]
@@ -238,7 +316,7 @@
             return Failed(RevisionConflict(group))
         known = self._known(group)
         starts = self.term_starts(group)
-        claim = Claim(self._host, after_round + 1, target, starts)
+        claim = Claim(self._host, after_round + 1, target, starts, term)
         value = _encode_claim(claim)
         result = self._call(
             lambda: self._platform.compare_and_swap(
@@ -259,7 +337,16 @@
 
     def _is_new(self, claim: Claim, era: int, newest: KnownClaim) -> bool:
         """Return whether a claim was written after the read of its era."""
-        return newest.era == era and bool(claim.target)
+        return newest.era == era and claim.is_claimed
+
+    def _mark_settled(self, group: str, round_number: int) -> bool:
+        """Mark the newest claim as settled if it is that of a round."""
+        newest = self._newest_claims.get(group)
+        if newest is None or newest.claim.round != round_number:
+            return False
+        claim = replace(newest.claim, is_settled=True)
+        self._newest_claims[group] = replace(newest, claim=claim)
+        return True
 
     def _publish_in_turn(self, group: str) -> None:
         """Let the first host in rank write a claim that every host knows."""
@@ -313,12 +400,16 @@
     """Decode the value of a claim's key."""
     try:
         fields = json.loads(entry.value)
+        target = str(fields['target'])
         return Success(
             Claim(
                 str(fields['holder']),
                 read_count(fields, 'round'),
-                str(fields['target']),
+                target,
                 _read_term_starts(fields.get('term_starts', [])),
+                _read_term(fields.get('term')),
+                fields.get('is_settled') is True,
+                bool(fields.get('is_claimed', bool(target))),
             )
         )
     except DECODE_ERRORS as exc:
@@ -329,6 +420,12 @@
     return json.dumps(asdict(claim)).encode()
 
 
+def _read_term(value: Any) -> int:
+    """Return the term of a claim; unknown where an older host wrote it."""
+    is_term = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_term and value >= 0 else UNKNOWN_TERM
+
+
 def _read_term_starts(entries: list[dict[str, Any]]) -> tuple[TermStart, ...]:
     return tuple(
         TermStart(read_count(e, 'term'), read_count(e, 'index'))
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -29,6 +29,7 @@
 from trefoilpulley_core.peer import PeerHello
 from trefoilpulley_core.platform import PositionedPlatform
 from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
+from trefoilpulley_node.direct.change_settler import ChangeSettler
 from trefoilpulley_node.direct.claim_store import ClaimStore
 from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.config_exchange import ConfigExchange
@@ -339,7 +340,12 @@
 
     @cached_property
     def _primary_wait(self) -> PrimaryWait:
-        return PrimaryWait(self._clock, self._cfg.drain_s)
+        return PrimaryWait(
+            self._clock, self._cfg.drain_s, self._is_change_open
+        )
+
+    def _is_change_open(self, group: Group) -> bool:
+        return self._claims.is_open(group.state)
 
     @cached_property
     def _host_entry(self) -> HostEntry:
@@ -455,13 +461,30 @@
             self._vote,
             self._claims,
             self._promotion_runner,
-            CommitJudge(self._rosters),
+            self._judge,
             self._registered_hosts,
             lambda: self._hosts.live,
             self.directory.groups,
             self._clock,
         )
 
+    @cached_property
+    def _judge(self) -> CommitJudge:
+        return CommitJudge(self._rosters)
+
+    @cached_property
+    def _settler(self) -> ChangeSettler:
+        return ChangeSettler(
+            self._cfg.host,
+            self.changer,
+            self._prober,
+            self._claims,
+            self._promotion_runner,
+            self._judge,
+            lambda: self._hosts.live,
+            self._clock,
+        )
+
     @cached_property
     def _promotion_runner(self) -> PromotionRunner:
         return PromotionRunner(
@@ -688,6 +711,7 @@
             self._prober,
             self._vote,
             self.changer,
+            self._settler,
             self._evidence,
             self._clock,
             self.metrics,
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent
@@ -33,6 +34,7 @@
     from trefoilpulley_core.direct.failover import ReachReport
     from trefoilpulley_core.direct.failover import Round
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.commit_judge import CommitJudge
     from trefoilpulley_node.direct.directory import Group
@@ -169,10 +171,11 @@
                 self._back_off(group)
             return
         state.no_primary_change_until = float('-inf')
-        claimed = self._claim_round(group, after_round, target)
+        term = max(s.term for s in statuses.values())
+        claimed = self.claim_round(group, after_round, target, term)
         if claimed is None:
             claimed = self._claim_without_service(
-                group, after_round, target, lost_primary, reports
+                group, after_round, target, term, lost_primary, reports
             )
         if claimed is not None and group.synchronous_replicas:
             statuses = self._pause_replicas(group, lost_primary, statuses)
@@ -180,17 +183,18 @@
         if claimed is None and self._has_begun(group, after_round):
             # Requests wait for the change that another host carries out.
             return
-        if claimed is None or target is None:
+        if claimed is None:
+            self._back_off(group)
+        elif target is None:
+            self._give_up(group, claimed)
             self._back_off(group)
         else:
             received = statuses[target].received
-            self._promotions.promote(
-                group, target, claimed, None, received=received
-            )
+            self._promote(group, target, claimed, None, received=received)
 
     def hand_over(self, group: Group, leaving: str) -> None:
         """Promote another member before the present primary stops."""
-        after_round = self._begin_handover(group, leaving)
+        after_round = self.begin(group, leaving)
         if after_round is None:
             return
         statuses = self._prober.read_statuses(
@@ -207,7 +211,7 @@
 
     def relieve(self, group: Group, primary: str) -> None:
         """Promote a replica that lags instead of an overloaded primary."""
-        after_round = self._begin_handover(group, primary)
+        after_round = self.begin(group, primary)
         if after_round is None:
             return
         old_status = self._prober.read_status(group, primary)
@@ -229,8 +233,11 @@
             group, target, (primary, old_status), after_round, 'overloaded'
         )
 
-    def _begin_handover(self, group: Group, old_primary: str) -> int | None:
-        """Wait for this host's turn; return the last round if it may act."""
+    def begin(self, group: Group, old_primary: str) -> int | None:
+        """Wait for this host's turn; return the last round if it may act.
+
+        ``None`` if another host acts, or if the given member leads no more.
+        """
         state = group.state
         if not self._is_due(group):
             return None
@@ -250,13 +257,39 @@
         """Promote a member while the old primary still answers."""
         if target is None:
             return
-        claimed = self._claim_round(group, after_round, target)
+        term = old[1].term
+        claimed = self.claim_round(group, after_round, target, term)
         if claimed is None:
             return
         if not group.synchronous_replicas:
-            self._promotions.promote(group, target, claimed, old, cause)
+            self._promote(group, target, claimed, old, cause)
         elif self._demote_and_catch_up(group, *old, target):
-            self._promotions.promote(group, target, claimed, None, cause)
+            self._promote(group, target, claimed, None, cause)
+        else:
+            self._give_up(group, claimed)
+
+    def _promote(
+        self,
+        group: Group,
+        target: str,
+        claimed: Round,
+        old_status: tuple[str, LogStatus] | None,
+        cause: str = 'lost',
+        received: Position | None = None,
+    ) -> None:
+        """Promote a member; give the change up if nothing was ordered."""
+        if not self._promotions.promote(
+            group, target, claimed, old_status, cause, received
+        ):
+            self._give_up(group, claimed)
+
+    def _give_up(self, group: Group, claimed: Round) -> None:
+        """End a change that has ordered nothing.
+
+        The claim stays open if an order of an earlier change may be out.
+        """
+        if not claimed.follows_open:
+            self._claims.settle(group.state.group, claimed.number)
 
     def on_claim(self, name: str, claim: Claim) -> None:
         """Leave the change of a group to the host that has claimed it."""
@@ -272,7 +305,9 @@
         Notices of rounds that this host knows are out of date.
         """
         if notice.round > self._claims.last_round(notice.group):
-            self._claims.advance_round(notice.group, notice.round)
+            self._claims.advance_round(
+                notice.group, notice.round, notice.member, notice.term
+            )
             group = self._groups.get(notice.group)
             if group is not None:
                 self._leave_to_other(group)
@@ -438,16 +473,29 @@
             hosts=len(self._vote.voters(group)),
         )
 
-    def _claim_round(
-        self, group: Group, after_round: int, target: str
+    def claim_round(
+        self, group: Group, after_round: int, target: str, term: int
     ) -> Round | None:
         """Claim the change; return its round, or ``None`` where that failed.
 
         The attempt fails where another host holds the claim or the platform's
         service can't confirm the claim.
+
+        Parameters
+        ----------
+        group : Group
+            Group whose primary changes.
+        after_round : int
+            Round that this host has decided on.
+        target : str
+            Member to promote.
+        term : int
+            Highest term that the members have reported.
         """
         name = group.state.group
-        claimed = self._claims.try_claim(name, after_round, target)
+        follows_open = self._claims.is_open(group.state)
+        known_term = max(term, group.state.term)
+        claimed = self._claims.try_claim(name, after_round, target, known_term)
         failure = None if isinstance(claimed, Success) else claimed.failure()
         events.CHANGE_CLAIMED.log(
             group=name,
@@ -456,7 +504,7 @@
             failure=failure.code if failure else None,
         )
         if failure is None:
-            return claimed.unwrap()
+            return replace(claimed.unwrap(), follows_open=follows_open)
         if isinstance(failure, RevisionConflict | EraChanged):
             # Another host holds the claim and needs time to finish the change;
             # in a new era, one may hold it.
@@ -468,6 +516,7 @@
         group: Group,
         after_round: int,
         target: str,
+        term: int,
         lost_primary: str | None,
         reports: Sequence[ReachReport],
     ) -> Round | None:
@@ -493,11 +542,14 @@
             # The notice of an order has arrived during the checks.
             return None
         name = group.state.group
-        claimed = self._claims.use_round(name, after_round + 1)
+        follows_open = self._claims.is_open(group.state)
+        claimed = self._claims.use_round(
+            name, after_round + 1, target, max(term, group.state.term)
+        )
         events.CHANGE_CLAIMED.log(
             group=name, target=target, round=after_round + 1, failure='alone'
         )
-        return claimed
+        return replace(claimed, follows_open=follows_open)
 
     def _has_leading_member(self, group: Group) -> bool:
         return any(
--- a/packages/node/src/trefoilpulley_node/direct/primary_wait.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_wait.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.statement_request import StatementRequest
@@ -57,10 +59,18 @@
     drain_s : float
         Time after its announcement for which a leaving member serves, in
         seconds.
+    is_change_open : Callable[[Group], bool], optional
+        Tells whether a change of a group's primary may still have an effect.
     """
 
-    def __init__(self, clock: Clock, drain_s: float = DEFAULT_DRAIN_S) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        drain_s: float = DEFAULT_DRAIN_S,
+        is_change_open: Callable[[Group], bool] = lambda _: False,
+    ) -> None:
         self._clock = clock
+        self._is_change_open = is_change_open
         self._max_leaving_s = max(0.0, drain_s - LEAVING_MARGIN_S)
 
     def is_lost(self, group: Group) -> bool:
@@ -81,6 +91,14 @@
             failing_since is not None and now - failing_since > LOST_TIMEOUT_S
         )
 
+    def is_in_doubt(self, group: Group) -> bool:
+        """Return whether a commit of the primary may be lost by a change.
+
+        With synchronous replicas, no commit may be acknowledged while another
+        member may be promoted.
+        """
+        return bool(group.synchronous_replicas) and self._is_change_open(group)
+
     def is_serving(self, group: Group) -> bool:
         """Return whether the primary answers and no change is expected."""
         state = group.state
--- a/packages/node/src/trefoilpulley_node/direct/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_watch.py
@@ -17,6 +17,7 @@
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.group_state import MemberHealth
+    from trefoilpulley_node.direct.change_settler import ChangeSettler
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.evidence_exchange import EvidenceExchange
@@ -95,6 +96,8 @@
         Asks other hosts whether they reach a member.
     changer : PrimaryChanger
         Carries out failovers and handovers.
+    settler : ChangeSettler
+        Settles changes that have left the primary in place.
     evidence : EvidenceExchange
         Requests proved positions from other hosts.
     clock : Clock
@@ -109,6 +112,7 @@
         prober: MemberProber,
         vote: HostVote,
         changer: PrimaryChanger,
+        settler: ChangeSettler,
         evidence: EvidenceExchange,
         clock: Clock,
         metrics: DirectMetrics,
@@ -119,6 +123,7 @@
         self._vote = vote
         self._check = ReachCheck(group, prober, vote, clock)
         self._changer = changer
+        self._settler = settler
         self._evidence = evidence
         self._clock = clock
         self._greenlet: gevent.Greenlet | None = None
@@ -132,6 +137,7 @@
         self._evidence_requested_at = float('-inf')
         self._replicas_checked_at = float('-inf')
         self._relief_due_at = float('-inf')
+        self._was_open = False
 
     def start(self) -> None:
         """Start monitoring."""
@@ -169,6 +175,7 @@
     def _check_primary(self) -> None:
         state = self._group.state
         self._report_primary()
+        self._report_settled()
         self._check_failed_replicas()
         self._request_evidence()
         health = state.members.get(state.primary or '')
@@ -179,6 +186,9 @@
         now = self._clock.now()
         if self._check.is_suspect(health, now):
             self._check_suspect(health)
+        elif self._settler.is_due(self._group):
+            member = health.record.member
+            self._spawn_change(self._settler.settle, self._group, member)
         elif health.record.is_leaving:
             member = health.record.member
             self._spawn_change(self._changer.hand_over, self._group, member)
@@ -302,6 +312,15 @@
             return False
         return now - state.last_proof_at > MAX_EVIDENCE_AGE_S
 
+    def _report_settled(self) -> None:
+        """Wake the writes that have waited for the end of a change."""
+        was_open, self._was_open = (
+            self._was_open,
+            self._settler.is_open(self._group),
+        )
+        if was_open and not self._was_open:
+            self._group.notify_primary_changed()
+
     def _record_gap(self, health: MemberHealth | None) -> None:
         """Record how long the group had no primary that answers."""
         now = self._clock.now()
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import gevent
@@ -10,6 +11,7 @@
 from trefoilpulley_core.direct.failover import fencing_token
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
+from trefoilpulley_core.direct.failover import UNKNOWN_TERM
 from trefoilpulley_core.direct.promotion_service import ClaimOutdated
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -59,6 +61,22 @@
 """
 
 
+class OrderAnswer(Enum):
+    """Answers to an order of promotion."""
+
+    ACCEPTED = 'accepted'
+    """The platform has accepted the order."""
+
+    REFUSED = 'refused'
+    """The token is outdated, or the member is not running."""
+
+    NOT_SENT = 'not-sent'
+    """The platform has not got the order."""
+
+    LOST = 'lost'
+    """An attempt got no answer, and may be carried out later."""
+
+
 class PromotionRunner:
     """Carries out the promotions that this host has claimed.
 
@@ -115,7 +133,7 @@
         old_status: tuple[str, LogStatus] | None,
         cause: str = 'lost',
         received: Position | None = None,
-    ) -> None:
+    ) -> bool:
         """Order a promotion and wait until it takes effect.
 
         A promotion without effect is not repeated here. The next check of the
@@ -135,11 +153,18 @@
             Cause of the change, for the metrics.
         received : Position or None
             End of the target's log if the target receives nothing more.
+
+        Returns
+        -------
+        bool
+            Whether an order may take effect, or has done so; false if the
+            platform has got none.
         """
         state = group.state
         began_at = self._clock.now()
-        if not self._order(group, target, claimed):
-            return
+        answer = self._order(group, target, claimed)
+        if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.LOST):
+            return answer is not OrderAnswer.NOT_SENT
         due_at = self._clock.now() + EXPECTED_PROMOTION_S
         state.primary_change_due_at = due_at
         if old_status is not None:
@@ -157,10 +182,22 @@
             self._announce_leader(group, target, claimed.number)
         state.end_change(due_at)
         if has_taken_effect:
+            self._claims.settle(state.group, claimed.number)
             self._record_term_start(group, target, received)
             if not claimed.is_claimed:
                 # Nothing but another notice tells the other hosts the start.
                 self._announce_leader(group, target, claimed.number)
+        return True
+
+    def confirm(
+        self, group: Group, primary: str, claimed: Round
+    ) -> OrderAnswer:
+        """Order the promotion of the present primary.
+
+        An accepted order changes nothing, and the platform refuses the orders
+        of earlier rounds from then on.
+        """
+        return self._order(group, primary, claimed)
 
     def demote(
         self, group: Group, leaving: str, old_status: LogStatus
@@ -176,21 +213,24 @@
         )
         return demoted
 
-    def _order(self, group: Group, target: str, claimed: Round) -> bool:
-        """Order a promotion; return whether it may have been accepted."""
+    def _order(self, group: Group, target: str, claimed: Round) -> OrderAnswer:
+        """Order a promotion; return what the platform has answered."""
         holder = self._first_lease()
         if holder is None:
-            return False
+            return OrderAnswer.NOT_SENT
         name = group.state.group
         if not claimed.is_claimed:
             # The other hosts learn of the order by this notice only.
-            self._notify_hosts(OrderNotice(name, target, claimed.number))
+            newest = self._claims.newest(name)
+            term = newest.term if newest else UNKNOWN_TERM
+            self._notify_hosts(OrderNotice(name, target, claimed.number, term))
         token = fencing_token(claimed, holder)
         failure = None
+        is_answer_lost = False
         for _ in range(MAX_ORDER_ATTEMPTS):
             if self._claims.last_round(name) > claimed.number:
                 # Another host has begun a change since.
-                failure = failure or ClaimOutdated(f'round {claimed.number}')
+                failure = ClaimOutdated(f'round {claimed.number}')
                 break
             group.state.turn.on_ordered(self._clock.now())
             # Repeating the order is safe: once the promotion is carried out, a
@@ -200,16 +240,24 @@
             failure = None if isinstance(result, Success) else result.failure()
             if not isinstance(failure, PlatformAnswerLost):
                 break
+            is_answer_lost = True
         events.PROMOTION_ORDERED.log(
             group=name,
             member=target,
             token=token,
             failure=failure.code if failure else None,
             detail=failure.detail if failure else None,
+            is_answer_lost=is_answer_lost,
         )
         if isinstance(failure, PromotionRefused):
             self._claims.advance_round(name, claimed.number)
-        return failure is None or isinstance(failure, PlatformAnswerLost)
+        if failure is None:
+            return OrderAnswer.ACCEPTED
+        if is_answer_lost:
+            return OrderAnswer.LOST
+        if isinstance(failure, PromotionRefused | ClaimOutdated):
+            return OrderAnswer.REFUSED
+        return OrderAnswer.NOT_SENT
 
     def _demote_after_delay(
         self, group: Group, leaving: str, old_status: LogStatus
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -211,7 +211,10 @@
         budget = request.group.retry_budget
         budget.record_fresh(request.route.group)
         for _ in range(MAX_WRITE_ATTEMPTS):
-            is_lost = self._primary_wait.is_lost(request.group)
+            wait = self._primary_wait
+            is_lost = wait.is_lost(request.group) or wait.is_in_doubt(
+                request.group
+            )
             primary = place_write(request.group.state, is_lost)
             access = request.group.find_access(primary) if primary else None
             if access is None:
