Resume replicas when a failover is given up

What callers saw: after a cut of 5.5 s of the zone with the primary and the promotion service, a service with sync_replicas 1 served no write any more, also after all hosts had been started anew (RECOVER).

Cause: a failover tells the replicas to hold before it orders the promotion, and did nothing where the order could not be sent. The opposite was found beside it: where no replica was complete, replication was resumed even while an order of an earlier change could be out.

Change: one place ends a change that has ordered nothing: it resumes the replicas and settles the claim, unless an earlier order may be out. The settler tells replicas to hold, supersedes the order, and resumes them. The first voter looks for replicas that hold without an open change, by their status, and resumes them under a claim.

Why it works: what was left behind is in the claim, or in the status of the replica, so that no host has to remember it; and replication resumes only after the order is superseded, under a claim that keeps other hosts from a change.

The fake of roster_keeper_steps now answers that its order may take effect, as a runner does; its checks are unchanged.

--- a/features/fakes/holder_world.py
+++ b/features/fakes/holder_world.py
@@ -238,6 +238,9 @@
         """Return that nothing is to be settled."""
         return False
 
+    def check_replicas(self, group: Group) -> None:
+        """Look for no replica that holds."""
+
 
 class _Changer:
     """Counts the changes of primary that a host wants to begin."""
--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -148,7 +148,7 @@
         group = context.deployment.group
         server = group.primary
         for other in group.servers.values():
-            other.state.is_replication_paused = True
+            other.state.held_term = other.state.term + 1
         for number in range(count):
             text = f'WRITE k {server.state.member}.{number}'
             wait_until(
--- a/features/steps/open_changes_steps.py
+++ b/features/steps/open_changes_steps.py
@@ -85,3 +85,39 @@
         """Compare the primary with the first one."""
         primary = context.deployment.group.primary.state.member
         assert primary == context.primary, primary
+
+
+class HeldReplicaSteps:
+    """Steps on replicas that have been told to hold."""
+
+    @staticmethod
+    @when('the promotion service is down')
+    def stop_service(context: Any) -> None:
+        """Let no order reach the promotion service."""
+        context.deployment.promotion_server.stop()
+
+    @staticmethod
+    @when('the replicas have been told to hold')
+    def wait_held(context: Any) -> None:
+        """Wait for HOLD at each replica."""
+        servers = context.deployment.group.servers
+        replicas = [s for m, s in servers.items() if m != context.primary]
+        wait_until(
+            lambda: all(
+                any(t.startswith('HOLD') for _, t in r.received_requests)
+                for r in replicas
+            )
+        )
+
+    @staticmethod
+    @when('the other replica holds for a term that nobody will lead')
+    def hold_other(context: Any) -> None:
+        """Leave a replica as a host that is gone would."""
+        state = context.deployment.group.servers[context.other].state
+        state.held_term = state.term + 1
+
+    @staticmethod
+    @then('no promotion has been ordered')
+    def check_orders(context: Any) -> None:
+        """Check that the platform was not asked."""
+        assert not context.deployment.promotion_server.requests
--- a/features/steps/proxy_lag_relief_steps.py
+++ b/features/steps/proxy_lag_relief_steps.py
@@ -190,7 +190,7 @@
         group = context.deployment.group
         for member, server in group.servers.items():
             if member != context.old_primary:
-                server.state.is_replication_paused = True
+                server.state.held_term = server.state.term + 1
 
     @staticmethod
     @then('the primary still leads')
--- a/features/steps/roster_keeper_steps.py
+++ b/features/steps/roster_keeper_steps.py
@@ -243,8 +243,9 @@
     def verify_leader(self, group: Group, member: str) -> bool:
         return False
 
-    def promote(self, *order: Any, **details: Any) -> None:
+    def promote(self, *order: Any, **details: Any) -> bool:
         self.order_count += 1
+        return True
 
 
 class _World:
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -248,6 +248,24 @@
     return {host: registered[host] for host in ranked}
 
 
+def find_first_voter(
+    group: str, registered: Mapping[str, str], live: Container[str]
+) -> str | None:
+    """Return the first of a group's voters that is not known to have stopped.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    registered : Mapping[str, str]
+        Availability zone of each registered host.
+    live : Container[str]
+        Hosts that are not known to have stopped.
+    """
+    voters = choose_voters(group, registered)
+    return next((h for h in voters if h in live), None)
+
+
 def failover_delay_s(
     group: str, host: str, registered: Mapping[str, str]
 ) -> float:
--- a/packages/core/src/trefoilpulley_core/direct/upstream_session.py
+++ b/packages/core/src/trefoilpulley_core/direct/upstream_session.py
@@ -207,6 +207,14 @@
     received: Position
     """Position of the last received record, whether applied or not."""
 
+    held_term: int = 0
+    """Term below which the member receives nothing; 0 if it receives."""
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the member waits for a term that nobody leads yet."""
+        return self.held_term > self.term
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
--- a/packages/node/src/trefoilpulley_node/direct/change_settler.py
+++ b/packages/node/src/trefoilpulley_node/direct/change_settler.py
@@ -1,4 +1,4 @@
-"""Settles changes of primary that have left the old primary in place."""
+"""Ends what changes of primary leave behind while the old primary leads."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 import gevent
 
+from trefoilpulley_core.direct.failover import find_first_voter
 from trefoilpulley_core.direct.target_choice import choose_target
 from trefoilpulley_node.direct.promotion_runner import EXPECTED_PROMOTION_S
 from trefoilpulley_node.direct.promotion_runner import OrderAnswer
@@ -36,13 +37,16 @@
 RETRY_INTERVAL_S = 0.7
 """Time between two attempts to settle a change, in seconds."""
 
+HELD_CHECK_INTERVAL_S = 2.0
+"""Time between two checks whether replicas hold, in seconds."""
+
 
 class ChangeSettler:
-    """Supersedes orders that may be out while the old primary leads.
+    """Supersedes orders that may be out, and resumes replicas that hold.
 
     Load pattern: a primary is silent for a moment, and the order to promote
     another member gets no answer. It may be carried out seconds later, when
-    the primary serves again.
+    the primary serves again. Until then, the replicas hold.
 
     Parameters
     ----------
@@ -51,13 +55,15 @@
     changer : PrimaryChanger
         Waits for this host's turn and claims changes.
     prober : MemberProber
-        Sends status requests to the members.
+        Sends status requests and commands to the members.
     claims : ClaimStore
         Newest claim of each group.
     promotions : PromotionRunner
         Orders promotions.
     judge : CommitJudge
         Judges whether the primary has every acknowledged commit.
+    registered_hosts : Callable[[], Mapping[str, str]]
+        Availability zone of each registered host, this one included.
     live_hosts : Callable[[], Container[str]]
         Hosts that are not known to have stopped.
     clock : Clock
@@ -72,6 +78,7 @@
         claims: ClaimStore,
         promotions: PromotionRunner,
         judge: CommitJudge,
+        registered_hosts: Callable[[], Mapping[str, str]],
         live_hosts: Callable[[], Container[str]],
         clock: Clock,
     ) -> None:
@@ -81,11 +88,14 @@
         self._claims = claims
         self._promotions = promotions
         self._judge = judge
+        self._registered_hosts = registered_hosts
         self._live_hosts = live_hosts
         self._clock = clock
         self._seen: dict[str, tuple[int, float]] = {}
         self._retries_due: dict[str, float] = {}
         self._refused_rounds: dict[str, int] = {}
+        self._checks_due: dict[str, float] = {}
+        self._held_groups: set[str] = set()
 
     def is_open(self, group: Group) -> bool:
         """Return whether the newest change may still have an effect."""
@@ -94,9 +104,11 @@
     def is_due(self, group: Group) -> bool:
         """Return whether this host should settle the newest change now."""
         name = group.state.group
-        if not self.is_open(group):
-            return False
         now = self._clock.now()
+        if not self.is_open(group):
+            return name in self._held_groups and now >= self._retries_due.get(
+                name, now
+            )
         claim = self._claims.newest(name)
         if self._seen.get(name, (0, now))[0] != claim.round:
             self._seen[name] = claim.round, now
@@ -109,15 +121,39 @@
             return True
         return now - self._seen[name][1] > CHANGE_TIMEOUT_S
 
+    def check_replicas(self, group: Group) -> None:
+        """Look for replicas that hold although no change is open.
+
+        Such a replica was cut off when it was told to resume, or the host that
+        told it to hold did not hold a claim any more.
+        """
+        if not group.synchronous_replicas or self.is_open(group):
+            return
+        name = group.state.group
+        now = self._clock.now()
+        if now < self._checks_due.get(name, now):
+            return
+        self._checks_due[name] = now + HELD_CHECK_INTERVAL_S
+        first = find_first_voter(
+            name, self._registered_hosts(), self._live_hosts()
+        )
+        if first == self._host:
+            gevent.spawn(self._find_held, group)
+
     def settle(self, group: Group, primary: str) -> None:
-        """Make sure that no earlier order replaces a primary that leads."""
+        """Make sure that no earlier order replaces a primary that leads.
+
+        Replicas that hold are resumed. The claim keeps other hosts from a
+        change, for which a resumed replica would be a fault.
+        """
         name = group.state.group
         after_round = self._changer.begin(group, primary)
         if after_round is None:
             return
         self._retries_due[name] = self._clock.now() + RETRY_INTERVAL_S
         self._prober.verify_leader(group, primary)
-        if not self.is_open(group):
+        is_open = self.is_open(group)
+        if not is_open and name not in self._held_groups:
             # Without a proof, a host that has just started can't tell.
             return
         term = self._find_leading_term(group, primary)
@@ -126,23 +162,45 @@
         claimed = self._claim(group, primary, term)
         if claimed is None:
             return
-        answer = self._promotions.confirm(group, primary, claimed)
-        if answer is OrderAnswer.REFUSED:
-            self._refused_rounds[name] = claimed.number
-        if answer is not OrderAnswer.ACCEPTED:
-            return
-        # An order that was accepted just before may still take effect.
-        gevent.sleep(EXPECTED_PROMOTION_S)
-        if self._find_leading_term(group, primary) != term:
+        if is_open and not self._supersede(group, primary, claimed, term):
             return
         if self._claims.last_round(name) != claimed.number:
             return
+        self._changer.resume_replication(group)
+        self._held_groups.discard(name)
         self._claims.settle(name, claimed.number)
         events.CHANGE_SETTLED.log(
             group=name, member=primary, round=claimed.number
         )
         group.check_requested.set()
 
+    def _supersede(
+        self, group: Group, primary: str, claimed: Round, term: int
+    ) -> bool:
+        """Return whether orders of earlier rounds can have no effect."""
+        if group.synchronous_replicas:
+            # A member that has started since was not told to hold.
+            replicas = group.state.members_except(primary)
+            self._prober.pause_replication(
+                group, self._prober.read_statuses(group, replicas)
+            )
+        answer = self._promotions.confirm(group, primary, claimed)
+        if answer is OrderAnswer.REFUSED:
+            self._refused_rounds[group.state.group] = claimed.number
+        if answer is not OrderAnswer.ACCEPTED:
+            return False
+        # An order that was accepted just before may still take effect.
+        gevent.sleep(EXPECTED_PROMOTION_S)
+        return self._find_leading_term(group, primary) == term
+
+    def _find_held(self, group: Group) -> None:
+        replicas = group.state.members_except(group.state.primary)
+        statuses = self._prober.read_statuses(group, replicas)
+        held = sorted(m for m, s in statuses.items() if s.is_held)
+        if held and not self.is_open(group):
+            self._held_groups.add(group.state.group)
+            events.REPLICAS_HELD.log(group=group.state.group, members=held)
+
     def _claim(self, group: Group, primary: str, term: int) -> Round | None:
         """Claim the confirmation of a primary, unless it is claimed already.
 
@@ -159,9 +217,10 @@
             group, self._claims.last_round(name), primary, term
         )
 
-    def _is_own_confirmation(self, claim: Claim, primary: str) -> bool:
+    def _is_own_confirmation(self, claim: Claim | None, primary: str) -> bool:
         return (
-            claim.holder == self._host
+            claim is not None
+            and claim.holder == self._host
             and claim.target == primary
             and claim.is_claimed
             and not claim.is_settled
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -481,6 +481,7 @@
             self._claims,
             self._promotion_runner,
             self._judge,
+            self._registered_hosts,
             lambda: self._hosts.live,
             self._clock,
         )
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -284,12 +284,25 @@
             self._give_up(group, claimed)
 
     def _give_up(self, group: Group, claimed: Round) -> None:
-        """End a change that has ordered nothing.
+        """End a change that has ordered nothing; resume the replication.
 
-        The claim stays open if an order of an earlier change may be out.
+        The replicas hold, and the claim stays open, if an order of an earlier
+        change may be out: a replica that is not promoted by it could confirm a
+        commit, and the promoted one would lack the commit.
         """
-        if not claimed.follows_open:
-            self._claims.settle(group.state.group, claimed.number)
+        name = group.state.group
+        if claimed.follows_open:
+            return
+        if self._claims.last_round(name) == claimed.number:
+            self.resume_replication(group)
+        self._claims.settle(name, claimed.number)
+
+    def resume_replication(self, group: Group) -> None:
+        """Resume the replication of a group whose claim this host holds."""
+        if group.synchronous_replicas:
+            self._prober.resume_replication(
+                group, group.state.members_except(group.state.primary)
+            )
 
     def on_claim(self, name: str, claim: Claim) -> None:
         """Leave the change of a group to the host that has claimed it."""
@@ -364,11 +377,10 @@
     ) -> dict[str, LogStatus]:
         """Pause the replicas that confirm commits; return their statuses.
 
-        The result is empty, and replication resumed, if no replica that
-        answers is known to have every commit. Only the host that holds the
-        claim pauses and resumes replication: if another host resumed it, a
-        replica that is not promoted could confirm a commit, and the new
-        primary would lack the commit.
+        The result is empty if no replica that answers is known to have every
+        commit. Only the host that holds the claim pauses and resumes
+        replication: if another host resumed it, a replica that is not promoted
+        could confirm a commit, and the new primary would lack the commit.
         """
         paused_statuses = self._prober.pause_replication(group, statuses)
         target = choose_target(group.state, paused_statuses)
@@ -376,7 +388,6 @@
             group, paused_statuses, target
         ):
             return paused_statuses
-        self._prober.resume_replication(group, statuses)
         return {}
 
     def _demote_and_catch_up(
--- a/packages/node/src/trefoilpulley_node/direct/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_watch.py
@@ -184,6 +184,7 @@
             return
         self._leaderless_since = None
         now = self._clock.now()
+        self._settler.check_replicas(self._group)
         if self._check.is_suspect(health, now):
             self._check_suspect(health)
         elif self._settler.is_due(self._group):
