Send a statement once its session's values are confirmed

What callers saw: where a member failed SET, RESET or PREPARE, statements ran without the caller's values, with those of another caller, or with a name that the member did not know; writes were committed so (PINNED).

Cause: PooledSession.exchange() sent the set-up and the statement in one write and read the replies to the set-up when the statement had run.

The eighth scenario, on a statement that is given up during the set-up, is new with the second write.

Change: the set-up is a write of its own where there is one, and goes along with BEGIN, which runs nothing of the caller. A set-up that fails says that the statement has not run, and is tried again on another connection.

Why it works: the member gets the statement only after it has confirmed each value and name, on the connection on which it has done so.

--- /dev/null
+++ b/features/session_values.feature
@@ -0,0 +1,41 @@
+Feature: Session values at a member that fails requests
+
+  # Guards against statements that run without their session's values where the
+  # member has failed SET, RESET or PREPARE (PINNED).
+  Scenario Outline: a statement runs with its session's values or not at all
+    Given an emulated deployment of 1 hosts
+    And a session that has set a value and prepared a statement
+    And another session that has used the connection with other values
+    When the primary fails the next <verb>
+    And that session runs "<text>"
+    Then the primary has failed one <verb>
+    And the statement has run once, with the values and the shape of the session
+
+    Examples:
+      | verb    | text          |
+      | SET     | WRITE i data  |
+      | RESET   | WRITE i data  |
+      | PREPARE | EXEC s1 i new |
+      | SET     | EXEC s1 i new |
+
+  Scenario Outline: the first statement of a transaction runs with its values
+    Given an emulated deployment of 1 hosts
+    And a session that has set a value and prepared a statement
+    And another session that has used the connection with other values
+    When the primary fails the next <verb>
+    And that session runs "EXEC s1 i new" in a transaction
+    Then the primary has failed one <verb>
+    And the statement has run once, with the values and the shape of the session
+
+    Examples:
+      | verb    |
+      | SET     |
+      | RESET   |
+      | PREPARE |
+
+  # Guards against a read that was given up, and is sent with values that the
+  # session has changed since.
+  Scenario: a statement that is given up during the set-up is not sent
+    Given a connection whose member takes its time to confirm values
+    When a statement is given up before they are confirmed
+    Then the member has got the values only
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -22,6 +22,8 @@
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_core.failure import TransactionLost
 from trefoilpulley_node.direct.exchange import record_proof
+from trefoilpulley_node.direct.member_session import SessionSetting
+from trefoilpulley_node.direct.member_session import SetupFailed
 from trefoilpulley_node.direct.statement_runner import BUSY_BACKOFF_S
 from trefoilpulley_node import events
 
@@ -270,10 +272,10 @@
         if isinstance(failure, NotPrimary) and place.floor is None:
             state.on_not_leading(place.member)
             request.group.check_requested.set()
-        else:
+        elif not isinstance(failure, SetupFailed):
             excluded.add(place.member)
         is_broken = failure.run_state is not RunState.NOT_RUN
-        if is_broken or isinstance(failure, NoUpstream):
+        if is_broken or isinstance(failure, NoUpstream | SetupFailed):
             request.group.check_requested.set()
         events.STATEMENT_RETRIED.log(
             request=request.run.request_id,
@@ -344,8 +346,9 @@
         floor = None if is_read_write else place.floor.position
         call = OpenTransaction(not is_read_write, floor)
         deadline = min(request.deadline, self._clock.now() + OPEN_TIMEOUT_S)
+        setting = SessionSetting(request.session, request.prepared)
         result = self._exchanger.open_transaction(
-            access, conn, request.group, call, deadline
+            access, conn, request.group, call, deadline, setting
         )
         if not isinstance(result, Success):
             access.release(conn)
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -177,10 +177,15 @@
         group: Group,
         call: OpenTransaction,
         deadline: float,
+        setting: SessionSetting | None = None,
     ) -> Result[None, Failure]:
-        """Open a transaction; a read-write transaction proves leadership."""
+        """Open a transaction; a read-write transaction proves leadership.
+
+        The session values that the first statement needs are sent along, so
+        that the statement does not wait for them.
+        """
         sent_at = self._clock.now()
-        result = self.exchange(access, conn, (call,), deadline)
+        result = self.exchange(access, conn, (call,), deadline, setting)
         if not isinstance(result, Success):
             return result
         reply = result.unwrap()[0]
--- a/packages/node/src/trefoilpulley_node/direct/member_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_session.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from trefoilpulley_core.failure import PeerUnreachable
+from trefoilpulley_core.failure import NotRun
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,8 +21,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SetupFailed(PeerUnreachable):
-    """The member refused the session values or the prepared statement."""
+class SetupFailed(NotRun):
+    """The member has not confirmed the session values; no more was sent."""
 
     code = 'setup-failed'
 
@@ -53,7 +53,7 @@
         timeout_s: float,
         setting: SessionSetting | None = None,
     ) -> Result[tuple[Reply, ...], Failure]:
-        """Send requests in one write and return the reply to each.
+        """Send requests, and return the reply to each.
 
         Parameters
         ----------
--- a/packages/node/src/trefoilpulley_node/direct/relay_server.py
+++ b/packages/node/src/trefoilpulley_node/direct/relay_server.py
@@ -237,6 +237,8 @@
         lease.is_abandoned = True
         if not lease.is_busy:
             self._close_lease(key, lease)
+        elif lease.conn is not None:
+            lease.conn.cancel_unsent()
 
     def _close_lease(self, key: tuple[int, int], lease: _Lease) -> None:
         """Release the connection; close it where a transaction is open."""
--- a/packages/node/src/trefoilpulley_node/direct/relayed_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/relayed_session.py
@@ -124,6 +124,8 @@
         values.
         """
         self._is_cancelled = True
+        if self._local is not None:
+            self._local.cancel_unsent()
         channel = self._channel
         if channel is not None and channel.is_open:
             channel.call(EndLease(self._lease), CANCEL_TIMEOUT_S)
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -27,6 +27,7 @@
 from trefoilpulley_core.failure import ReplicaBehind
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_node.direct.exchange import record_proof
+from trefoilpulley_node.direct.member_session import SetupFailed
 from trefoilpulley_node.direct.statement_request import StatementInterrupted
 from trefoilpulley_node import events
 
@@ -185,7 +186,9 @@
             has_run = has_run or failure.run_state is not RunState.NOT_RUN
             if isinstance(failure, Overloaded):
                 gevent.sleep(BUSY_BACKOFF_S)
-            if isinstance(failure, UnknownStatement | NotPrimary):
+            if isinstance(
+                failure, UnknownStatement | NotPrimary | SetupFailed
+            ):
                 excluded.discard(place.member if place else '')
             if isinstance(failure, UpstreamFailed):
                 failed_members += 1
@@ -375,7 +378,7 @@
         self, request: StatementRequest, failure: Failure
     ) -> None:
         is_broken = failure.run_state is not RunState.NOT_RUN
-        if is_broken or isinstance(failure, NoUpstream):
+        if is_broken or isinstance(failure, NoUpstream | SetupFailed):
             request.group.check_requested.set()
 
 
