Run COMMIT with the values that its session has set

Cause: CallerTransaction.commit() passed no session values.

Change: COMMIT gets the session's values like a statement. Where they are set already it costs nothing; where the member refuses one, the transaction is given up and the caller is promised that nothing is kept.

--- a/features/session_values.feature
+++ b/features/session_values.feature
@@ -39,3 +39,20 @@
     Given a connection whose member takes its time to confirm values
     When a statement is given up before they are confirmed
     Then the member has got the values only
+
+  # Guards against a COMMIT without the values that the session has set since
+  # its last statement.
+  Scenario: a COMMIT runs with the values that were set before it
+    Given an emulated deployment of 1 hosts
+    And a session that has set a value and prepared a statement
+    When that session runs "WRITE i data" in an open transaction
+    And it sets another value and commits
+    Then the COMMIT has run with the values of the session
+
+  Scenario: a COMMIT whose values the member refuses is not run
+    Given an emulated deployment of 1 hosts
+    And a session that has set a value and prepared a statement
+    When that session runs "WRITE i data" in an open transaction
+    And the primary fails the next SET
+    And it sets another value and commits
+    Then the COMMIT has not run, and the session is promised so
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -164,10 +164,13 @@
             conn,
             (CommitTransaction(request.run.request_id),),
             request.deadline,
+            SessionSetting(request.session),
         )
         if not isinstance(result, Success):
             request.group.check_requested.set()
             failure = result.failure()
+            if isinstance(failure, SetupFailed):
+                return self._abort(request, failure)
             self._discard()
             if self._has_written:
                 return Failed(OutcomeUnknown(failure.code))
