Close a connection that is returned with an open transaction

What callers saw: an acknowledged write that was never committed, where a member had failed the ROLLBACK of a proof of leadership on the connection: the write ran in the transaction that the ROLLBACK had left open (PINNED).

Cause: MemberPool.release() looked at the connection only, not at the state of the transaction that the last reply told.

Evidence: the new scenario of session_values.feature failed before: the member ran "WRITE i data" with a transaction open, and answered DONE.

Change: a connection keeps whether the last reply told an open transaction, and the pool closes such a connection, which rolls it back.

--- a/features/session_values.feature
+++ b/features/session_values.feature
@@ -56,3 +56,14 @@
     And the primary fails the next SET
     And it sets another value and commits
     Then the COMMIT has not run, and the session is promised so
+
+  # Guards against a connection that goes back to the pool with an open
+  # transaction, in which the next session's statement runs (PINNED).
+  Scenario: a connection whose ROLLBACK has failed is not used again
+    Given an emulated deployment of 1 hosts
+    And a session that has set a value and prepared a statement
+    When the primary fails the next ROLLBACK
+    And the primary has been read until it has failed one
+    And that session runs "WRITE i data"
+    Then the statement has run outside any transaction
+    And the write is in the log
--- a/features/steps/session_values_steps.py
+++ b/features/steps/session_values_steps.py
@@ -128,6 +128,32 @@
         assert len(context.deployment.group.log.primary.log) == 0
 
 
+class OpenConnectionSteps:
+    """Steps on a connection whose transaction was not ended."""
+
+    @staticmethod
+    @when('the primary has been read until it has failed one')
+    def read(context: Any) -> None:
+        """Read with proofs of leadership, each a transaction rolled back."""
+        while not context.failed_verbs:
+            assert context.caller.execute('READ i').code == 'DONE'
+
+    @staticmethod
+    @then('the statement has run outside any transaction')
+    def check_outside(context: Any) -> None:
+        """Compare the state of the connection that was used."""
+        (run,) = _runs(context)
+        assert not run.is_in_transaction, run
+
+    @staticmethod
+    @then('the write is in the log')
+    def check_committed(context: Any) -> None:
+        """Check that the acknowledged write was committed."""
+        assert context.answer.code == 'DONE', context.answer
+        (record,) = context.deployment.group.log.primary.log
+        assert record.writes == (('i', 'data'),), record
+
+
 class GivenUpStatementSteps:
     """Steps on a connection that is being set up."""
 
--- a/packages/node/src/trefoilpulley_node/direct/member_pool.py
+++ b/packages/node/src/trefoilpulley_node/direct/member_pool.py
@@ -210,7 +210,7 @@
             now - conn.since, conn.kind, conn.is_for_transaction
         )
         self._connections.on_used(conn.customer, now)
-        if not conn.is_usable:
+        if not conn.is_usable or conn.has_transaction:
             self._close_connection(conn, CloseReason.BROKEN)
             return
         if self._is_closed:
--- a/packages/node/src/trefoilpulley_node/direct/pooled_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/pooled_session.py
@@ -14,6 +14,7 @@
 from trefoilpulley_core.direct.session_state import plan_setup
 from trefoilpulley_core.direct.upstream_session import CommitTransaction
 from trefoilpulley_core.direct.upstream_session import RunStatement
+from trefoilpulley_core.direct.upstream_session import TransactionState
 from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.failure import NoUpstream
 from trefoilpulley_node.direct.member_session import MemberSession
@@ -53,6 +54,9 @@
     is_for_transaction: bool = False
     """Whether the work that has the connection is a transaction."""
 
+    has_transaction: bool = False
+    """Whether the member has a transaction open on the connection."""
+
     is_cancelled: bool = False
     """Whether the requests that have not been sent must not be sent."""
 
@@ -117,6 +121,7 @@
                 return result
             return Failed(SetupFailed(result.failure().code))
         replies = result.unwrap()
+        self.has_transaction = replies[-1].state is not TransactionState.IDLE
         if any(r.failure is not None for r in replies[: len(setup)]):
             self.upstream.close()
             return Failed(SetupFailed('member refused the session values'))
