Let writes go on as soon as the promoted member leads

Cause: a change counted as over once a member had proved a higher term than the claim tells. The position that a member reports is that of its log, so that a new primary shows its term only with its first commit, and other hosts waited for the claim to be settled.

Change: a change is over when its target has become the primary since the claim, by the member's entry or by a proof; claims need no term. A change whose order got no answer is given up earlier if the old primary leads at a time when a promotion should be over.

--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -62,9 +62,6 @@
 ROUND_BITS = 20
 """Bits of a fencing token for the number of the round."""
 
-UNKNOWN_TERM = -1
-"""Term of a claim whose writer did not tell one."""
-
 
 @dataclass(frozen=True, slots=True)
 class Claim:
@@ -82,11 +79,8 @@
     term_starts: tuple[TermStart, ...] = field(default=(), compare=False)
     """Starts of the group's terms that the writer of the claim knows."""
 
-    term: int = field(default=UNKNOWN_TERM, compare=False)
-    """Highest term that the holder knew when it claimed the change.
-
-    The target leads a higher one once the change has taken effect.
-    """
+    is_confirmation: bool = field(default=False, compare=False)
+    """Whether the target led already when the change was claimed."""
 
     is_settled: bool = field(default=False, compare=False)
     """Whether nothing that was done for the change can take effect later."""
@@ -94,20 +88,6 @@
     is_claimed: bool = field(default=True, compare=False)
     """Whether the holder has claimed the change before it acted."""
 
-    def is_open(self, primary: str | None, term: int) -> bool:
-        """Return whether the change may still have an effect.
-
-        Parameters
-        ----------
-        primary : str or None
-            Member that leads now.
-        term : int
-            Highest term in which a member has proved its leadership.
-        """
-        if self.is_settled or self.term == UNKNOWN_TERM:
-            return False
-        return primary != self.target or term <= self.term
-
 
 @dataclass(frozen=True, slots=True)
 class Round:
@@ -173,9 +153,6 @@
     round: int
     """Number of the change."""
 
-    term: int = UNKNOWN_TERM
-    """Highest term that the host which ordered the promotion knew."""
-
 
 @dataclass(frozen=True, slots=True)
 class ReachReport:
--- a/packages/node/src/trefoilpulley_node/direct/change_settler.py
+++ b/packages/node/src/trefoilpulley_node/direct/change_settler.py
@@ -159,7 +159,7 @@
         term = self._find_leading_term(group, primary)
         if term is None:
             return
-        claimed = self._claim(group, primary, term)
+        claimed = self._claim(group, primary)
         if claimed is None:
             return
         if is_open and not self._supersede(group, primary, claimed, term):
@@ -201,7 +201,7 @@
             self._held_groups.add(group.state.group)
             events.REPLICAS_HELD.log(group=group.state.group, members=held)
 
-    def _claim(self, group: Group, primary: str, term: int) -> Round | None:
+    def _claim(self, group: Group, primary: str) -> Round | None:
         """Claim the confirmation of a primary, unless it is claimed already.
 
         A round that the platform has refused is not used again.
@@ -214,7 +214,10 @@
         ):
             return self._claims.find_round(name)
         return self._changer.claim_round(
-            group, self._claims.last_round(name), primary, term
+            group,
+            self._claims.last_round(name),
+            primary,
+            is_confirmation=True,
         )
 
     def _is_own_confirmation(self, claim: Claim | None, primary: str) -> bool:
@@ -222,7 +225,7 @@
             claim is not None
             and claim.holder == self._host
             and claim.target == primary
-            and claim.is_claimed
+            and claim.is_confirmation
             and not claim.is_settled
         )
 
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -16,7 +16,6 @@
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.direct.failover import Round
-from trefoilpulley_core.direct.failover import UNKNOWN_TERM
 from trefoilpulley_core.direct.log_lineage import LogLineage
 from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.entry_fields import read_count
@@ -61,6 +60,12 @@
     era: int
     """Era of the revision."""
 
+    at: float
+    """Time at which this host learned of the claim, in seconds."""
+
+    former_primary: str | None = None
+    """Primary when this host first looked for the effect of the claim."""
+
     @property
     def version(self) -> tuple[int, int]:
         """Era and revision, in the order of changes."""
@@ -110,16 +115,25 @@
     def is_open(self, state: GroupState) -> bool:
         """Return whether a group's newest change may still have an effect.
 
-        A change that was seen to take effect stays over, whatever becomes of
-        the member that it has promoted.
+        A change has taken effect if its target has become the primary since
+        the claim. It stays over then, whatever becomes of that member.
         """
-        claim = self.newest(state.group)
-        if claim is None or claim.is_settled:
+        known = self._newest_claims.get(state.group)
+        if known is None or known.claim.is_settled:
             return False
-        is_open = claim.is_open(state.primary, state.term)
-        if not is_open:
-            self._mark_settled(state.group, claim.round)
-        return is_open
+        if known.former_primary is None:
+            known = replace(known, former_primary=state.primary or '')
+            self._newest_claims[state.group] = known
+        claim = known.claim
+        is_new = (
+            known.former_primary != claim.target
+            or state.last_proof_at >= known.at
+        )
+        is_over = is_new and state.primary == claim.target
+        if claim.is_confirmation or not is_over:
+            return True
+        self._mark_settled(state.group, claim.round)
+        return False
 
     def settle(self, group: str, round_number: int) -> None:
         """Record and publish that a change can have no effect any more."""
@@ -140,8 +154,9 @@
         """
         self.record_term_starts(group, claim.term_starts)
         newest = self._newest_claims.get(group)
+        now = self._clock.now()
         if newest is None:
-            self._newest_claims[group] = KnownClaim(claim, revision, era)
+            self._newest_claims[group] = KnownClaim(claim, revision, era, now)
             return True
         if newest.version >= (era, revision):
             return False
@@ -153,18 +168,23 @@
             # The holder does not know the higher round. Its change follows
             # that round, so that decisions made before are out of date.
             claim = replace(claim, round=newest.claim.round + 1)
-            self._newest_claims[group] = KnownClaim(claim, revision, era)
+            self._newest_claims[group] = KnownClaim(claim, revision, era, now)
             self._publish_in_turn(group)
             return True
         if claim.round < newest.claim.round:
             # A round used while the service was unavailable, or lost by the
             # service, is higher than the stored round.
-            self._newest_claims[group] = KnownClaim(
-                newest.claim, revision, era
+            self._newest_claims[group] = replace(
+                newest, revision=revision, era=era
             )
             self._publish_in_turn(group)
             return False
-        self._newest_claims[group] = KnownClaim(claim, revision, era)
+        known = KnownClaim(claim, revision, era, now)
+        if claim == newest.claim:
+            known = replace(
+                known, at=newest.at, former_primary=newest.former_primary
+            )
+        self._newest_claims[group] = known
         self._publications_due.pop(group, None)
         return is_higher or (is_other and claim.is_claimed)
 
@@ -192,14 +212,10 @@
             self._publications_due[group] = self._clock.now()
 
     def use_round(
-        self,
-        group: str,
-        round_number: int,
-        target: str = '',
-        term: int = UNKNOWN_TERM,
+        self, group: str, round_number: int, target: str = ''
     ) -> Round:
         """Return a round that this host uses without a claim."""
-        self.advance_round(group, round_number, target, term)
+        self.advance_round(group, round_number, target)
         return Round(round_number, self._known(group).era, is_claimed=False)
 
     def begin_era(self, era: int) -> None:
@@ -212,15 +228,13 @@
         """
         for group, newest in self._newest_claims.items():
             if newest.era < era:
-                self._newest_claims[group] = KnownClaim(newest.claim, 0, era)
+                self._newest_claims[group] = replace(
+                    newest, revision=0, era=era
+                )
                 self._publish_in_turn(group)
 
     def advance_round(
-        self,
-        group: str,
-        round_number: int,
-        target: str = '',
-        term: int = UNKNOWN_TERM,
+        self, group: str, round_number: int, target: str = ''
     ) -> None:
         """Record a round that was used without a claim in the service.
 
@@ -231,16 +245,21 @@
         round_number : int
             Number of the change.
         target : str
-            Member whose promotion was ordered; empty if it is not known.
-        term : int
-            Highest term that was known when it was ordered.
+            Member whose promotion was ordered; empty if the change is over.
         """
         if round_number > self.last_round(group):
             claim = Claim(
-                self._host, round_number, target, term=term, is_claimed=False
+                self._host,
+                round_number,
+                target,
+                is_settled=not target,
+                is_claimed=False,
             )
             self._newest_claims[group] = replace(
-                self._known(group), claim=claim
+                self._known(group),
+                claim=claim,
+                at=self._clock.now(),
+                former_primary=None,
             )
             self._publications_due[group] = self._clock.now()
 
@@ -289,7 +308,7 @@
         group: str,
         after_round: int,
         target: str,
-        term: int = UNKNOWN_TERM,
+        is_confirmation: bool = False,
     ) -> Result[Round, Failure]:
         """Claim the change of a group that follows a round.
 
@@ -301,8 +320,8 @@
             Round that this host has decided on.
         target : str
             Member to promote.
-        term : int
-            Highest term that is known.
+        is_confirmation : bool
+            Whether the target is the present primary.
 
         Returns
         -------
@@ -316,7 +335,9 @@
             return Failed(RevisionConflict(group))
         known = self._known(group)
         starts = self.term_starts(group)
-        claim = Claim(self._host, after_round + 1, target, starts, term)
+        claim = Claim(
+            self._host, after_round + 1, target, starts, is_confirmation
+        )
         value = _encode_claim(claim)
         result = self._call(
             lambda: self._platform.compare_and_swap(
@@ -360,7 +381,8 @@
         newest = self._newest_claims.get(group)
         if newest is not None:
             return newest
-        return KnownClaim(Claim('', 0, ''), 0, self._platform.era)
+        absent = Claim('', 0, '', is_settled=True)
+        return KnownClaim(absent, 0, self._platform.era, self._clock.now())
 
     def _find_own_claim(
         self, group: str, claim: Claim, era: int
@@ -407,8 +429,8 @@
                 read_count(fields, 'round'),
                 target,
                 _read_term_starts(fields.get('term_starts', [])),
-                _read_term(fields.get('term')),
-                fields.get('is_settled') is True,
+                fields.get('is_confirmation') is True,
+                fields.get('is_settled') is not False,
                 bool(fields.get('is_claimed', bool(target))),
             )
         )
@@ -420,12 +442,6 @@
     return json.dumps(asdict(claim)).encode()
 
 
-def _read_term(value: Any) -> int:
-    """Return the term of a claim; unknown where an older host wrote it."""
-    is_term = isinstance(value, int) and not isinstance(value, bool)
-    return value if is_term and value >= 0 else UNKNOWN_TERM
-
-
 def _read_term_starts(entries: list[dict[str, Any]]) -> tuple[TermStart, ...]:
     return tuple(
         TermStart(read_count(e, 'term'), read_count(e, 'index'))
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -171,11 +171,10 @@
                 self._back_off(group)
             return
         state.no_primary_change_until = float('-inf')
-        term = max(s.term for s in statuses.values())
-        claimed = self.claim_round(group, after_round, target, term)
+        claimed = self.claim_round(group, after_round, target)
         if claimed is None:
             claimed = self._claim_without_service(
-                group, after_round, target, term, lost_primary, reports
+                group, after_round, target, lost_primary, reports
             )
         if claimed is not None and group.synchronous_replicas:
             statuses = self._pause_replicas(group, lost_primary, statuses)
@@ -257,8 +256,7 @@
         """Promote a member while the old primary still answers."""
         if target is None:
             return
-        term = old[1].term
-        claimed = self.claim_round(group, after_round, target, term)
+        claimed = self.claim_round(group, after_round, target)
         if claimed is None:
             return
         if not group.synchronous_replicas:
@@ -319,7 +317,7 @@
         """
         if notice.round > self._claims.last_round(notice.group):
             self._claims.advance_round(
-                notice.group, notice.round, notice.member, notice.term
+                notice.group, notice.round, notice.member
             )
             group = self._groups.get(notice.group)
             if group is not None:
@@ -485,7 +483,11 @@
         )
 
     def claim_round(
-        self, group: Group, after_round: int, target: str, term: int
+        self,
+        group: Group,
+        after_round: int,
+        target: str,
+        is_confirmation: bool = False,
     ) -> Round | None:
         """Claim the change; return its round, or ``None`` where that failed.
 
@@ -500,13 +502,14 @@
             Round that this host has decided on.
         target : str
             Member to promote.
-        term : int
-            Highest term that the members have reported.
+        is_confirmation : bool
+            Whether the target is the present primary.
         """
         name = group.state.group
         follows_open = self._claims.is_open(group.state)
-        known_term = max(term, group.state.term)
-        claimed = self._claims.try_claim(name, after_round, target, known_term)
+        claimed = self._claims.try_claim(
+            name, after_round, target, is_confirmation
+        )
         failure = None if isinstance(claimed, Success) else claimed.failure()
         events.CHANGE_CLAIMED.log(
             group=name,
@@ -527,7 +530,6 @@
         group: Group,
         after_round: int,
         target: str,
-        term: int,
         lost_primary: str | None,
         reports: Sequence[ReachReport],
     ) -> Round | None:
@@ -554,9 +556,7 @@
             return None
         name = group.state.group
         follows_open = self._claims.is_open(group.state)
-        claimed = self._claims.use_round(
-            name, after_round + 1, target, max(term, group.state.term)
-        )
+        claimed = self._claims.use_round(name, after_round + 1, target)
         events.CHANGE_CLAIMED.log(
             group=name, target=target, round=after_round + 1, failure='alone'
         )
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -11,7 +11,6 @@
 from trefoilpulley_core.direct.failover import fencing_token
 from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
-from trefoilpulley_core.direct.failover import UNKNOWN_TERM
 from trefoilpulley_core.direct.promotion_service import ClaimOutdated
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
@@ -169,7 +168,9 @@
         state.primary_change_due_at = due_at
         if old_status is not None:
             self._demote_after_delay(group, *old_status)
-        has_taken_effect = self._wait_for_lead(group, target)
+        has_taken_effect = self._wait_for_lead(
+            group, target, answer is OrderAnswer.LOST
+        )
         outcome = 'over' if has_taken_effect else 'no-effect'
         self._metrics.count('primary_changes', cause, outcome)
         if has_taken_effect:
@@ -221,9 +222,7 @@
         name = group.state.group
         if not claimed.is_claimed:
             # The other hosts learn of the order by this notice only.
-            newest = self._claims.newest(name)
-            term = newest.term if newest else UNKNOWN_TERM
-            self._notify_hosts(OrderNotice(name, target, claimed.number, term))
+            self._notify_hosts(OrderNotice(name, target, claimed.number))
         token = fencing_token(claimed, holder)
         failure = None
         is_answer_lost = False
@@ -266,11 +265,26 @@
         if group.state.primary == leaving:
             self.demote(group, leaving, old_status)
 
-    def _wait_for_lead(self, group: Group, target: str) -> bool:
+    def _wait_for_lead(
+        self, group: Group, target: str, is_answer_lost: bool
+    ) -> bool:
+        """Wait until a member leads; return whether it does.
+
+        The wait ends earlier if the order got no answer, and another member
+        leads at a time when the promotion should be over.
+        """
+        state = group.state
+        due_at = self._clock.now() + EXPECTED_PROMOTION_S
         deadline = self._clock.now() + LEAD_TIMEOUT_S
         while self._clock.now() < deadline:
             if self._prober.verify_leader(group, target):
                 return True
+            if (
+                is_answer_lost
+                and state.primary != target
+                and state.last_proof_at > due_at
+            ):
+                return False
             gevent.sleep(LEAD_POLL_INTERVAL_S)
         return False
 
