Let only voters settle the change of another host

A change that was ordered without the service is known to every host by the notice of its order, and each host took itself for its holder: while the service was out and the old primary led, all of them asked the members for their status every 0.7 s.

--- a/packages/node/src/trefoilpulley_node/direct/change_settler.py
+++ b/packages/node/src/trefoilpulley_node/direct/change_settler.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from trefoilpulley_core.direct.failover import choose_voters
 from trefoilpulley_core.direct.failover import find_first_voter
 from trefoilpulley_core.direct.target_choice import choose_target
 from trefoilpulley_node.direct.promotion_runner import EXPECTED_PROMOTION_S
@@ -102,7 +103,11 @@
         return self._claims.is_open(group.state)
 
     def is_due(self, group: Group) -> bool:
-        """Return whether this host should settle the newest change now."""
+        """Return whether this host should settle the newest change now.
+
+        The holder of the claim settles it first. Of the other hosts only the
+        voters do, since every host sees that the change is open.
+        """
         name = group.state.group
         now = self._clock.now()
         if not self.is_open(group):
@@ -114,12 +119,14 @@
             self._seen[name] = claim.round, now
         if now < self._retries_due.get(name, now):
             return False
-        if (
-            claim.holder == self._host
-            or claim.holder not in self._live_hosts()
-        ):
+        if claim.is_claimed and claim.holder == self._host:
             return True
-        return now - self._seen[name][1] > CHANGE_TIMEOUT_S
+        if self._host not in choose_voters(name, self._registered_hosts()):
+            return False
+        is_holder_live = claim.holder in self._live_hosts()
+        return (
+            not is_holder_live or now - self._seen[name][1] > CHANGE_TIMEOUT_S
+        )
 
     def check_replicas(self, group: Group) -> None:
         """Look for replicas that hold although no change is open.
