Soak changes of primary that are given up, and grey members

The soak had no orders that are carried out late or refused while a primary is silent, and no members that fail SET, RESET or PREPARE; its oracle did not know ONE and PINNED.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -221,3 +221,39 @@
       | seed | hosts | connections |
       | 2    | 3     | 4           |
       | 5    | 5     | 16          |
+
+  Scenario: the changes that are given up depend on the seed alone
+    Then seed 7 silences the primary while orders are late or refused, and the same way each time
+
+  Scenario Outline: the checker reports hosts that order promotions in turn
+    Given promotions are ordered by <hosts>, 1.2 s apart
+    Then the checker reports <count> violations of "ONE"
+
+    Examples:
+      | hosts   | count |
+      | a, b, a | 1     |
+      | a, a, b | 0     |
+      | a, b, c | 0     |
+      | x, b, x | 0     |
+
+  Scenario Outline: the checker reports a statement without its session's values
+    Given a member runs "<text>" with <values> and the shape "<shape>"
+    Then the checker reports <count> violations of "PINNED"
+
+    Examples: the session has set clan to one and prepared WRITE q1
+      | text       | values         | shape    | count |
+      | WRITE i d  | clan one       |          | 0     |
+      | WRITE i d  | nothing        |          | 1     |
+      | WRITE i d  | clan two       |          | 1     |
+      | EXEC a i d | clan one       | WRITE q1 | 0     |
+      | EXEC a i d | clan one       | WRITE q2 | 1     |
+      | EXEC a i d | clan one       |          | 1     |
+
+  Scenario Outline: changes of primary that are given up leave nothing behind
+    When changes are given up with seed <seed>, <hosts> hosts and <connections> connections
+    Then the checker reports no violation
+
+    Examples: seeds that failed before
+      | seed | hosts | connections | cause                                       |
+      | 2    | 3     | 4           | replicas held for good (RECOVER)            |
+      | 10   | 3     | 4           | statements ran without their values (PINNED) |
