Keep the end of a hedged read from cancelling the next request

Cause: the requests of a hedged read were cancelled in greenlets of their own, which could run after the request had ended and its connection served another one.

Evidence: the new scenario of session_values.feature failed before and passes now.

Change: a request is cancelled only while it belongs to the hedged read.

--- a/features/session_values.feature
+++ b/features/session_values.feature
@@ -40,6 +40,13 @@
     When a statement is given up before they are confirmed
     Then the member has got the values only
 
+  # Guards against a read that is over and cancels the next request on its
+  # connection.
+  Scenario: the end of a hedged read does not cancel the next request
+    Given a connection whose member takes its time to confirm values
+    When a hedged read is answered while its last request ends
+    Then the connection serves the next request
+
   # Guards against a COMMIT without the values that the session has set since
   # its last statement.
   Scenario: a COMMIT runs with the values that were set before it
--- a/features/steps/session_values_steps.py
+++ b/features/steps/session_values_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import gevent
 from returns.result import Success
 
 from trefoilpulley_core.direct.session_state import SessionState
@@ -18,6 +19,7 @@
 from trefoilpulley_emulator.caller import CallerAnswer
 from trefoilpulley_node.direct.member_session import SessionSetting
 from trefoilpulley_node.direct.pooled_session import PooledSession
+from trefoilpulley_node.direct.statement_runner import _HedgedRead
 
 SHAPE = 'WRITE q1'
 
@@ -181,6 +183,28 @@
         assert context.upstream.sent == [AssignValue('clan', 'one')]
 
 
+class HedgedReadSteps:
+    """Steps on a hedged read that has been answered."""
+
+    @staticmethod
+    @when('a hedged read is answered while its last request ends')
+    def end_read(context: Any) -> None:
+        """Let the request end before its cancellation is carried out."""
+        hedged = _HedgedRead()
+        hedged.sessions.add(context.conn)
+        greenlets = [
+            gevent.spawn(hedged.cancel_unsent),
+            gevent.spawn(hedged.sessions.discard, context.conn),
+        ]
+        gevent.joinall(greenlets, raise_error=True)
+
+    @staticmethod
+    @then('the connection serves the next request')
+    def check_not_cancelled(context: Any) -> None:
+        """Check that nothing on the connection is cancelled."""
+        assert not context.conn.is_cancelled
+
+
 class _SlowUpstream(UpstreamSession):
     """Connection that tells when requests have been sent."""
 
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -92,7 +92,12 @@
         and a statement sent later would run without these values.
         """
         self.is_ended = True
-        gevent.joinall([gevent.spawn(s.cancel_unsent) for s in self.sessions])
+        gevent.joinall([gevent.spawn(self._cancel, s) for s in self.sessions])
+
+    def _cancel(self, session: MemberSession) -> None:
+        """Cancel a request, unless its session serves another one by now."""
+        if session in self.sessions:
+            session.cancel_unsent()
 
 
 class StatementRunner:
