Write an old claim again before an order that repeats it

Each change cuts open transactions.

Cause: a host acts alone for 1.1 s after its claim. The other hosts keep that time, but the holder did not: a confirmation that does not settle a change is repeated under its first round, 1.0 s after the claim, and so are the later attempts of an order. Another host claims meanwhile, and the holder hears of it from the watch, after its next attempt only.

Change: from 0.85 s after the claim on, each attempt first writes the claim again by compare-and-swap. That fails once another host has claimed, whether or not this host has heard of it, and nothing is ordered then. Before that age nothing is written, so that a failover makes no call more.

Test: primary_order.feature, "a host repeats no order once another host has claimed": before, two of its three examples failed (an order was sent, no claim was written). A step of log_lineage used a round that nobody had claimed; it claims it now.

--- a/features/primary_order.feature
+++ b/features/primary_order.feature
@@ -32,3 +32,17 @@
     When both look for a primary for 20 s
     Then each host has ordered a promotion
     And no host orders within 3 s of its last order if another one has ordered since
+
+  # Guards against a repeated order that crosses the claim of another host, of
+  # which its holder has not heard yet (ONE).
+  Scenario Outline: a host repeats no order once another host has claimed
+    Given two hosts that know round 1 of a group
+    When <wait> ms pass and the second host <claims> round 2
+    And the first host repeats its order of round 1
+    Then the service has got <orders> orders after <writes> writes of a claim
+
+    Examples:
+      | wait | claims         | orders | writes |
+      | 1200 | claims         | 0      | 1      |
+      | 1200 | does not claim | 1      | 1      |
+      | 300  | does not claim | 1      | 0      |
--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -19,7 +19,6 @@
 from trefoilpulley_core.catalog import Endpoint
 from trefoilpulley_core.direct.failover import Claim
 from trefoilpulley_core.direct.failover import LeaderNotice
-from trefoilpulley_core.direct.failover import Round
 from trefoilpulley_core.direct.group_state import GroupState
 from trefoilpulley_core.direct.group_state import MemberRecord
 from trefoilpulley_core.direct.lag_relief import choose_relief_target
@@ -291,9 +290,8 @@
             DirectMetrics(),
         )
         group = Group('ledger')
-        runner.promote(
-            group, 'y', Round(1, 0), None, received=context.received
-        )
+        claimed = context.claims.try_claim('ledger', 0, 'y').unwrap()
+        runner.promote(group, 'y', claimed, None, received=context.received)
 
     @staticmethod
     @then('the host knows that term {term:d} began at {index:d}')
--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -279,3 +279,58 @@
 
         platform.watch(CLAIM_PREFIX, on_change, lambda failure: None)
         return lambda: changer.fail_over(group, 'primary')
+
+
+class _CountingService:
+    """Promotion service that accepts every order."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def promote(self, *order: Any) -> Any:
+        """Count an order."""
+        self.count += 1
+        return Success(None)
+
+
+class RepeatedOrderSteps:
+    """Steps on an order that its holder repeats."""
+
+    @staticmethod
+    @when('{wait_ms:d} ms pass and the second host {verb} round 2')
+    def claim(context: Any, wait_ms: int, verb: str) -> None:
+        """Let the second host claim; the first one does not hear of it."""
+        context.claimed = context.first.find_round('ledger')
+        context.clock.at += wait_ms / 1000
+        if verb == 'claims':
+            result = context.second.try_claim('ledger', 1, 'y')
+            assert isinstance(result, Success), result
+
+    @staticmethod
+    @when('the first host repeats its order of round 1')
+    def repeat(context: Any) -> None:
+        """Confirm a primary by the round that the host holds."""
+        context.service = _CountingService()
+        context.writes = context.kv.calls['compare_and_swap']
+        runner = PromotionRunner(
+            HOSTS[0],
+            None,
+            context.first,
+            context.service,
+            None,
+            dict,
+            lambda: Lease(1, 30, 1),
+            context.clock,
+            DirectMetrics(),
+        )
+        runner.confirm(Group('ledger'), 'x', context.claimed)
+
+    @staticmethod
+    @then(
+        'the service has got {orders:d} orders after {writes:d} writes of a '
+        'claim'
+    )
+    def check(context: Any, orders: int, writes: int) -> None:
+        """Compare what the service has received."""
+        written = context.kv.calls['compare_and_swap'] - context.writes
+        assert (context.service.count, written) == (orders, writes), written
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -17,6 +17,7 @@
 from trefoilpulley_core.direct.failover import publication_delay_s
 from trefoilpulley_core.direct.failover import Round
 from trefoilpulley_core.direct.log_lineage import LogLineage
+from trefoilpulley_core.direct.promotion_service import ClaimOutdated
 from trefoilpulley_core.entry_fields import DECODE_ERRORS
 from trefoilpulley_core.entry_fields import read_count
 from trefoilpulley_core.failure import MalformedMessage
@@ -44,6 +45,13 @@
 Without an answer, a failover continues without the service.
 """
 
+CLAIM_RENEWAL_S = 0.85
+"""Time after which an order needs its claim written again, in seconds.
+
+`CLAIM_HOLDER_TIMEOUT_S` less the time in which an order is answered: another
+host may claim after that, and the holder would learn of it too late.
+"""
+
 _Answer = TypeVar('_Answer')
 
 
@@ -101,6 +109,7 @@
         self._newest_claims: dict[str, KnownClaim] = {}
         self._publications_due: dict[str, float] = {}
         self._lineages: dict[str, LogLineage] = {}
+        self._claimed_at: dict[str, float] = {}
 
     def last_round(self, group: str) -> int:
         """Return the round of a group's newest claim, or 0."""
@@ -338,12 +347,8 @@
         claim = Claim(
             self._host, after_round + 1, target, starts, is_confirmation
         )
-        value = _encode_claim(claim)
-        result = self._call(
-            lambda: self._platform.compare_and_swap(
-                claim_key(group), known.revision, value, era=known.era
-            )
-        )
+        began_at = self._clock.now()
+        result = self._write(group, known, claim)
         if isinstance(result, Success):
             revision = result.unwrap()
         elif isinstance(result.failure(), PlatformAnswerLost):
@@ -354,8 +359,61 @@
         else:
             return result
         self.record_claim(group, claim, revision, known.era)
+        self._claimed_at[group] = began_at
         return Success(Round(claim.round, known.era))
 
+    def verify_claim(
+        self, group: str, claimed: Round
+    ) -> Result[None, Failure]:
+        """Make sure that no other host has begun a change since a round.
+
+        A claim that is older than the time of its holder is written again,
+        which fails once another host has claimed.
+
+        Parameters
+        ----------
+        group : str
+            Group of the change.
+        claimed : Round
+            Round of this host.
+
+        Returns
+        -------
+        Result[None, Failure]
+            `ClaimOutdated` where another host has begun a change; other
+            failures where the service can't confirm the claim.
+        """
+        outdated = Failed(ClaimOutdated(f'round {claimed.number}'))
+        if self.last_round(group) > claimed.number:
+            return outdated
+        claimed_at = self._claimed_at.get(group, float('-inf'))
+        is_recent = self._clock.now() < claimed_at + CLAIM_RENEWAL_S
+        if is_recent or not claimed.is_claimed:
+            return Success(None)
+        known = self._known(group)
+        claim = replace(known.claim, term_starts=self.term_starts(group))
+        result = self._write(group, known, claim)
+        if isinstance(result, Success):
+            written = replace(known, claim=claim)
+            self._on_published(group, written, result.unwrap())
+            return Success(None)
+        if isinstance(result.failure(), RevisionConflict):
+            return outdated
+        return Failed(result.failure())
+
+    def _write(
+        self, group: str, known: KnownClaim, claim: Claim
+    ) -> Result[int, Failure]:
+        """Replace the claim that this host knows; return the new revision."""
+        return self._call(
+            lambda: self._platform.compare_and_swap(
+                claim_key(group),
+                known.revision,
+                _encode_claim(claim),
+                era=known.era,
+            )
+        )
+
     def _is_new(self, claim: Claim, era: int, newest: KnownClaim) -> bool:
         """Return whether a claim was written after the read of its era."""
         return newest.era == era and claim.is_claimed
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -25,6 +25,7 @@
     from trefoilpulley_core.direct.failover import Round
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import LogStatus
+    from trefoilpulley_core.failure import Failure
     from trefoilpulley_core.platform import Lease
     from trefoilpulley_core.position import Position
     from trefoilpulley_node.direct.claim_store import ClaimStore
@@ -224,12 +225,12 @@
             # The other hosts learn of the order by this notice only.
             self._notify_hosts(OrderNotice(name, target, claimed.number))
         token = fencing_token(claimed, holder)
-        failure = None
+        failure: Failure | None = None
         is_answer_lost = False
         for _ in range(MAX_ORDER_ATTEMPTS):
-            if self._claims.last_round(name) > claimed.number:
-                # Another host has begun a change since.
-                failure = ClaimOutdated(f'round {claimed.number}')
+            verified = self._claims.verify_claim(name, claimed)
+            if not isinstance(verified, Success):
+                failure = verified.failure()
                 break
             group.state.turn.on_ordered(self._clock.now())
             # Repeating the order is safe: once the promotion is carried out, a
