Leave a change that is open at the start of a host to its holder

Cause: claims that a host reads at its start were taken for changes that are over. A host that starts in the middle of a change claimed the next round at once, and a host that is restarted does not know that it ordered before.

Evidence: host-1 claimed at 3.812 s, host-0 started at 3.852 s, had read the claims at 3.910 s, claimed at 4.053 s and ordered at 4.063 s; host-1, which had 1.1 s for itself, ordered again at 4.074 s. In the other run host-0 ordered until 0.756 s, was restarted at 3.294 s, and ordered 0.63 s after host-1 did.

Change: after the first read of the service a host treats each claim of another host that is not settled as one that was just made, and as if it had ordered itself at its start. Settled claims make no host wait, so that a failover is later only for a host that starts while a change is open.

--- a/features/open_changes.feature
+++ b/features/open_changes.feature
@@ -82,3 +82,14 @@
     And the other replica holds for a term that nobody will lead
     Then a write is acknowledged without another primary
     And no promotion has been ordered
+
+  # Guards against a host that orders as soon as it has started, in the middle of
+  # another host's change (ONE).
+  Scenario: a host that has just started leaves an open change to its holder
+    Given a group of 3 members of which 1 must confirm a commit
+    When 5 writes are acknowledged
+    And orders of promotion get no answer and are carried out 4 s late
+    And the primary crashes
+    And a promotion has been ordered
+    And a host joins the others
+    Then the new host has ordered no promotion 3 s after its start
--- a/features/steps/open_changes_steps.py
+++ b/features/steps/open_changes_steps.py
@@ -121,3 +121,21 @@
     def check_orders(context: Any) -> None:
         """Check that the platform was not asked."""
         assert not context.deployment.promotion_server.requests
+
+
+class StartedHostSteps:
+    """Steps on a host that starts while a change is open."""
+
+    @staticmethod
+    @when('a host joins the others')
+    def start(context: Any) -> None:
+        """Start a host that has not seen how the change began."""
+        context.newcomer = context.deployment.add_host().name
+
+    @staticmethod
+    @then('the new host has ordered no promotion {wait_s:d} s after its start')
+    def check_newcomer(context: Any, wait_s: int) -> None:
+        """Compare the hosts whose orders the service has received."""
+        gevent.sleep(wait_s)
+        orders = context.deployment.promotion_server.received
+        assert context.newcomer not in {o.holder for o in orders}, orders
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -643,8 +643,6 @@
         is_announced = self._claims.record_claim(
             name, claim, entry.mod_revision, entry.era
         )
-        # A claim from before the start of this host belongs to a change that
-        # is over.
         if is_announced and self._follower.is_synchronized:
             self.changer.on_claim(name, claim)
 
@@ -657,6 +655,8 @@
         self._claims.begin_era(era)
         self._rosters.begin_era(era)
         self._registration.begin_era(era)
+        if not self._follower.is_synchronized:
+            self.changer.on_first_read()
 
     def _register_gauges(self) -> None:
         register = self.metrics.register_gauge
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -310,6 +310,18 @@
         self._leave_to_other(group)
         group.check_requested.set()
 
+    def on_first_read(self) -> None:
+        """Leave the changes that are open at the start of this host.
+
+        It may have ordered a promotion itself before it was restarted.
+        """
+        for name, group in self._groups.items():
+            claim = self._claims.newest(name)
+            if claim is None or claim.is_settled or claim.holder == self._host:
+                continue
+            group.state.turn.on_ordered(self._clock.now())
+            self._leave_to_other(group)
+
     def on_order_notice(self, notice: OrderNotice) -> OrderNotice:
         """Leave a change to the host that has ordered it; return the notice.
 
