Cut off the promotion service and the primary together in the soak

Each run now ends with a cut of the links to both; what was sent meanwhile arrives at the end of the cut, so that the last orders are late as well. The faults that a seed draws before are unchanged.

Orders that arrive while the service is cut off, or 0.3 s after that, are not judged for turns: their order of arrival is not the one in which they were sent, and the hosts are not in touch. Two examples show both sides.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -223,7 +223,7 @@
       | 5    | 5     | 16          |
 
   Scenario: the changes that are given up depend on the seed alone
-    Then seed 7 silences the primary while orders are late or refused, and the same way each time
+    Then seed 7 silences the primary while orders are late or refused, cuts it off with the service at last, and the same way each time
 
   Scenario Outline: the checker reports hosts that order promotions in turn
     Given promotions are ordered by <hosts>, 1.2 s apart
@@ -236,6 +236,15 @@
       | a, b, c | 0     |
       | x, b, x | 0     |
 
+  Scenario Outline: the checker does not judge orders that a cut has held back
+    Given a cut of 2 s in which the orders at <times> s are held back
+    Then the checker reports <count> violations of "ONE"
+
+    Examples:
+      | times         | count |
+      | 1.0, 2.0, 2.2 | 0     |
+      | 2.4, 3.0, 3.6 | 1     |
+
   Scenario Outline: the checker reports a statement without its session's values
     Given a member runs "<text>" with <values> and the shape "<shape>"
     Then the checker reports <count> violations of "PINNED"
--- a/features/steps/soak_changes_steps.py
+++ b/features/steps/soak_changes_steps.py
@@ -13,10 +13,12 @@
 from trefoilpulley_emulator.promotion_server import ReceivedOrder
 from trefoilpulley_emulator.soak.changes import draw_changes
 from trefoilpulley_emulator.soak.changes import find_foreign_values
+from trefoilpulley_emulator.soak.changes import find_orders_in_touch
 from trefoilpulley_emulator.soak.changes import find_turns
 from trefoilpulley_emulator.soak.changes import SessionSetting
 from trefoilpulley_emulator.soak.faults import FaultKind
 from trefoilpulley_emulator.soak.faults import Profile
+from trefoilpulley_emulator.soak.guarantees import FaultInterval
 from trefoilpulley_emulator.soak.soak import Soak
 
 OUT_OF_TOUCH_HOST = 'x'
@@ -40,7 +42,7 @@
     @staticmethod
     @then(
         'seed {seed:d} silences the primary while orders are late or refused, '
-        'and the same way each time'
+        'cuts it off with the service at last, and the same way each time'
     )
     def check_by_seed(context: Any, seed: int) -> None:
         """Check the faults of a seed."""
@@ -51,11 +53,25 @@
         rounds = kinds.count(FaultKind.CRASH_PRIMARY)
         late = kinds.count(FaultKind.LATE_ORDERS)
         assert rounds == late + kinds.count(FaultKind.NO_ORDERS) >= 2, faults
+        assert kinds[-1] is FaultKind.CUT_PRIMARY, faults
 
 
 class ChangeCheckerSteps:
     """Steps on the checks of the profile."""
 
+    @staticmethod
+    @given(
+        'a cut of {cut_s:d} s in which the orders at {times} s are held back'
+    )
+    def cut(context: Any, cut_s: int, times: str) -> None:
+        """Deliver the orders of two hosts in turn."""
+        orders = [
+            ReceivedOrder(float(at), 'ab'[i % 2], 'm')
+            for i, at in enumerate(times.split(', '))
+        ]
+        known = find_orders_in_touch(orders, [FaultInterval(0.0, cut_s)])
+        context.found = list(find_turns(known, []))
+
     @staticmethod
     @given('promotions are ordered by {hosts}, {interval_s:g} s apart')
     def order(context: Any, hosts: str, interval_s: float) -> None:
