Give the cut of the promotion service a soak profile of its own

The profile cuts cuts off primary and promotion service together, two or three times, and replaces replicas meanwhile. Seed 5 is a fault of the product (LOST) that stays open: a write that the cut held back is run by the old primary, confirmed by a replica that has started since, acknowledged, and lost to the late order.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -223,7 +223,7 @@
       | 5    | 5     | 16          |
 
   Scenario: the changes that are given up depend on the seed alone
-    Then seed 7 silences the primary while orders are late or refused, cuts it off with the service at last, and the same way each time
+    Then seed 7 silences the primary while orders are late or refused, and the same way each time
 
   Scenario Outline: the checker reports hosts that order promotions in turn
     Given promotions are ordered by <hosts>, 1.2 s apart
@@ -266,3 +266,13 @@
       | seed | hosts | connections | cause                                       |
       | 2    | 3     | 4           | replicas held for good (RECOVER)            |
       | 10   | 3     | 4           | statements ran without their values (PINNED) |
+
+  Scenario: nothing is left behind by a cut of the primary and the promotion service
+    When the primary and the promotion service are cut off with seed 1, 3 hosts and 4 connections
+    Then the checker reports no violation
+
+  # Guards against a write that was held back by a cut, and is acknowledged while
+  # an order that loses it is out (LOST).
+  Scenario: a write that a cut has held back is not acknowledged and lost
+    When the primary and the promotion service are cut off with seed 5, 5 hosts and 16 connections
+    Then the checker reports no violation
--- a/features/steps/soak_changes_steps.py
+++ b/features/steps/soak_changes_steps.py
@@ -39,10 +39,24 @@
         if not context.violations:
             shutil.rmtree(soak.directory)
 
+    @staticmethod
+    @when(
+        'the primary and the promotion service are cut off with seed '
+        '{seed:d}, {hosts:d} hosts and {connections:d} connections'
+    )
+    def run_cuts(
+        context: Any, seed: int, hosts: int, connections: int
+    ) -> None:
+        """Run a seed of the profile ``cuts``; keep the logs of a failure."""
+        soak = Soak(seed, hosts, 0.0, connections, Profile.CUTS)
+        context.violations = soak.run()
+        if not context.violations:
+            shutil.rmtree(soak.directory)
+
     @staticmethod
     @then(
         'seed {seed:d} silences the primary while orders are late or refused, '
-        'cuts it off with the service at last, and the same way each time'
+        'and the same way each time'
     )
     def check_by_seed(context: Any, seed: int) -> None:
         """Check the faults of a seed."""
@@ -53,7 +67,6 @@
         rounds = kinds.count(FaultKind.CRASH_PRIMARY)
         late = kinds.count(FaultKind.LATE_ORDERS)
         assert rounds == late + kinds.count(FaultKind.NO_ORDERS) >= 2, faults
-        assert kinds[-1] is FaultKind.CUT_PRIMARY, faults
 
 
 class ChangeCheckerSteps:
