review: case 11, acknowledged commits are lost by a repeated order (LOST)

Cause, by reading: an order of promotion is repeated for up to a second without a look at the primary or at the replicas that were told to hold; a member that has started since confirms a write that a cut had held up.

--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -19,6 +19,9 @@
 import time
 
 import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
+import gevent.socket
 
 from trefoilpulley_emulator.caller import Caller
 from trefoilpulley_emulator.group import EmulatedGroup
@@ -190,29 +193,53 @@
 class Lab:
     """Store, promotion service, one group of members and some hosts."""
 
-    def __init__(self, record: Record, max_connections: int = 16) -> None:
+    def __init__(
+        self,
+        record: Record,
+        max_connections: int = 16,
+        zones: tuple[str, ...] = ZONES,
+        has_links: bool = False,
+    ) -> None:
         self.record = record
         self.directory = Path(tempfile.mkdtemp(prefix='review-3-'))
         self.store = KvServer()
         self.store.start()
         self.group = EmulatedGroup(
-            'ledger', ZONES, self.store, max_connections
+            'ledger', zones, self.store, max_connections
         )
         self.promotions = PromotionServer({'ledger': self.group})
         self.promotions.start()
+        self.promotion_address = self.promotions.address
+        self.links: dict[str, Link] = {}
+        if has_links:
+            self._add_links()
         self.group.start()
         self.hosts: list[Host] = []
 
-    def add_hosts(self, count: int, **extra: str) -> None:
-        """Start hosts, spread over the zones."""
+    def _add_links(self) -> None:
+        """Put a link before each member and the promotion service."""
+        for member, server in self.group.servers.items():
+            server.port = free_ports(1)[0]
+            link = self.links[member] = Link(server.port)
+            link.start()
+            self.group.published_addresses[member] = f'127.0.0.1:{link.port}'
+        _, _, port = self.promotions.address.rpartition(':')
+        link = self.links['promotions'] = Link(int(port))
+        link.start()
+        self.promotion_address = f'127.0.0.1:{link.port}'
+
+    def add_hosts(
+        self, count: int, zones: tuple[str, ...] = ZONES, **extra: str
+    ) -> None:
+        """Start hosts, spread over some zones."""
         settings = {k.replace('__', '.'): v for k, v in extra.items()}
         for number in range(len(self.hosts), len(self.hosts) + count):
             host = Host(
                 f'front-{number}',
-                ZONES[number % len(ZONES)],
+                zones[number % len(zones)],
                 self.directory,
                 self.store.address,
-                self.promotions.address,
+                self.promotion_address,
                 settings,
             )
             self.hosts.append(host)
@@ -230,6 +257,8 @@
         """End every process and remove the temporary folder."""
         for host in self.hosts:
             host.kill()
+        for link in self.links.values():
+            link.stop()
         self.group.stop()
         self.promotions.stop()
         self.store.stop()
@@ -298,3 +327,82 @@
     if tenants is not None:
         document['tenants'] = tenants
     return document
+
+
+class Link:
+    """Forwards connections to one address, or holds every byte for a while.
+
+    A connection that is opened while the link is cut delivers nothing: its
+    opening packet is lost. On a connection from before the cut, the bytes
+    arrive at the end of the cut, also if their sender has closed the
+    connection since.
+    """
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.is_cut = False
+        self._healed = Event()
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+
+    @property
+    def port(self) -> int:
+        """Port on which the link listens."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Listen on a free port."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._server.stop(timeout=0)
+
+    def cut(self) -> None:
+        """Hold every byte until the link heals."""
+        self._healed.clear()
+        self.is_cut = True
+
+    def heal(self) -> None:
+        """Forward again, first what was held."""
+        self.is_cut = False
+        self._healed.set()
+
+    def _wait(self) -> None:
+        while self.is_cut:
+            self._healed.wait()
+
+    def _serve(self, sock: gevent.socket.socket, address: tuple) -> None:
+        if self.is_cut:
+            self._wait()
+            sock.close()
+            return
+        try:
+            peer = gevent.socket.create_connection(
+                ('127.0.0.1', self.target), 5
+            )
+        except OSError:
+            sock.close()
+            return
+        pumps = [
+            gevent.spawn(self._pump, sock, peer),
+            gevent.spawn(self._pump, peer, sock),
+        ]
+        gevent.joinall(pumps)
+        sock.close()
+        peer.close()
+
+    def _pump(
+        self, source: gevent.socket.socket, sink: gevent.socket.socket
+    ) -> None:
+        try:
+            while data := source.recv(65536):
+                self._wait()
+                sink.sendall(data)
+            self._wait()
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for sock in (source, sink):
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
