--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -10,6 +10,7 @@
 import json
 import os
 from pathlib import Path
+import random
 import shutil
 import signal
 import socket
@@ -43,15 +44,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that are free now."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(('127.0.0.1', 0))
-        socks.append(sock)
-    ports = [s.getsockname()[1] for s in socks]
-    for sock in socks:
-        sock.close()
+    """Return ports of the loopback address that are free now.
+
+    They lie below the range from which clients' connections get theirs.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(12000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
