--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")/../.."
+PYTHONPATH=target/deps:target/review-3:review \
+    exec python3 -S review/14/case.py
