--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -43,10 +43,14 @@
     """The case can't run on this machine."""
 
 
+_GIVEN_PORTS: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that are free now.
 
-    They lie below the range from which clients' connections get theirs.
+    They lie below the range from which clients' connections get theirs. No
+    port is given twice.
     """
     ports: list[int] = []
     while len(ports) < count:
@@ -56,7 +60,8 @@
                 sock.bind(('127.0.0.1', port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in _GIVEN_PORTS:
+            _GIVEN_PORTS.add(port)
             ports.append(port)
     return ports
 
