--- a/review/12/case.py
+++ b/review/12/case.py
@@ -247,16 +247,12 @@
 
 def _play(lab, record, has_trouble):
     group, log = lab.group, lab.group.log
-    lab.store.put(
-        'op/config', make_configuration(7, {'filings': 'primary'})
-    )
+    lab.store.put('op/config', make_configuration(7, {'filings': 'primary'}))
     lab.add_zoned_hosts()
     lab.await_ready()
     gevent.spawn(_beat, lab)
     gevent.sleep(4)
-    writers = [
-        Client(record, lab.hosts[n % 4], f'w{n}') for n in range(8)
-    ]
+    writers = [Client(record, lab.hosts[n % 4], f'w{n}') for n in range(8)]
     readers = [Client(record, lab.hosts[4], f'r{n}') for n in range(4)]
     greenlets = [gevent.spawn(w.run, True) for w in writers]
     greenlets += [gevent.spawn(r.run, False) for r in readers]
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -9,7 +9,6 @@
 
 import json
 import os
-from pathlib import Path
 import random
 import shutil
 import signal
@@ -18,16 +17,16 @@
 import sys
 import tempfile
 import time
+from pathlib import Path
 
 import gevent
+import gevent.socket
 from gevent.event import Event
 from gevent.server import StreamServer
-import gevent.socket
-
+from trefoilpulley_emulator import promotion_server
 from trefoilpulley_emulator.caller import Caller
 from trefoilpulley_emulator.group import EmulatedGroup
 from trefoilpulley_emulator.kv_server import KvServer
-from trefoilpulley_emulator import promotion_server
 from trefoilpulley_emulator.promotion_server import PromotionServer
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -140,7 +139,9 @@
     def start(self) -> None:
         """Start the process."""
         env = {
-            k: os.environ[k] for k in ('PATH', 'HOME', 'LANG') if k in os.environ
+            k: os.environ[k]
+            for k in ('PATH', 'HOME', 'LANG')
+            if k in os.environ
         }
         env['TREFOILPULLEY_BOOT'] = str(self.settings)
         env['PYTHONPATH'] = 'target/deps'
