--- a/review/11/case.py
+++ b/review/11/case.py
@@ -176,4 +176,4 @@
         raise CannotRun('the successor has another port')
 
 
-sys.exit(run_case(play, Path(__file__).parent))
+sys.exit(run_case(play, Path(__file__).with_name('record.txt')))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -109,4 +109,4 @@
     return breaks
 
 
-sys.exit(run_case(play, Path(__file__).parent))
+sys.exit(run_case(play, Path(__file__).with_name('record.txt')))
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -280,13 +280,13 @@
             shutil.rmtree(self.directory, ignore_errors=True)
 
 
-def run_case(play, folder: Path) -> int:
+def run_case(play, record_path: Path) -> int:
     """Play a case; return 1 if its rule was broken, 0 if not, 2 on trouble.
 
     ``play`` gets the record, and whether there is trouble, and returns the
     breaks that it has found.
     """
-    record = Record(folder / 'record.txt')
+    record = Record(record_path)
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write(f'trouble: {"yes" if has_trouble else "no"}')
     try:
