Serve at a new primary once later changes go on from it

A member was promoted, cut off 50 ms after the order, and read at, while the other zones promoted a replica of the former primary with 50 to 60 commits more.

Cause: a proof of leadership was taken for all that a read needs. It shows that no other member leads now, not that a later promotion starts from this log.

Change: a new primary has to be confirmed. Claim.leader names the member from whose log every later change goes on; LeaderRecorder writes it with the start of the term by compare-and-swap, or has most voters confirm it while the service is out. Other proofs are kept until then. A planned change confirms its target once it has the whole log of the demoted primary, before it leads. A host that has claimed looks at the starts once more. Where the promoter is gone, the voters confirm in turn.

--- a/features/steps/holder_partition_steps.py
+++ b/features/steps/holder_partition_steps.py
@@ -572,7 +572,7 @@
     def check_change_goes_on(context: Any) -> None:
         """Check the decision right after an answer through another holder."""
         host = context.world.hosts[context.cut[0]]
-        parts = [None] * 8
+        parts = [None] * 9
         changer = PrimaryChanger(host.name, *parts, host.clock)
         assert host.health.failing_since is None
         assert not changer._has_leader(host.group, PRIMARY, {})
--- a/features/steps/log_lineage_steps.py
+++ b/features/steps/log_lineage_steps.py
@@ -35,6 +35,7 @@
 from trefoilpulley_node.direct.claim_store import read_claim
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
+from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 
@@ -283,8 +284,7 @@
             member,
             context.claims,
             member,
-            None,
-            dict,
+            LeaderRecorder('h', member, context.claims, None, dict, clock),
             lambda: Lease(1, 30, 1),
             clock,
             DirectMetrics(),
@@ -325,7 +325,17 @@
     def notify(context: Any) -> None:
         """Hand the notice to the second host."""
         changer = PrimaryChanger(
-            'h', None, None, context.second, None, None, dict, list, {}, None
+            'h',
+            None,
+            None,
+            context.second,
+            None,
+            None,
+            None,
+            dict,
+            list,
+            {},
+            None,
         )
         changer.on_leader_notice(LeaderNotice('ledger', 'y', 1, (TERM_START,)))
 
--- a/features/steps/primary_order_steps.py
+++ b/features/steps/primary_order_steps.py
@@ -32,6 +32,7 @@
 from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
+from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
 from trefoilpulley_node.direct.primary_changer import PrimaryChanger
 from trefoilpulley_node.direct.primary_watch import CHECK_INTERVAL_S
 from trefoilpulley_node.direct.promotion_runner import PromotionRunner
@@ -246,13 +247,20 @@
         )
         group.state.members['primary'].on_unreachable(world.time.clock.now())
         claims = ClaimStore(name, platform, lambda: HOSTS, world.time.clock)
-        runner = PromotionRunner(
+        leaders = LeaderRecorder(
             name,
             world,
             claims,
-            world,
             peers,
             lambda: dict.fromkeys(HOSTS, 'a'),
+            world.time.clock,
+        )
+        runner = PromotionRunner(
+            name,
+            world,
+            claims,
+            world,
+            leaders,
             lambda: Lease(HOSTS.index(name) + 1, 30, 1),
             world.time.clock,
             DirectMetrics(),
@@ -263,6 +271,7 @@
             _AgreedVote(),
             claims,
             runner,
+            leaders,
             CommitJudge(RosterStore(FakePlatform())),
             lambda: dict.fromkeys(HOSTS, 'a'),
             lambda: live,
@@ -318,7 +327,6 @@
             context.first,
             context.service,
             None,
-            dict,
             lambda: Lease(1, 30, 1),
             context.clock,
             DirectMetrics(),
--- a/features/steps/roster_keeper_steps.py
+++ b/features/steps/roster_keeper_steps.py
@@ -199,6 +199,7 @@
             world,
             ClaimStore('h1', context.kv, lambda: HOSTS, clock),
             world,
+            None,
             CommitJudge(context.rosters),
             lambda: HOSTS,
             lambda: HOSTS,
--- a/packages/core/src/trefoilpulley_core/direct/failover.py
+++ b/packages/core/src/trefoilpulley_core/direct/failover.py
@@ -88,6 +88,13 @@
     is_claimed: bool = field(default=True, compare=False)
     """Whether the holder has claimed the change before it acted."""
 
+    leader: str = field(default='', compare=False)
+    """Member whose term every later change goes on from.
+
+    Empty before the first change. Only this member serves reads of the
+    present and writes.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class Round:
@@ -136,6 +143,13 @@
     term_starts: tuple[TermStart, ...] = ()
     """Starts of the group's terms that the reporting host knows."""
 
+    is_confirmed: bool = True
+    """Whether every later change is known to go on from the member's log.
+
+    Otherwise the notice asks for an answer, which confirms that the host
+    knows the starts.
+    """
+
 
 @dataclass(frozen=True, slots=True)
 class OrderNotice:
@@ -167,6 +181,9 @@
     roster: CommitRoster | None = None
     """Roster that the reporting host knows, where a group has one."""
 
+    term_starts: tuple[TermStart, ...] = ()
+    """Starts of the group's terms that the reporting host knows."""
+
 
 def fencing_token(claimed: Round, holder: Lease) -> int:
     """Return the fencing token of a claim holder in a round.
--- a/packages/core/src/trefoilpulley_core/direct/group_state.py
+++ b/packages/core/src/trefoilpulley_core/direct/group_state.py
@@ -17,6 +17,7 @@
 from trefoilpulley_core.position import BEGINNING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Container
     from collections.abc import Iterable
     from collections.abc import Mapping
@@ -100,6 +101,20 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class LeadershipProof:
+    """Proof of a member that it leads its group."""
+
+    member: str
+    """Identifier of the member."""
+
+    sent_at: float
+    """Time at which the proving request was sent, in seconds."""
+
+    position: Position
+    """Position in the reply."""
+
+
 class MemberHealth:
     """Latency, lag and failures of one member as seen by this host.
 
@@ -282,10 +297,19 @@
     ----------
     group : str
         Name of the group.
+    find_leader : Callable[[], str], optional
+        Returns the member whose term every later change goes on from; empty
+        where none is known.
     """
 
-    def __init__(self, group: str) -> None:
+    def __init__(
+        self, group: str, find_leader: Callable[[], str] = lambda: ''
+    ) -> None:
         self.group = group
+        self._find_leader = find_leader
+        self.unconfirmed: LeadershipProof | None = None
+        """Newest proof of a leader that a later change may pass over."""
+
         self.members: dict[str, MemberHealth] = {}
         """Members by identifier."""
 
@@ -375,7 +399,11 @@
             if health.record.incarnation != record.incarnation:
                 self._add(record, PaceReason.RESTARTED)
                 continue
-            if record.is_primary and not health.record.is_primary:
+            if (
+                record.is_primary
+                and not health.record.is_primary
+                and self.is_confirmed(record.member)
+            ):
                 self.primary = record.member
                 self._on_primary(record.member)
             health.record = record
@@ -383,11 +411,45 @@
             self.primary = self._listed_primary()
             self._on_primary(self.primary)
 
+    @property
+    def last_primary(self) -> str | None:
+        """Member that was the primary last."""
+        return self._last_primary
+
+    def is_confirmed(self, member: str) -> bool:
+        """Return whether no later change passes over the lead of a member.
+
+        The log of a new primary may lack acknowledged commits. Until every
+        later change is known to go on from that log, such commits may come
+        into force again, and reads of the present must not run without them.
+        """
+        return self._find_leader() in ('', member)
+
+    def on_leader_confirmed(self) -> bool:
+        """Record the proof of a leader that has been confirmed since.
+
+        Returns
+        -------
+        bool
+            Whether the leader was not the known primary before.
+        """
+        proof = self.unconfirmed
+        if proof is None or not self.is_confirmed(proof.member):
+            return False
+        self.unconfirmed = None
+        if proof.member not in self.members:
+            return False
+        return self.on_leadership_proof(
+            proof.member, proof.sent_at, proof.position
+        )
+
     def on_leadership_proof(
         self, member: str, sent_at: float, position: Position
     ) -> bool:
         """Record that a member has proved its leadership.
 
+        A proof of a leader that is not confirmed is only kept for later.
+
         Parameters
         ----------
         member : str
@@ -402,6 +464,10 @@
         bool
             Whether the member was not the known primary before.
         """
+        if not self.is_confirmed(member):
+            self.unconfirmed = LeadershipProof(member, sent_at, position)
+            return False
+        self.unconfirmed = None
         self.term = max(self.term, position.term)
         self.evidence.record(sent_at, position)
         self.last_proof_at = max(self.last_proof_at, sent_at)
@@ -452,7 +518,11 @@
         return least
 
     def _listed_primary(self) -> str | None:
-        listed = [m for m, h in self.members.items() if h.record.is_primary]
+        listed = [
+            m
+            for m, h in self.members.items()
+            if h.record.is_primary and self.is_confirmed(m)
+        ]
         return listed[0] if listed else None
 
     def _remove_absent(self, present: Mapping[str, MemberRecord]) -> None:
--- a/packages/node/src/trefoilpulley_node/direct/change_settler.py
+++ b/packages/node/src/trefoilpulley_node/direct/change_settler.py
@@ -25,6 +25,7 @@
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.commit_judge import CommitJudge
     from trefoilpulley_node.direct.directory import Group
+    from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.direct.primary_changer import PrimaryChanger
     from trefoilpulley_node.direct.promotion_runner import PromotionRunner
@@ -61,6 +62,8 @@
         Newest claim of each group.
     promotions : PromotionRunner
         Orders promotions.
+    leaders : LeaderRecorder
+        Confirms new primaries to the other hosts.
     judge : CommitJudge
         Judges whether the primary has every acknowledged commit.
     registered_hosts : Callable[[], Mapping[str, str]]
@@ -78,6 +81,7 @@
         prober: MemberProber,
         claims: ClaimStore,
         promotions: PromotionRunner,
+        leaders: LeaderRecorder,
         judge: CommitJudge,
         registered_hosts: Callable[[], Mapping[str, str]],
         live_hosts: Callable[[], Container[str]],
@@ -88,6 +92,7 @@
         self._prober = prober
         self._claims = claims
         self._promotions = promotions
+        self._leaders = leaders
         self._judge = judge
         self._registered_hosts = registered_hosts
         self._live_hosts = live_hosts
@@ -147,6 +152,21 @@
         if first == self._host:
             gevent.spawn(self._find_held, group)
 
+    def confirm_leader(self, group: Group) -> None:
+        """Confirm a leader that its promoter has not confirmed.
+
+        While a change to another member is under way, its order has to be
+        superseded first.
+        """
+        unconfirmed = group.state.unconfirmed
+        if unconfirmed is None:
+            return
+        name, member = group.state.group, unconfirmed.member
+        if self._claims.is_change_known(name, member):
+            self._changer.confirm_leader(group, member)
+        else:
+            self.settle(group, member)
+
     def settle(self, group: Group, primary: str) -> None:
         """Make sure that no earlier order replaces a primary that leads.
 
@@ -173,6 +193,10 @@
             return
         if self._claims.last_round(name) != claimed.number:
             return
+        if not group.state.is_confirmed(primary) and not self._leaders.record(
+            group, primary, claimed.number
+        ):
+            return
         self._changer.resume_replication(group)
         self._held_groups.discard(name)
         self._claims.settle(name, claimed.number)
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -116,6 +116,21 @@
         newest = self._newest_claims.get(group)
         return newest.claim.round if newest else 0
 
+    def leader_of(self, group: str) -> str:
+        """Return the member whose term every later change goes on from.
+
+        Empty where no change has told one.
+        """
+        newest = self._newest_claims.get(group)
+        return newest.claim.leader if newest else ''
+
+    def is_change_known(self, group: str, member: str) -> bool:
+        """Return whether only a member's own change may be under way."""
+        newest = self._newest_claims.get(group)
+        if newest is None or newest.claim.is_settled:
+            return True
+        return newest.claim.target == member
+
     def newest(self, group: str) -> Claim | None:
         """Return a group's newest claim, or ``None`` if none is known."""
         newest = self._newest_claims.get(group)
@@ -144,6 +159,69 @@
         self._mark_settled(state.group, claim.round)
         return False
 
+    def confirm_leader(
+        self,
+        group: str,
+        round_number: int,
+        leader: str,
+        starts: Iterable[TermStart] = (),
+    ) -> Result[None, Failure]:
+        """Write to the claim of a round which member leads.
+
+        A host that claims a later change has read it, and goes on from the
+        leader's log.
+
+        Parameters
+        ----------
+        group : str
+            Group of the change.
+        round_number : int
+            Round of the newest claim.
+        leader : str
+            Member that leads, or that will once it is promoted.
+        starts : Iterable[TermStart], optional
+            Starts of the group's terms that this host knows.
+
+        Returns
+        -------
+        Result[None, Failure]
+            `ClaimOutdated` where another host has begun a change, and
+            `RevisionConflict` where the claim was written meanwhile; other
+            failures where the service can't confirm the write.
+        """
+        self.record_term_starts(group, starts)
+        if self.last_round(group) != round_number:
+            return Failed(ClaimOutdated(f'round {round_number}'))
+        known = self._known(group)
+        claim = replace(
+            known.claim, leader=leader, term_starts=self.term_starts(group)
+        )
+        result = self._write(group, known, claim)
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        newest = self._newest_claims.get(group, known)
+        if newest.version == known.version:
+            self._newest_claims[group] = replace(
+                newest, revision=result.unwrap()
+            )
+        self.set_leader(group, round_number, leader)
+        return Success(None)
+
+    def set_leader(self, group: str, round_number: int, leader: str) -> None:
+        """Record the leader that a change has confirmed.
+
+        The leader of an earlier round than the newest is out of date. One
+        that the service has not been told is published.
+        """
+        newest = self._known(group)
+        is_known = newest.claim.leader == leader
+        if newest.claim.round != round_number or is_known:
+            return
+        claim = replace(newest.claim, leader=leader)
+        self._newest_claims[group] = replace(newest, claim=claim)
+        if not claim.is_claimed:
+            self._publications_due[group] = self._clock.now()
+
     def settle(self, group: str, round_number: int) -> None:
         """Record and publish that a change can have no effect any more."""
         if self._mark_settled(group, round_number):
@@ -263,6 +341,7 @@
                 target,
                 is_settled=not target,
                 is_claimed=False,
+                leader=self.leader_of(group),
             )
             self._newest_claims[group] = replace(
                 self._known(group),
@@ -305,6 +384,7 @@
         is_complete = (
             starts == written.claim.term_starts
             and newest.claim.is_settled == written.claim.is_settled
+            and newest.claim.leader == written.claim.leader
         )
         if newest.claim == written.claim and is_complete:
             self._publications_due.pop(group, None)
@@ -318,6 +398,7 @@
         after_round: int,
         target: str,
         is_confirmation: bool = False,
+        primary: str = '',
     ) -> Result[Round, Failure]:
         """Claim the change of a group that follows a round.
 
@@ -331,6 +412,8 @@
             Member to promote.
         is_confirmation : bool
             Whether the target is the present primary.
+        primary : str
+            Last known primary, which leads if no change has told a leader.
 
         Returns
         -------
@@ -345,7 +428,12 @@
         known = self._known(group)
         starts = self.term_starts(group)
         claim = Claim(
-            self._host, after_round + 1, target, starts, is_confirmation
+            self._host,
+            after_round + 1,
+            target,
+            starts,
+            is_confirmation,
+            leader=self.leader_of(group) or primary,
         )
         began_at = self._clock.now()
         result = self._write(group, known, claim)
@@ -490,6 +578,7 @@
                 fields.get('is_confirmation') is True,
                 fields.get('is_settled') is not False,
                 bool(fields.get('is_claimed', bool(target))),
+                str(fields.get('leader', '')),
             )
         )
     except DECODE_ERRORS as exc:
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -44,6 +44,7 @@
 from trefoilpulley_node.direct.host_view import HostView
 from trefoilpulley_node.direct.host_vote import HostVote
 from trefoilpulley_node.direct.isolation_watch import IsolationWatch
+from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
 from trefoilpulley_node.direct.limit_refusals import LimitRefusals
 from trefoilpulley_node.direct.member_prober import MemberProber
 from trefoilpulley_node.direct.platform_follower import PlatformFollower
@@ -273,6 +274,7 @@
             self._peers,
             self._clock,
             self.metrics,
+            self.find_leader,
         )
 
     @cached_property
@@ -450,6 +452,7 @@
             self.directory.groups,
             self._clock,
             self.find_roster,
+            lambda name: self._claims.term_starts(name),
         )
 
     @cached_property
@@ -461,6 +464,7 @@
             self._vote,
             self._claims,
             self._promotion_runner,
+            self._leaders,
             self._judge,
             self._registered_hosts,
             lambda: self._hosts.live,
@@ -480,12 +484,24 @@
             self._prober,
             self._claims,
             self._promotion_runner,
+            self._leaders,
             self._judge,
             self._registered_hosts,
             lambda: self._hosts.live,
             self._clock,
         )
 
+    @cached_property
+    def _leaders(self) -> LeaderRecorder:
+        return LeaderRecorder(
+            self._cfg.host,
+            self._prober,
+            self._claims,
+            self._peers,
+            self._registered_hosts,
+            self._clock,
+        )
+
     @cached_property
     def _promotion_runner(self) -> PromotionRunner:
         return PromotionRunner(
@@ -493,8 +509,7 @@
             self._prober,
             self._claims,
             self._promotions,
-            self._peers,
-            self._registered_hosts,
+            self._leaders,
             lambda: self._registration.first_lease,
             self._clock,
             self.metrics,
@@ -645,6 +660,7 @@
         )
         if is_announced and self._follower.is_synchronized:
             self.changer.on_claim(name, claim)
+        self.changer.on_leader(name)
 
     def _on_roster(
         self, name: str, roster: CommitRoster, entry: KeyValue
@@ -690,6 +706,18 @@
         roster = self._rosters.find(group).in_force
         return roster if roster.members else None
 
+    def find_leader(self, group: str) -> str:
+        """Return the leader that changes of a group's primary have confirmed.
+
+        Before the first change, it is the first primary that was known; empty
+        if there is none.
+        """
+        leader = self._claims.leader_of(group)
+        if leader:
+            return leader
+        known = self.directory.groups.get(group)
+        return (known.state.last_primary if known else None) or ''
+
     def dump(self) -> ProxyState:
         """Return the state of the host."""
         return make_state(
--- a/packages/node/src/trefoilpulley_node/direct/directory.py
+++ b/packages/node/src/trefoilpulley_node/direct/directory.py
@@ -36,10 +36,14 @@
     ----------
     name : str
         Name of the group.
+    find_leader : Callable[[], str], optional
+        Returns the leader that changes of primary have confirmed.
     """
 
-    def __init__(self, name: str) -> None:
-        self.state = GroupState(name)
+    def __init__(
+        self, name: str, find_leader: Callable[[], str] = lambda: ''
+    ) -> None:
+        self.state = GroupState(name, find_leader)
         self.accesses: dict[str, MemberAccess] = {}
         """Accesses by member."""
 
@@ -87,6 +91,8 @@
         Monotonic time.
     metrics : DirectMetrics, optional
         Counts the connections that are opened and closed.
+    find_leader : Callable[[str], str], optional
+        Returns the leader of a group that changes of primary have confirmed.
     """
 
     def __init__(
@@ -97,7 +103,9 @@
         peers: Peers,
         clock: Clock,
         metrics: DirectMetrics | None = None,
+        find_leader: Callable[[str], str] = lambda _: '',
     ) -> None:
+        self._find_leader = find_leader
         self._host = host
         self._zone = zone
         self._dialer = dialer
@@ -266,7 +274,9 @@
     def _ensure_group(self, name: str) -> None:
         if name in self.groups:
             return
-        group = self.groups[name] = Group(name)
+        group = self.groups[name] = Group(
+            name, lambda: self._find_leader(name)
+        )
         self._update_group(name)
         for on_group in self._on_group:
             on_group(group)
--- a/packages/node/src/trefoilpulley_node/direct/exchange.py
+++ b/packages/node/src/trefoilpulley_node/direct/exchange.py
@@ -168,6 +168,9 @@
                     NotPrimary('member could not prove its leadership')
                 )
             record_proof(request.group, access, sent_at, proof.position)
+            member = access.health.record.member
+            if not request.group.state.is_confirmed(member):
+                return Failed(NotPrimary('leader is not confirmed'))
         return Success(reply)
 
     def open_transaction(
@@ -193,6 +196,8 @@
             return Failed(reply.failure)
         if not call.is_read_only:
             record_proof(group, access, sent_at, reply.position)
+            if not group.state.is_confirmed(access.health.record.member):
+                return Failed(NotPrimary('leader is not confirmed'))
         return Success(None)
 
 
--- a/packages/node/src/trefoilpulley_node/direct/host_vote.py
+++ b/packages/node/src/trefoilpulley_node/direct/host_vote.py
@@ -20,6 +20,7 @@
     from trefoilpulley_core.catalog import Endpoint
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.commit_roster import CommitRoster
+    from trefoilpulley_core.position import TermStart
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.peers import Peers
@@ -50,6 +51,8 @@
         Monotonic time.
     find_roster : Callable[[str], CommitRoster | None], optional
         Returns the roster that this host knows of a group.
+    find_term_starts : Callable[[str], tuple[TermStart, ...]], optional
+        Returns the starts of a group's terms that this host knows.
     """
 
     def __init__(
@@ -61,6 +64,9 @@
         groups: Mapping[str, Group],
         clock: Clock,
         find_roster: Callable[[str], CommitRoster | None] = lambda _: None,
+        find_term_starts: Callable[
+            [str], tuple[TermStart, ...]
+        ] = lambda _: (),
     ) -> None:
         self._host = host
         self._prober = prober
@@ -69,6 +75,7 @@
         self._groups = groups
         self._clock = clock
         self._find_roster = find_roster
+        self._find_term_starts = find_term_starts
 
     def collect_reports(
         self,
@@ -157,13 +164,16 @@
         group = self._groups.get(question.group)
         if group is None:
             return ReachReport(self._host, is_reached=False)
-        roster = self._find_roster(question.group)
+        known = (
+            self._find_roster(question.group),
+            self._find_term_starts(question.group),
+        )
         access = group.find_access(question.member)
         now = self._clock.now()
         if access is not None:
             answered_at = access.local_pool.reach.own.last_answer_at
             if now - answered_at < MAX_RECENT_ANSWER_AGE_S:
-                return ReachReport(self._host, True, roster)
+                return ReachReport(self._host, True, *known)
         is_reachable = self._prober.can_connect(
             group, question.member, question.endpoint
         )
@@ -174,4 +184,4 @@
                 # is checked; requests may still reach it through its holders.
                 access.local_pool.on_unreachable(now)
             group.check_requested.set()
-        return ReachReport(self._host, is_reachable, roster)
+        return ReachReport(self._host, is_reachable, *known)
--- a/packages/node/src/trefoilpulley_node/direct/primary_changer.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_changer.py
@@ -39,6 +39,7 @@
     from trefoilpulley_node.direct.commit_judge import CommitJudge
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.host_vote import HostVote
+    from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
     from trefoilpulley_node.direct.member_prober import MemberProber
     from trefoilpulley_node.direct.promotion_runner import PromotionRunner
 
@@ -77,6 +78,8 @@
         Newest claim of each group.
     promotions : PromotionRunner
         Carries out the promotions.
+    leaders : LeaderRecorder
+        Confirms new primaries to the other hosts.
     judge : CommitJudge
         Judges whether a member has every acknowledged commit.
     registered_hosts : Callable[[], Mapping[str, str]]
@@ -96,6 +99,7 @@
         vote: HostVote,
         claims: ClaimStore,
         promotions: PromotionRunner,
+        leaders: LeaderRecorder,
         judge: CommitJudge,
         registered_hosts: Callable[[], Mapping[str, str]],
         live_hosts: Callable[[], Collection[str]],
@@ -107,6 +111,7 @@
         self._vote = vote
         self._claims = claims
         self._promotions = promotions
+        self._leaders = leaders
         self._judge = judge
         self._registered_hosts = registered_hosts
         self._live_hosts = live_hosts
@@ -148,6 +153,8 @@
             return
         if self._has_leader(group, lost_primary, statuses):
             return
+        for report in reports:
+            state.lineage.merge(report.term_starts)
         self._update_lineage(group, statuses)
         self._judge.add_rosters(group, reports)
         target = choose_target(state, statuses)
@@ -176,8 +183,14 @@
             claimed = self._claim_without_service(
                 group, after_round, target, lost_primary, reports
             )
-        if claimed is not None and group.synchronous_replicas:
-            statuses = self._pause_replicas(group, lost_primary, statuses)
+        if claimed is not None:
+            # The claim may have told where a term begins that was not known
+            # when the member was chosen.
+            self._update_lineage(group, statuses)
+            if choose_target(state, statuses) != target:
+                statuses = {}
+            if statuses and group.synchronous_replicas:
+                statuses = self._pause_replicas(group, lost_primary, statuses)
             target = choose_target(state, statuses)
         if claimed is None and self._has_begun(group, after_round):
             # Requests wait for the change that another host carries out.
@@ -243,7 +256,29 @@
         after_round = self._claims.last_round(state.group)
         if not self._wait_turn(group, after_round):
             return None
-        return after_round if state.primary == old_primary else None
+        unconfirmed = state.unconfirmed
+        is_leading = state.primary == old_primary or (
+            unconfirmed is not None and unconfirmed.member == old_primary
+        )
+        return after_round if is_leading else None
+
+    def confirm_leader(self, group: Group, member: str) -> None:
+        """Confirm a member that leads, in place of the host that promoted it.
+
+        Where that is not possible, this host may be cut off with the member.
+        No request waits then.
+        """
+        after_round = self.begin(group, member)
+        if after_round is None or group.state.is_confirmed(member):
+            return
+        if not self._leaders.record(group, member, after_round):
+            self._back_off(group)
+
+    def on_leader(self, name: str) -> None:
+        """Let requests run at a leader that a claim has confirmed."""
+        group = self._groups.get(name)
+        if group is not None and group.state.unconfirmed is not None:
+            self._leaders.on_confirmed(group)
 
     def _hand_over_to(
         self,
@@ -338,8 +373,15 @@
 
     def on_leader_notice(self, notice: LeaderNotice) -> LeaderNotice:
         """Check whether the announced member leads; return the notice."""
-        self._claims.advance_round(notice.group, notice.round)
         self._claims.record_term_starts(notice.group, notice.term_starts)
+        last_round = self._claims.last_round(notice.group)
+        if notice.round < last_round:
+            return replace(notice, round=last_round)
+        if not notice.is_confirmed:
+            return notice
+        self._claims.advance_round(notice.group, notice.round)
+        self._claims.set_leader(notice.group, notice.round, notice.member)
+        self.on_leader(notice.group)
         group = self._groups.get(notice.group)
         if group is not None and group.state.primary != notice.member:
             self._prober.verify_leader(group, notice.member)
@@ -520,7 +562,11 @@
         name = group.state.group
         follows_open = self._claims.is_open(group.state)
         claimed = self._claims.try_claim(
-            name, after_round, target, is_confirmation
+            name,
+            after_round,
+            target,
+            is_confirmation,
+            group.state.last_primary or '',
         )
         failure = None if isinstance(claimed, Success) else claimed.failure()
         events.CHANGE_CLAIMED.log(
--- a/packages/node/src/trefoilpulley_node/direct/primary_watch.py
+++ b/packages/node/src/trefoilpulley_node/direct/primary_watch.py
@@ -209,9 +209,27 @@
         now = self._clock.now()
         if self._leaderless_since is None:
             self._leaderless_since = now
-        if now - self._leaderless_since > LEADERLESS_TIMEOUT_S:
+        if self._group.state.unconfirmed is not None:
+            self._confirm_leader(now)
+        elif now - self._leaderless_since > LEADERLESS_TIMEOUT_S:
             self._spawn_change(self._changer.fail_over, self._group, None)
 
+    def _confirm_leader(self, now: float) -> None:
+        """Confirm a leader that is not confirmed for some time.
+
+        Its promoter confirms it at once. Of the other hosts only the voters
+        do, in turn.
+        """
+        state = self._group.state
+        if now - state.unconfirmed.sent_at > LEADERLESS_TIMEOUT_S:
+            # The member may not lead any more.
+            state.unconfirmed = None
+        elif (
+            now - self._leaderless_since > LEADERLESS_TIMEOUT_S
+            and self._vote.is_voter(self._group)
+        ):
+            self._spawn_change(self._settler.confirm_leader, self._group)
+
     def _is_search_allowed(self) -> bool:
         """Return whether the members may be asked now which one leads."""
         now = self._clock.now()
--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -9,20 +9,18 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.failover import fencing_token
-from trefoilpulley_core.direct.failover import LeaderNotice
 from trefoilpulley_core.direct.failover import OrderNotice
 from trefoilpulley_core.direct.promotion_service import ClaimOutdated
 from trefoilpulley_core.direct.promotion_service import PromotionRefused
 from trefoilpulley_core.platform import PlatformAnswerLost
-from trefoilpulley_core.position import TermStart
 from trefoilpulley_node import events
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.direct.failover import Round
+    from trefoilpulley_core.direct.group_state import GroupState
     from trefoilpulley_core.direct.promotion_service import PromotionService
     from trefoilpulley_core.direct.upstream_session import LogStatus
     from trefoilpulley_core.failure import Failure
@@ -31,11 +29,8 @@
     from trefoilpulley_node.direct.claim_store import ClaimStore
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import Group
+    from trefoilpulley_node.direct.leader_recorder import LeaderRecorder
     from trefoilpulley_node.direct.member_prober import MemberProber
-    from trefoilpulley_node.peers import Peers
-
-NOTICE_TIMEOUT_S = 0.35
-"""Timeout of a notice to another host, in seconds."""
 
 EXPECTED_PROMOTION_S = 0.8
 """Expected duration of a promotion with a margin, in seconds."""
@@ -46,6 +41,9 @@
 LEAD_POLL_INTERVAL_S = 0.03
 """Time between two checks whether the new primary leads, in seconds."""
 
+PROOF_CHECK_INTERVAL_S = 0.005
+"""Time between two looks for a proof of the new primary, in seconds."""
+
 LEAD_TIMEOUT_S = 1.5
 """Timeout for a promoted member to lead, in seconds.
 
@@ -90,10 +88,8 @@
         Newest claim of each group.
     service : PromotionService
         Orders promotions from the platform.
-    peers : Peers
-        Connections to the other hosts.
-    registered_hosts : Callable[[], Mapping[str, str]]
-        Availability zone of each registered host, this one included.
+    leaders : LeaderRecorder
+        Confirms new primaries to the other hosts.
     first_lease : Callable[[], Lease | None]
         First lease of this host, which is unique among the running hosts;
         ``None`` before it is granted.
@@ -109,8 +105,7 @@
         prober: MemberProber,
         claims: ClaimStore,
         service: PromotionService,
-        peers: Peers,
-        registered_hosts: Callable[[], Mapping[str, str]],
+        leaders: LeaderRecorder,
         first_lease: Callable[[], Lease | None],
         clock: Clock,
         metrics: DirectMetrics,
@@ -119,8 +114,7 @@
         self._prober = prober
         self._claims = claims
         self._service = service
-        self._peers = peers
-        self._registered_hosts = registered_hosts
+        self._leaders = leaders
         self._first_lease = first_lease
         self._clock = clock
         self._metrics = metrics
@@ -168,10 +162,24 @@
         due_at = self._clock.now() + EXPECTED_PROMOTION_S
         state.primary_change_due_at = due_at
         if old_status is not None:
-            self._demote_after_delay(group, *old_status)
-        has_taken_effect = self._wait_for_lead(
-            group, target, answer is OrderAnswer.LOST
-        )
+            demoted = self._demote_after_delay(group, *old_status)
+            is_complete = demoted is not None and not demoted.is_primary
+        else:
+            demoted = None
+            # With synchronous replicas, only a member with every acknowledged
+            # commit is promoted.
+            is_complete = bool(group.synchronous_replicas)
+        if is_complete:
+            gevent.spawn(
+                self._leaders.record_successor,
+                group,
+                target,
+                claimed.number,
+                demoted,
+                due_at,
+            )
+        status = self._wait_for_lead(group, target, answer is OrderAnswer.LOST)
+        has_taken_effect = status is not None
         outcome = 'over' if has_taken_effect else 'no-effect'
         self._metrics.count('primary_changes', cause, outcome)
         if has_taken_effect:
@@ -181,14 +189,12 @@
                 member=target,
                 took_ms=round(1000 * duration_s),
             )
-            self._announce_leader(group, target, claimed.number)
+        is_confirmed = has_taken_effect and self._leaders.record(
+            group, target, claimed.number, received, status
+        )
         state.end_change(due_at)
-        if has_taken_effect:
+        if is_confirmed:
             self._claims.settle(state.group, claimed.number)
-            self._record_term_start(group, target, received)
-            if not claimed.is_claimed:
-                # Nothing but another notice tells the other hosts the start.
-                self._announce_leader(group, target, claimed.number)
         return True
 
     def confirm(
@@ -223,7 +229,9 @@
         name = group.state.group
         if not claimed.is_claimed:
             # The other hosts learn of the order by this notice only.
-            self._notify_hosts(OrderNotice(name, target, claimed.number))
+            self._leaders.notify_hosts(
+                OrderNotice(name, target, claimed.number)
+            )
         token = fencing_token(claimed, holder)
         failure: Failure | None = None
         is_answer_lost = False
@@ -261,15 +269,16 @@
 
     def _demote_after_delay(
         self, group: Group, leaving: str, old_status: LogStatus
-    ) -> None:
+    ) -> LogStatus | None:
         gevent.sleep(DEMOTION_DELAY_S)
-        if group.state.primary == leaving:
-            self.demote(group, leaving, old_status)
+        if group.state.primary != leaving:
+            return None
+        return self.demote(group, leaving, old_status)
 
     def _wait_for_lead(
         self, group: Group, target: str, is_answer_lost: bool
-    ) -> bool:
-        """Wait until a member leads; return whether it does.
+    ) -> LogStatus | None:
+        """Wait until a member leads; return its status, if it does.
 
         The wait ends earlier if the order got no answer, and another member
         leads at a time when the promotion should be over.
@@ -278,54 +287,27 @@
         due_at = self._clock.now() + EXPECTED_PROMOTION_S
         deadline = self._clock.now() + LEAD_TIMEOUT_S
         while self._clock.now() < deadline:
-            if self._prober.verify_leader(group, target):
-                return True
+            status = self._prober.read_status(group, target)
+            if status is not None and status.is_primary:
+                return status
             if (
                 is_answer_lost
                 and state.primary != target
                 and state.last_proof_at > due_at
             ):
-                return False
-            gevent.sleep(LEAD_POLL_INTERVAL_S)
-        return False
+                return None
+            self._wait_for_proof(state, target)
+        return None
 
-    def _record_term_start(
-        self, group: Group, member: str, received: Position | None
-    ) -> None:
-        """Record and publish where the term of a new primary begins.
+    def _wait_for_proof(self, state: GroupState, target: str) -> None:
+        """Wait until the next poll, or until a member is known to lead.
 
-        A commit that the primary has made since then hides the start. The end
-        of its log before the promotion is then the latest that is certain.
+        The monitoring of the group asks the member as soon as its entry tells
+        that it leads.
         """
-        lineage = group.state.lineage
-        status = self._prober.read_status(group, member)
-        if status is not None and status.is_primary:
-            lineage.on_status(status)
-            has_commit = status.received.term == status.term
-            if has_commit and received is not None:
-                lineage.record(TermStart(status.term, received.index + 1))
-        self._claims.publish_term_starts(group.state.group, lineage.starts)
-
-    def _announce_leader(
-        self, group: Group, member: str, round_number: int
-    ) -> None:
-        """Notify all hosts of the leader.
-
-        A host that can't reach the platform's service learns of the leader by
-        this notice only.
-        """
-        self._notify_hosts(
-            LeaderNotice(
-                group.state.group,
-                member,
-                round_number,
-                group.state.lineage.starts,
-            )
-        )
-
-    def _notify_hosts(self, notice: LeaderNotice | OrderNotice) -> None:
-        for host in self._registered_hosts():
-            if host != self._host:
-                gevent.spawn(
-                    self._peers.call_host, host, notice, NOTICE_TIMEOUT_S
-                )
+        next_poll_at = self._clock.now() + LEAD_POLL_INTERVAL_S
+        while self._clock.now() < next_poll_at:
+            proof = state.unconfirmed
+            if proof is not None and proof.member == target:
+                return
+            gevent.sleep(PROOF_CHECK_INTERVAL_S)
