Withhold answers to commits that a change of primary may lose

Cause: a host sent no write while a change was open, but passed on the answers to writes that it had sent before. A replica that has started since the HOLD confirms them, and the order that is repeated meanwhile promotes another one. Holding replicas again at each attempt can't mend it alone: an attempt that is out may be carried out seconds later, and the host that would tell the new replica may be cut off.

Change: CommitCheck withholds such an answer until the change is over, and compares the position of the commit with the start of the term that leads: done, or an unknown outcome, within the deadline. The round at the sending is compared too, for answers that arrive after the change. Nothing changes with asynchronous replicas, and no write waits that is answered outside of a change.

--- a/features/fakes/holder_world.py
+++ b/features/fakes/holder_world.py
@@ -40,6 +40,7 @@
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_core.position import Position
 from trefoilpulley_node.direct.caller_transaction import CallerTransaction
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.exchange import Exchanger
@@ -283,7 +284,12 @@
         self.server = RelayServer(groups, self.exchanger, clock)
         self.primary_wait = PrimaryWait(clock)
         self.runner = StatementRunner(
-            'a', self.exchanger, self.primary_wait, clock, metrics
+            'a',
+            self.exchanger,
+            self.primary_wait,
+            clock,
+            metrics,
+            CommitCheck(clock),
         )
         self.prober = MemberProber(self.exchanger, dialer, clock)
         self.vote = HostVote(
@@ -334,7 +340,12 @@
     def transact(self, name: str, timeout_s: float = TIMEOUT_S) -> Any:
         """Run a transaction of one write and commit it."""
         transaction = CallerTransaction(
-            False, 'a', self.exchanger, self.primary_wait, self.clock
+            False,
+            'a',
+            self.exchanger,
+            self.primary_wait,
+            self.clock,
+            CommitCheck(self.clock),
         )
         request = self.request(name, timeout_s)
         result = transaction.run(request)
--- a/features/fakes/route_rig.py
+++ b/features/fakes/route_rig.py
@@ -48,6 +48,7 @@
 from trefoilpulley_core.failure import Failure
 from trefoilpulley_core.failure import PeerUnreachable
 from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import GroupDirectory
 from trefoilpulley_node.direct.exchange import Exchanger
@@ -204,15 +205,19 @@
             self.clock,
         )
         exchanger = Exchanger(self.clock, self._metrics)
+        commits = CommitCheck(self.clock)
         self._factory = SessionFactory(
             'a',
             self.directory,
-            StatementRunner('a', exchanger, wait, self.clock, self._metrics),
+            StatementRunner(
+                'a', exchanger, wait, self.clock, self._metrics, commits
+            ),
             exchanger,
             wait,
             self.admissions,
             self.clock,
             self._metrics,
+            commits,
         )
 
     @property
--- a/features/steps/proxy_failing_member_steps.py
+++ b/features/steps/proxy_failing_member_steps.py
@@ -25,6 +25,7 @@
 from trefoilpulley_core.direct.upstream_session import UpstreamSession
 from trefoilpulley_core.position import Position
 from trefoilpulley_node.clock import BoottimeClock
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.exchange import Exchanger
@@ -189,6 +190,7 @@
             PrimaryWait(clock),
             clock,
             metrics,
+            CommitCheck(clock),
         )
         context.result = runner.read(request)
 
--- a/features/steps/proxy_hedge_steps.py
+++ b/features/steps/proxy_hedge_steps.py
@@ -31,6 +31,7 @@
 from trefoilpulley_core.failure import RunState
 from trefoilpulley_core.position import Position
 from trefoilpulley_node.clock import BoottimeClock
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.exchange import Exchanger
@@ -120,6 +121,7 @@
             PrimaryWait(clock),
             clock,
             metrics,
+            CommitCheck(clock),
         )
         context.read = gevent.spawn(runner.read, request)
 
@@ -207,6 +209,7 @@
             PrimaryWait(context.clock),
             context.clock,
             metrics,
+            CommitCheck(context.clock),
         )
         context.group.state.no_primary_change_until = (
             context.clock.now() + 1000.0
--- a/features/steps/proxy_overload_steps.py
+++ b/features/steps/proxy_overload_steps.py
@@ -35,6 +35,7 @@
 from trefoilpulley_core.position import Position
 from trefoilpulley_node.clock import BoottimeClock
 from trefoilpulley_node.direct.caller_transaction import CallerTransaction
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.direct_metrics import DirectMetrics
 from trefoilpulley_node.direct.directory import Group
 from trefoilpulley_node.direct.exchange import Exchanger
@@ -488,7 +489,12 @@
         """Check the refusal of the first statement of a transaction."""
         clock = context.clock
         transaction = CallerTransaction(
-            False, 'a', context.exchanger, PrimaryWait(clock), clock
+            False,
+            'a',
+            context.exchanger,
+            PrimaryWait(clock),
+            clock,
+            CommitCheck(clock),
         )
         request = RefusingGroupSteps._make_request(
             context, ReadFreshness.BOUNDED
@@ -499,7 +505,12 @@
     def _check_read(context: Any, freshness: ReadFreshness) -> None:
         clock = context.clock
         runner = StatementRunner(
-            'a', context.exchanger, PrimaryWait(clock), clock, DirectMetrics()
+            'a',
+            context.exchanger,
+            PrimaryWait(clock),
+            clock,
+            DirectMetrics(),
+            CommitCheck(clock),
         )
         request = RefusingGroupSteps._make_request(context, freshness)
         RefusingGroupSteps._check_not_run(lambda: runner.read(request))
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -291,6 +291,7 @@
             factory.exchanger,
             factory.primary_wait,
             factory.clock,
+            factory.commits,
         )
         return Reply(state=TransactionState.OPEN)
 
--- a/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_transaction.py
@@ -35,6 +35,7 @@
     from trefoilpulley_core.direct.routes import Route
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.commit_check import CommitCheck
     from trefoilpulley_node.direct.directory import Group
     from trefoilpulley_node.direct.exchange import Exchanger
     from trefoilpulley_node.direct.member_access import MemberAccess
@@ -75,6 +76,8 @@
         Waits until a new primary is known.
     clock : Clock
         Monotonic time.
+    commits : CommitCheck
+        Checks commits before they are acknowledged.
     """
 
     def __init__(
@@ -84,7 +87,9 @@
         exchanger: Exchanger,
         primary_wait: PrimaryWait,
         clock: Clock,
+        commits: CommitCheck,
     ) -> None:
+        self._commits = commits
         self._is_read_only = is_read_only
         self._zone = zone
         self._exchanger = exchanger
@@ -159,6 +164,7 @@
             return self._abort(request, TransactionLost('change of primary'))
         access, conn = self._access, self._conn
         sent_at = self._clock.now()
+        sent = sent_at, self._commits.begin(request.group)
         result = self._exchanger.exchange(
             access,
             conn,
@@ -182,12 +188,16 @@
                 request.group.check_requested.set()
             self._end(reply)
             return Failed(self._commit_failure(reply.failure))
-        if self._has_written:
+        self._end(reply)
+        if not self._has_written:
+            return Success(reply)
+        member = access.health.record.member
+        confirmed = self._commits.confirm(request, member, sent, reply)
+        if isinstance(confirmed, Success):
             record_proof(request.group, access, sent_at, reply.position)
             request.floor.at = self._clock.now()
             request.floor.position = reply.position
-        self._end(reply)
-        return Success(reply)
+        return confirmed
 
     def roll_back(self) -> None:
         """Roll back and release the connection."""
--- a/packages/node/src/trefoilpulley_node/direct/claim_store.py
+++ b/packages/node/src/trefoilpulley_node/direct/claim_store.py
@@ -392,6 +392,18 @@
             # A later round may have been used during the write.
             self._newest_claims[group] = replace(newest, revision=revision)
 
+    def refresh(self, group: str) -> bool:
+        """Read the newest claim of a group; return whether it is known now."""
+        fetched = self._call(lambda: self._platform.get(claim_key(group)))
+        if not isinstance(fetched, Success):
+            return False
+        entry = fetched.unwrap()
+        if entry is not None:
+            claim = read_claim(entry).value_or(None)
+            if claim is not None:
+                self.record_claim(group, claim, entry.mod_revision, entry.era)
+        return True
+
     def try_claim(
         self,
         group: str,
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -31,6 +31,7 @@
 from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
 from trefoilpulley_node.direct.change_settler import ChangeSettler
 from trefoilpulley_node.direct.claim_store import ClaimStore
+from trefoilpulley_node.direct.commit_check import CommitCheck
 from trefoilpulley_node.direct.commit_judge import CommitJudge
 from trefoilpulley_node.direct.config_exchange import ConfigExchange
 from trefoilpulley_node.direct.config_holder import ConfigHolder
@@ -291,6 +292,7 @@
             self._primary_wait,
             self._clock,
             self.metrics,
+            self._commits,
         )
         return SessionFactory(
             self._cfg.zone,
@@ -301,6 +303,7 @@
             self._admissions,
             self._clock,
             self.metrics,
+            self._commits,
         )
 
     @cached_property
@@ -346,6 +349,17 @@
             self._clock, self._cfg.drain_s, self._is_change_open
         )
 
+    @cached_property
+    def _commits(self) -> CommitCheck:
+        return CommitCheck(
+            self._clock,
+            self._is_change_open,
+            self._claims.last_round,
+            self._claims.term_starts,
+            self._claims.refresh,
+            lambda: self._isolation.is_isolated,
+        )
+
     def _is_change_open(self, group: Group) -> bool:
         return self._claims.is_open(group.state)
 
--- a/packages/node/src/trefoilpulley_node/direct/session_factory.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_factory.py
@@ -17,6 +17,7 @@
     from trefoilpulley_core.clock import Clock
     from trefoilpulley_core.failure import Failure
     from trefoilpulley_node.direct.admission_exchange import AdmissionExchange
+    from trefoilpulley_node.direct.commit_check import CommitCheck
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.directory import GroupDirectory
     from trefoilpulley_node.direct.exchange import Exchanger
@@ -51,6 +52,8 @@
         Monotonic time.
     metrics : DirectMetrics
         Counts requests.
+    commits : CommitCheck
+        Checks commits before they are acknowledged.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         admissions: AdmissionExchange,
         clock: Clock,
         metrics: DirectMetrics,
+        commits: CommitCheck,
     ) -> None:
+        self.commits = commits
         self.metrics = metrics
         self.zone = zone
         self.directory = directory
--- a/packages/node/src/trefoilpulley_node/direct/statement_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/statement_runner.py
@@ -38,6 +38,7 @@
     from trefoilpulley_core.direct.placement import Placement
     from trefoilpulley_core.direct.upstream_session import Reply
     from trefoilpulley_core.failure import Failure
+    from trefoilpulley_node.direct.commit_check import CommitCheck
     from trefoilpulley_node.direct.direct_metrics import DirectMetrics
     from trefoilpulley_node.direct.exchange import Exchanger
     from trefoilpulley_node.direct.member_session import MemberSession
@@ -115,6 +116,8 @@
         Monotonic time.
     metrics : DirectMetrics
         Records the floor ages of reads at replicas.
+    commits : CommitCheck
+        Checks commits before they are acknowledged.
     """
 
     def __init__(
@@ -124,8 +127,10 @@
         primary_wait: PrimaryWait,
         clock: Clock,
         metrics: DirectMetrics,
+        commits: CommitCheck,
     ) -> None:
         self._metrics = metrics
+        self._commits = commits
         self._zone = zone
         self._exchanger = exchanger
         self._primary_wait = primary_wait
@@ -364,10 +369,16 @@
             return acquired
         conn = acquired.unwrap()
         sent_at = self._clock.now()
+        sent = sent_at, self._commits.begin(request.group)
         result = self._exchanger.run(
             access, conn, request, None, False, request.deadline
         )
         access.release(conn)
+        if isinstance(result, Success):
+            member = access.health.record.member
+            result = self._commits.confirm(
+                request, member, sent, result.unwrap()
+            )
         if isinstance(result, Success):
             reply = result.unwrap()
             record_proof(request.group, access, sent_at, reply.position)
