Tell replicas to hold once in a change, not at each attempt of its order

The host that finds held replicas got no status from a primary whose slots were full of commits that waited for a replica.

CommitCheck makes the repetition needless: the answers that it should have kept from callers are withheld.

--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -235,9 +235,7 @@
         token = fencing_token(claimed, holder)
         failure: Failure | None = None
         is_answer_lost = False
-        for attempt in range(MAX_ORDER_ATTEMPTS):
-            if attempt > 0 and group.synchronous_replicas:
-                gevent.spawn(self._hold_replicas, group, target)
+        for _ in range(MAX_ORDER_ATTEMPTS):
             verified = self._claims.verify_claim(name, claimed)
             if not isinstance(verified, Success):
                 failure = verified.failure()
@@ -269,18 +267,6 @@
             return OrderAnswer.REFUSED
         return OrderAnswer.NOT_SENT
 
-    def _hold_replicas(self, group: Group, target: str) -> None:
-        """Tell the replicas to hold that have started since the others were.
-
-        Does nothing once a member has been promoted: its replicas have to
-        receive its commits.
-        """
-        replicas = group.state.members_except(group.state.primary)
-        statuses = self._prober.read_statuses(group, replicas)
-        if not any(s.is_primary for s in statuses.values()):
-            statuses.pop(target, None)
-            self._prober.pause_replication(group, statuses)
-
     def _demote_after_delay(
         self, group: Group, leaving: str, old_status: LogStatus
     ) -> LogStatus | None:
