Roll a transaction back once its key is withdrawn

Cause: the session kept the customer of its BEGIN, and meant to: docs/HARD-LOAD.md said so. The users' page lets a transaction outlive a change of its route, and says nothing of the kind of keys.

Change: CallerSession.check_key looks at an open transaction once for each version. If the key no longer belongs to its customer, the transaction is rolled back at the member at once and the caller gets NotAuthenticated once. A statement or COMMIT that is at a member is answered first. A version that leaves the key with its customer cuts nothing.

The soak accepted statements of a transaction that began before the bound; it judges each by the time at which it was sent.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -40,13 +40,51 @@
     When the customers are "weavers: key-w1; dyers: key-d"
     Then the caller's "READ a" gets "DONE"
 
-  Scenario: a transaction goes on after its key is removed
+  # Guards against a withdrawn key that acts on inside an open transaction
+  # (CONFIG).
+  Scenario Outline: a transaction is rolled back once its key is withdrawn
+    Given a caller of "orders" with the key "key-w1"
+    When the caller sends "<begin>" and "<statement>"
+    And the customers are "<customers>"
+    Then a member has rolled the transaction back
+    And the caller's "<next>" gets "NOAUTH"
+    And the caller's "<later>" gets "<answer>"
+    And the committed data of "a" are "-"
+
+    Examples: a statement, EXEC, COMMIT, a transaction that reads, a moved key, a customer that is gone, the last customer
+      | begin      | statement | customers                            | next     | later    | answer |
+      | BEGIN      | WRITE a 1 | weavers: key-w2; dyers: key-d        | WRITE b 2 | READ a   | BAD    |
+      | BEGIN      | WRITE a 1 | weavers: key-w2; dyers: key-d        | EXEC p 1 | COMMIT   | BAD    |
+      | BEGIN      | WRITE a 1 | weavers: key-w2; dyers: key-d        | COMMIT   | READ a   | NOAUTH |
+      | BEGIN      | WRITE a 1 | weavers: key-w2; dyers: key-d        | READ a   | ROLLBACK | DONE   |
+      | BEGIN READ | READ a    | weavers: key-w2; dyers: key-d        | READ a   | ROLLBACK | DONE   |
+      | BEGIN      | WRITE a 1 | weavers: key-w2; dyers: key-d key-w1 | COMMIT   | READ a   | DONE   |
+      | BEGIN      | WRITE a 1 | dyers: key-d                         | COMMIT   | READ a   | NOAUTH |
+
+  # Guards against a rollback that a caller never hears of.
+  Scenario: a key that is added again does not bring its transaction back
     Given a caller of "orders" with the key "key-w1"
     When the caller sends "BEGIN" and "WRITE a 1"
     And the customers are "dyers: key-d"
+    And the customers are "weavers: key-w1; dyers: key-d"
+    Then the caller's "COMMIT" gets "NOAUTH"
+    And the caller's "READ a" gets "DONE"
+    And the committed data of "a" are "-"
+
+  # Guards against transactions that a change of something else cuts.
+  Scenario Outline: a transaction goes on while its caller keeps the key
+    Given a caller of "orders" with the key "key-w1"
+    When the caller sends "BEGIN" and "WRITE a 1"
+    And the customers are "<customers>"
     Then the caller's "WRITE b 2" gets "DONE"
     And the caller's "COMMIT" gets "DONE"
-    And the caller's "READ a" gets "NOAUTH"
+    And the committed data of "a" are "1"
+
+    Examples: another customer, other keys of the same one, and a new order
+      | customers                            |
+      | weavers: key-w1 key-w2               |
+      | weavers: key-w1; dyers: key-d        |
+      | dyers: key-d; weavers: key-new key-w1 |
 
   Scenario: sessions of a deployment that gets its first customers are refused without a key
     Given no customers are configured
@@ -63,11 +101,11 @@
     Given a session with the key "key-w1" whose statements are recorded
     When the session runs a statement
     And the session begins a transaction
-    And the customers are "weavers: key-w2; dyers: key-d key-w1"
     And the session runs a statement
-    And the session commits
+    And the customers are "weavers: key-w2; dyers: key-d key-w1"
+    And the session is refused a COMMIT
     And the session runs a statement
-    Then the statements ran for "weavers, weavers, weavers, dyers"
+    Then the statements ran for "weavers, weavers, dyers"
 
   Scenario: a statement on a public route runs for no customer
     Given a session of "lookups" with the key "key-w1" whose statements are recorded
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -78,15 +78,16 @@
       | a key that was never held ran a statement               | ROUTE     |
       | a key ran a statement before it was added               | ROUTE     |
       | a removed key ran a statement after the bound           | CONFIG    |
+      | a removed key ran on in its transaction after the bound | CONFIG    |
 
   Scenario Outline: the checker accepts runs while a configuration spreads
     Given a soak run with customers in which <observation>
     Then the checker reports no violation
 
     Examples:
-      | observation                                            |
+      | observation                                             |
       | a removed key ran a statement before the bound         |
-      | a transaction that began before the bound ran after it |
+      | a statement that was sent before the bound ran after it |
       | a moved key ran for both customers before the bound    |
       | an unknown key ran a statement on a public route       |
 
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -24,6 +24,7 @@
 from trefoilpulley_core.direct.config_messages import ConfigurationQuestion
 from trefoilpulley_core.direct.upstream_session import Reply
 from trefoilpulley_core.failure import Failure
+from trefoilpulley_core.failure import NotAuthenticated
 from trefoilpulley_emulator.deployment import configuration
 from trefoilpulley_emulator.deployment import DATABASES
 from trefoilpulley_node.direct import caller_session
@@ -49,6 +50,9 @@
     is_failed: bool = False
     served_by: tuple[Route, Group] | None = None
 
+    def roll_back(self) -> None:
+        """End nothing; no connection is used."""
+
     def read(self, request: StatementRequest) -> Result[Reply, Failure]:
         """Record a statement."""
         self.requests.append(request)
@@ -206,6 +210,32 @@
         """Handle a COMMIT."""
         assert context.session.handle(Commit('q2')).failure is None
 
+    @staticmethod
+    @when('the session is refused a COMMIT')
+    def refuse_commit(context: Any) -> None:
+        """Handle a COMMIT of a transaction whose key has moved."""
+        reply = context.session.handle(Commit('q2'))
+        assert isinstance(reply.failure, NotAuthenticated), reply
+
+    @staticmethod
+    @then('a member has rolled the transaction back')
+    def check_rolled_back(context: Any) -> None:
+        """Wait for the rollback, before the caller sends anything."""
+        servers = context.deployment.group.servers.values()
+        wait_until(
+            lambda: any(
+                text.startswith('ROLLBACK')
+                for s in servers
+                for _, text in s.received_requests[-1:]
+            )
+        )
+
+    @staticmethod
+    @then('the committed data of "{item}" are "{data}"')
+    def check_committed(context: Any, item: str, data: str) -> None:
+        """Read the item in the log of the primary."""
+        assert context.deployment.group.log.primary.read(item) == data
+
     @staticmethod
     @then('the statements ran for "{names}"')
     def check_names(context: Any, names: str) -> None:
--- a/features/steps/soak_customers_steps.py
+++ b/features/steps/soak_customers_steps.py
@@ -54,7 +54,11 @@
     'a removed key ran a statement before the bound': (
         ('key-w', 'orders', 'weavers', 104.9, 104.9),
     ),
-    'a transaction that began before the bound ran after it': (
+    'a removed key ran on in its transaction after the bound': (
+        ('key-w', 'orders', 'weavers', 90.0, 90.1),
+        ('key-w', 'orders', 'weavers', 106.9, 107.0),
+    ),
+    'a statement that was sent before the bound ran after it': (
         ('key-w', 'orders', 'weavers', 104.9, 107.0),
     ),
     'a moved key ran for both customers before the bound': (
--- a/packages/core/src/trefoilpulley_core/direct/caller_identity.py
+++ b/packages/core/src/trefoilpulley_core/direct/caller_identity.py
@@ -3,7 +3,8 @@
 Load pattern: callers keep sessions open for hours, while keys are added,
 removed and moved to other customers by configurations. A key is therefore
 resolved against the configuration in force whenever new work begins, and not
-when the session is opened.
+when the session is opened. An open transaction ends with the key that began
+it.
 """
 
 from __future__ import annotations
@@ -53,6 +54,29 @@
     return Success(customer)
 
 
+def is_still_customer(
+    table: RouteTable, customer: Customer | None, digest: KeyDigest
+) -> bool:
+    """Return whether a key still belongs to the customer that used it.
+
+    Parameters
+    ----------
+    table : RouteTable
+        Configuration in force.
+    customer : Customer or None
+        Customer for which work with the key has begun; ``None`` for work
+        that needed no key.
+    digest : KeyDigest
+        Digest of the key.
+    """
+    if customer is None:
+        return True
+    if table.customers is None:
+        return False
+    holder = table.customers.find_by_digest(digest)
+    return holder is not None and holder.name == customer.name
+
+
 def is_key_needed(table: RouteTable, database: str) -> bool:
     """Return whether callers of a database must be customers.
 
--- a/packages/node/src/trefoilpulley_node/direct/caller_session.py
+++ b/packages/node/src/trefoilpulley_node/direct/caller_session.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from trefoilpulley_core.direct.caller_identity import identify_caller
+from trefoilpulley_core.direct.caller_identity import is_still_customer
 from trefoilpulley_core.direct.commands import Begin
 from trefoilpulley_core.direct.commands import Commit
 from trefoilpulley_core.direct.commands import Deallocate
@@ -25,6 +26,7 @@
 from trefoilpulley_core.direct.upstream_session import TransactionState
 from trefoilpulley_core.direct.upstream_session import UnknownStatement
 from trefoilpulley_core.failure import Draining
+from trefoilpulley_core.failure import NotAuthenticated
 from trefoilpulley_core.failure import NotRun
 from trefoilpulley_core.failure import OutcomeUnknown
 from trefoilpulley_core.failure import RunState
@@ -89,6 +91,8 @@
         self._transaction: CallerTransaction | None = None
         self._transaction_customer: Customer | None = None
         self._is_transaction_admitted = False
+        self._checked_table: RouteTable | None = None
+        self._key_failure: Failure | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._idle_since = factory.clock.now()
         self._has_handled = False
@@ -130,6 +134,7 @@
 
     def handle(self, command: Command) -> Reply:
         """Handle one command and return its reply."""
+        self.check_key()
         self.is_busy = self._has_handled = True
         began_at = self._factory.clock.now()
         self._greenlet = gevent.getcurrent()
@@ -140,6 +145,7 @@
         finally:
             self._greenlet = None
             self.is_busy = False
+        self.check_key()
         self._idle_since = self._factory.clock.now()
         duration_s = self._idle_since - began_at
         if isinstance(command, Run | Commit):
@@ -184,6 +190,32 @@
         self._transaction.is_failed = True
         self._transaction.roll_back()
 
+    def check_key(self) -> None:
+        """Roll back a transaction whose key is withdrawn, unless it is busy.
+
+        The caller learns of it with the answer to its next command.
+        """
+        transaction = self._transaction
+        if transaction is None or self.is_busy or transaction.is_failed:
+            return
+        table = self._factory.directory.table
+        if table is self._checked_table:
+            return
+        self._checked_table = table
+        if is_still_customer(table, self._transaction_customer, self._digest):
+            return
+        transaction.is_failed = True
+        self._key_failure = NotAuthenticated(
+            'the key does not belong to the customer any more; the '
+            'transaction is rolled back'
+        )
+        events.KEY_WITHDRAWN.log(
+            database=self._database,
+            configuration=table.version,
+            customer=self._transaction_customer.name,
+        )
+        gevent.spawn(transaction.roll_back)
+
     def close(self) -> None:
         """Roll back an open transaction at the end of the session."""
         if self._transaction is not None:
@@ -200,6 +232,11 @@
             handling.throw(StatementInterrupted())
 
     def _handle(self, command: Command) -> Reply:
+        failure, self._key_failure = self._key_failure, None
+        if failure is not None and not isinstance(command, Rollback):
+            if isinstance(command, Commit):
+                self._end_transaction()
+            return self._make_failure_reply(failure)
         match command:
             case Run():
                 return self._on_run(command)
@@ -284,6 +321,7 @@
         if not isinstance(customer, Success):
             return self._make_failure_reply(customer.failure())
         self._transaction_customer = customer.unwrap()
+        self._checked_table = self._factory.directory.table
         factory = self._factory
         self._transaction = CallerTransaction(
             command.is_read_only,
@@ -394,7 +432,8 @@
         """Return the customer for which the next statement runs.
 
         The key is resolved once for each configuration. An open transaction
-        goes on under the customer with which it began.
+        goes on under the customer with which it began, until a configuration
+        withdraws the key from it; see `check_key`.
         """
         if self._transaction is not None:
             return Success(self._transaction_customer)
--- a/packages/node/src/trefoilpulley_node/direct/direct_composition.py
+++ b/packages/node/src/trefoilpulley_node/direct/direct_composition.py
@@ -149,6 +149,7 @@
         self._membership.subscribe_versions(self._config_exchange.on_versions)
         self.configuration.subscribe(self._config_exchange.on_applied)
         self.configuration.subscribe(self._set_limits)
+        self.configuration.subscribe(lambda table: self.sessions.check_keys())
         self._update_hosts()
         gevent.spawn_later(START_S, self._update_limits)
         self._peer_server.register(
--- a/packages/node/src/trefoilpulley_node/direct/session_registry.py
+++ b/packages/node/src/trefoilpulley_node/direct/session_registry.py
@@ -106,6 +106,11 @@
             connections=self._connections, error=error
         )
 
+    def check_keys(self) -> None:
+        """Roll back the transactions whose keys have been withdrawn."""
+        for session in list(self._sessions):
+            session.check_key()
+
     def close_idle(self) -> None:
         """Close the idle sessions, so that their callers use other hosts."""
         for session, conn in list(self._sessions.items()):
