Confirm no successor by an order that got no answer

With synchronous replicas, the target of a failover was confirmed as soon as it was ordered, also where no attempt of the order got an answer. If the order has no effect and the old primary is back, it then had to be confirmed again before it served reads of the present, 0.4 s and a settled change later. Found by reading.

The wait for the lead also ends where the target is the proved primary already.

--- a/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
+++ b/packages/node/src/trefoilpulley_node/direct/promotion_runner.py
@@ -167,8 +167,12 @@
         else:
             demoted = None
             # With synchronous replicas, only a member with every acknowledged
-            # commit is promoted.
-            is_complete = bool(group.synchronous_replicas)
+            # commit is promoted. An order that got no answer may have no
+            # effect.
+            is_complete = (
+                bool(group.synchronous_replicas)
+                and answer is OrderAnswer.ACCEPTED
+            )
         if is_complete:
             gevent.spawn(
                 self._leaders.record_successor,
@@ -308,6 +312,7 @@
         next_poll_at = self._clock.now() + LEAD_POLL_INTERVAL_S
         while self._clock.now() < next_poll_at:
             proof = state.unconfirmed
-            if proof is not None and proof.member == target:
+            is_proved = proof is not None and proof.member == target
+            if is_proved or state.primary == target:
                 return
             gevent.sleep(PROOF_CHECK_INTERVAL_S)
