--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -394,6 +394,7 @@
             exchanger=None,
             metrics=DirectMetrics(),
             primary_wait=None,
+            commits=None,
             runner=SimpleNamespace(read=run, write=run),
             zone='z1',
         )
